--- /dev/null
+++ b/internal/config/document.go
@@ -0,0 +1,175 @@
+package config
+
+// Document is the operators' configuration: services, organisations and the
+// ordered rules. It is one value in the key-value service and changes only by
+// compare-and-swap on Revision.
+type Document struct {
+	// Revision rises by one with every accepted change; the first is 1.
+	Revision int64 `json:"revision" msgpack:"rev"`
+	// OperationID names the change that produced this revision, so that a
+	// lost answer of the store can be resolved by reading back.
+	OperationID string `json:"operationId,omitempty" msgpack:"op,omitempty"`
+
+	Organisations []Organisation `json:"organisations" msgpack:"orgs"`
+	Services      []Service      `json:"services" msgpack:"svcs"`
+	Rules         []Rule         `json:"rules" msgpack:"rules"`
+	OlderSystem   *OlderSystem   `json:"olderSystem,omitempty" msgpack:"old,omitempty"`
+}
+
+// Organisation is a customer whose callers hold bearer keys.
+type Organisation struct {
+	Name string `json:"name" msgpack:"n"`
+	// KeyHashes are the hex SHA-256 sums of the organisation's bearer keys.
+	KeyHashes []string `json:"keyHashes" msgpack:"k"`
+	// RequestsPerSecond bounds accepted requests per entry VM; 0 is unlimited.
+	RequestsPerSecond float64 `json:"requestsPerSecond,omitempty" msgpack:"rps,omitempty"`
+	// Burst is the size of the rate bucket in requests; default one second's worth.
+	Burst int `json:"burst,omitempty" msgpack:"b,omitempty"`
+	// MaxConcurrent bounds running requests per entry VM; 0 is unlimited.
+	MaxConcurrent int `json:"maxConcurrent,omitempty" msgpack:"mc,omitempty"`
+	// Share is the weight in fair sharing; default 1.
+	Share float64 `json:"share,omitempty" msgpack:"sh,omitempty"`
+}
+
+// ServiceKind tells how a service is called.
+type ServiceKind string
+
+// Service kinds.
+const (
+	ModelService ServiceKind = "model"
+	PlainService ServiceKind = "plain"
+)
+
+// OutagePolicy says what happens to non-repeatable requests while the
+// key-value service is down.
+type OutagePolicy string
+
+// Outage policies.
+const (
+	// OutageRefuse answers "not-run" with Retry-After. It is the default.
+	OutageRefuse OutagePolicy = "refuse"
+	// OutageOwner lets the partition's owner go on without the store.
+	OutageOwner OutagePolicy = "owner"
+)
+
+// Service is something that callers can ask for.
+type Service struct {
+	Name string      `json:"name" msgpack:"n"`
+	Kind ServiceKind `json:"kind" msgpack:"k"`
+	// Models are the model names that callers use; model services only.
+	Models []string `json:"models,omitempty" msgpack:"m,omitempty"`
+	// NonRepeatable lists calls of a plain service that must run at most once.
+	NonRepeatable []CallMatch `json:"nonRepeatable,omitempty" msgpack:"nr,omitempty"`
+	// StoreOutage is the policy for non-repeatable requests; default "refuse".
+	StoreOutage OutagePolicy `json:"storeOutage,omitempty" msgpack:"so,omitempty"`
+	// ChecksFencing is true if the backend servers refuse orders with an old
+	// fencing number.
+	ChecksFencing bool          `json:"checksFencing,omitempty" msgpack:"cf,omitempty"`
+	Target        LatencyTarget `json:"target,omitzero" msgpack:"t"`
+	Weights       RouteWeights  `json:"weights,omitzero" msgpack:"w"`
+	// TimeoutSeconds bounds one request, first byte in to last byte out;
+	// default 600.
+	TimeoutSeconds float64 `json:"timeoutSeconds,omitempty" msgpack:"to,omitempty"`
+	// MaxConcurrentPerServer bounds running requests per backend server as
+	// seen by one entry VM; default 64.
+	MaxConcurrentPerServer int `json:"maxConcurrentPerServer,omitempty" msgpack:"mcs,omitempty"`
+	// RetryBudget is the share of retries per first attempt; default 0.2.
+	RetryBudget float64 `json:"retryBudget,omitempty" msgpack:"rb,omitempty"`
+}
+
+// CallMatch matches calls of a plain service.
+type CallMatch struct {
+	// Method is an HTTP method; empty matches all.
+	Method string `json:"method,omitempty" msgpack:"m,omitempty"`
+	// PathPrefix is matched against the path after /services/{service}.
+	PathPrefix string `json:"pathPrefix,omitempty" msgpack:"p,omitempty"`
+}
+
+// LatencyTarget is the service's target at the 95th percentile.
+type LatencyTarget struct {
+	FirstTokenMillis    float64 `json:"firstTokenMillis,omitempty" msgpack:"ft,omitempty"`
+	BetweenTokensMillis float64 `json:"betweenTokensMillis,omitempty" msgpack:"bt,omitempty"`
+	// AnswerMillis is the target for whole answers of plain services.
+	AnswerMillis float64 `json:"answerMillis,omitempty" msgpack:"an,omitempty"`
+}
+
+// RouteWeights weigh the terms of a routing decision. The common unit is
+// milliseconds of predicted latency.
+type RouteWeights struct {
+	// RecomputedTokenMillis is the cost of one recomputed prompt token;
+	// default 0.2.
+	RecomputedTokenMillis float64 `json:"recomputedTokenMillis,omitempty" msgpack:"rt,omitempty"`
+	// PriceMillis is the cost of one currency unit per accelerator hour;
+	// default 10.
+	PriceMillis float64 `json:"priceMillis,omitempty" msgpack:"p,omitempty"`
+}
+
+// Rule is one entry of the ordered list. The first rule whose When matches
+// decides.
+type Rule struct {
+	Name string `json:"name" msgpack:"n"`
+	When When   `json:"when" msgpack:"w"`
+	Then Then   `json:"then" msgpack:"t"`
+}
+
+// When is a conjunction; an absent field matches every request.
+type When struct {
+	Organisations []string `json:"organisations,omitempty" msgpack:"o,omitempty"`
+	Services      []string `json:"services,omitempty" msgpack:"s,omitempty"`
+	Models        []string `json:"models,omitempty" msgpack:"m,omitempty"`
+	// Kinds are kinds of call: "chat", "completion", "plain".
+	Kinds           []string `json:"kinds,omitempty" msgpack:"k,omitempty"`
+	MinPromptTokens int      `json:"minPromptTokens,omitempty" msgpack:"mn,omitempty"`
+	// MaxPromptTokens is inclusive; 0 is no bound.
+	MaxPromptTokens int      `json:"maxPromptTokens,omitempty" msgpack:"mx,omitempty"`
+	Repeatable      *bool    `json:"repeatable,omitempty" msgpack:"r,omitempty"`
+	Priorities      []string `json:"priorities,omitempty" msgpack:"p,omitempty"`
+	// HasContext matches requests with (true) or without (false) a context.
+	HasContext *bool    `json:"hasContext,omitempty" msgpack:"c,omitempty"`
+	Zones      []string `json:"zones,omitempty" msgpack:"z,omitempty"`
+	// Hours is a UTC range; From may be later than To to span midnight.
+	Hours *HourRange `json:"hours,omitempty" msgpack:"h,omitempty"`
+	// LoadAbove matches if the service's load (0 to 1 and above) exceeds it.
+	LoadAbove *float64 `json:"loadAbove,omitempty" msgpack:"l,omitempty"`
+	// PriceAbove matches if the cheapest live server's price per hour exceeds it.
+	PriceAbove *float64 `json:"priceAbove,omitempty" msgpack:"pa,omitempty"`
+}
+
+// HourRange is [From, To) in hours of the day, UTC.
+type HourRange struct {
+	From int `json:"from" msgpack:"f"`
+	To   int `json:"to" msgpack:"t"`
+}
+
+// Then is the outcome of a rule. Exactly one of Service and Refuse is set.
+type Then struct {
+	Service string `json:"service,omitempty" msgpack:"s,omitempty"`
+	Model   string `json:"model,omitempty" msgpack:"m,omitempty"`
+	Version string `json:"version,omitempty" msgpack:"v,omitempty"`
+	// OlderSystemShare (0 to 1) of the contexts goes to the older system.
+	OlderSystemShare float64 `json:"olderSystemShare,omitempty" msgpack:"os,omitempty"`
+	// Priority is "high", "normal" (default) or "low".
+	Priority string `json:"priority,omitempty" msgpack:"p,omitempty"`
+	// DeadlineMillis is the longest wait before the first byte; a request that
+	// cannot meet it is refused early or takes a fallback.
+	DeadlineMillis float64 `json:"deadlineMillis,omitempty" msgpack:"d,omitempty"`
+	VMClass        string  `json:"vmClass,omitempty" msgpack:"vc,omitempty"`
+	// Fallback names services tried in order when Service cannot take the
+	// request.
+	Fallback []string `json:"fallback,omitempty" msgpack:"f,omitempty"`
+	Refuse   *Refuse  `json:"refuse,omitempty" msgpack:"r,omitempty"`
+}
+
+// Refuse answers a request without running it.
+type Refuse struct {
+	Reason            string  `json:"reason" msgpack:"r"`
+	RetryAfterSeconds float64 `json:"retryAfterSeconds,omitempty" msgpack:"ra,omitempty"`
+}
+
+// OlderSystem is the serving system being replaced.
+type OlderSystem struct {
+	// Address is "host:port" of its HTTP interface.
+	Address string `json:"address" msgpack:"a"`
+	// PricePerHour is charged while it is on.
+	PricePerHour float64 `json:"pricePerHour,omitempty" msgpack:"p,omitempty"`
+}
