--- /dev/null
+++ b/cmd/buckthornpick-entry/main.go
@@ -0,0 +1,5 @@
+// Command buckthornpick-entry is the process on every entry VM: it takes
+// callers' requests, owns and routes them and streams the answers back.
+package main
+
+func main() {}
