--- /dev/null
+++ b/internal/dispatch/claims.go
@@ -0,0 +1,151 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"buckthornpick/internal/backend"
+	"buckthornpick/internal/claim"
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/request"
+)
+
+// resolveClaim looks for a claim of an earlier submission of a non-repeatable
+// request. isResolved is false if the request was never claimed and may run.
+func (e *execution) resolveClaim(ctx context.Context) (end *request.End, isResolved bool) {
+	if e.req.Repeatable || e.req.Minted {
+		return nil, false
+	}
+	lookupCtx, cancel := context.WithTimeout(ctx, e.d.cfg.ClaimWait)
+	defer cancel()
+	earlier, found, err := e.d.deps.Claims.Lookup(lookupCtx, e.req.ID)
+	if err != nil {
+		return e.unresolved("the claims cannot be read now: " + err.Error()), true
+	}
+	if !found {
+		return nil, false
+	}
+	e.setClaimNumber(earlier.Number)
+	if earlier.Released {
+		return nil, false
+	}
+	e.mayHaveRun = true
+	return e.followClaim(ctx, earlier), true
+}
+
+// followClaim attaches to the attempt that an earlier owner claimed. The
+// request is never dispatched again.
+func (e *execution) followClaim(ctx context.Context, c claim.Claim) *request.End {
+	if c.Target.Class != backend.Engine {
+		return e.unresolved("an earlier submission was sent to " + c.Target.ID + " and its answer was lost")
+	}
+	a := &attempt{service: c.Service, target: c.Target, id: c.Attempt, sentAt: time.Now()}
+	number, err := e.rec.Dispatch()
+	if err != nil {
+		return e.stateRefused(err)
+	}
+	e.setCurrent(a)
+	err = e.resumeOnce(ctx, number, a)
+	if err == nil {
+		return &request.End{Outcome: request.Completed}
+	}
+	e.logLoss(a, err)
+	return e.unresolved("an earlier submission was sent to " + c.Target.ID + " and its answer is not to be had")
+}
+
+func (e *execution) unresolved(message string) *request.End {
+	return &request.End{Outcome: request.Unknown, Problem: problemUnresolved, Message: message,
+		Status: http.StatusServiceUnavailable, RetryAfter: time.Second}
+}
+
+// claim writes the claim of the attempt. ok is false if the request must not
+// be dispatched; a nil end then means that another node owns it now.
+func (e *execution) claim(ctx context.Context, a *attempt) (end *request.End, ok bool) {
+	if err := e.rec.Claim(); err != nil {
+		return e.stateRefused(err), false
+	}
+	claimCtx, cancel := context.WithTimeout(ctx, e.d.cfg.ClaimWait)
+	defer cancel()
+	err := e.writeClaim(claimCtx, a)
+	if err == nil {
+		return nil, true
+	}
+	if loseErr := e.rec.Lose(); loseErr != nil {
+		return e.stateRefused(loseErr), false
+	}
+	if fault.Is(err, fault.Conflict) && !e.d.deps.Ownership.OwnsPartition(e.req.ID.Partition()) {
+		return nil, false
+	}
+	return e.notClaimed(err), false
+}
+
+func (e *execution) writeClaim(ctx context.Context, a *attempt) error {
+	c := e.newClaim(a)
+	write := e.d.deps.Claims.Commit
+	if c.Number > 1 {
+		write = e.d.deps.Claims.Amend
+	}
+	err := write(ctx, c)
+	if err == nil || fault.Is(err, fault.Ambiguous) {
+		e.setClaimNumber(c.Number)
+	}
+	return err
+}
+
+func (e *execution) newClaim(a *attempt) claim.Claim {
+	own := e.d.deps.Ownership
+	return claim.Claim{
+		Request: e.req.ID, Organisation: e.req.Organisation, Service: a.service,
+		Owner: own.Self(), Incarnation: own.Incarnation(),
+		Target: a.target, Attempt: a.id, Number: e.lastClaim() + 1,
+		At: time.Now(), Fingerprint: e.req.Fingerprint,
+	}
+}
+
+// releaseWait bounds the release of a claim whose request did not run.
+const releaseWait = time.Second
+
+// releaseClaim lets a request that did not run be claimed again. If the store
+// does not take it, later submissions are answered "unknown".
+func (e *execution) releaseClaim() {
+	if e.lastClaim() == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(e.d.base, releaseWait)
+	defer cancel()
+	a := e.currentAttempt()
+	c := e.newClaim(&a)
+	c.Released = true
+	if err := e.d.deps.Claims.Amend(ctx, c); err != nil {
+		e.d.deps.Log.Log(EvNotReleased, "request", e.req.ID, "error", err)
+	}
+}
+
+func (e *execution) lastClaim() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.claimNumber
+}
+
+func (e *execution) setClaimNumber(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.claimNumber = n
+}
+
+// notClaimed ends a request whose claim could not be written. It is not
+// dispatched, so unless an earlier attempt ran it, it did not run.
+func (e *execution) notClaimed(err error) *request.End {
+	end := request.End{
+		Problem:    problemUnavailable,
+		Message:    "the at-most-once claim could not be written: " + err.Error(),
+		Status:     http.StatusServiceUnavailable,
+		RetryAfter: time.Second,
+	}
+	if fault.Is(err, fault.Conflict) {
+		// Another submission holds the claim and may run.
+		e.mayHaveRun = true
+	}
+	return e.giveUp(end)
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,286 @@
+// Package dispatch runs accepted requests at their owner: it decides by the
+// rules, admits, claims, chooses a backend server, follows the answer, and
+// recovers from the loss of a backend server.
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"buckthornpick/internal/backend"
+	"buckthornpick/internal/claim"
+	"buckthornpick/internal/confstore"
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/limit"
+	"buckthornpick/internal/pool"
+	"buckthornpick/internal/request"
+	"buckthornpick/internal/telemetry"
+)
+
+// Claims is the at-most-once ledger of non-repeatable requests.
+type Claims interface {
+	Commit(ctx context.Context, c claim.Claim) error
+	Amend(ctx context.Context, c claim.Claim) error
+	Lookup(ctx context.Context, id request.ID) (claim.Claim, bool, error)
+}
+
+// Ownership tells what this node owns by the table of members.
+type Ownership interface {
+	// Self returns the member ID of this node.
+	Self() string
+	// Incarnation returns the member's current incarnation.
+	Incarnation() int64
+	// OwnsPartition reports whether this node owns the partition.
+	OwnsPartition(partition int) bool
+	// AcquiredDirty reports when the partition came to this node without a
+	// handover from its earlier owner.
+	AcquiredDirty(partition int) (since time.Time, dirty bool)
+}
+
+// Quarantine stops requests whose content crashes backend servers.
+type Quarantine interface {
+	// Permit waits until a request with the fingerprint may be dispatched to
+	// the backend server. A quarantined fingerprint is refused with an error
+	// of type fault.Exhausted. The permit must be released.
+	Permit(ctx context.Context, fingerprint uint64, server string) (Permit, error)
+	// Crashed records that the backend server crashed while it ran a request
+	// with the fingerprint, and returns once reachable nodes know.
+	Crashed(ctx context.Context, fingerprint uint64, server string)
+}
+
+// Permit allows one attempt.
+type Permit interface {
+	// Progress tells that the attempt has delivered an event.
+	Progress(events int)
+	// Release ends the attempt.
+	Release()
+}
+
+// Config bounds the work of one owner.
+type Config struct {
+	// AnswerBytes bounds one answer. Default 8 MiB.
+	AnswerBytes int
+	// BufferBytes bounds the answers of ended requests kept for callers that
+	// attach. Default 64 MiB.
+	BufferBytes int
+	// Retention is how long an ended request is kept. Default 2 min.
+	Retention time.Duration
+	// KeyWindow is how long a lost owner's requests may be sent again.
+	// Default 10 min.
+	KeyWindow time.Duration
+	// StartWait bounds the wait of a request that was not dispatched yet for a
+	// backend server. Default 3 s.
+	StartWait time.Duration
+	// RecoverWait bounds the attempts to attach to a lost attempt again.
+	// Default 3 s.
+	RecoverWait time.Duration
+	// ClaimWait bounds the writing of a claim. Default 3 s.
+	ClaimWait time.Duration
+	// MaxAttempts bounds the dispatches of one request. Default 5.
+	MaxAttempts int
+	// MigrationMargin is the time before a backend server's end at which a
+	// running attempt is moved at the latest. Default 1500 ms.
+	MigrationMargin time.Duration
+}
+
+const (
+	defaultAnswerBytes     = 8 << 20
+	defaultBufferBytes     = 64 << 20
+	defaultRetention       = 2 * time.Minute
+	defaultKeyWindow       = 10 * time.Minute
+	defaultStartWait       = 3 * time.Second
+	defaultRecoverWait     = 3 * time.Second
+	defaultClaimWait       = 3 * time.Second
+	defaultMaxAttempts     = 5
+	defaultMigrationMargin = 1500 * time.Millisecond
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.AnswerBytes, defaultAnswerBytes)
+	setDefault(&c.BufferBytes, defaultBufferBytes)
+	setDefault(&c.Retention, defaultRetention)
+	setDefault(&c.KeyWindow, defaultKeyWindow)
+	setDefault(&c.StartWait, defaultStartWait)
+	setDefault(&c.RecoverWait, defaultRecoverWait)
+	setDefault(&c.ClaimWait, defaultClaimWait)
+	setDefault(&c.MaxAttempts, defaultMaxAttempts)
+	setDefault(&c.MigrationMargin, defaultMigrationMargin)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Deps are the components that a dispatcher uses.
+type Deps struct {
+	Document   func() (*confstore.Snapshot, bool)
+	Pools      *pool.Set
+	Claims     Claims
+	Ownership  Ownership
+	Backends   backend.Client
+	Admitter   *limit.Admitter
+	Quarantine Quarantine
+	Zone       string
+	Log        *telemetry.Logger
+	Registry   metrics.Registry
+}
+
+// Dispatcher runs the requests that this node owns. It is safe for concurrent
+// use.
+//
+// Lock order: mu before a record's lock; no I/O under mu.
+type Dispatcher struct {
+	cfg   Config
+	deps  Deps
+	stats stats
+
+	base   context.Context
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+
+	mu         sync.Mutex
+	records    map[request.ID]*request.Record
+	executions map[request.ID]*execution
+	ended      endedQueue
+	isClosed   bool
+}
+
+// New returns a dispatcher.
+func New(cfg Config, deps Deps) *Dispatcher {
+	base, cancel := context.WithCancel(context.Background())
+	return &Dispatcher{
+		cfg: cfg.withDefaults(), deps: deps, stats: newStats(deps.Registry),
+		base: base, cancel: cancel,
+		records:    map[request.ID]*request.Record{},
+		executions: map[request.ID]*execution{},
+	}
+}
+
+const housekeepingInterval = 500 * time.Millisecond
+
+// Run evicts ended requests and reacts to backend servers that leave, until
+// ctx ends. Then running requests are stopped.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	ticker := time.NewTicker(housekeepingInterval)
+	defer ticker.Stop()
+	for {
+		changed := d.deps.Pools.Changed()
+		select {
+		case <-ctx.Done():
+			d.close()
+			return nil
+		case <-changed:
+			d.noticeLeavingServers()
+		case <-ticker.C:
+			d.deps.Pools.Refresh(time.Now())
+			d.evict(time.Now())
+		}
+	}
+}
+
+func (d *Dispatcher) close() {
+	d.mu.Lock()
+	d.isClosed = true
+	d.mu.Unlock()
+	d.cancel()
+	d.work.Wait()
+}
+
+// Submit starts a request, or finds the record of an earlier submission.
+// delivered are events that the caller already has from a lost owner.
+//
+// Errors: fault.Invalid if the ID was used with another content;
+// fault.Unavailable if the node is stopping.
+func (d *Dispatcher) Submit(r *request.Request, delivered []request.Event) (*request.Record, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.isClosed {
+		return nil, fault.New(fault.Unavailable, "dispatch.submit", "", "node is stopping")
+	}
+	if rec, ok := d.records[r.ID]; ok {
+		if rec.Request.Fingerprint != r.Fingerprint {
+			return nil, fault.New(fault.Invalid, "dispatch.submit", "",
+				"the idempotency key was used with another request")
+		}
+		if !mayRunAgain(rec) {
+			return rec, nil
+		}
+	}
+	rec := request.NewRecord(r, d.cfg.AnswerBytes)
+	if err := rec.Restore(0, nil, delivered); err != nil {
+		return nil, err
+	}
+	d.startLocked(newExecution(d, rec))
+	return rec, nil
+}
+
+// mayRunAgain reports whether a submission after the record's end runs anew.
+func mayRunAgain(rec *request.Record) bool {
+	if rec.State() == request.HandedOver {
+		return true
+	}
+	end, _, ok := rec.Ended()
+	if !ok || end.Outcome == request.Completed {
+		return false
+	}
+	return end.Outcome == request.NotRun || rec.Request.Repeatable
+}
+
+// Find returns the record of a request, ok false if there is none here.
+func (d *Dispatcher) Find(id request.ID) (*request.Record, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	rec, ok := d.records[id]
+	if !ok || rec.State() == request.HandedOver {
+		return nil, false
+	}
+	return rec, true
+}
+
+// Running returns the number of requests that have not ended here.
+func (d *Dispatcher) Running() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.executions)
+}
+
+func (d *Dispatcher) startLocked(e *execution) {
+	id := e.req.ID
+	d.records[id] = e.rec
+	d.executions[id] = e
+	d.work.Add(1)
+	go func() {
+		defer d.work.Done()
+		e.main(d.base)
+		d.finished(e)
+	}()
+}
+
+func (d *Dispatcher) finished(e *execution) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.executions[e.req.ID] == e {
+		delete(d.executions, e.req.ID)
+	}
+	d.ended.add(e.rec)
+}
+
+// evict drops ended requests that are too old or too large to keep.
+func (d *Dispatcher) evict(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, rec := range d.ended.expire(now, d.cfg.Retention, d.cfg.BufferBytes) {
+		if d.records[rec.Request.ID] == rec {
+			delete(d.records, rec.Request.ID)
+		}
+	}
+	d.stats.records.Update(int64(len(d.records)))
+	d.stats.running.Update(int64(len(d.executions)))
+}
--- /dev/null
+++ b/internal/dispatch/ended.go
@@ -0,0 +1,37 @@
+package dispatch
+
+import (
+	"time"
+
+	"buckthornpick/internal/request"
+)
+
+// endedQueue holds ended records in the order of their end.
+type endedQueue struct {
+	records []*request.Record
+	bytes   int
+}
+
+func (q *endedQueue) add(rec *request.Record) {
+	q.records = append(q.records, rec)
+	q.bytes += rec.Bytes()
+}
+
+// expire removes and returns the records that ended before now-retention, and
+// the oldest ones until the rest fits into maxBytes.
+func (q *endedQueue) expire(now time.Time, retention time.Duration, maxBytes int) []*request.Record {
+	n := 0
+	for n < len(q.records) {
+		rec := q.records[n]
+		_, at, ok := rec.Ended()
+		isOld := !ok || now.Sub(at) >= retention
+		if !isOld && q.bytes <= maxBytes {
+			break
+		}
+		q.bytes -= rec.Bytes()
+		n++
+	}
+	expired := q.records[:n:n]
+	q.records = q.records[n:]
+	return expired
+}
--- /dev/null
+++ b/internal/dispatch/events.go
@@ -0,0 +1,33 @@
+package dispatch
+
+import (
+	"log/slog"
+
+	"buckthornpick/internal/telemetry"
+)
+
+// Events of the owner's side of requests.
+var (
+	EvRoute = telemetry.Register(1200, "route-decision", slog.LevelInfo,
+		"A backend server was chosen: rule, reason and the candidates with their cost terms.")
+	EvEnded = telemetry.Register(1201, "request-ended", slog.LevelInfo,
+		"A request ended with the given outcome.")
+	EvAttemptLost = telemetry.Register(1202, "attempt-lost", slog.LevelWarn,
+		"An attempt ended without a whole answer; what follows depends on how far it got.")
+	EvResumed = telemetry.Register(1203, "attempt-resumed", slog.LevelInfo,
+		"The owner attached again to an attempt at its backend server.")
+	EvMoving = telemetry.Register(1204, "attempt-moving", slog.LevelInfo,
+		"An attempt is moved because its backend server is taken back.")
+	EvLateAnswer = telemetry.Register(1205, "late-answer-dropped", slog.LevelInfo,
+		"Events of an attempt that is over were dropped.")
+	EvRefused = telemetry.Register(1206, "request-refused", slog.LevelInfo,
+		"A request was refused before any dispatch.")
+	EvAdopted = telemetry.Register(1207, "request-adopted", slog.LevelInfo,
+		"A request was taken over from a leaving node.")
+	EvHandedOver = telemetry.Register(1208, "request-handed-over", slog.LevelInfo,
+		"A request was handed over to its new owner.")
+	EvStateRefused = telemetry.Register(1209, "state-change-refused", slog.LevelError,
+		"A change of a request's state was refused by its state machine.")
+	EvNotReleased = telemetry.Register(1210, "claim-not-released", slog.LevelWarn,
+		"The claim of a request that did not run could not be released; later submissions get \"unknown\".")
+)
--- /dev/null
+++ b/internal/dispatch/handover.go
@@ -0,0 +1,131 @@
+package dispatch
+
+import (
+	"time"
+
+	"buckthornpick/internal/backend"
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/request"
+)
+
+// Transfer is a request on its way from a leaving node to its new owner.
+type Transfer struct {
+	Request *request.Request `msgpack:"r"`
+	// Service, Target and Attempt name the running attempt; Attempt is empty
+	// if the request was not dispatched.
+	Service string            `msgpack:"s,omitempty"`
+	Target  backend.Target    `msgpack:"t"`
+	Attempt backend.AttemptID `msgpack:"a,omitempty"`
+	// Number is the number of the last dispatch.
+	Number int `msgpack:"n"`
+	// ClaimNumber is the number of the last claim written.
+	ClaimNumber int             `msgpack:"c"`
+	Head        *request.Head   `msgpack:"h,omitempty"`
+	Events      []request.Event `msgpack:"e,omitempty"`
+	// End is set if the request has ended.
+	End *request.End `msgpack:"d,omitempty"`
+}
+
+// Export returns the state of every request here, for handing over. Requests
+// that were not dispatched are stopped first, so that only the new owner runs
+// them. Requests at backend servers that cannot resume stay here until they
+// end.
+func (d *Dispatcher) Export() []Transfer {
+	var out []Transfer
+	for _, e := range d.runningExecutions() {
+		if t, ok := e.export(); ok {
+			out = append(out, t)
+		}
+	}
+	return append(out, d.exportEnded()...)
+}
+
+func (d *Dispatcher) exportEnded() []Transfer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []Transfer
+	for _, rec := range d.ended.records {
+		if end, _, ok := rec.Ended(); ok && d.records[rec.Request.ID] == rec {
+			out = append(out, Transfer{Request: rec.Request, Number: rec.Attempt(),
+				Head: rec.Head(), Events: rec.Events(), End: &end})
+		}
+	}
+	return out
+}
+
+// export returns the request's state. ok is false if it must stay here.
+func (e *execution) export() (Transfer, bool) {
+	state := e.rec.State()
+	if state == request.Accepted {
+		e.interrupt(errHandedOver)
+		return Transfer{Request: resubmitted(e.req), ClaimNumber: e.lastClaim()}, true
+	}
+	a := e.currentAttempt()
+	if state != request.Running || a.target.Class != backend.Engine {
+		return Transfer{}, false
+	}
+	e.mu.Lock()
+	e.isObserver = true
+	e.mu.Unlock()
+	return Transfer{
+		Request: resubmitted(e.req), Service: a.service, Target: a.target, Attempt: a.id,
+		Number: e.rec.Attempt(), ClaimNumber: e.lastClaim(),
+		Head: e.rec.Head(), Events: e.rec.Events(),
+	}, true
+}
+
+// resubmitted returns the request for another owner, which must not take it
+// for one that was never submitted before.
+func resubmitted(r *request.Request) *request.Request {
+	again := *r
+	again.Minted = false
+	return &again
+}
+
+// Adopt takes a request over from a leaving node. A request that is known here
+// already is left as it is, so a repeated transfer has no effect.
+func (d *Dispatcher) Adopt(t Transfer) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.isClosed {
+		return fault.New(fault.Unavailable, "dispatch.adopt", "", "node is stopping")
+	}
+	if rec, ok := d.records[t.Request.ID]; ok && rec.State() != request.HandedOver {
+		return nil
+	}
+	rec := request.NewRecord(t.Request, d.cfg.AnswerBytes)
+	if err := rec.Restore(t.Number, t.Head, t.Events); err != nil {
+		return err
+	}
+	d.deps.Log.Log(EvAdopted, "request", t.Request.ID, "attempt", t.Attempt, "events", len(t.Events))
+	if t.End != nil {
+		return d.adoptEndedLocked(rec, *t.End)
+	}
+	e := newExecution(d, rec)
+	e.claimNumber = t.ClaimNumber
+	if t.Attempt != "" {
+		e.current = adoptedAttempt(t)
+	}
+	d.startLocked(e)
+	return nil
+}
+
+func (d *Dispatcher) adoptEndedLocked(rec *request.Record, end request.End) error {
+	if end.Outcome == request.Completed {
+		if _, err := rec.Dispatch(); err != nil {
+			return err
+		}
+	}
+	if err := rec.Finish(end, time.Now()); err != nil {
+		return err
+	}
+	d.records[rec.Request.ID] = rec
+	d.ended.add(rec)
+	return nil
+}
+
+func (e *execution) observes() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isObserver
+}
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"buckthornpick/internal/request"
+)
+
+// writeAnswer delivers an answer in the form that the caller asked for.
+func (g *Gateway) writeAnswer(w http.ResponseWriter, r *http.Request, a Answer, after int) {
+	info := a.Info()
+	w.Header().Set(HeaderRequestID, string(info.ID))
+	if info.Stream {
+		g.writeStream(w, r, a, after)
+		return
+	}
+	g.writeWhole(w, r, a)
+}
+
+// errLeaving says that this VM is going away before the answer is complete.
+var errLeaving = errors.New("this VM is leaving; attach at another one")
+
+// writeWhole collects the answer and writes it in one piece, so that an
+// incomplete answer never looks like a complete one.
+func (g *Gateway) writeWhole(w http.ResponseWriter, r *http.Request, a Answer) {
+	ctx, cancel := g.untilLeaving(r.Context())
+	defer cancel()
+	collected, err := collect(ctx, a)
+	switch {
+	case err == nil:
+		g.writeCollected(w, a.Info(), collected)
+	case errors.Is(context.Cause(ctx), errLeaving):
+		redirect(w, a.Info().ID)
+	case r.Context().Err() != nil:
+		g.aborted(a, r.Context().Err())
+	default:
+		g.log.Log(EvRelayLost, "request", a.Info().ID, "error", err)
+		writeNodeError(w, a.Info().ID, err)
+	}
+}
+
+type collectedAnswer struct {
+	head   *request.Head
+	events []request.Event
+	end    request.End
+}
+
+func collect(ctx context.Context, a Answer) (collectedAnswer, error) {
+	var c collectedAnswer
+	for {
+		step, err := a.Next(ctx)
+		if err != nil {
+			return c, err
+		}
+		switch {
+		case step.Head != nil:
+			c.head = step.Head
+		case step.Event != nil:
+			c.events = append(c.events, *step.Event)
+		case step.End != nil:
+			c.end = *step.End
+			return c, nil
+		}
+	}
+}
+
+// redirect sends the caller to the answer's own address, which any other entry
+// serves.
+func redirect(w http.ResponseWriter, id request.ID) {
+	h := w.Header()
+	h.Set("Location", "/v1/requests/"+string(id))
+	h.Set("Retry-After", "1")
+	h.Set("Connection", "close")
+	w.WriteHeader(http.StatusSeeOther)
+}
+
+// untilLeaving returns a context that also ends when this VM must be left; its
+// cause is then errLeaving.
+func (g *Gateway) untilLeaving(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	go func() {
+		select {
+		case <-g.node.Leaving():
+			cancel(errLeaving)
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() { cancel(nil) }
+}
+
+func (g *Gateway) aborted(a Answer, err error) {
+	g.stats.aborted.Inc(1)
+	g.log.Log(EvAnswerAborted, "request", a.Info().ID, "error", err)
+}
--- /dev/null
+++ b/internal/gateway/keyring.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+	"sync/atomic"
+
+	"buckthornpick/internal/config"
+)
+
+// keyring finds the organisation of a bearer key. It keeps an index of the
+// latest document it saw.
+type keyring struct {
+	index atomic.Pointer[keyIndex]
+}
+
+type keyIndex struct {
+	doc   *config.Document
+	names map[string]string
+}
+
+const bearerPrefix = "Bearer "
+
+func (k *keyring) organisation(doc *config.Document, authorization string) (string, bool) {
+	key, ok := strings.CutPrefix(authorization, bearerPrefix)
+	if !ok || key == "" {
+		return "", false
+	}
+	sum := sha256.Sum256([]byte(key))
+	name, ok := k.indexOf(doc).names[hex.EncodeToString(sum[:])]
+	return name, ok
+}
+
+func (k *keyring) indexOf(doc *config.Document) *keyIndex {
+	if ix := k.index.Load(); ix != nil && ix.doc == doc {
+		return ix
+	}
+	ix := &keyIndex{doc: doc, names: map[string]string{}}
+	for _, o := range doc.Organisations {
+		for _, h := range o.KeyHashes {
+			ix.names[strings.ToLower(h)] = o.Name
+		}
+	}
+	k.index.Store(ix)
+	return ix
+}
--- /dev/null
+++ b/internal/gateway/problem.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"buckthornpick/internal/request"
+)
+
+// Types of the API's error objects.
+const (
+	typeInvalidRequest = "invalid_request_error"
+	typeAuthentication = "authentication_error"
+	typeNotFound       = "not_found_error"
+	typeConflict       = "idempotency_error"
+	typeUnavailable    = "unavailable_error"
+	typeInternal       = "server_error"
+)
+
+// problem is an answer that is an error object.
+type problem struct {
+	status     int
+	kind       string
+	message    string
+	outcome    request.Outcome
+	id         request.ID
+	retryAfter time.Duration
+}
+
+type errorBody struct {
+	Error errorObject `json:"error"`
+}
+
+type errorObject struct {
+	Type      string          `json:"type"`
+	Message   string          `json:"message"`
+	RequestID request.ID      `json:"request_id,omitempty"`
+	Outcome   request.Outcome `json:"outcome,omitempty"`
+	// RetryAfterSeconds is 0 if there is no advice.
+	RetryAfterSeconds int `json:"retry_after_seconds,omitempty"`
+}
+
+func (p problem) body() []byte {
+	b, err := json.Marshal(errorBody{Error: errorObject{
+		Type: p.kind, Message: p.message, RequestID: p.id, Outcome: p.outcome,
+		RetryAfterSeconds: wholeSeconds(p.retryAfter),
+	}})
+	if err != nil {
+		return []byte(`{"error":{"type":"server_error"}}`)
+	}
+	return b
+}
+
+// writeProblem answers with an error object. Input that is refused before it
+// is accepted is "not-run".
+func writeProblem(w http.ResponseWriter, p problem) {
+	if p.outcome == "" {
+		p.outcome = request.NotRun
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderOutcome, string(p.outcome))
+	if p.id != "" {
+		h.Set(HeaderRequestID, string(p.id))
+	}
+	if p.retryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(wholeSeconds(p.retryAfter)))
+	}
+	w.WriteHeader(p.status)
+	_, _ = w.Write(p.body())
+}
+
+// problemOf turns the end of a request without an answer into an error object.
+func problemOf(id request.ID, e request.End) problem {
+	p := problem{
+		status: e.Status, kind: e.Problem, message: e.Message,
+		outcome: e.Outcome, id: id, retryAfter: e.RetryAfter,
+	}
+	if p.status == 0 {
+		p.status = http.StatusBadGateway
+	}
+	if p.kind == "" {
+		p.kind = typeInternal
+	}
+	return p
+}
+
+// wholeSeconds rounds up, so that a caller does not come back too early.
+func wholeSeconds(d time.Duration) int {
+	return int(math.Ceil(d.Seconds()))
+}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,218 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"buckthornpick/internal/backend"
+	"buckthornpick/internal/request"
+)
+
+// Names of the server-sent events that are not part of an engine's answer.
+const (
+	eventError    = "error"
+	eventReattach = "reattach"
+)
+
+var (
+	doneEvent      = []byte("data: [DONE]\n\n")
+	keepAliveEvent = []byte(": keep-alive\n\n")
+)
+
+// streamWriter writes one answer as server-sent events.
+type streamWriter struct {
+	w       http.ResponseWriter
+	rc      *http.ResponseController
+	id      request.ID
+	started bool
+	buf     bytes.Buffer
+}
+
+// writeStream delivers an answer as server-sent events. The outcome is a
+// trailer and, unless completed, also the last event.
+func (g *Gateway) writeStream(w http.ResponseWriter, r *http.Request, a Answer, after int) {
+	ctx, cancel := g.untilLeaving(r.Context())
+	defer cancel()
+	s := &streamWriter{w: w, rc: http.NewResponseController(w), id: a.Info().ID}
+	if after > 0 {
+		s.start()
+	}
+	for {
+		step, err := g.nextOrKeepAlive(ctx, a, s)
+		if err != nil {
+			g.endBrokenStream(ctx, r, a, s, err)
+			return
+		}
+		if step.End != nil {
+			s.end(*step.End)
+			return
+		}
+		if step.Event == nil {
+			continue
+		}
+		s.event(*step.Event)
+		if !a.Ready() {
+			err = s.flush()
+		}
+		if err != nil {
+			g.aborted(a, err)
+			return
+		}
+	}
+}
+
+// nextOrKeepAlive waits for the next step and keeps an idle connection alive.
+func (g *Gateway) nextOrKeepAlive(ctx context.Context, a Answer, s *streamWriter) (request.Step, error) {
+	for {
+		if a.Ready() {
+			return a.Next(ctx)
+		}
+		waitCtx, cancel := context.WithTimeout(ctx, g.cfg.KeepAlive)
+		step, err := a.Next(waitCtx)
+		cancel()
+		if err == nil || ctx.Err() != nil || !errors.Is(err, context.DeadlineExceeded) {
+			return step, err
+		}
+		if s.started {
+			_, _ = s.w.Write(keepAliveEvent)
+			_ = s.rc.Flush()
+		}
+	}
+}
+
+// endBrokenStream ends a stream whose answer goes on elsewhere or was lost.
+func (g *Gateway) endBrokenStream(ctx context.Context, r *http.Request, a Answer, s *streamWriter, err error) {
+	switch {
+	case errors.Is(context.Cause(ctx), errLeaving):
+		s.reattach()
+	case r.Context().Err() != nil:
+		g.aborted(a, err)
+	default:
+		g.log.Log(EvRelayLost, "request", a.Info().ID, "error", err)
+		var end *EndError
+		if errors.As(err, &end) {
+			s.end(end.End)
+			return
+		}
+		s.end(request.End{Outcome: request.Unknown, Problem: typeInternal, Message: err.Error(),
+			Status: http.StatusBadGateway, RetryAfter: time.Second})
+	}
+}
+
+func (s *streamWriter) start() {
+	if s.started {
+		return
+	}
+	s.started = true
+	h := s.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	h.Set("Trailer", HeaderOutcome)
+	s.w.WriteHeader(http.StatusOK)
+}
+
+// event buffers one event; flush sends what is buffered.
+func (s *streamWriter) event(ev request.Event) {
+	s.start()
+	s.buf.WriteString("id: ")
+	s.buf.WriteString(strconv.Itoa(ev.Sequence))
+	s.buf.WriteString("\ndata: ")
+	s.buf.Write(ev.Data)
+	s.buf.WriteString("\n\n")
+}
+
+func (s *streamWriter) flush() error {
+	if _, err := s.w.Write(s.buf.Bytes()); err != nil {
+		return err
+	}
+	s.buf.Reset()
+	return s.rc.Flush()
+}
+
+// end writes the last event and the outcome. Before the first event the whole
+// answer is an error object instead.
+func (s *streamWriter) end(e request.End) {
+	if !s.started && e.Outcome != request.Completed {
+		writeProblem(s.w, problemOf(s.id, e))
+		return
+	}
+	s.start()
+	if e.Outcome == request.Completed {
+		s.buf.Write(doneEvent)
+	} else {
+		s.named(eventError, problemOf(s.id, e).body())
+	}
+	_ = s.flush()
+	s.w.Header().Set(HeaderOutcome, string(e.Outcome))
+}
+
+type reattachBody struct {
+	Location    string `json:"location"`
+	LastEventID string `json:"last_event_id,omitempty"`
+}
+
+// reattach tells the caller where the rest of the answer is served.
+func (s *streamWriter) reattach() {
+	if !s.started {
+		redirect(s.w, s.id)
+		return
+	}
+	body, err := json.Marshal(reattachBody{Location: "/v1/requests/" + string(s.id)})
+	if err != nil {
+		return
+	}
+	s.named(eventReattach, body)
+	_ = s.flush()
+}
+
+func (s *streamWriter) named(name string, data []byte) {
+	s.buf.WriteString("event: ")
+	s.buf.WriteString(name)
+	s.buf.WriteString("\ndata: ")
+	s.buf.Write(data)
+	s.buf.WriteString("\n\n")
+}
+
+// writeCollected writes a whole answer that was collected first.
+func (g *Gateway) writeCollected(w http.ResponseWriter, info request.Info, c collectedAnswer) {
+	if c.end.Outcome != request.Completed {
+		writeProblem(w, problemOf(info.ID, c.end))
+		return
+	}
+	head, body, err := wholeBody(info.Kind, c)
+	if err != nil {
+		writeProblem(w, problem{status: http.StatusBadGateway, kind: typeInternal, id: info.ID,
+			message: "answer could not be assembled: " + err.Error(), outcome: request.Unknown})
+		return
+	}
+	h := w.Header()
+	for name, values := range head.Header {
+		h[name] = values
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(HeaderOutcome, string(request.Completed))
+	w.WriteHeader(head.Status)
+	_, _ = w.Write(body)
+}
+
+func wholeBody(kind request.Kind, c collectedAnswer) (request.Head, []byte, error) {
+	if kind != request.Plain {
+		body, err := backend.Assemble(kind, c.events)
+		head := request.Head{Status: http.StatusOK, Header: http.Header{"Content-Type": {"application/json"}}}
+		return head, body, err
+	}
+	head := request.Head{Status: http.StatusOK}
+	if c.head != nil {
+		head = *c.head
+	}
+	var body []byte
+	for _, ev := range c.events {
+		body = append(body, ev.Data...)
+	}
+	return head, body, nil
+}
--- /dev/null
+++ b/internal/gateway/submit.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/request"
+)
+
+// maxKeyLength bounds idempotency keys, in bytes.
+const maxKeyLength = 256
+
+// readBody reads the whole body within the bounds.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(g.cfg.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.cfg.MaxBodyBytes))
+	_ = rc.SetReadDeadline(time.Time{})
+	if err == nil {
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, &problem{status: http.StatusRequestEntityTooLarge, kind: typeInvalidRequest,
+			message: "body exceeds " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"}
+	}
+	return nil, &problem{status: http.StatusBadRequest, kind: typeInvalidRequest,
+		message: "body could not be read: " + err.Error()}
+}
+
+// submit completes the request's identity, hands it to the node and writes the
+// answer.
+func (g *Gateway) submit(w http.ResponseWriter, r *http.Request, c caller, req *request.Request, s config.Service) {
+	key := r.Header.Get(HeaderIdempotencyKey)
+	if len(key) > maxKeyLength {
+		writeProblem(w, invalid("Idempotency-Key exceeds "+strconv.Itoa(maxKeyLength)+" bytes"))
+		return
+	}
+	after, p := lastEventID(r)
+	if p != nil {
+		writeProblem(w, *p)
+		return
+	}
+	if req.Method == "" {
+		req.Method, req.Path = r.Method, r.URL.Path
+	}
+	req.Priority = r.Header.Get(HeaderPriority)
+	g.identify(req, c.organisation, key)
+	req.AcceptedAt = time.Now()
+	req.Deadline = req.AcceptedAt.Add(g.timeout(s))
+	g.log.Log(EvAccepted, "request", req.ID, "organisation", req.Organisation, "service", req.Service)
+	answer, err := g.node.Submit(r.Context(), req, after)
+	if err != nil {
+		writeNodeError(w, req.ID, err)
+		return
+	}
+	defer answer.Close()
+	g.writeAnswer(w, r, answer, after)
+}
+
+func (g *Gateway) identify(req *request.Request, organisation, key string) {
+	req.Organisation = organisation
+	if key == "" {
+		req.Minted = true
+		req.ID = g.node.MintID()
+	} else {
+		req.ID = request.NewID(organisation, key)
+	}
+	req.Fingerprint = fingerprint(req)
+}
+
+// fingerprint is the hash of everything that a backend server sees of the
+// request, and of the organisation.
+func fingerprint(req *request.Request) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{req.Organisation, req.Service, req.Method, req.Path} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(req.Body)
+	return d.Sum64()
+}
+
+func (g *Gateway) timeout(s config.Service) time.Duration {
+	if s.TimeoutSeconds > 0 {
+		return time.Duration(s.TimeoutSeconds * float64(time.Second))
+	}
+	return g.cfg.RequestTimeout
+}
+
+// serveAttach delivers a known request's answer from Last-Event-ID on.
+func (g *Gateway) serveAttach(w http.ResponseWriter, r *http.Request, c caller) {
+	id := request.ID(r.PathValue("id"))
+	if !id.Valid() {
+		writeProblem(w, invalid("request ID must be 32 hexadecimal digits"))
+		return
+	}
+	after, p := lastEventID(r)
+	if p != nil {
+		writeProblem(w, *p)
+		return
+	}
+	answer, err := g.node.Attach(r.Context(), c.organisation, id, after)
+	if err != nil {
+		writeNodeError(w, id, err)
+		return
+	}
+	defer answer.Close()
+	g.writeAnswer(w, r, answer, after)
+}
+
+func lastEventID(r *http.Request) (int, *problem) {
+	text := r.Header.Get(HeaderLastEventID)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 0 {
+		p := invalid("Last-Event-ID must be a whole number, not " + quote(text))
+		return 0, &p
+	}
+	return n, nil
+}
+
+// EndError is an error of Node that is an answer in itself.
+type EndError struct{ End request.End }
+
+// Error implements error.
+func (e *EndError) Error() string { return string(e.End.Outcome) + ": " + e.End.Message }
+
+func writeNodeError(w http.ResponseWriter, id request.ID, err error) {
+	var end *EndError
+	if errors.As(err, &end) {
+		writeProblem(w, problemOf(id, end.End))
+		return
+	}
+	writeProblem(w, problem{status: http.StatusBadGateway, kind: typeInternal, id: id,
+		message: err.Error(), outcome: request.Unknown, retryAfter: time.Second})
+}
+
+func invalid(message string) problem {
+	return problem{status: http.StatusBadRequest, kind: typeInvalidRequest, message: message}
+}
+
+func quote(s string) string { return strconv.Quote(s) }
--- /dev/null
+++ b/internal/inventory/inventory.go
@@ -0,0 +1,275 @@
+// Package inventory keeps a node's view of the site's VMs: the platform's
+// lagging VM list, corrected by reclaim notices. A few members poll the
+// platform; the others take the view from peers.
+package inventory
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"buckthornpick/internal/platform"
+	"buckthornpick/internal/telemetry"
+)
+
+// View is the site as one node knows it. A View is never changed after it was
+// published.
+type View struct {
+	// Version rises with every change of content seen by a poller: it is the
+	// poller's clock in microseconds, so views of several pollers are ordered.
+	Version int64 `msgpack:"v"`
+	// VMs by ID, with notices applied: a VM under notice is leaving.
+	VMs map[string]platform.VM `msgpack:"m"`
+	// Deadlines of the VMs under notice.
+	Deadlines map[string]time.Time `msgpack:"d"`
+	// LastNotice is the sequence number of the last notice seen.
+	LastNotice int64 `msgpack:"n"`
+}
+
+// Servers returns the backend servers of a service, sorted by ID.
+func (v *View) Servers(service string) []platform.VM {
+	var out []platform.VM
+	for _, vm := range v.VMs {
+		if vm.Service == service {
+			out = append(out, vm)
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.VM) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Config holds the intervals of a poller.
+type Config struct {
+	// ListInterval is the time between reads of the VM list. Default 1 s.
+	ListInterval time.Duration
+	// RetryInterval is the pause after a failed call. Default 500 ms.
+	RetryInterval time.Duration
+	// IsPoller tells whether this node polls the platform now.
+	IsPoller func() bool
+	// NoticeRetention is how long a VM stays marked after its deadline, so
+	// that a lagging list cannot bring it back. Default 10 min.
+	NoticeRetention time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	if c.ListInterval == 0 {
+		c.ListInterval = time.Second
+	}
+	if c.RetryInterval == 0 {
+		c.RetryInterval = 500 * time.Millisecond
+	}
+	if c.NoticeRetention == 0 {
+		c.NoticeRetention = 10 * time.Minute
+	}
+	if c.IsPoller == nil {
+		c.IsPoller = func() bool { return true }
+	}
+	return c
+}
+
+// Inventory publishes views. It is safe for concurrent use.
+type Inventory struct {
+	cfg     Config
+	lister  platform.Lister
+	notices platform.NoticeSource
+	log     *telemetry.Logger
+
+	mu          sync.Mutex
+	view        *View
+	subscribers map[chan *View]struct{}
+}
+
+// New returns an inventory that polls lister and notices.
+func New(cfg Config, lister platform.Lister, notices platform.NoticeSource, log *telemetry.Logger) *Inventory {
+	return &Inventory{
+		cfg: cfg.withDefaults(), lister: lister, notices: notices, log: log,
+		view:        &View{VMs: map[string]platform.VM{}, Deadlines: map[string]time.Time{}},
+		subscribers: map[chan *View]struct{}{},
+	}
+}
+
+// Run polls the platform while this node is a poller, until ctx ends.
+func (i *Inventory) Run(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		i.pollNotices(ctx)
+	}()
+	i.pollList(ctx)
+	<-done
+	return nil
+}
+
+// View returns the current view.
+func (i *Inventory) View() *View {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.view
+}
+
+// Subscribe returns a channel that holds the latest view, and a function that
+// ends the subscription.
+func (i *Inventory) Subscribe() (<-chan *View, func()) {
+	ch := make(chan *View, 1)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	ch <- i.view
+	i.subscribers[ch] = struct{}{}
+	return ch, func() {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		delete(i.subscribers, ch)
+	}
+}
+
+// Observe takes a view from a peer. Notices are merged even if the peer's list
+// is older; the result is reported as a change only if it adds something.
+func (i *Inventory) Observe(other *View) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if other.Version <= i.view.Version && other.LastNotice <= i.view.LastNotice {
+		return false
+	}
+	next := &View{
+		Version:    max(other.Version, i.view.Version),
+		LastNotice: max(other.LastNotice, i.view.LastNotice),
+		VMs:        i.view.VMs,
+		Deadlines:  maps.Clone(i.view.Deadlines),
+	}
+	if other.Version > i.view.Version {
+		next.VMs = other.VMs
+	}
+	maps.Copy(next.Deadlines, other.Deadlines)
+	i.publishLocked(next)
+	return true
+}
+
+func (i *Inventory) pollList(ctx context.Context) {
+	for {
+		pause := i.cfg.ListInterval
+		if i.cfg.IsPoller() {
+			vms, err := i.lister.ListVMs(ctx)
+			if err != nil {
+				i.log.Log(EvListFailed, "error", err)
+				pause = i.cfg.RetryInterval
+			} else {
+				i.applyList(vms)
+			}
+		}
+		if !sleep(ctx, jittered(pause)) {
+			return
+		}
+	}
+}
+
+func (i *Inventory) pollNotices(ctx context.Context) {
+	for {
+		if !i.cfg.IsPoller() {
+			if !sleep(ctx, i.cfg.RetryInterval) {
+				return
+			}
+			continue
+		}
+		notices, err := i.notices.Notices(ctx, i.View().LastNotice)
+		if err == nil {
+			i.applyNotices(notices)
+			continue
+		}
+		if ctx.Err() == nil {
+			i.log.Log(EvNoticesFailed, "error", err)
+		}
+		if !sleep(ctx, i.cfg.RetryInterval) {
+			return
+		}
+	}
+}
+
+// applyList replaces the VMs. A list without content changes nothing.
+func (i *Inventory) applyList(vms []platform.VM) {
+	byID := make(map[string]platform.VM, len(vms))
+	for _, vm := range vms {
+		byID[vm.ID] = vm
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	next := &View{VMs: byID, Deadlines: maps.Clone(i.view.Deadlines), LastNotice: i.view.LastNotice}
+	markLeaving(next)
+	if maps.Equal(next.VMs, i.view.VMs) {
+		return
+	}
+	next.Version = max(time.Now().UnixMicro(), i.view.Version+1)
+	i.publishLocked(next)
+}
+
+// applyNotices marks VMs as leaving.
+func (i *Inventory) applyNotices(notices []platform.Notice) {
+	if len(notices) == 0 {
+		return
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	next := &View{
+		Version: i.view.Version, VMs: i.view.VMs,
+		Deadlines: maps.Clone(i.view.Deadlines), LastNotice: i.view.LastNotice,
+	}
+	for _, n := range notices {
+		next.Deadlines[n.VM] = n.Deadline
+		next.LastNotice = max(next.LastNotice, n.Sequence)
+		i.log.Log(EvNotice, "vm", n.VM, "vmZone", n.Zone, "deadline", n.Deadline, "wave", n.Wave)
+	}
+	i.publishLocked(next)
+}
+
+// publishLocked applies the notices to the view's VMs and gives the view to
+// all subscribers.
+func (i *Inventory) publishLocked(v *View) {
+	i.dropOldDeadlines(v)
+	markLeaving(v)
+	i.view = v
+	for ch := range i.subscribers {
+		select {
+		case <-ch:
+		default:
+		}
+		ch <- v
+	}
+}
+
+func (i *Inventory) dropOldDeadlines(v *View) {
+	oldest := time.Now().Add(-i.cfg.NoticeRetention)
+	maps.DeleteFunc(v.Deadlines, func(_ string, deadline time.Time) bool { return deadline.Before(oldest) })
+}
+
+// markLeaving copies the VMs and marks those under notice as leaving.
+func markLeaving(v *View) {
+	vms := maps.Clone(v.VMs)
+	for id := range v.Deadlines {
+		vm, ok := vms[id]
+		if ok && vm.State != platform.VMTerminated {
+			vm.State = platform.VMLeaving
+			vms[id] = vm
+		}
+	}
+	v.VMs = vms
+}
+
+const jitterShare = 0.1
+
+func jittered(d time.Duration) time.Duration {
+	return d + time.Duration(rand.Float64()*jitterShare*float64(d))
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,214 @@
+// Package pool keeps one route.Picker per service, fed from the inventory and
+// the operators' document.
+package pool
+
+import (
+	"sync"
+	"time"
+
+	"buckthornpick/internal/backend"
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/inventory"
+	"buckthornpick/internal/platform"
+	"buckthornpick/internal/route"
+)
+
+// Set holds the pickers of all services of one entry node. It is safe for
+// concurrent use.
+//
+// Lock order: mu before a picker's own lock; nothing else is locked under mu.
+type Set struct {
+	self, zone string
+
+	mu       sync.RWMutex
+	services map[string]*service
+	view     *inventory.View
+	suspects map[string]time.Time
+	changed  chan struct{}
+}
+
+type service struct {
+	config  config.Service
+	picker  *route.Picker
+	servers []route.Server
+}
+
+// suspectPeriod is how long a backend server that dropped a connection gets
+// new work only if no other is left.
+const suspectPeriod = 5 * time.Second
+
+// New returns a set for the entry node self in zone.
+func New(self, zone string) *Set {
+	return &Set{
+		self: self, zone: zone,
+		services: map[string]*service{},
+		view:     &inventory.View{},
+		suspects: map[string]time.Time{},
+		changed:  make(chan struct{}),
+	}
+}
+
+// SetServices takes the services of a new document. A picker whose parameters
+// did not change keeps what it has learned.
+func (s *Set) SetServices(now time.Time, services []config.Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := make(map[string]*service, len(services))
+	for _, c := range services {
+		old, ok := s.services[c.Name]
+		if !ok || !sameRouting(old.config, c) {
+			old = &service{picker: route.NewPicker(s.pickerConfig(c))}
+		}
+		next[c.Name] = &service{config: c, picker: old.picker}
+	}
+	s.services = next
+	s.refreshLocked(now)
+}
+
+// SetView takes a new view of the site.
+func (s *Set) SetView(now time.Time, v *inventory.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view = v
+	s.refreshLocked(now)
+}
+
+// Suspect marks a backend server that could not be reached or dropped a
+// connection.
+func (s *Set) Suspect(now time.Time, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspects[id] = now.Add(suspectPeriod)
+	s.refreshLocked(now)
+}
+
+// Refresh lets marks that have run out lapse.
+func (s *Set) Refresh(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lapsed := false
+	for id, until := range s.suspects {
+		if now.After(until) {
+			delete(s.suspects, id)
+			lapsed = true
+		}
+	}
+	if lapsed {
+		s.refreshLocked(now)
+	}
+}
+
+// Changed returns a channel that is closed at the next change of servers.
+func (s *Set) Changed() <-chan struct{} {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.changed
+}
+
+// Picker returns the service's picker, nil for an unknown service.
+func (s *Set) Picker(name string) *route.Picker {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if sv, ok := s.services[name]; ok {
+		return sv.picker
+	}
+	return nil
+}
+
+// LiveServers counts the service's backend servers that get new work.
+func (s *Set) LiveServers(name string) int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	sv, ok := s.services[name]
+	if !ok {
+		return 0
+	}
+	live := 0
+	for _, server := range sv.servers {
+		if server.State != route.Leaving {
+			live++
+		}
+	}
+	return live
+}
+
+// Deadline returns when the backend server is taken back; ok is false if no
+// notice is known.
+func (s *Set) Deadline(id string) (deadline time.Time, ok bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	deadline, ok = s.view.Deadlines[id]
+	return deadline, ok
+}
+
+// IsGone reports whether the platform lists the backend server as terminated
+// or no longer at all.
+func (s *Set) IsGone(id string) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	vm, ok := s.view.VMs[id]
+	return !ok || vm.State == platform.VMTerminated
+}
+
+// Report passes a load report on to the service's picker.
+func (s *Set) Report(now time.Time, name, id string, load backend.Load) {
+	if p := s.Picker(name); p != nil {
+		p.Report(now, id, load)
+	}
+}
+
+// Loads returns load and price of each service, for rules.
+func (s *Set) Loads(now time.Time, name string) (load, price float64) {
+	p := s.Picker(name)
+	if p == nil {
+		return 0, 0
+	}
+	return p.Load(now), p.CheapestPrice()
+}
+
+func (s *Set) pickerConfig(c config.Service) route.Config {
+	return route.Config{
+		Weights: c.Weights, Target: c.Target,
+		MaxConcurrentPerServer: c.MaxConcurrentPerServer,
+		Self:                   s.self, Zone: s.zone,
+	}
+}
+
+func (s *Set) refreshLocked(now time.Time) {
+	for name, sv := range s.services {
+		sv.servers = s.serversOf(now, name)
+		sv.picker.SetServers(now, sv.servers)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Set) serversOf(now time.Time, name string) []route.Server {
+	var out []route.Server
+	for _, vm := range s.view.Servers(name) {
+		if vm.State != platform.VMLive && vm.State != platform.VMLeaving {
+			continue
+		}
+		out = append(out, route.Server{
+			ID: vm.ID, Zone: vm.Zone, Class: vm.Class, Address: vm.Address,
+			Price: vm.PricePerHour, Accelerators: vm.Accelerators, Reclaimable: vm.Reclaimable,
+			State: s.stateOf(now, vm),
+		})
+	}
+	return out
+}
+
+func (s *Set) stateOf(now time.Time, vm platform.VM) route.State {
+	if vm.State == platform.VMLeaving {
+		return route.Leaving
+	}
+	if until, ok := s.suspects[vm.ID]; ok && now.Before(until) {
+		return route.Suspect
+	}
+	return route.Live
+}
+
+func sameRouting(a, b config.Service) bool {
+	return a.Weights == b.Weights && a.Target == b.Target &&
+		a.MaxConcurrentPerServer == b.MaxConcurrentPerServer
+}
--- /dev/null
+++ b/internal/request/cursor.go
@@ -0,0 +1,70 @@
+package request
+
+import "context"
+
+// Step is what a cursor delivers next. Exactly one field is set.
+type Step struct {
+	Head  *Head
+	Event *Event
+	End   *End
+	// HandedOver is set when the request is owned elsewhere from here on.
+	HandedOver bool
+}
+
+// Cursor reads an answer from a position to its end. It is not safe for
+// concurrent use.
+type Cursor struct {
+	record   *Record
+	after    int
+	headSent bool
+}
+
+// Cursor returns a cursor that delivers the head, the events after sequence
+// number after, and the end.
+func (r *Record) Cursor(after int) *Cursor {
+	return &Cursor{record: r, after: after}
+}
+
+// Next waits for the next step. After an End or HandedOver it must not be
+// called again.
+func (c *Cursor) Next(ctx context.Context) (Step, error) {
+	for {
+		step, changed, ok := c.poll()
+		if ok {
+			return step, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return Step{}, ctx.Err()
+		}
+	}
+}
+
+// Ready reports whether Next would return at once.
+func (c *Cursor) Ready() bool {
+	r := c.record
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return c.after < len(r.events) || r.end != nil
+}
+
+func (c *Cursor) poll() (Step, <-chan struct{}, bool) {
+	r := c.record
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.head != nil && !c.headSent:
+		c.headSent = true
+		return Step{Head: r.head}, nil, true
+	case c.after < len(r.events):
+		ev := r.events[c.after]
+		c.after++
+		return Step{Event: &ev}, nil, true
+	case r.end != nil:
+		return Step{End: r.end}, nil, true
+	case State(r.machine.Current()) == HandedOver:
+		return Step{HandedOver: true}, nil, true
+	}
+	return Step{}, r.changed, false
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -96,6 +96,8 @@
 	PromptTokens int    `msgpack:"pt,omitempty"`
 	MaxTokens    int    `msgpack:"mx,omitempty"`
 	Priority     string `msgpack:"p,omitempty"`
+	// Zone is the availability zone of the entry that took the request.
+	Zone string `msgpack:"z,omitempty"`
 
 	Method string      `msgpack:"me"`
 	Path   string      `msgpack:"pa"`
@@ -140,3 +142,15 @@
 		b[i] = byte(v >> (56 - 8*i))
 	}
 }
+
+// Info is what an ingress must know of a request to write its answer.
+type Info struct {
+	ID     ID   `msgpack:"id"`
+	Kind   Kind `msgpack:"k"`
+	Stream bool `msgpack:"st"`
+}
+
+// Info returns the request's Info.
+func (r *Request) Info() Info {
+	return Info{ID: r.ID, Kind: r.Kind, Stream: r.Stream}
+}
