In-memory network for tests and an HTTP client over it

Cause: nodes are to be tested whole under cuts, pauses and kills in virtual time, which needs a network that blocks only on what synctest can see. Change: standin/memnet (hosts in zones, latency in order per connection, cuts that stall, resets, kills, pauses) and netx.HTTPClient.

--- /dev/null
+++ b/internal/netx/http.go
@@ -0,0 +1,52 @@
+package netx
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Defaults of HTTPOptions.
+const (
+	defaultMaxIdlePerHost = 16
+	defaultIdleTimeout    = 30 * time.Second
+)
+
+// HTTPOptions tune a client made by HTTPClient.
+type HTTPOptions struct {
+	// MaxIdlePerHost bounds idle connections to one address; default 16.
+	MaxIdlePerHost int
+	// MaxConnsPerHost bounds all connections to one address; 0 is unbounded.
+	MaxConnsPerHost int
+	// IdleTimeout closes connections that carried nothing; default 30 s.
+	IdleTimeout time.Duration
+}
+
+// HTTPClient returns a client that dials through n, takes no proxy from the
+// environment, follows no redirects and sets no timeout of its own: callers
+// bound each call by its context. CloseIdleConnections releases its goroutines.
+func HTTPClient(n Network, o HTTPOptions) *http.Client {
+	if o.MaxIdlePerHost == 0 {
+		o.MaxIdlePerHost = defaultMaxIdlePerHost
+	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = defaultIdleTimeout
+	}
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return n.Dial(ctx, address)
+		},
+		MaxIdleConns:        0,
+		MaxIdleConnsPerHost: o.MaxIdlePerHost,
+		MaxConnsPerHost:     o.MaxConnsPerHost,
+		IdleConnTimeout:     o.IdleTimeout,
+		DisableCompression:  true,
+	}
+	return &http.Client{
+		Transport: transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+}
--- /dev/null
+++ b/internal/standin/memnet/conn.go
@@ -0,0 +1,89 @@
+package memnet
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// addr is a "host:port" of the in-memory network.
+type addr string
+
+func (addr) Network() string  { return "mem" }
+func (a addr) String() string { return string(a) }
+
+// conn is one end of a connection.
+type conn struct {
+	net           *Network
+	host, peer    *host
+	local, remote addr
+	in, out       *pipe
+	other         *conn
+	closeOnce     sync.Once
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.in.read(b)
+	return n, c.opError("read", err)
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	latency, jitter := c.net.delay(c.host, c.peer)
+	n, err := c.out.write(b, latency, jitter)
+	return n, c.opError("write", err)
+}
+
+// CloseWrite ends the sending side only.
+func (c *conn) CloseWrite() error {
+	latency, _ := c.net.delay(c.host, c.peer)
+	c.out.finish(latency)
+	return nil
+}
+
+func (c *conn) Close() error {
+	c.closeOnce.Do(func() {
+		latency, _ := c.net.delay(c.host, c.peer)
+		c.out.finish(latency)
+		c.in.closeRead(latency)
+		c.net.forget(c)
+	})
+	return nil
+}
+
+func (c *conn) LocalAddr() net.Addr  { return c.local }
+func (c *conn) RemoteAddr() net.Addr { return c.remote }
+
+func (c *conn) SetDeadline(t time.Time) error {
+	_ = c.SetReadDeadline(t)
+	return c.SetWriteDeadline(t)
+}
+
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.in.setDeadline(&c.in.readDeadline, t)
+	return nil
+}
+
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.out.setDeadline(&c.out.writeDeadline, t)
+	return nil
+}
+
+// reset breaks the connection; an end on killed sees it at once, the other
+// end when the path is open.
+func (c *conn) reset(killed *host) {
+	c.in.breakOff(c.host == killed, c.peer == killed)
+	c.out.breakOff(c.peer == killed, c.host == killed)
+}
+
+func (c *conn) setStalled(stalled bool) {
+	c.in.setStalled(stalled)
+	c.out.setStalled(stalled)
+}
+
+func (c *conn) opError(op string, err error) error {
+	if err == nil || err == io.EOF {
+		return err
+	}
+	return &net.OpError{Op: op, Net: "mem", Source: c.local, Addr: c.remote, Err: err}
+}
