--- /dev/null
+++ b/internal/kv/etcd/etcd.go
@@ -0,0 +1,231 @@
+// Package etcd implements kv.Store over the etcd v3 HTTP/JSON gateway.
+package etcd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/kv"
+	"buckthornpick/internal/kv/etcd/wire"
+)
+
+const (
+	// DefaultTimeout bounds one call.
+	DefaultTimeout = 2 * time.Second
+	// maxErrorBytes bounds the body read of a refused call.
+	maxErrorBytes = 64 << 10
+)
+
+// Config is the adapter's settings.
+type Config struct {
+	// Endpoint is the base URL of the gateway, "http://host:port".
+	Endpoint string
+	// Timeout bounds one call and the opening of a watch; default 2 s.
+	Timeout time.Duration
+}
+
+// Store speaks to one endpoint. It implements kv.Store and starts no goroutine
+// but that of an open watch, which ends with the watch's context.
+type Store struct {
+	cfg      Config
+	client   *http.Client
+	registry metrics.Registry
+}
+
+var _ kv.Store = (*Store)(nil)
+
+// New returns a store that calls cfg.Endpoint with client. Calls are counted
+// in registry as "kv.calls.<kind>", failed ones also as "kv.errors.<kind>".
+func New(cfg Config, client *http.Client, registry metrics.Registry) *Store {
+	if cfg.Timeout == 0 {
+		cfg.Timeout = DefaultTimeout
+	}
+	return &Store{cfg: cfg, client: client, registry: registry}
+}
+
+// Get implements kv.Store.
+func (s *Store) Get(ctx context.Context, key string) (kv.Entry, bool, error) {
+	var resp wire.RangeResponse
+	err := s.call(ctx, "get", wire.PathRange, wire.RangeRequest{Key: []byte(key)}, &resp)
+	if err != nil || len(resp.Kvs) == 0 {
+		return kv.Entry{}, false, err
+	}
+	return entryOf(resp.Kvs[0]), true, nil
+}
+
+// List implements kv.Store.
+func (s *Store) List(ctx context.Context, prefix string) (kv.Snapshot, error) {
+	var resp wire.RangeResponse
+	req := wire.RangeRequest{Key: []byte(prefix), RangeEnd: wire.PrefixEnd([]byte(prefix))}
+	if err := s.call(ctx, "list", wire.PathRange, req, &resp); err != nil {
+		return kv.Snapshot{}, err
+	}
+	snap := kv.Snapshot{Revision: resp.Header.Revision, Entries: make([]kv.Entry, 0, len(resp.Kvs))}
+	for _, e := range resp.Kvs {
+		snap.Entries = append(snap.Entries, entryOf(e))
+	}
+	return snap, nil
+}
+
+// Txn implements kv.Store.
+func (s *Store) Txn(ctx context.Context, guards []kv.Compare, ops []kv.Op) (kv.TxnResult, error) {
+	var req wire.TxnRequest
+	for _, g := range guards {
+		req.Compare = append(req.Compare, wire.Compare{
+			Result: "EQUAL", Target: "MOD", Key: []byte(g.Key), ModRevision: g.ModRevision,
+		})
+	}
+	for _, op := range ops {
+		req.Success = append(req.Success, requestOp(op))
+	}
+	var resp wire.TxnResponse
+	if err := s.call(ctx, "txn", wire.PathTxn, req, &resp); err != nil {
+		return kv.TxnResult{}, err
+	}
+	return kv.TxnResult{Succeeded: resp.Succeeded, Revision: resp.Header.Revision}, nil
+}
+
+// Grant implements kv.Store; ttl is rounded up to whole seconds.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	seconds := int64((ttl + time.Second - 1) / time.Second)
+	var resp wire.LeaseResponse
+	if err := s.call(ctx, "grant", wire.PathGrant, wire.LeaseRequest{TTL: seconds}, &resp); err != nil {
+		return 0, err
+	}
+	return kv.LeaseID(resp.ID), nil
+}
+
+// KeepAlive implements kv.Store. A renewal may be sent again, so a lost answer
+// is fault.Unavailable.
+func (s *Store) KeepAlive(ctx context.Context, lease kv.LeaseID) error {
+	var resp wire.KeepAliveResponse
+	if err := s.call(ctx, "keepalive", wire.PathKeepAlive, wire.LeaseRequest{ID: int64(lease)}, &resp); err != nil {
+		return err
+	}
+	if resp.Result.TTL <= 0 {
+		return fault.New(fault.Conflict, "kv.keepalive", s.cfg.Endpoint, "lease %d has lapsed", lease)
+	}
+	return nil
+}
+
+// Revoke implements kv.Store. A lease that is already gone is no error.
+func (s *Store) Revoke(ctx context.Context, lease kv.LeaseID) error {
+	var resp wire.LeaseResponse
+	err := s.call(ctx, "revoke", wire.PathRevoke, wire.LeaseRequest{ID: int64(lease)}, &resp)
+	if fault.Is(err, fault.Conflict) {
+		return nil
+	}
+	return err
+}
+
+func entryOf(e wire.KeyValue) kv.Entry {
+	return kv.Entry{
+		Key: string(e.Key), Value: e.Value, Lease: kv.LeaseID(e.Lease),
+		ModRevision: e.ModRevision, CreateRevision: e.CreateRevision,
+	}
+}
+
+func requestOp(op kv.Op) wire.RequestOp {
+	if op.Delete {
+		return wire.RequestOp{DeleteRange: &wire.DeleteRangeRequest{Key: []byte(op.Key)}}
+	}
+	return wire.RequestOp{Put: &wire.PutRequest{Key: []byte(op.Key), Value: op.Value, Lease: int64(op.Lease)}}
+}
+
+// repeatable reports whether a call of this kind may be sent again without
+// harm, so that a lost answer is not ambiguous.
+func repeatable(kind string) bool {
+	return kind == "get" || kind == "list" || kind == "keepalive" || kind == "watch"
+}
+
+// call sends one request and decodes the first JSON value of the answer.
+func (s *Store) call(ctx context.Context, kind, path string, req, resp any) error {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.Timeout)
+	defer cancel()
+	r, err := s.send(ctx, kind, path, req)
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	if err := json.NewDecoder(r.Body).Decode(resp); err != nil {
+		return s.failed(kind, true, err)
+	}
+	_, _ = io.Copy(io.Discard, r.Body) // lets the connection be used again
+	return nil
+}
+
+// send returns an answer with status 200.
+func (s *Store) send(ctx context.Context, kind, path string, req any) (*http.Response, error) {
+	s.count("kv.calls." + kind)
+	body, err := json.Marshal(req)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "kv."+kind, s.cfg.Endpoint, "encode")
+	}
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, s.cfg.Endpoint+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "kv."+kind, s.cfg.Endpoint, "request")
+	}
+	r.Header.Set("Content-Type", "application/json")
+	answer, err := s.client.Do(r)
+	if err != nil {
+		return nil, s.failed(kind, connected.Load(), err)
+	}
+	if answer.StatusCode != http.StatusOK {
+		defer answer.Body.Close()
+		return nil, s.refused(kind, answer)
+	}
+	return answer, nil
+}
+
+// failed classifies a call without an answer. If no connection was had,
+// nothing was sent.
+func (s *Store) failed(kind string, sent bool, err error) error {
+	s.count("kv.errors." + kind)
+	t := fault.Unavailable
+	if sent && !repeatable(kind) {
+		t = fault.Ambiguous
+	}
+	return fault.Wrap(err, t, "kv."+kind, s.cfg.Endpoint, "no answer")
+}
+
+// refused classifies an answer other than 200.
+func (s *Store) refused(kind string, answer *http.Response) error {
+	s.count("kv.errors." + kind)
+	var e wire.Error
+	body, _ := io.ReadAll(io.LimitReader(answer.Body, maxErrorBytes))
+	if err := json.Unmarshal(body, &e); err != nil {
+		e.Message = string(body)
+	}
+	t := fault.Invalid
+	switch {
+	case answer.StatusCode == http.StatusTooManyRequests:
+		t = fault.Unavailable
+	case e.Code == wire.CodeNotFound:
+		t = fault.Conflict
+	case answer.StatusCode >= http.StatusInternalServerError:
+		t = fault.Unavailable
+		// The service reports its own timeout as unavailable, although the
+		// write may have been replicated.
+		if !repeatable(kind) && (answer.StatusCode != http.StatusServiceUnavailable || strings.Contains(e.Message, "timed out")) {
+			t = fault.Ambiguous
+		}
+	}
+	return fault.Wrap(errors.New(e.Message), t, "kv."+kind, s.cfg.Endpoint, "status %d", answer.StatusCode)
+}
+
+func (s *Store) count(name string) {
+	metrics.GetOrRegisterCounter(name, s.registry).Inc(1)
+}
--- /dev/null
+++ b/internal/kv/etcd/watch.go
@@ -0,0 +1,73 @@
+package etcd
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"time"
+
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/kv"
+	"buckthornpick/internal/kv/etcd/wire"
+)
+
+// watchBuffer bounds batches that the caller has not taken yet; beyond it the
+// stream waits.
+const watchBuffer = 16
+
+// Watch implements kv.Store. The channel closes when ctx ends, the stream
+// breaks, or after a batch with Compacted set. The caller opens a new watch.
+func (s *Store) Watch(ctx context.Context, prefix string, after int64) (<-chan kv.WatchBatch, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	opening := time.AfterFunc(s.cfg.Timeout, cancel)
+	req := wire.WatchRequest{Create: wire.WatchCreate{
+		Key: []byte(prefix), RangeEnd: wire.PrefixEnd([]byte(prefix)), StartRevision: after + 1,
+	}}
+	answer, err := s.send(ctx, "watch", wire.PathWatch, req)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	decoder := json.NewDecoder(answer.Body)
+	var created wire.WatchResponse
+	err = decoder.Decode(&created)
+	if !opening.Stop() || err != nil {
+		cancel()
+		answer.Body.Close()
+		return nil, fault.New(fault.Unavailable, "kv.watch", s.cfg.Endpoint, "watch not opened: %v", err)
+	}
+	batches := make(chan kv.WatchBatch, watchBuffer)
+	go func() {
+		defer cancel()
+		defer close(batches)
+		pump(ctx, decoder, answer.Body, batches)
+	}()
+	return batches, nil
+}
+
+// pump decodes the stream into batches until it breaks or ctx ends.
+func pump(ctx context.Context, decoder *json.Decoder, body io.Closer, batches chan<- kv.WatchBatch) {
+	defer body.Close()
+	for {
+		var line wire.WatchResponse
+		if decoder.Decode(&line) != nil {
+			return
+		}
+		select {
+		case batches <- batchOf(line.Result):
+		case <-ctx.Done():
+			return
+		}
+		if line.Result.Canceled {
+			return
+		}
+	}
+}
+
+func batchOf(r wire.WatchResult) kv.WatchBatch {
+	batch := kv.WatchBatch{Revision: r.Header.Revision, Compacted: r.CompactRevision > 0}
+	for _, e := range r.Events {
+		batch.Events = append(batch.Events, kv.Event{Entry: entryOf(e.Kv), Deleted: e.Type == wire.EventDelete})
+	}
+	return batch
+}
