Backend clients and a stand-in model engine

Cause: nothing could call a backend server, and there was none to call. Change: internal/backend calls engines, plain services and the older system over HTTP and tells truthfully how far a failed attempt got; internal/standin/ engine is a small engine with continuous batching, a bounded prefix cache, resumable attempts, faults and answers that can be checked word by word. AttemptError gains ContentType and Body; its Unwrap lists the cause, which errorx hides from errors.Is.

--- /dev/null
+++ b/internal/backend/assemble.go
@@ -0,0 +1,176 @@
+package backend
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+
+	"buckthornpick/internal/request"
+)
+
+// streamChunk is one event of a streamed answer.
+type streamChunk struct {
+	ID                string          `json:"id"`
+	Created           int64           `json:"created"`
+	Model             string          `json:"model"`
+	SystemFingerprint string          `json:"system_fingerprint"`
+	Choices           []chunkChoice   `json:"choices"`
+	Usage             *chunkUsage     `json:"usage"`
+	Error             json.RawMessage `json:"error"`
+}
+
+type chunkChoice struct {
+	Index        int                        `json:"index"`
+	Delta        map[string]json.RawMessage `json:"delta"`
+	Text         string                     `json:"text"`
+	FinishReason *string                    `json:"finish_reason"`
+}
+
+type chunkUsage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	Details          struct {
+		CachedTokens int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+// tokens counts the generated tokens of the chunk: engines send one token for
+// each choice with text.
+func (c *streamChunk) tokens() int {
+	n := 0
+	for _, ch := range c.Choices {
+		if ch.Text != "" || ch.hasDelta() {
+			n++
+		}
+	}
+	return n
+}
+
+func (ch *chunkChoice) hasDelta() bool {
+	for name, raw := range ch.Delta {
+		empty := string(raw) == `""` || string(raw) == "null" || string(raw) == "[]"
+		if name != "role" && !empty {
+			return true
+		}
+	}
+	return false
+}
+
+// TextOf returns the generated text of the first choice of events.
+func TextOf(kind request.Kind, events []request.Event) (string, error) {
+	var sb strings.Builder
+	for _, e := range events {
+		var c streamChunk
+		if err := json.Unmarshal(e.Data, &c); err != nil {
+			return "", fmt.Errorf("event %d: %w", e.Sequence, err)
+		}
+		for _, ch := range c.Choices {
+			if ch.Index != 0 {
+				continue
+			}
+			if kind != request.Chat {
+				sb.WriteString(ch.Text)
+				continue
+			}
+			var text string
+			if raw, ok := ch.Delta["content"]; ok {
+				if err := json.Unmarshal(raw, &text); err != nil {
+					return "", fmt.Errorf("event %d: content: %w", e.Sequence, err)
+				}
+			}
+			sb.WriteString(text)
+		}
+	}
+	return sb.String(), nil
+}
+
+// wholeAnswer is the body of an answer that is not streamed.
+type wholeAnswer struct {
+	ID                string          `json:"id"`
+	Object            string          `json:"object"`
+	Created           int64           `json:"created"`
+	Model             string          `json:"model"`
+	SystemFingerprint string          `json:"system_fingerprint,omitempty"`
+	Choices           []wholeChoice   `json:"choices"`
+	Usage             json.RawMessage `json:"usage,omitempty"`
+}
+
+type wholeChoice struct {
+	Index        int             `json:"index"`
+	Message      json.RawMessage `json:"message,omitempty"`
+	Text         *string         `json:"text,omitempty"`
+	Logprobs     json.RawMessage `json:"logprobs,omitempty"`
+	FinishReason string          `json:"finish_reason"`
+}
+
+// Assemble builds the body of a whole answer from the events of a streamed
+// one: text deltas are joined, tool calls are merged by index, and every
+// choice must have its finish reason. The kind is Chat or Completion.
+func Assemble(kind request.Kind, events []request.Event) ([]byte, error) {
+	if kind == request.Plain {
+		return nil, fmt.Errorf("a plain answer has no chunks")
+	}
+	out := wholeAnswer{Object: "text_completion"}
+	if kind == request.Chat {
+		out.Object = "chat.completion"
+	}
+	choices := map[int]*choiceBuilder{}
+	for _, e := range events {
+		if err := merge(&out, choices, e); err != nil {
+			return nil, fmt.Errorf("event %d: %w", e.Sequence, err)
+		}
+	}
+	if len(choices) == 0 {
+		return nil, fmt.Errorf("answer has no choices")
+	}
+	for _, index := range sortedKeys(choices) {
+		c, err := choices[index].build(kind, index)
+		if err != nil {
+			return nil, fmt.Errorf("choice %d: %w", index, err)
+		}
+		out.Choices = append(out.Choices, c)
+	}
+	return json.Marshal(out)
+}
+
+func merge(out *wholeAnswer, choices map[int]*choiceBuilder, e request.Event) error {
+	var c struct {
+		streamChunk
+		Choices []struct {
+			chunkChoice
+			Logprobs json.RawMessage `json:"logprobs"`
+		} `json:"choices"`
+		Usage json.RawMessage `json:"usage"`
+	}
+	if err := json.Unmarshal(e.Data, &c); err != nil {
+		return err
+	}
+	if out.ID == "" {
+		out.ID, out.Created, out.Model = c.ID, c.Created, c.Model
+		out.SystemFingerprint = c.SystemFingerprint
+	}
+	if len(c.Usage) > 0 && string(c.Usage) != "null" {
+		out.Usage = c.Usage
+	}
+	for _, ch := range c.Choices {
+		b := choices[ch.Index]
+		if b == nil {
+			b = newChoiceBuilder()
+			choices[ch.Index] = b
+		}
+		if err := b.add(ch.chunkChoice, ch.Logprobs); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sortedKeys[V any](m map[int]V) []int {
+	keys := make([]int, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Ints(keys)
+	return keys
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -6,6 +6,8 @@
 	"context"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"buckthornpick/internal/request"
 )
 
@@ -75,7 +77,8 @@
 // Errors of Start and Resume are *AttemptError.
 type Client interface {
 	// Start dispatches the request as attempt. A non-nil continuation goes on
-	// after its last event.
+	// after its last event: the new events are numbered from the one after it,
+	// also in a later Resume. The context bounds the whole answer.
 	Start(ctx context.Context, t Target, r *request.Request, attempt AttemptID, c *Continuation) (Answer, error)
 	// Resume attaches to an attempt that is running or has finished and
 	// delivers the events after sequence number after.
@@ -107,6 +110,10 @@
 	Target  Target
 	// Status is the HTTP status, 0 if none was received.
 	Status int
+	// ContentType and Body are the server's error answer, at most
+	// MaxErrorBody bytes; Body is nil if none was received whole.
+	ContentType string
+	Body        []byte
 	// RetryAfter is the server's advice, 0 if none.
 	RetryAfter time.Duration
 	Err        error
@@ -117,5 +124,12 @@
 	return "attempt at " + e.Target.ID + ": " + e.Err.Error()
 }
 
-// Unwrap returns the cause.
-func (e *AttemptError) Unwrap() error { return e.Err }
+// Unwrap returns the error and its cause. An errorx error hides its cause from
+// errors.Is and errors.As, so it is listed beside it.
+func (e *AttemptError) Unwrap() []error {
+	wrapped := errorx.Cast(e.Err)
+	if wrapped == nil || wrapped.Cause() == nil {
+		return []error{e.Err}
+	}
+	return []error{e.Err, wrapped.Cause()}
+}
--- /dev/null
+++ b/internal/backend/client.go
@@ -0,0 +1,153 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/request"
+	"buckthornpick/internal/telemetry"
+)
+
+// Headers of the engines' protocol.
+const (
+	headerAttempt   = "X-Attempt-Id"
+	headerRequest   = "X-Request-Id"
+	headerPriority  = "X-Priority"
+	headerLastEvent = "Last-Event-ID"
+)
+
+// DefaultMaxPlainBody bounds the answers of plain services, in bytes.
+const DefaultMaxPlainBody = 8 << 20
+
+var errImpossibleLoad = errors.New("load report has impossible values")
+
+// HTTPClient calls backend servers over HTTP. It is safe for concurrent use.
+type HTTPClient struct {
+	http *http.Client
+	log  *telemetry.Logger
+	// MaxPlainBody bounds the answers of plain services, in bytes; default
+	// DefaultMaxPlainBody. Set it before the first call.
+	MaxPlainBody int64
+}
+
+var _ Client = (*HTTPClient)(nil)
+
+// NewHTTPClient returns a client on top of httpClient, of which it uses
+// transport and jar. Redirects are not followed: they would send a request
+// twice.
+func NewHTTPClient(httpClient *http.Client, log *telemetry.Logger) *HTTPClient {
+	c := *httpClient
+	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &HTTPClient{http: &c, log: log, MaxPlainBody: DefaultMaxPlainBody}
+}
+
+// Start implements Client.
+func (c *HTTPClient) Start(ctx context.Context, t Target, r *request.Request, attempt AttemptID, cont *Continuation) (Answer, error) {
+	if r.Kind == request.Plain {
+		if cont != nil {
+			return nil, c.unsent(t, r, "plain.start", "a plain answer cannot be continued")
+		}
+		return c.startPlain(ctx, t, r, attempt)
+	}
+	if t.Class == Plain {
+		return nil, c.unsent(t, r, "engine.start", "a plain service cannot run a model")
+	}
+	if t.Class == Older && cont != nil {
+		return nil, c.unsent(t, r, "engine.start", "the older system cannot continue an answer")
+	}
+	return c.startEngine(ctx, t, r, attempt, cont)
+}
+
+// Resume implements Client. Only engines can resume; for other classes the
+// attempt's fate stays unknown.
+func (c *HTTPClient) Resume(ctx context.Context, t Target, r *request.Request, attempt AttemptID, after int) (Answer, error) {
+	if t.Class != Engine || r.Kind == request.Plain {
+		err := fault.New(fault.Invalid, "engine.resume", t.ID, "the server cannot resume")
+		return nil, c.failed(r.ID, &AttemptError{Reached: MayHaveRun, Target: t, Err: err})
+	}
+	return c.resumeEngine(ctx, t, r, attempt, after)
+}
+
+// Cancel implements Client. Only engines can cancel; for other classes it does
+// nothing.
+func (c *HTTPClient) Cancel(ctx context.Context, t Target, attempt AttemptID) error {
+	if t.Class != Engine {
+		return nil
+	}
+	req, err := c.newRequest(ctx, t, http.MethodDelete, streamPath(attempt), nil)
+	if err != nil {
+		return err
+	}
+	resp, _, err := c.do(req)
+	if err != nil {
+		return fault.Wrap(err, fault.Ambiguous, "engine.cancel", t.ID, "attempt %s", attempt)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= 300 && resp.StatusCode != http.StatusNotFound {
+		return fault.New(fault.Ambiguous, "engine.cancel", t.ID, "attempt %s: status %d", attempt, resp.StatusCode)
+	}
+	return nil
+}
+
+func streamPath(attempt AttemptID) string { return "/v1/streams/" + url.PathEscape(string(attempt)) }
+
+// onceBody is a request body that net/http cannot rewind. The transport
+// resends a request on a reused connection only if it can rewind the body or
+// if there is none, so a request with this body is sent at most once.
+type onceBody struct{ r io.Reader }
+
+func (b onceBody) Read(p []byte) (int, error) { return b.r.Read(p) }
+func (b onceBody) Close() error               { return nil }
+
+func (c *HTTPClient) newRequest(ctx context.Context, t Target, method, path string, body []byte) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+t.Address+path, onceBody{bytes.NewReader(body)})
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "backend.request", t.ID, "%s %s", method, path)
+	}
+	req.ContentLength = int64(len(body))
+	return req, nil
+}
+
+// do sends req once. HadConn tells whether the transport had a connection to
+// write the request to.
+func (c *HTTPClient) do(req *http.Request) (resp *http.Response, hadConn bool, err error) {
+	var got atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { got.Store(true) }}
+	resp, err = c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	return resp, got.Load(), err
+}
+
+// failed logs e and returns it.
+func (c *HTTPClient) failed(id request.ID, e *AttemptError) error {
+	c.log.Log(EvAttemptFailed, "request", id, "server", e.Target.ID, "reached", e.Reached.String(),
+		"status", e.Status, "error", e.Err)
+	return e
+}
+
+func (c *HTTPClient) unsent(t Target, r *request.Request, step, why string) error {
+	return c.failed(r.ID, &AttemptError{Reached: NotSent, Target: t, Err: fault.New(fault.Invalid, step, t.ID, "%s", why)})
+}
+
+// load reads the load report of an answer and ignores an unreadable one.
+func (c *HTTPClient) load(t Target, h http.Header) (Load, bool) {
+	load, found, err := ParseLoad(h)
+	if err != nil {
+		c.log.Log(EvLoadUnreadable, "server", t.ID, "error", err)
+	}
+	return load, found
+}
+
+func setIdentity(req *http.Request, r *request.Request, attempt AttemptID) {
+	req.Header.Set(headerAttempt, string(attempt))
+	req.Header.Set(headerRequest, string(r.ID))
+}
+
+func setAfter(req *http.Request, after int) { req.Header.Set(headerLastEvent, strconv.Itoa(after)) }
--- /dev/null
+++ b/internal/backend/load.go
@@ -0,0 +1,31 @@
+package backend
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strings"
+)
+
+// LoadHeader carries a load report in the JSON form of ORCA:
+// `JSON {"running": 1, ...}`.
+const LoadHeader = "endpoint-load-metrics"
+
+// ParseLoad reads the load report of an answer's headers. Found is false if
+// there is none; an unreadable or impossible report is an error.
+func ParseLoad(h http.Header) (load Load, found bool, err error) {
+	text := h.Get(LoadHeader)
+	if text == "" {
+		return Load{}, false, nil
+	}
+	text = strings.TrimPrefix(text, "JSON ")
+	if err := json.Unmarshal([]byte(text), &load); err != nil {
+		return Load{}, false, err
+	}
+	if load.Running < 0 || load.Waiting < 0 || !isFraction(load.CacheUsed) || !(load.TokensPerSecond >= 0) {
+		return Load{}, false, errImpossibleLoad
+	}
+	return load, true, nil
+}
+
+func isFraction(x float64) bool { return x >= 0 && x <= 1 && !math.IsNaN(x) }
--- /dev/null
+++ b/internal/backend/plain.go
@@ -0,0 +1,116 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/request"
+)
+
+// hopByHop are the headers of one connection (RFC 9110, section 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// endToEnd returns a copy of h without hop-by-hop headers.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		out = http.Header{}
+	}
+	for _, line := range h.Values("Connection") {
+		for _, name := range strings.Split(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
+
+// startPlain calls a plain service and reads its whole answer.
+func (c *HTTPClient) startPlain(ctx context.Context, t Target, r *request.Request, attempt AttemptID) (Answer, error) {
+	const step = "plain.start"
+	req, err := c.newRequest(ctx, t, r.Method, r.Path, r.Body)
+	if err != nil {
+		return nil, c.failed(r.ID, &AttemptError{Reached: NotSent, Target: t, Err: err})
+	}
+	req.Header = endToEnd(r.Header)
+	req.Header.Del("Content-Length")
+	setIdentity(req, r, attempt)
+	resp, hadConn, err := c.do(req)
+	if err != nil {
+		return nil, c.failed(r.ID, transportError(t, step, hadConn, err))
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= 400 {
+		return nil, c.failed(r.ID, statusError(t, step, resp))
+	}
+	body, err := c.readPlain(t, step, resp)
+	if err != nil {
+		return nil, c.failed(r.ID, brokenError(t, resp.StatusCode, err))
+	}
+	load, found := c.load(t, resp.Header)
+	return &plainAnswer{
+		head: request.Head{Status: resp.StatusCode, Header: endToEnd(resp.Header)},
+		body: body, load: load, hasLoad: found,
+	}, nil
+}
+
+// readPlain reads the whole body. A body that is delimited only by the end of
+// its connection may have been cut, so it is not accepted.
+func (c *HTTPClient) readPlain(t Target, step string, resp *http.Response) ([]byte, error) {
+	if resp.Request.Method == http.MethodHead {
+		return nil, nil
+	}
+	if resp.ContentLength < 0 && !isChunked(resp) && !resp.Uncompressed {
+		return nil, fault.New(fault.Protocol, step, t.ID, "answer has no declared length")
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.MaxPlainBody+1))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Protocol, step, t.ID, "answer broke off after %d bytes", len(body))
+	}
+	if int64(len(body)) > c.MaxPlainBody {
+		return nil, fault.New(fault.Exhausted, step, t.ID, "answer exceeds %d bytes", c.MaxPlainBody)
+	}
+	return body, nil
+}
+
+func isChunked(resp *http.Response) bool {
+	return len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
+}
+
+// plainAnswer is a whole answer as a single event.
+type plainAnswer struct {
+	head    request.Head
+	body    []byte
+	load    Load
+	hasLoad bool
+	read    bool
+}
+
+// Head implements Answer.
+func (a *plainAnswer) Head() request.Head { return a.head }
+
+// Next implements Answer.
+func (a *plainAnswer) Next() (request.Event, error) {
+	if a.read {
+		return request.Event{}, io.EOF
+	}
+	a.read = true
+	return request.Event{Sequence: 1, Data: a.body}, nil
+}
+
+// Usage implements Answer; plain services report none.
+func (a *plainAnswer) Usage() Usage { return Usage{} }
+
+// Load implements Answer.
+func (a *plainAnswer) Load() (Load, bool) { return a.load, a.hasLoad }
+
+// Close implements Answer.
+func (a *plainAnswer) Close() error { return nil }
--- /dev/null
+++ b/internal/backend/sse.go
@@ -0,0 +1,96 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+)
+
+// maxEventBytes bounds one server-sent event.
+const maxEventBytes = 1 << 20
+
+var (
+	errEventTooLong = errors.New("server-sent event is too long")
+	errEventID      = errors.New("server-sent event has a bad id")
+)
+
+// sseEvent is one server-sent event; id is 0 if it carries none.
+type sseEvent struct {
+	id   int
+	data []byte
+}
+
+// sseReader reads server-sent events. Only the fields id and data are used.
+type sseReader struct{ r *bufio.Reader }
+
+func newSSEReader(r io.Reader) *sseReader { return &sseReader{bufio.NewReaderSize(r, 16<<10)} }
+
+// next returns the next event that has data. An event that is cut off by the
+// end of the stream is io.ErrUnexpectedEOF; a stream that ends between events
+// is io.EOF.
+func (s *sseReader) next() (sseEvent, error) {
+	var e sseEvent
+	begun := false
+	hasData := false
+	for {
+		line, err := s.line()
+		if err == io.EOF && (begun || len(line) > 0) {
+			return sseEvent{}, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return sseEvent{}, err
+		}
+		if len(line) == 0 {
+			if hasData {
+				return e, nil
+			}
+			e, begun = sseEvent{}, false
+			continue
+		}
+		begun = true
+		name, value := splitField(line)
+		switch string(name) {
+		case "data":
+			if hasData {
+				e.data = append(e.data, '\n')
+			}
+			e.data = append(e.data, value...)
+			hasData = true
+			if len(e.data) > maxEventBytes {
+				return sseEvent{}, errEventTooLong
+			}
+		case "id":
+			if e.id, err = strconv.Atoi(string(value)); err != nil || e.id < 1 {
+				return sseEvent{}, errEventID
+			}
+		}
+	}
+}
+
+// line returns one line without its end.
+func (s *sseReader) line() ([]byte, error) {
+	var long []byte
+	for {
+		part, err := s.r.ReadSlice('\n')
+		if err == nil && long == nil {
+			return bytes.TrimRight(part, "\r\n"), nil
+		}
+		long = append(long, part...)
+		if err == nil {
+			return bytes.TrimRight(long, "\r\n"), nil
+		}
+		if err != bufio.ErrBufferFull {
+			return long, err
+		}
+		if len(long) > maxEventBytes {
+			return nil, errEventTooLong
+		}
+	}
+}
+
+func splitField(line []byte) (name, value []byte) {
+	name, value, _ = bytes.Cut(line, []byte(":"))
+	return name, bytes.TrimPrefix(value, []byte(" "))
+}
--- /dev/null
+++ b/internal/standin/engine/http.go
@@ -0,0 +1,222 @@
+package engine
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+)
+
+type problem struct {
+	Error problemBody `json:"error"`
+}
+
+type problemBody struct {
+	Type    string `json:"type"`
+	Message string `json:"message"`
+}
+
+func writeProblem(w http.ResponseWriter, status int, kind, text string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(problem{problemBody{kind, text}}) // the client may be gone
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		writeProblem(w, http.StatusInternalServerError, "internal", err.Error())
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	_, _ = w.Write(data) // the client may be gone
+}
+
+// serveCompletion serves chat and text completions.
+func (s *Server) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		writeProblem(w, http.StatusBadRequest, "invalid_request_error", err.Error())
+		return
+	}
+	b, err := parseBody(data)
+	if err != nil {
+		writeProblem(w, http.StatusBadRequest, "invalid_request_error", err.Error())
+		return
+	}
+	if !s.serves(b.Model) {
+		writeProblem(w, http.StatusNotFound, "model_not_found", "model "+b.Model+" is not loaded")
+		return
+	}
+	a, status := s.add(r, b)
+	if status != 0 {
+		s.writeRefusal(w, status)
+		return
+	}
+	w.Header().Set("X-Attempt-Id", a.id)
+	s.setLoadHeader(w)
+	if b.Stream {
+		s.stream(w, r, a, a.offset(), b.StreamOptions.IncludeUsage)
+		return
+	}
+	s.serveWhole(w, r, a)
+}
+
+func (s *Server) writeRefusal(w http.ResponseWriter, status int) {
+	s.setLoadHeader(w)
+	switch status {
+	case http.StatusServiceUnavailable:
+		w.Header().Set("X-Not-Run", "true")
+		w.Header().Set("Retry-After", "1")
+		writeProblem(w, status, "overloaded", "not run: the queue is full")
+	case http.StatusConflict:
+		writeProblem(w, status, "conflict", "attempt is known")
+	default:
+		writeProblem(w, status, "invalid_request_error", "prompt does not fit the KV cache")
+	}
+}
+
+// serveWhole answers in one piece when the attempt has ended.
+func (s *Server) serveWhole(w http.ResponseWriter, r *http.Request, a *attempt) {
+	for {
+		s.mu.Lock()
+		finished, canceled, changed := a.finished, a.canceled, a.changed
+		lose := s.faults.LoseAnswer
+		s.mu.Unlock()
+		if finished && lose {
+			panic(http.ErrAbortHandler)
+		}
+		if canceled {
+			writeProblem(w, http.StatusInternalServerError, "canceled", "attempt was canceled")
+			return
+		}
+		if finished {
+			writeJSON(w, a.whole())
+			return
+		}
+		wait(r, changed, a.down)
+	}
+}
+
+// wait blocks until the attempt changes. It drops the connection if the
+// engine crashes or the client has gone.
+func wait(r *http.Request, changed, down <-chan struct{}) {
+	select {
+	case <-changed:
+	case <-down:
+		panic(http.ErrAbortHandler)
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// stream writes the events after sequence number after and follows the
+// attempt to its end.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, a *attempt, after int, withUsage bool) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-cache")
+	flusher := http.NewResponseController(w)
+	next := max(after-a.offset(), 0)
+	sent := 0
+	for headed := false; ; {
+		s.mu.Lock()
+		frames := a.framesFrom(next, withUsage)
+		finished, canceled, changed := a.finished, a.canceled, a.changed
+		faults := s.faults
+		s.mu.Unlock()
+		if faults.LoseAnswer {
+			if finished {
+				panic(http.ErrAbortHandler)
+			}
+			wait(r, changed, a.down)
+			continue
+		}
+		if !headed {
+			headed = true
+			w.WriteHeader(http.StatusOK)
+			_ = flusher.Flush()
+		}
+		for _, f := range frames {
+			if faults.TruncateAfter > 0 && sent >= faults.TruncateAfter {
+				return
+			}
+			if _, err := w.Write(f); err != nil {
+				return
+			}
+			sent++
+			next++
+		}
+		if canceled {
+			return
+		}
+		if finished {
+			_, _ = io.WriteString(w, "data: [DONE]\n\n") // the client may be gone
+			return
+		}
+		_ = flusher.Flush()
+		wait(r, changed, a.down)
+	}
+}
+
+// framesFrom returns the frames from index next on. The usage is the last
+// event of an answer that was not canceled.
+func (a *attempt) framesFrom(next int, withUsage bool) [][]byte {
+	end := len(a.events)
+	if a.finished && !a.canceled && !withUsage {
+		end--
+	}
+	var frames [][]byte
+	for i := next; i < end; i++ {
+		frames = append(frames, a.frame(i))
+	}
+	return frames
+}
+
+func (s *Server) serveResume(w http.ResponseWriter, r *http.Request) {
+	a, ok := s.lookup(r.PathValue("attempt"))
+	if !ok {
+		writeProblem(w, http.StatusNotFound, "not_found", "attempt is unknown")
+		return
+	}
+	after := 0
+	if text := r.Header.Get("Last-Event-ID"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 0 {
+			writeProblem(w, http.StatusBadRequest, "invalid_request_error", "Last-Event-ID is not a number")
+			return
+		}
+		after = n
+	}
+	s.setLoadHeader(w)
+	s.stream(w, r, a, after, a.body.StreamOptions.IncludeUsage)
+}
+
+func (s *Server) serveCancel(w http.ResponseWriter, r *http.Request) {
+	s.cancel(r.PathValue("attempt"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+}
+
+func (s *Server) serveModels(w http.ResponseWriter, _ *http.Request) {
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, m := range s.Models() {
+		list.Data = append(list.Data, modelEntry{ID: m, Object: "model"})
+	}
+	writeJSON(w, list)
+}
+
+// serves reports whether the model is loaded; an empty name takes the first.
+func (s *Server) serves(model string) bool {
+	return model == "" || slices.Contains(s.Models(), model)
+}
--- /dev/null
+++ b/internal/standin/engine/load.go
@@ -0,0 +1,68 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// LoadHeader is the response header that carries a load report.
+const LoadHeader = "endpoint-load-metrics"
+
+// LoadReport is the engine's published load.
+type LoadReport struct {
+	Running         int       `json:"running"`
+	Waiting         int       `json:"waiting"`
+	CacheUsed       float64   `json:"cacheUsed"`
+	TokensPerSecond float64   `json:"tokensPerSecond"`
+	MeasuredAt      time.Time `json:"measuredAt"`
+}
+
+type loadState struct {
+	report    LoadReport
+	generated int // tokens since report.MeasuredAt
+}
+
+// Load returns the published report. It is up to Settings.LoadLag old.
+func (s *Server) Load() LoadReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	age := now.Sub(s.load.report.MeasuredAt)
+	if !s.load.report.MeasuredAt.IsZero() && age < s.settings.LoadLag {
+		return s.load.report
+	}
+	report := LoadReport{Running: len(s.running), Waiting: len(s.waiting), MeasuredAt: now}
+	report.CacheUsed = float64(s.reserved()+s.cache.tokens()) / float64(s.settings.KVTokens)
+	if !s.load.report.MeasuredAt.IsZero() && age > 0 {
+		report.TokensPerSecond = float64(s.load.generated) / age.Seconds()
+	}
+	s.load = loadState{report: report}
+	return report
+}
+
+func (s *Server) setLoadHeader(w http.ResponseWriter) {
+	data, err := json.Marshal(s.Load())
+	if err != nil {
+		return
+	}
+	w.Header().Set(LoadHeader, "JSON "+string(data))
+}
+
+func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Load()) }
+
+type cacheEventList struct {
+	Events []CacheEvent `json:"events"`
+}
+
+func (s *Server) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		after = 0
+	}
+	s.mu.Lock()
+	events := s.cache.published(after, time.Now().Add(-s.settings.CacheEventLag), s.settings.CacheEventGapEvery)
+	s.mu.Unlock()
+	writeJSON(w, cacheEventList{Events: events})
+}
--- /dev/null
+++ b/internal/standin/engine/server.go
@@ -0,0 +1,211 @@
+package engine
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Server is an engine. It is an http.Handler; requests make progress while
+// Run runs.
+type Server struct {
+	settings Settings
+	mux      *http.ServeMux
+	wake     chan struct{} // capacity 1: work or a changed fault for Run
+
+	mu         sync.Mutex
+	faults     Faults
+	crashed    bool
+	down       chan struct{} // closed while the engine is crashed
+	attempts   map[string]*attempt
+	kept       []*attempt // finished, oldest first
+	waiting    []*attempt
+	running    []*attempt
+	cache      *prefixCache
+	executions []Execution
+	runs       uint64
+	minted     uint64
+	load       loadState
+	orders     orderState
+}
+
+// New returns an engine with an empty cache.
+func New(settings Settings) *Server {
+	s := &Server{settings: settings.withDefaults(), wake: make(chan struct{}, 1)}
+	s.reset()
+	s.orders.models = append([]string{}, s.settings.Models...)
+	s.mux = s.routes()
+	return s
+}
+
+func (s *Server) routes() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", s.serveCompletion)
+	mux.HandleFunc("POST /v1/completions", s.serveCompletion)
+	mux.HandleFunc("GET /v1/models", s.serveModels)
+	mux.HandleFunc("GET /v1/streams/{attempt}", s.serveResume)
+	mux.HandleFunc("DELETE /v1/streams/{attempt}", s.serveCancel)
+	mux.HandleFunc("GET /v1/kv/{attempt}", s.serveExport)
+	mux.HandleFunc("POST /v1/kv", s.serveImport)
+	mux.HandleFunc("GET /metrics/load", s.serveLoad)
+	mux.HandleFunc("GET /v1/cache/events", s.serveCacheEvents)
+	mux.HandleFunc("POST /v1/orders", s.serveOrder)
+	return mux
+}
+
+// reset forgets everything that an engine loses in a crash.
+func (s *Server) reset() {
+	s.attempts = map[string]*attempt{}
+	s.kept, s.waiting, s.running = nil, nil, nil
+	s.cache = newPrefixCache()
+	s.down = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler. A crashed engine drops each connection.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.Crashed() {
+		panic(http.ErrAbortHandler)
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+	s.signal()
+}
+
+// Crashed reports whether the engine is down after a crash.
+func (s *Server) Crashed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashed
+}
+
+// Crash drops all connections and state; the engine is down until Restart.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	first := s.crashLocked()
+	s.mu.Unlock()
+	if first && s.settings.OnCrash != nil {
+		s.settings.OnCrash()
+	}
+}
+
+func (s *Server) crashLocked() bool {
+	if s.crashed {
+		return false
+	}
+	s.crashed = true
+	close(s.down)
+	return true
+}
+
+// Restart brings a crashed engine back, empty.
+func (s *Server) Restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.crashed {
+		return
+	}
+	s.crashed = false
+	s.reset()
+}
+
+// Executions returns the started executions, oldest first.
+func (s *Server) Executions() []Execution {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Execution{}, s.executions...)
+}
+
+// PromptHash returns the hash that Execution.PromptHash holds for prompt.
+func PromptHash(prompt string) uint64 { return xxhash.Sum64String(prompt) }
+
+// add registers a new attempt. It returns a status other than 0 if the
+// request is refused without running.
+func (s *Server) add(r *http.Request, b *body) (*attempt, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Refuse || len(s.waiting) >= s.settings.MaxWaiting {
+		return nil, http.StatusServiceUnavailable
+	}
+	id := r.Header.Get("X-Attempt-Id")
+	if id == "" {
+		s.minted++
+		id = s.settings.ID + "-" + strconv.FormatUint(s.minted, 10)
+	}
+	s.expire()
+	if _, known := s.attempts[id]; known {
+		return nil, http.StatusConflict
+	}
+	a := newAttempt(id, r.Header.Get("X-Request-Id"), b, parsePriority(r.Header.Get("X-Priority")), time.Now())
+	if a.reserved() > s.settings.KVTokens {
+		return nil, http.StatusBadRequest
+	}
+	a.down = s.down
+	s.attempts[id] = a
+	s.enqueue(a)
+	s.signal()
+	return a, 0
+}
+
+// enqueue keeps the queue ordered by priority, then by arrival.
+func (s *Server) enqueue(a *attempt) {
+	i := len(s.waiting)
+	for i > 0 && s.waiting[i-1].priority > a.priority {
+		i--
+	}
+	s.waiting = append(s.waiting, nil)
+	copy(s.waiting[i+1:], s.waiting[i:])
+	s.waiting[i] = a
+}
+
+// keep holds a finished attempt for resumption.
+func (s *Server) keep(a *attempt) {
+	s.kept = append(s.kept, a)
+	s.expire()
+}
+
+func (s *Server) expire() {
+	limit := time.Now().Add(-s.settings.KeepFinished)
+	for len(s.kept) > 0 && (len(s.kept) > s.settings.MaxKept || s.kept[0].doneAt.Before(limit)) {
+		delete(s.attempts, s.kept[0].id)
+		s.kept = s.kept[1:]
+	}
+}
+
+func (s *Server) lookup(id string) (*attempt, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	a, ok := s.attempts[id]
+	return a, ok
+}
+
+func (s *Server) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Server) record(a *attempt, crashed bool) {
+	if len(s.executions) >= s.settings.MaxRecorded {
+		s.executions = s.executions[1:]
+	}
+	s.executions = append(s.executions, Execution{
+		Attempt: a.id, Request: a.request, PromptHash: PromptHash(a.prompt), StartedAt: time.Now(),
+		Prompt: a.promptSize, Recomputed: a.pending, Crashed: crashed,
+	})
+}
+
+func (s *Server) poisoned(a *attempt) bool {
+	return s.faults.CrashMarker != "" && strings.Contains(a.prompt, s.faults.CrashMarker)
+}
