Settings files, document checks and compiled rules

Cause: the binaries need checked settings and the operators' document needs rules that are checked when applied and decided first-match.

--- /dev/null
+++ b/internal/config/check_rules.go
@@ -0,0 +1,138 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+func (c *documentCheck) checkRules() {
+	names := map[string]bool{}
+	for i := range c.doc.Rules {
+		r := &c.doc.Rules[i]
+		at := fmt.Sprintf("rules[%d]", i)
+		switch {
+		case strings.TrimSpace(r.Name) == "":
+			c.problems.add(at+".name", "", "expected a name, got an empty string")
+		case names[r.Name]:
+			c.problems.add(at+".name", r.Name, "the name is used twice")
+		}
+		names[r.Name] = true
+		c.checkWhen(at+".when", r)
+		c.checkThen(at+".then", r)
+	}
+}
+
+func (c *documentCheck) checkWhen(at string, r *Rule) {
+	w := &r.When
+	isOrganisation := func(n string) bool {
+		return slices.ContainsFunc(c.doc.Organisations, func(o Organisation) bool { return o.Name == n })
+	}
+	c.oneOf(at+".organisations", r.Name, "organisation", w.Organisations, isOrganisation)
+	c.oneOf(at+".services", r.Name, "service", w.Services, func(n string) bool { return c.services[n] != nil })
+	c.oneOf(at+".models", r.Name, "model", w.Models, c.isModel)
+	c.oneOf(at+".kinds", r.Name, "kind of call", w.Kinds, func(n string) bool { return slices.Contains(callKinds, n) })
+	c.oneOf(at+".priorities", r.Name, "priority", w.Priorities, isPriority)
+	c.oneOf(at+".zones", r.Name, "zone", w.Zones, func(n string) bool { return n != "" })
+	c.notNegative(at+".minPromptTokens", r.Name, float64(w.MinPromptTokens))
+	c.notNegative(at+".maxPromptTokens", r.Name, float64(w.MaxPromptTokens))
+	if w.MaxPromptTokens > 0 && w.MinPromptTokens > w.MaxPromptTokens {
+		c.problems.add(at+".minPromptTokens", r.Name, "expected at most maxPromptTokens (%d), got %d",
+			w.MaxPromptTokens, w.MinPromptTokens)
+	}
+	if w.LoadAbove != nil {
+		c.notNegative(at+".loadAbove", r.Name, *w.LoadAbove)
+	}
+	if w.PriceAbove != nil {
+		c.notNegative(at+".priceAbove", r.Name, *w.PriceAbove)
+	}
+	c.checkHours(at+".hours", r.Name, w.Hours)
+}
+
+func (c *documentCheck) checkHours(at, name string, h *HourRange) {
+	if h == nil {
+		return
+	}
+	if h.From < 0 || h.From > 23 {
+		c.problems.add(at+".from", name, "expected 0 to 23, got %d", h.From)
+	}
+	if h.To < 0 || h.To > 24 {
+		c.problems.add(at+".to", name, "expected 0 to 24, got %d", h.To)
+	}
+	if h.From == h.To {
+		c.problems.add(at, name, "the range is empty: from and to are both %d", h.From)
+	}
+}
+
+func (c *documentCheck) checkThen(at string, r *Rule) {
+	t := &r.Then
+	switch {
+	case t.Service != "" && t.Refuse != nil:
+		c.problems.add(at, r.Name, "expected either service or refuse, got both")
+	case t.Service == "" && t.Refuse == nil:
+		c.problems.add(at, r.Name, "expected either service or refuse, got neither")
+	}
+	if t.Refuse != nil {
+		c.checkRefuse(at+".refuse", r)
+	}
+	if t.Service != "" {
+		c.checkTarget(at, r)
+	}
+	if !(t.OlderSystemShare >= 0 && t.OlderSystemShare <= 1) {
+		c.problems.add(at+".olderSystemShare", r.Name, "expected 0 to 1, got %v", t.OlderSystemShare)
+	}
+	if t.OlderSystemShare > 0 && c.doc.OlderSystem == nil {
+		c.problems.add(at+".olderSystemShare", r.Name, "the document has no olderSystem")
+	}
+	if t.Priority != "" && !isPriority(t.Priority) {
+		c.problems.add(at+".priority", r.Name, "expected one of %v, got %q", priorities, t.Priority)
+	}
+	c.notNegative(at+".deadlineMillis", r.Name, t.DeadlineMillis)
+}
+
+func (c *documentCheck) checkRefuse(at string, r *Rule) {
+	if r.Then.Refuse.Reason == "" {
+		c.problems.add(at+".reason", r.Name, "expected the reason that callers are told")
+	}
+	c.notNegative(at+".retryAfterSeconds", r.Name, r.Then.Refuse.RetryAfterSeconds)
+	if r.Then.OlderSystemShare > 0 || len(r.Then.Fallback) > 0 {
+		c.problems.add(at, r.Name, "a rule that refuses has no olderSystemShare and no fallback")
+	}
+}
+
+// checkTarget checks the service and its fallbacks. The chain is tried in
+// order and not expanded by other rules, so a cycle is a repeated service.
+func (c *documentCheck) checkTarget(at string, r *Rule) {
+	t := &r.Then
+	target := c.services[t.Service]
+	if target == nil {
+		c.problems.add(at+".service", r.Name, "unknown service %q", t.Service)
+		return
+	}
+	if t.Model != "" && !slices.Contains(target.Models, t.Model) {
+		c.problems.add(at+".model", r.Name, "service %q has no model %q", t.Service, t.Model)
+	}
+	for _, n := range r.When.Services {
+		if s := c.services[n]; s != nil && s.Kind != target.Kind {
+			c.problems.add(at+".service", r.Name, "calls of %s service %q cannot go to %s service %q",
+				s.Kind, n, target.Kind, t.Service)
+		}
+	}
+	for i, n := range t.Fallback {
+		field := fmt.Sprintf("%s.fallback[%d]", at, i)
+		switch s := c.services[n]; {
+		case s == nil:
+			c.problems.add(field, r.Name, "unknown service %q", n)
+		case n == t.Service || slices.Contains(t.Fallback[:i], n):
+			c.problems.add(field, r.Name, "cycle: service %q is already in the chain", n)
+		case s.Kind != target.Kind:
+			c.problems.add(field, r.Name, "%s service %q cannot stand in for %s service %q", s.Kind, n, target.Kind, t.Service)
+		}
+	}
+}
+
+func (c *documentCheck) isModel(name string) bool {
+	return slices.ContainsFunc(c.doc.Services, func(s Service) bool { return slices.Contains(s.Models, name) })
+}
+
+func isPriority(name string) bool { return slices.Contains(priorities, name) }
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,144 @@
+package config
+
+import (
+	"net"
+	"net/url"
+	"strings"
+	"time"
+)
+
+// NodeSettings name a process and its place.
+type NodeSettings struct {
+	// ID is unique among the nodes of the site; required.
+	ID string `json:"id"`
+	// Zone is the availability zone; required.
+	Zone string `json:"zone"`
+	// Region groups zones that are close to each other; default "default".
+	Region string `json:"region"`
+}
+
+// TLSSettings name the files of a listener's certificate. They are read again
+// when they change. Both empty means plain TCP.
+type TLSSettings struct {
+	// CertFile is the path of the PEM certificate chain; default empty.
+	CertFile string `json:"certFile"`
+	// KeyFile is the path of the PEM private key; default empty.
+	KeyFile string `json:"keyFile"`
+}
+
+// Enabled reports whether the listener speaks TLS.
+func (t TLSSettings) Enabled() bool { return t.CertFile != "" }
+
+// AdminSettings describe the operators' listener.
+type AdminSettings struct {
+	// Address is the listener's "host:port"; default "127.0.0.1:9090".
+	Address string `json:"address"`
+	// Token is the operators' bearer token. Without Token and TokenFile
+	// the operators' API is off and only metrics and health pages are served.
+	Token string `json:"token"`
+	// TokenFile is a file that holds the token; default empty.
+	TokenFile string `json:"tokenFile"`
+	// Pprof serves Go profiles under /debug/pprof/; default false.
+	Pprof bool `json:"pprof"`
+	// TLS names the listener's certificate.
+	TLS TLSSettings `json:"tls"`
+}
+
+// StoreSettings describe the platform's key-value service.
+type StoreSettings struct {
+	// URL is the base URL of its HTTP gateway; required.
+	URL string `json:"url"`
+	// Timeout bounds one call except watches; default "2s".
+	Timeout Duration `json:"timeout"`
+}
+
+// CloudSettings describe the cloud API, the VM list and reclaim notices.
+type CloudSettings struct {
+	// URL is the base URL of the cloud API; required.
+	URL string `json:"url"`
+	// Timeout bounds one call; default "5s".
+	Timeout Duration `json:"timeout"`
+}
+
+// LogSettings describe the log on standard error.
+type LogSettings struct {
+	// Level is "debug", "info", "warn" or "error"; default "info".
+	Level string `json:"level"`
+}
+
+const (
+	defaultRegion       = "default"
+	defaultAdminAddress = "127.0.0.1:9090"
+	defaultStoreTimeout = Duration(2 * time.Second)
+	defaultCloudTimeout = Duration(5 * time.Second)
+	defaultLogLevel     = "info"
+)
+
+func (n *NodeSettings) validate(ps *Problems) {
+	required(ps, "node.id", n.ID)
+	required(ps, "node.zone", n.Zone)
+	required(ps, "node.region", n.Region)
+}
+
+func (t *TLSSettings) validate(ps *Problems, field string) {
+	if (t.CertFile == "") != (t.KeyFile == "") {
+		ps.add(field, "", "expected both certFile and keyFile, or neither")
+	}
+}
+
+func (a *AdminSettings) validate(ps *Problems) {
+	address(ps, "admin.address", a.Address)
+	a.TLS.validate(ps, "admin.tls")
+	if a.Token != "" && a.TokenFile != "" {
+		ps.add("admin.tokenFile", "", "expected either token or tokenFile, got both")
+	}
+}
+
+func (s *StoreSettings) validate(ps *Problems) {
+	httpURL(ps, "store.url", s.URL)
+	positive(ps, "store.timeout", s.Timeout)
+}
+
+func (c *CloudSettings) validate(ps *Problems) {
+	httpURL(ps, "cloud.url", c.URL)
+	positive(ps, "cloud.timeout", c.Timeout)
+}
+
+func (l *LogSettings) validate(ps *Problems) {
+	switch l.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		ps.add("log.level", "", "expected debug, info, warn or error, got %q", l.Level)
+	}
+}
+
+func required(ps *Problems, field, v string) {
+	if strings.TrimSpace(v) == "" {
+		ps.add(field, "", "expected a value, got none")
+	}
+}
+
+func address(ps *Problems, field, v string) {
+	if _, _, err := net.SplitHostPort(v); err != nil {
+		ps.add(field, "", "expected \"host:port\", got %q", v)
+	}
+}
+
+func httpURL(ps *Problems, field, v string) {
+	u, err := url.Parse(v)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		ps.add(field, "", "expected an http or https URL, got %q", v)
+	}
+}
+
+func positive(ps *Problems, field string, d Duration) {
+	if d <= 0 {
+		ps.add(field, "", "expected a duration above 0, got %q", d)
+	}
+}
+
+func atLeast(ps *Problems, field string, v, least int64) {
+	if v < least {
+		ps.add(field, "", "expected %d or more, got %d", least, v)
+	}
+}
--- /dev/null
+++ b/internal/config/settings_entry.go
@@ -0,0 +1,178 @@
+package config
+
+import "time"
+
+// EntrySettings is the settings file of buckthornpick-entry.
+type EntrySettings struct {
+	Node NodeSettings `json:"node"`
+	// Callers is the listener for callers.
+	Callers CallerSettings `json:"callers"`
+	// Peers is the inner protocol among entries.
+	Peers  PeerSettings   `json:"peers"`
+	Admin  AdminSettings  `json:"admin"`
+	Store  StoreSettings  `json:"store"`
+	Cloud  CloudSettings  `json:"cloud"`
+	Lease  LeaseSettings  `json:"lease"`
+	Drain  DrainSettings  `json:"drain"`
+	Bounds BoundsSettings `json:"bounds"`
+	Log    LogSettings    `json:"log"`
+}
+
+// CallerSettings describe the callers' listener.
+type CallerSettings struct {
+	// Address is the listener's "host:port"; default ":8080".
+	Address string      `json:"address"`
+	TLS     TLSSettings `json:"tls"`
+	// ReadHeaderTimeout bounds reading a request's header; default "10s".
+	ReadHeaderTimeout Duration `json:"readHeaderTimeout"`
+	// ReadTimeout bounds reading a whole request; default "60s".
+	ReadTimeout Duration `json:"readTimeout"`
+	// IdleTimeout bounds the wait for the next request of a kept connection;
+	// default "120s".
+	IdleTimeout Duration `json:"idleTimeout"`
+}
+
+// PeerSettings describe the inner protocol.
+type PeerSettings struct {
+	// Address is the listener's "host:port"; default ":7070".
+	Address string `json:"address"`
+	// Advertised are the "host:port" addresses that peers dial, in the order
+	// of preference; at least one.
+	Advertised []string `json:"advertised"`
+	// Secret is the shared secret that authenticates peers; Secret or
+	// SecretFile is required.
+	Secret string `json:"secret"`
+	// SecretFile is a file that holds the secret; default empty.
+	SecretFile string `json:"secretFile"`
+}
+
+// LeaseSettings describe the node's lease in the store.
+type LeaseSettings struct {
+	// TTL is the time after the last renewal at which the lease lapses;
+	// default "10s".
+	TTL Duration `json:"ttl"`
+	// RenewInterval is the time between renewals, at most a third of TTL;
+	// default "3s".
+	RenewInterval Duration `json:"renewInterval"`
+}
+
+// DrainSettings describe a planned stop.
+type DrainSettings struct {
+	// Grace bounds the wait for running requests before they are handed to
+	// other entries; default "10m".
+	Grace Duration `json:"grace"`
+	// ReadyDelay is the time between failing readiness and closing the
+	// callers' listener, for the balancer to notice; default "3s".
+	ReadyDelay Duration `json:"readyDelay"`
+}
+
+// BoundsSettings bound what one node holds.
+type BoundsSettings struct {
+	// MaxBodyBytes bounds a request's body; default 4194304 (4 MiB).
+	MaxBodyBytes int64 `json:"maxBodyBytes"`
+	// MaxHeaderBytes bounds a request's header; default 65536.
+	MaxHeaderBytes int `json:"maxHeaderBytes"`
+	// AnswerBytesPerRequest bounds the kept answer of one request; default
+	// 8388608 (8 MiB).
+	AnswerBytesPerRequest int64 `json:"answerBytesPerRequest"`
+	// AnswerBytesTotal bounds all kept answers of the node; default 134217728
+	// (128 MiB).
+	AnswerBytesTotal int64 `json:"answerBytesTotal"`
+	// MaxConnections bounds callers' connections; default 10000.
+	MaxConnections int `json:"maxConnections"`
+	// MaxRequests bounds accepted requests that have not ended; default 4096.
+	MaxRequests int `json:"maxRequests"`
+	// KeyWindow is the time for which ended requests and their answers are
+	// kept for resending callers; default "10m".
+	KeyWindow Duration `json:"keyWindow"`
+}
+
+const (
+	kib = 1 << 10
+	mib = 1 << 20
+
+	// renewalsPerTTL is the least number of renewals in one TTL.
+	renewalsPerTTL = 3
+)
+
+// SetDefaults fills in the documented defaults.
+func (s *EntrySettings) SetDefaults() {
+	s.Node.Region = defaultRegion
+	s.Callers = CallerSettings{
+		Address:           ":8080",
+		ReadHeaderTimeout: Duration(10 * time.Second),
+		ReadTimeout:       Duration(60 * time.Second),
+		IdleTimeout:       Duration(120 * time.Second),
+	}
+	s.Peers.Address = ":7070"
+	s.Admin.Address = defaultAdminAddress
+	s.Store.Timeout = defaultStoreTimeout
+	s.Cloud.Timeout = defaultCloudTimeout
+	s.Lease = LeaseSettings{TTL: Duration(10 * time.Second), RenewInterval: Duration(3 * time.Second)}
+	s.Drain = DrainSettings{Grace: Duration(10 * time.Minute), ReadyDelay: Duration(3 * time.Second)}
+	s.Bounds = BoundsSettings{
+		MaxBodyBytes: 4 * mib, MaxHeaderBytes: 64 * kib,
+		AnswerBytesPerRequest: 8 * mib, AnswerBytesTotal: 128 * mib,
+		MaxConnections: 10_000, MaxRequests: 4096,
+		KeyWindow: Duration(10 * time.Minute),
+	}
+	s.Log.Level = defaultLogLevel
+}
+
+// Validate returns every fault of the values.
+func (s *EntrySettings) Validate() Problems {
+	var ps Problems
+	s.Node.validate(&ps)
+	s.Callers.validate(&ps)
+	s.Peers.validate(&ps)
+	s.Admin.validate(&ps)
+	s.Store.validate(&ps)
+	s.Cloud.validate(&ps)
+	s.Lease.validate(&ps)
+	positive(&ps, "drain.grace", s.Drain.Grace)
+	if s.Drain.ReadyDelay < 0 {
+		ps.add("drain.readyDelay", "", "expected 0 or more, got %q", s.Drain.ReadyDelay)
+	}
+	s.Bounds.validate(&ps)
+	s.Log.validate(&ps)
+	return ps
+}
+
+func (c *CallerSettings) validate(ps *Problems) {
+	address(ps, "callers.address", c.Address)
+	c.TLS.validate(ps, "callers.tls")
+	positive(ps, "callers.readHeaderTimeout", c.ReadHeaderTimeout)
+	positive(ps, "callers.readTimeout", c.ReadTimeout)
+	positive(ps, "callers.idleTimeout", c.IdleTimeout)
+}
+
+func (p *PeerSettings) validate(ps *Problems) {
+	address(ps, "peers.address", p.Address)
+	if len(p.Advertised) == 0 {
+		ps.add("peers.advertised", "", "expected at least one \"host:port\"")
+	}
+	for _, a := range p.Advertised {
+		address(ps, "peers.advertised", a)
+	}
+	if (p.Secret == "") == (p.SecretFile == "") {
+		ps.add("peers.secret", "", "expected either secret or secretFile")
+	}
+}
+
+func (l *LeaseSettings) validate(ps *Problems) {
+	positive(ps, "lease.ttl", l.TTL)
+	positive(ps, "lease.renewInterval", l.RenewInterval)
+	if l.RenewInterval*renewalsPerTTL > l.TTL {
+		ps.add("lease.renewInterval", "", "expected at most a third of lease.ttl (%v), got %v", l.TTL, l.RenewInterval)
+	}
+}
+
+func (b *BoundsSettings) validate(ps *Problems) {
+	atLeast(ps, "bounds.maxBodyBytes", b.MaxBodyBytes, kib)
+	atLeast(ps, "bounds.maxHeaderBytes", int64(b.MaxHeaderBytes), kib)
+	atLeast(ps, "bounds.answerBytesPerRequest", b.AnswerBytesPerRequest, kib)
+	atLeast(ps, "bounds.answerBytesTotal", b.AnswerBytesTotal, b.AnswerBytesPerRequest)
+	atLeast(ps, "bounds.maxConnections", int64(b.MaxConnections), 1)
+	atLeast(ps, "bounds.maxRequests", int64(b.MaxRequests), 1)
+	positive(ps, "bounds.keyWindow", b.KeyWindow)
+}
--- /dev/null
+++ b/internal/config/settings_other.go
@@ -0,0 +1,72 @@
+package config
+
+import (
+	"fmt"
+	"time"
+)
+
+// PlannerSettings is the settings file of buckthornpick-planner.
+type PlannerSettings struct {
+	Node  NodeSettings  `json:"node"`
+	Admin AdminSettings `json:"admin"`
+	Store StoreSettings `json:"store"`
+	Cloud CloudSettings `json:"cloud"`
+	Log   LogSettings   `json:"log"`
+}
+
+// SetDefaults fills in the documented defaults.
+func (s *PlannerSettings) SetDefaults() {
+	s.Node.Region = defaultRegion
+	s.Admin.Address = "127.0.0.1:9091"
+	s.Store.Timeout = defaultStoreTimeout
+	s.Cloud.Timeout = defaultCloudTimeout
+	s.Log.Level = defaultLogLevel
+}
+
+// Validate returns every fault of the values.
+func (s *PlannerSettings) Validate() Problems {
+	var ps Problems
+	s.Node.validate(&ps)
+	s.Admin.validate(&ps)
+	s.Store.validate(&ps)
+	s.Cloud.validate(&ps)
+	s.Log.validate(&ps)
+	return ps
+}
+
+// ControlSettings is the settings file of bpctl.
+type ControlSettings struct {
+	// AdminURLs are the base URLs of entries' admin listeners, tried in order;
+	// at least one.
+	AdminURLs []string `json:"adminUrls"`
+	// Token is the operators' bearer token; Token or TokenFile is required.
+	Token string `json:"token"`
+	// TokenFile is a file that holds the token; default empty.
+	TokenFile string `json:"tokenFile"`
+	// CAFile is a PEM file of certificate authorities that sign the admin
+	// listeners' certificates; default empty, the system's authorities.
+	CAFile string `json:"caFile"`
+	// Timeout bounds one call; default "10s".
+	Timeout Duration `json:"timeout"`
+	// Author is recorded in the history; default the operating system's user.
+	Author string `json:"author"`
+}
+
+// SetDefaults fills in the documented defaults.
+func (s *ControlSettings) SetDefaults() { s.Timeout = Duration(10 * time.Second) }
+
+// Validate returns every fault of the values.
+func (s *ControlSettings) Validate() Problems {
+	var ps Problems
+	if len(s.AdminURLs) == 0 {
+		ps.add("adminUrls", "", "expected at least one URL")
+	}
+	for i, u := range s.AdminURLs {
+		httpURL(&ps, fmt.Sprintf("adminUrls[%d]", i), u)
+	}
+	if (s.Token == "") == (s.TokenFile == "") {
+		ps.add("token", "", "expected either token or tokenFile")
+	}
+	positive(&ps, "timeout", s.Timeout)
+	return ps
+}
--- /dev/null
+++ b/internal/rules/cover.go
@@ -0,0 +1,72 @@
+package rules
+
+import (
+	"fmt"
+
+	"buckthornpick/internal/config"
+)
+
+// unreachable names the rules that one earlier rule covers fully.
+func (s *Set) unreachable() config.Problems {
+	var problems config.Problems
+	for i := range s.rules {
+		for j := range i {
+			if !covers(&s.rules[j], &s.rules[i]) {
+				continue
+			}
+			problems = append(problems, config.Problem{
+				Field: fmt.Sprintf("rules[%d].when", i), Name: s.rules[i].name,
+				Message: fmt.Sprintf("the rule is never reached: rule %d (%q) matches every request that it matches",
+					j, s.rules[j].name),
+			})
+			break
+		}
+	}
+	return problems
+}
+
+// covers reports whether a matches every request that b matches.
+func covers(a, b *compiled) bool {
+	x, y := &a.when, &b.when
+	return b.hours&^a.hours == 0 &&
+		listCovers(x.Organisations, y.Organisations, 0) &&
+		listCovers(x.Services, y.Services, 0) &&
+		listCovers(x.Models, y.Models, 0) &&
+		listCovers(x.Kinds, y.Kinds, kindCount) &&
+		listCovers(x.Priorities, y.Priorities, priorityCount) &&
+		listCovers(x.Zones, y.Zones, 0) &&
+		x.MinPromptTokens <= y.MinPromptTokens &&
+		(x.MaxPromptTokens == 0 || (y.MaxPromptTokens != 0 && y.MaxPromptTokens <= x.MaxPromptTokens)) &&
+		(x.Repeatable == nil || (y.Repeatable != nil && *x.Repeatable == *y.Repeatable)) &&
+		(x.HasContext == nil || (y.HasContext != nil && *x.HasContext == *y.HasContext)) &&
+		boundCovers(x.LoadAbove, y.LoadAbove) &&
+		boundCovers(x.PriceAbove, y.PriceAbove)
+}
+
+// Sizes of the closed sets of values. A list with all of them is as good as
+// none.
+const (
+	kindCount     = 3
+	priorityCount = 3
+)
+
+// listCovers reports whether a holds all of b. full is the number of possible
+// values, 0 if they are not bounded.
+func listCovers(a, b []string, full int) bool {
+	if len(a) == 0 || len(a) == full {
+		return true
+	}
+	if len(b) == 0 {
+		return false
+	}
+	for _, v := range b {
+		if !contains(a, v) {
+			return false
+		}
+	}
+	return true
+}
+
+func boundCovers(a, b *float64) bool {
+	return a == nil || (b != nil && *b >= *a)
+}
--- /dev/null
+++ b/internal/rules/set.go
@@ -0,0 +1,116 @@
+package rules
+
+import (
+	"slices"
+
+	"buckthornpick/internal/config"
+)
+
+const normalPriority = "normal"
+
+// Set is a compiled rule list. It does not change and may be shared.
+type Set struct {
+	rules   []compiled
+	noMatch config.Then
+}
+
+// compiled is a rule in the form that matching needs.
+type compiled struct {
+	name string
+	when config.When
+	then config.Then
+	// hours has bit h set if hour h matches.
+	hours uint32
+}
+
+// Compile checks the document and compiles its rules. The error is
+// config.Problems and names every fault.
+func Compile(doc *config.Document) (*Set, error) {
+	problems := config.Check(doc)
+	s := newSet(doc.Rules)
+	if len(problems) == 0 {
+		problems = s.unreachable()
+	}
+	if err := problems.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func newSet(list []config.Rule) *Set {
+	s := &Set{noMatch: config.Then{Refuse: &config.Refuse{Reason: "no rule matches this request"}}}
+	for _, r := range list {
+		s.rules = append(s.rules, compiled{name: r.Name, when: r.When, then: r.Then, hours: hourMask(r.When.Hours)})
+	}
+	return s
+}
+
+// Len returns the number of rules.
+func (s *Set) Len() int { return len(s.rules) }
+
+// Match returns the decision of the first rule that matches in. It does not
+// allocate.
+func (s *Set) Match(in Input) Decision {
+	if in.Priority == "" {
+		in.Priority = normalPriority
+	}
+	for i := range s.rules {
+		r := &s.rules[i]
+		if !r.matches(&in) {
+			continue
+		}
+		return Decision{
+			Rule: i, Name: r.name, Then: r.then,
+			OlderSystem: r.then.OlderSystemShare > 0 && sharePoint(&in) < r.then.OlderSystemShare,
+		}
+	}
+	return Decision{Rule: NoRule, Then: s.noMatch}
+}
+
+func (r *compiled) matches(in *Input) bool {
+	w := &r.when
+	return r.hours&(1<<in.Now.UTC().Hour()) != 0 &&
+		contains(w.Services, in.Service) &&
+		contains(w.Organisations, in.Organisation) &&
+		contains(w.Models, in.Model) &&
+		contains(w.Kinds, in.Kind) &&
+		contains(w.Priorities, in.Priority) &&
+		contains(w.Zones, in.Zone) &&
+		in.PromptTokens >= w.MinPromptTokens &&
+		(w.MaxPromptTokens == 0 || in.PromptTokens <= w.MaxPromptTokens) &&
+		(w.Repeatable == nil || *w.Repeatable == in.Repeatable) &&
+		(w.HasContext == nil || *w.HasContext == (in.Context != 0)) &&
+		(w.LoadAbove == nil || in.Load > *w.LoadAbove) &&
+		(w.PriceAbove == nil || in.Price > *w.PriceAbove)
+}
+
+// contains reports whether v is listed; an empty list holds everything.
+func contains(list []string, v string) bool {
+	return len(list) == 0 || slices.Contains(list, v)
+}
+
+const (
+	hoursPerDay = 24
+	allHours    = 1<<hoursPerDay - 1
+)
+
+// hourMask returns the hours of h as bits; nil is the whole day.
+func hourMask(h *config.HourRange) uint32 {
+	if h == nil {
+		return allHours
+	}
+	var mask uint32
+	for hour := range hoursPerDay {
+		if inRange(h, hour) {
+			mask |= 1 << hour
+		}
+	}
+	return mask
+}
+
+func inRange(h *config.HourRange, hour int) bool {
+	if h.From < h.To {
+		return hour >= h.From && hour < h.To
+	}
+	return hour >= h.From || hour < h.To
+}
