The operators' document in the store and among peers

Cause: an accepted change must be known to be written, and a node must never go back to an older revision, whatever answers the store loses. Conclusion: racing, lost, late and repeated writes have one outcome in tests.

--- /dev/null
+++ b/internal/confstore/fake_test.go
@@ -0,0 +1,186 @@
+package confstore
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/kv"
+)
+
+// txnFault is what happens to one transaction.
+type txnFault int
+
+const (
+	answered txnFault = iota
+	// lostAfter takes effect; its answer is lost.
+	lostAfter
+	// lostBefore takes no effect; its answer is lost.
+	lostBefore
+	// late takes effect when the test calls deliver; its answer is lost.
+	late
+)
+
+// fakeStore is a kv.Store in memory.
+type fakeStore struct {
+	mu       sync.Mutex
+	entries  map[string]kv.Entry
+	revision int64
+	down     bool
+	faults   []txnFault
+	delayed  []func()
+	watchers map[chan kv.WatchBatch]string
+	calls    int
+	// beforeTxn runs before each transaction, without the lock.
+	beforeTxn func()
+}
+
+func newFake() *fakeStore {
+	return &fakeStore{entries: map[string]kv.Entry{}, watchers: map[chan kv.WatchBatch]string{}}
+}
+
+func (f *fakeStore) enter() error {
+	f.calls++
+	if f.down {
+		return fault.New(fault.Unavailable, "kv", "fake", "down")
+	}
+	return nil
+}
+
+func (f *fakeStore) Get(_ context.Context, key string) (kv.Entry, bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.enter(); err != nil {
+		return kv.Entry{}, false, err
+	}
+	e, ok := f.entries[key]
+	return e, ok, nil
+}
+
+func (f *fakeStore) List(_ context.Context, prefix string) (kv.Snapshot, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.enter(); err != nil {
+		return kv.Snapshot{}, err
+	}
+	snapshot := kv.Snapshot{Revision: f.revision}
+	for k, e := range f.entries {
+		if strings.HasPrefix(k, prefix) {
+			snapshot.Entries = append(snapshot.Entries, e)
+		}
+	}
+	sort.Slice(snapshot.Entries, func(i, j int) bool { return snapshot.Entries[i].Key < snapshot.Entries[j].Key })
+	return snapshot, nil
+}
+
+func (f *fakeStore) Txn(_ context.Context, guards []kv.Compare, ops []kv.Op) (kv.TxnResult, error) {
+	if f.beforeTxn != nil {
+		f.beforeTxn()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.enter(); err != nil {
+		return kv.TxnResult{}, err
+	}
+	how := answered
+	if len(f.faults) > 0 {
+		how, f.faults = f.faults[0], f.faults[1:]
+	}
+	switch how {
+	case lostAfter:
+		f.apply(guards, ops)
+	case late:
+		f.delayed = append(f.delayed, func() { f.apply(guards, ops) })
+	case answered:
+		return kv.TxnResult{Succeeded: f.apply(guards, ops), Revision: f.revision}, nil
+	}
+	return kv.TxnResult{}, fault.New(fault.Ambiguous, "kv", "fake", "answer lost")
+}
+
+// apply requires f.mu.
+func (f *fakeStore) apply(guards []kv.Compare, ops []kv.Op) bool {
+	for _, g := range guards {
+		if f.entries[g.Key].ModRevision != g.ModRevision {
+			return false
+		}
+	}
+	f.revision++
+	for _, op := range ops {
+		f.write(op)
+	}
+	return true
+}
+
+func (f *fakeStore) write(op kv.Op) {
+	e := kv.Entry{Key: op.Key, Value: op.Value, ModRevision: f.revision}
+	f.entries[op.Key] = e
+	if op.Delete {
+		delete(f.entries, op.Key)
+	}
+	for ch, prefix := range f.watchers {
+		if strings.HasPrefix(op.Key, prefix) {
+			ch <- kv.WatchBatch{Events: []kv.Event{{Entry: e, Deleted: op.Delete}}, Revision: f.revision}
+		}
+	}
+}
+
+// deliver lets the delayed transactions arrive.
+func (f *fakeStore) deliver() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, d := range f.delayed {
+		d()
+	}
+	f.delayed = nil
+}
+
+func (f *fakeStore) set(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+	if down {
+		for ch := range f.watchers {
+			close(ch)
+			delete(f.watchers, ch)
+		}
+	}
+}
+
+func (f *fakeStore) put(key string, value []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apply(nil, []kv.Op{kv.Put(key, value)})
+}
+
+func (f *fakeStore) callCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+func (f *fakeStore) Watch(ctx context.Context, prefix string, _ int64) (<-chan kv.WatchBatch, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.enter(); err != nil {
+		return nil, err
+	}
+	const room = 64
+	ch := make(chan kv.WatchBatch, room)
+	f.watchers[ch] = prefix
+	context.AfterFunc(ctx, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if _, open := f.watchers[ch]; open {
+			delete(f.watchers, ch)
+			close(ch)
+		}
+	})
+	return ch, nil
+}
+
+func (f *fakeStore) Grant(context.Context, time.Duration) (kv.LeaseID, error) { return 1, nil }
+func (f *fakeStore) KeepAlive(context.Context, kv.LeaseID) error              { return nil }
+func (f *fakeStore) Revoke(context.Context, kv.LeaseID) error                 { return nil }
--- /dev/null
+++ b/internal/confstore/propose_test.go
@@ -0,0 +1,201 @@
+package confstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/telemetry"
+)
+
+func testStore(f *fakeStore) *Store { return New(Config{Self: "n1"}, f, telemetry.Discard(), nil) }
+
+// document has one service, so that documents differ by its name.
+func document(service string) *config.Document {
+	return &config.Document{
+		Services: []config.Service{{Name: service, Kind: config.PlainService}},
+		Rules:    []config.Rule{{Name: "all", Then: config.Then{Service: service}}},
+	}
+}
+
+func change(service string, expected int64, operation string) Change {
+	return Change{Document: document(service), Expected: expected, OperationID: operation}
+}
+
+// stored returns the document that the store holds.
+func stored(t *testing.T, f *fakeStore) *config.Document {
+	doc, err := decodeDocument(f.entries[DefaultKey].Value)
+	require.NoError(t, err)
+	return doc
+}
+
+func TestProposeResolvesLostAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults []txnFault
+	}{
+		{"answered", nil},
+		{"lost after the write", []txnFault{lostAfter}},
+		{"lost before the write", []txnFault{lostBefore}},
+		{"lost twice", []txnFault{lostBefore, lostAfter}},
+		{"late", []txnFault{late}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFake()
+				f.faults = tt.faults
+				s := testStore(f)
+				result, err := s.Propose(t.Context(), change("a", 0, "op1"))
+				require.NoError(t, err)
+				require.EqualValues(t, 1, result.Revision)
+				// A copy that arrives after the answer must not count again.
+				writes := f.revision
+				f.deliver()
+				require.Equal(t, writes, f.revision)
+				now, ok := s.Current()
+				require.True(t, ok)
+				require.Equal(t, "op1", now.Document.OperationID)
+				history, err := s.History(t.Context(), 0)
+				require.NoError(t, err)
+				require.Len(t, history, 1)
+			})
+		})
+	}
+}
+
+// The write of the first operator arrives after its read-back found nothing.
+func TestLateWriteDoesNotOvertakeAnotherChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.faults = []txnFault{late, late, late, late, late, late, late, late}
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		_, err := testStore(f).Propose(ctx, change("a", 0, "op1"))
+		require.True(t, fault.Is(err, fault.Ambiguous), "%v", err)
+
+		f.faults = nil
+		_, err = testStore(f).Propose(t.Context(), change("b", 0, "op2"))
+		require.NoError(t, err)
+		f.deliver()
+		require.Equal(t, "op2", stored(t, f).OperationID)
+
+		_, err = testStore(f).Propose(t.Context(), change("a", 0, "op1"))
+		var conflict *ConflictError
+		require.ErrorAs(t, err, &conflict)
+		require.True(t, fault.Is(err, fault.Conflict))
+	})
+}
+
+func TestAmbiguousChangeIsAnsweredWhenAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.faults = []txnFault{late}
+		f.beforeTxn = func() {
+			if len(f.delayed) > 0 {
+				f.set(true)
+			}
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := testStore(f).Propose(ctx, change("a", 0, "op1"))
+		require.True(t, fault.Is(err, fault.Ambiguous), "%v", err)
+
+		f.beforeTxn = nil
+		f.set(false)
+		f.deliver()
+		_, err = testStore(f).Propose(t.Context(), change("b", 1, "op2"))
+		require.NoError(t, err)
+		result, err := testStore(f).Propose(t.Context(), change("a", 0, "op1"))
+		require.NoError(t, err)
+		require.EqualValues(t, 1, result.Revision)
+		require.Equal(t, "op2", stored(t, f).OperationID)
+	})
+}
+
+func TestOperationIDOfAnotherDocumentIsRefused(t *testing.T) {
+	f := newFake()
+	s := testStore(f)
+	_, err := s.Propose(t.Context(), change("a", 0, "op1"))
+	require.NoError(t, err)
+	_, err = s.Propose(t.Context(), change("b", 0, "op1"))
+	require.True(t, fault.Is(err, fault.Invalid), "%v", err)
+}
+
+func TestRacingOperatorsGetOneWinner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		const operators = 8
+		errs := make(chan error, operators)
+		for i := range operators {
+			go func() {
+				name := fmt.Sprint("s", i)
+				_, err := testStore(f).Propose(t.Context(), change(name, 0, "op-"+name))
+				errs <- err
+			}()
+		}
+		won := 0
+		for range operators {
+			err := <-errs
+			var conflict *ConflictError
+			if errors.As(err, &conflict) {
+				require.EqualValues(t, 1, conflict.Revision())
+				require.Equal(t, stored(t, f), conflict.Current)
+				continue
+			}
+			require.NoError(t, err)
+			won++
+		}
+		require.Equal(t, 1, won)
+	})
+}
+
+func TestProposeWithTheStoreDownIsNotWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.set(true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := testStore(f).Propose(ctx, change("a", 0, "op1"))
+		require.True(t, fault.Is(err, fault.Unavailable), "%v", err)
+	})
+}
+
+func TestProposeRefusesWrongAndLargeDocuments(t *testing.T) {
+	f := newFake()
+	s := testStore(f)
+	_, err := s.Propose(t.Context(), Change{Document: &config.Document{
+		Rules: []config.Rule{{Name: "r"}}}, OperationID: "op1"})
+	var problems config.Problems
+	require.ErrorAs(t, err, &problems)
+
+	large := document("a")
+	large.Rules[0].Name = strings.Repeat("x", MaxValueBytes)
+	_, err = s.Propose(t.Context(), Change{Document: large, OperationID: "op1"})
+	require.ErrorContains(t, err, "at most 1000000 are stored")
+	require.Zero(t, f.callCount())
+}
+
+func TestHistoryKeepsItsLimitLatestFirst(t *testing.T) {
+	f := newFake()
+	s := New(Config{Self: "n1", HistoryLimit: 3}, f, telemetry.Discard(), nil)
+	for i := range int64(5) {
+		_, err := s.Propose(t.Context(), change(fmt.Sprint("s", i), i, fmt.Sprint("op", i)))
+		require.NoError(t, err)
+	}
+	history, err := s.History(t.Context(), 0)
+	require.NoError(t, err)
+	var revisions []int64
+	for _, e := range history {
+		revisions = append(revisions, e.Revision)
+	}
+	require.Equal(t, []int64{5, 4, 3}, revisions)
+}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -3,7 +3,11 @@
 // backend server or service on the other side ("entry-b1", "10.0.3.7:8000").
 package fault
 
-import "github.com/joomcode/errorx"
+import (
+	"errors"
+
+	"github.com/joomcode/errorx"
+)
 
 // Namespace holds every error type of the system.
 var Namespace = errorx.NewNamespace("buckthornpick")
@@ -45,7 +49,8 @@
 
 // Is reports whether err, or an error it wraps, has type t.
 func Is(err error, t *errorx.Type) bool {
-	return err != nil && errorx.IsOfType(err, t)
+	var e *errorx.Error
+	return errors.As(err, &e) && e.IsOfType(t)
 }
 
 // Step returns the step recorded in err, or "".
