Inner protocol: streams, calls and notifications over one connection per peer

Cause: nodes forward requests, claims and documents to each other. Change: internal/peer with a mutual HMAC handshake, credit per stream, pings, draining of doubled and idle connections, and typed errors that tell whether the opening message may have been seen. fault.Is and fault.Step now look at the outermost fault error in the chain, so that they see through wrappers as their comment says.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -3,7 +3,11 @@
 // backend server or service on the other side ("entry-b1", "10.0.3.7:8000").
 package fault
 
-import "github.com/joomcode/errorx"
+import (
+	"errors"
+
+	"github.com/joomcode/errorx"
+)
 
 // Namespace holds every error type of the system.
 var Namespace = errorx.NewNamespace("buckthornpick")
@@ -43,9 +47,12 @@
 	return annotate(t.Wrap(err, format, args...), step, peer)
 }
 
-// Is reports whether err, or an error it wraps, has type t.
+// Is reports whether the outermost error of this package in err's chain has
+// type t. Its causes do not count: an Ambiguous error caused by an Unavailable
+// one is Ambiguous only.
 func Is(err error, t *errorx.Type) bool {
-	return err != nil && errorx.IsOfType(err, t)
+	e, ok := outermost(err)
+	return ok && e.IsOfType(t)
 }
 
 // Step returns the step recorded in err, or "".
@@ -63,10 +70,20 @@
 }
 
 func property(err error, p errorx.Property) string {
-	v, ok := errorx.ExtractProperty(err, p)
+	e, ok := outermost(err)
+	if !ok {
+		return ""
+	}
+	v, ok := e.Property(p)
 	if !ok {
 		return ""
 	}
 	s, _ := v.(string)
 	return s
 }
+
+func outermost(err error) (*errorx.Error, bool) {
+	var e *errorx.Error
+	ok := errors.As(err, &e)
+	return e, ok
+}
--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,323 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"buckthornpick/internal/fault"
+)
+
+// conn is one authenticated connection. Its read loop never waits for the
+// socket to take frames: what it must answer goes to ctrl without blocking.
+//
+// Lock order: Transport.mu before conn.mu before Stream.mu.
+type conn struct {
+	t           *Transport
+	nc          net.Conn
+	remote      Node
+	incarnation uint64
+	// dialled is true if this node opened the connection.
+	dialled bool
+	// queue carries messages in order; ctrl carries frames whose place among
+	// messages does not matter.
+	queue chan *bytes.Buffer
+	ctrl  chan *bytes.Buffer
+
+	done chan struct{} // closed when the connection has failed
+	wake chan struct{} // asks keepAlive to look at the drain state
+
+	lastRead atomic.Int64 // unix nanoseconds
+	lastUse  atomic.Int64 // unix nanoseconds of the last open or notify
+
+	mu       sync.Mutex
+	err      error
+	closed   bool
+	streams  map[uint32]*Stream
+	incoming int
+	nextID   uint32
+	// draining: no stream is opened here any more. A goAway is sent when the
+	// last stream has ended; the side that has sent and received one closes.
+	draining, sentGoAway, gotGoAway bool
+}
+
+func newConn(t *Transport, nc net.Conn, remote Node, incarnation uint64, dialled bool) *conn {
+	c := &conn{
+		t: t, nc: nc, remote: remote, incarnation: incarnation, dialled: dialled,
+		queue:   make(chan *bytes.Buffer, t.options.QueueFrames),
+		ctrl:    make(chan *bytes.Buffer, t.options.QueueFrames),
+		done:    make(chan struct{}),
+		wake:    make(chan struct{}, 1),
+		streams: map[uint32]*Stream{},
+		nextID:  2,
+	}
+	if dialled {
+		c.nextID = 1
+	}
+	now := time.Now().UnixNano()
+	c.lastRead.Store(now)
+	c.lastUse.Store(now)
+	return c
+}
+
+// run serves the connection until it fails or ctx ends.
+func (c *conn) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(c.writeLoop)
+	wg.Go(func() { c.keepAlive(ctx) })
+	c.fail(c.readLoop(ctx, &wg))
+	wg.Wait()
+}
+
+// fail ends the connection and all its streams; only the first call counts.
+func (c *conn) fail(err error) {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return
+	}
+	c.closed, c.err = true, err
+	streams := c.streams
+	c.streams = map[uint32]*Stream{}
+	close(c.done)
+	c.mu.Unlock()
+	_ = c.nc.Close()
+	for _, s := range streams {
+		s.finish(fault.Wrap(err, fault.Ambiguous, "peer.stream", c.remote.ID, "connection lost"))
+	}
+}
+
+func (c *conn) cause() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
+
+// enqueue hands a message to the writer. After nil the peer may see it; after
+// an error it does not.
+func (c *conn) enqueue(ctx context.Context, b *bytes.Buffer) error {
+	select {
+	case c.queue <- b:
+		return nil
+	default:
+	}
+	select {
+	case c.queue <- b:
+		return nil
+	case <-c.done:
+		putBuffer(b)
+		return fault.Wrap(c.cause(), fault.Unavailable, "peer.send", c.remote.ID, "connection lost")
+	case <-ctx.Done():
+		putBuffer(b)
+		return fault.Wrap(ctx.Err(), fault.Unavailable, "peer.send", c.remote.ID, "queue full")
+	}
+}
+
+// control hands over a frame without waiting; a peer that makes this node
+// answer faster than it reads loses the connection.
+func (c *conn) control(b *bytes.Buffer) {
+	select {
+	case c.ctrl <- b:
+	default:
+		putBuffer(b)
+		c.fail(fault.New(fault.Exhausted, "peer.control", c.remote.ID, "control queue full"))
+	}
+}
+
+func (c *conn) writeLoop() {
+	w := bufio.NewWriterSize(c.nc, socketBuffer)
+	for {
+		b, ok := c.nextFrame(w)
+		if !ok {
+			return
+		}
+		_, err := w.Write(b.Bytes())
+		putBuffer(b)
+		if err != nil {
+			c.fail(fault.Wrap(err, fault.Unavailable, "peer.write", c.remote.ID, "write"))
+			return
+		}
+	}
+}
+
+// nextFrame returns the next frame to write; it flushes w before it waits.
+func (c *conn) nextFrame(w *bufio.Writer) (*bytes.Buffer, bool) {
+	select {
+	case b := <-c.ctrl:
+		return b, true
+	case b := <-c.queue:
+		return b, true
+	default:
+	}
+	if err := w.Flush(); err != nil {
+		c.fail(fault.Wrap(err, fault.Unavailable, "peer.write", c.remote.ID, "flush"))
+		return nil, false
+	}
+	select {
+	case b := <-c.ctrl:
+		return b, true
+	case b := <-c.queue:
+		return b, true
+	case <-c.done:
+		return nil, false
+	}
+}
+
+func (c *conn) readLoop(ctx context.Context, wg *sync.WaitGroup) error {
+	r := bufio.NewReaderSize(c.nc, socketBuffer)
+	limit := c.t.options.MaxFrameBytes + kindBytes
+	for {
+		h, b, err := readFrame(r, limit)
+		if err != nil {
+			if fault.Is(err, fault.Protocol) {
+				return err
+			}
+			return fault.Wrap(err, fault.Unavailable, "peer.read", c.remote.ID, "read")
+		}
+		c.lastRead.Store(time.Now().UnixNano())
+		if err := c.receive(ctx, wg, h, b); err != nil {
+			return err
+		}
+	}
+}
+
+// receive acts on one frame; it owns payload, which may be nil.
+func (c *conn) receive(ctx context.Context, wg *sync.WaitGroup, h header, payload *bytes.Buffer) error {
+	switch h.kind {
+	case frameOpen:
+		return c.accept(ctx, wg, h.stream, payload)
+	case frameNotify:
+		return c.notified(payload)
+	case frameData:
+		if s := c.stream(h.stream); s != nil {
+			return s.push(payload)
+		}
+		putBuffer(payload) // a stream that has ended here
+		return nil
+	}
+	defer putBuffer(payload)
+	switch h.kind {
+	case framePing:
+		c.control(rawFrame(framePong, 0))
+	case framePong:
+	case frameGoAway:
+		return c.goneAway()
+	case frameEnd, frameDone, frameReset, frameCredit:
+		s := c.stream(h.stream)
+		if s == nil {
+			return nil
+		}
+		return s.control(h.kind, payload)
+	default:
+		return fault.New(fault.Protocol, "peer.read", c.remote.ID, "unknown frame type %d", h.kind)
+	}
+	return nil
+}
+
+func (c *conn) stream(id uint32) *Stream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.streams[id]
+}
+
+// accept starts the handler of a stream that the peer opened.
+func (c *conn) accept(ctx context.Context, wg *sync.WaitGroup, id uint32, payload *bytes.Buffer) error {
+	if payload == nil || payload.Len() < kindBytes || (id%2 == 1) == c.dialled {
+		putBuffer(payload)
+		return fault.New(fault.Protocol, "peer.accept", c.remote.ID, "malformed opening of stream %d", id)
+	}
+	kind := Kind(binary.BigEndian.Uint16(payload.Next(kindBytes)))
+	handler, known := c.t.handlers[kind]
+	if !known {
+		putBuffer(payload)
+		c.refuse(id, fault.New(fault.Protocol, "peer.open", "", "unknown kind %s", kind))
+		return nil
+	}
+	s := newStream(c, id, kind, false)
+	c.mu.Lock()
+	full := c.incoming >= c.t.options.MaxStreams
+	_, duplicate := c.streams[id]
+	if !full && !duplicate && !c.closed {
+		c.streams[id] = s
+		c.incoming++
+	}
+	closed := c.closed
+	c.mu.Unlock()
+	switch {
+	case closed:
+		putBuffer(payload)
+		return nil
+	case duplicate:
+		putBuffer(payload)
+		return fault.New(fault.Protocol, "peer.accept", c.remote.ID, "stream %d opened twice", id)
+	case full:
+		putBuffer(payload)
+		c.refuse(id, fault.New(fault.Exhausted, "peer.open", "", "too many streams"))
+		return nil
+	}
+	s.first = payload
+	wg.Go(func() { s.serve(ctx, handler) })
+	return nil
+}
+
+func (c *conn) refuse(id uint32, err error) {
+	b, encodeErr := messageFrame(frameDone, id, nil, remoteError("peer.open", err), c.t.options.MaxFrameBytes)
+	if encodeErr != nil {
+		b = rawFrame(frameDone, id)
+	}
+	c.control(b)
+}
+
+func (c *conn) notified(payload *bytes.Buffer) error {
+	if payload == nil || payload.Len() < kindBytes {
+		putBuffer(payload)
+		return fault.New(fault.Protocol, "peer.notify", c.remote.ID, "malformed notification")
+	}
+	kind := Kind(binary.BigEndian.Uint16(payload.Next(kindBytes)))
+	c.t.deliver(c.remote, kind, payload)
+	return nil
+}
+
+// add registers a stream that this node opens.
+func (c *conn) add(kind Kind) (*Stream, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.draining {
+		return nil, fault.New(fault.Unavailable, "peer.open", c.remote.ID, "connection is closing")
+	}
+	if len(c.streams)-c.incoming >= c.t.options.MaxStreams {
+		return nil, fault.New(fault.Exhausted, "peer.open", c.remote.ID, "too many streams")
+	}
+	s := newStream(c, c.nextID, kind, true)
+	c.nextID += 2
+	c.streams[s.id] = s
+	c.lastUse.Store(time.Now().UnixNano())
+	return s, nil
+}
+
+func (c *conn) remove(s *Stream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.streams[s.id] != s {
+		return
+	}
+	delete(c.streams, s.id)
+	if !s.opener {
+		c.incoming--
+	}
+	if c.draining && len(c.streams) == 0 {
+		c.poke()
+	}
+}
+
+func (c *conn) poke() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/peer/handshake.go
@@ -0,0 +1,192 @@
+package peer
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"io"
+	"net"
+	"strconv"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"buckthornpick/internal/fault"
+)
+
+// The handshake, in strict turns:
+//
+//	dialler   preamble, hello with nonce
+//	acceptor  preamble, hello with nonce and its proof, or a refusal
+//	dialler   its proof, or nothing
+//	acceptor  verdict
+//
+// A proof is the HMAC with the shared secret of the role and both hellos, so
+// it can be replayed neither in another session nor in the other direction.
+// The preamble keeps its form in all versions of the protocol.
+const (
+	protocolVersion   = 1
+	magic             = "btpk"
+	preambleBytes     = len(magic) + 2
+	nonceBytes        = 16
+	maxHandshakeBytes = 4 << 10
+	roleDialler       = "dialler"
+	roleAcceptor      = "acceptor"
+)
+
+type hello struct {
+	ID          string `msgpack:"i"`
+	Zone        string `msgpack:"z"`
+	Address     string `msgpack:"a"`
+	Incarnation uint64 `msgpack:"n"`
+	Nonce       []byte `msgpack:"c"`
+	Window      int    `msgpack:"w"`
+	// Proof and Refusal are sent by the acceptor only.
+	Proof   []byte `msgpack:"p,omitempty"`
+	Refusal string `msgpack:"r,omitempty"`
+}
+
+type verdict struct {
+	Proof   []byte `msgpack:"p,omitempty"`
+	Refusal string `msgpack:"r,omitempty"`
+}
+
+func (h hello) node() Node { return Node{ID: h.ID, Zone: h.Zone, Address: h.Address} }
+
+func (t *Transport) hello() hello {
+	nonce := make([]byte, nonceBytes)
+	_, _ = rand.Read(nonce) // never fails, by its documentation
+	return hello{ID: t.self.ID, Zone: t.self.Zone, Address: t.self.Address,
+		Incarnation: t.incarnation, Nonce: nonce, Window: t.options.Window}
+}
+
+// greet is the dialler's side; to is the node that was dialled.
+func (t *Transport) greet(nc net.Conn, to Node) (hello, error) {
+	const step = "peer.handshake"
+	mine := t.hello()
+	if err := writeHandshake(nc, true, mine); err != nil {
+		return hello{}, fault.Wrap(err, fault.Unavailable, step, to.ID, "send hello")
+	}
+	var theirs hello
+	if err := readHandshake(nc, true, &theirs); err != nil {
+		return hello{}, fault.Wrap(err, fault.Unavailable, step, to.ID, "read hello")
+	}
+	switch {
+	case theirs.Refusal != "":
+		return hello{}, fault.New(fault.Unavailable, step, to.ID, "refused: %s", theirs.Refusal)
+	case theirs.ID != to.ID:
+		return hello{}, fault.New(fault.Unavailable, step, to.ID, "another node answered: %s", theirs.ID)
+	case !hmac.Equal(theirs.Proof, t.proof(roleAcceptor, mine, theirs)):
+		return hello{}, fault.New(fault.Unavailable, step, to.ID, "wrong secret")
+	}
+	if err := writeHandshake(nc, false, verdict{Proof: t.proof(roleDialler, mine, theirs)}); err != nil {
+		return hello{}, fault.Wrap(err, fault.Unavailable, step, to.ID, "send proof")
+	}
+	var v verdict
+	if err := readHandshake(nc, false, &v); err != nil {
+		return hello{}, fault.Wrap(err, fault.Unavailable, step, to.ID, "read verdict")
+	}
+	if v.Refusal != "" {
+		return hello{}, fault.New(fault.Unavailable, step, to.ID, "refused: %s", v.Refusal)
+	}
+	return theirs, nil
+}
+
+// welcome is the acceptor's side.
+func (t *Transport) welcome(nc net.Conn) (hello, error) {
+	const step = "peer.accept"
+	from := nc.RemoteAddr().String()
+	var theirs hello
+	if err := readHandshake(nc, true, &theirs); err != nil {
+		_ = writeHandshake(nc, true, hello{Refusal: err.Error()})
+		return hello{}, fault.Wrap(err, fault.Protocol, step, from, "read hello")
+	}
+	mine := t.hello()
+	if theirs.Window != mine.Window {
+		mine.Refusal = "window is " + strconv.Itoa(mine.Window) + " here and " + strconv.Itoa(theirs.Window) + " there"
+	}
+	if theirs.ID == "" || theirs.ID == t.self.ID {
+		mine.Refusal = "node ID " + strconv.Quote(theirs.ID) + " is empty or taken"
+	}
+	if mine.Refusal != "" {
+		_ = writeHandshake(nc, true, hello{Refusal: mine.Refusal})
+		return hello{}, fault.New(fault.Protocol, step, theirs.ID, "%s", mine.Refusal)
+	}
+	mine.Proof = t.proof(roleAcceptor, theirs, mine)
+	if err := writeHandshake(nc, true, mine); err != nil {
+		return hello{}, fault.Wrap(err, fault.Unavailable, step, theirs.ID, "send hello")
+	}
+	var v verdict
+	if err := readHandshake(nc, false, &v); err != nil {
+		return hello{}, fault.Wrap(err, fault.Unavailable, step, theirs.ID, "read proof")
+	}
+	if !hmac.Equal(v.Proof, t.proof(roleDialler, theirs, mine)) {
+		_ = writeHandshake(nc, false, verdict{Refusal: "wrong secret"})
+		return hello{}, fault.New(fault.Protocol, step, theirs.ID, "wrong secret")
+	}
+	if err := writeHandshake(nc, false, verdict{}); err != nil {
+		return hello{}, fault.Wrap(err, fault.Unavailable, step, theirs.ID, "send verdict")
+	}
+	return theirs, nil
+}
+
+func (t *Transport) proof(role string, dialler, acceptor hello) []byte {
+	dialler.Proof, acceptor.Proof = nil, nil
+	mac := hmac.New(sha256.New, t.options.Secret)
+	enc := msgpack.NewEncoder(mac)
+	_ = enc.Encode([]any{role, protocolVersion, &dialler, &acceptor}) // a hash takes every write
+	return mac.Sum(nil)
+}
+
+func writeHandshake(w io.Writer, preamble bool, msg any) error {
+	body, err := msgpack.Marshal(msg)
+	if err != nil {
+		return err
+	}
+	var out []byte
+	if preamble {
+		out = append(out, magic...)
+		out = binary.BigEndian.AppendUint16(out, protocolVersion)
+	}
+	out = binary.BigEndian.AppendUint16(out, uint16(len(body)))
+	_, err = w.Write(append(out, body...))
+	return err
+}
+
+func readHandshake(r io.Reader, preamble bool, into any) error {
+	var version uint16 = protocolVersion
+	if preamble {
+		var err error
+		if version, err = readPreamble(r); err != nil {
+			return err
+		}
+	}
+	var size [2]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return err
+	}
+	n := int(binary.BigEndian.Uint16(size[:]))
+	if n > maxHandshakeBytes {
+		return fault.New(fault.Protocol, "peer.handshake", "", "handshake message of %d bytes", n)
+	}
+	body := make([]byte, n)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return err
+	}
+	// The message is read first, so that the other side is ready to listen.
+	if version != protocolVersion {
+		return fault.New(fault.Protocol, "peer.handshake", "", "protocol version %d here and %d there", protocolVersion, version)
+	}
+	return msgpack.Unmarshal(body, into)
+}
+
+func readPreamble(r io.Reader) (version uint16, err error) {
+	var p [preambleBytes]byte
+	if _, err := io.ReadFull(r, p[:]); err != nil {
+		return 0, err
+	}
+	if string(p[:len(magic)]) != magic {
+		return 0, fault.New(fault.Protocol, "peer.handshake", "", "not the inner protocol")
+	}
+	return binary.BigEndian.Uint16(p[len(magic):]), nil
+}
--- /dev/null
+++ b/internal/peer/keepalive.go
@@ -0,0 +1,100 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"buckthornpick/internal/fault"
+)
+
+// keepAlive pings a silent peer, ends the connection if it stays silent, and
+// closes it when it is idle or drained. It ends with the connection.
+func (c *conn) keepAlive(ctx context.Context) {
+	ticker := time.NewTicker(c.t.options.PingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			c.fail(fault.Wrap(ctx.Err(), fault.Unavailable, "peer.run", c.remote.ID, "transport stopped"))
+			return
+		case <-c.done:
+			return
+		case <-c.wake:
+		case <-ticker.C:
+			c.checkSilence()
+			if time.Since(time.Unix(0, c.lastUse.Load())) >= c.t.options.IdleTimeout {
+				c.drain(true)
+			}
+		}
+		c.sendGoAway(ctx)
+	}
+}
+
+func (c *conn) checkSilence() {
+	silence := time.Since(time.Unix(0, c.lastRead.Load()))
+	if silence >= c.t.options.PingInterval+c.t.options.PingTimeout {
+		c.fail(fault.New(fault.Unavailable, "peer.ping", c.remote.ID, "no frame for %s", silence))
+		return
+	}
+	if silence >= c.t.options.PingInterval {
+		c.control(rawFrame(framePing, 0))
+	}
+}
+
+// drain stops new streams; with onlyIdle, only if there are none now.
+func (c *conn) drain(onlyIdle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if onlyIdle && len(c.streams) > 0 {
+		return
+	}
+	c.draining = true
+	c.poke()
+}
+
+func (c *conn) sendGoAway(ctx context.Context) {
+	c.mu.Lock()
+	due := c.draining && !c.sentGoAway && len(c.streams) == 0
+	if due {
+		c.sentGoAway = true
+	}
+	c.mu.Unlock()
+	if due {
+		_ = c.enqueue(ctx, rawFrame(frameGoAway, 0)) // fails only with the connection
+	}
+}
+
+var errDrained = fault.New(fault.Unavailable, "peer.drain", "", "connection closed after it was drained")
+
+// goneAway handles the peer's goAway. The side that has sent its own before
+// closes the connection; the other answers and waits for the end.
+func (c *conn) goneAway() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gotGoAway, c.draining = true, true
+	if c.sentGoAway && len(c.streams) == 0 {
+		return errDrained
+	}
+	c.poke()
+	return nil
+}
+
+// drained reports whether the connection ended after a goAway.
+func (c *conn) drained() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gotGoAway || c.sentGoAway
+}
+
+// alive reports whether a frame arrived recently.
+func (c *conn) alive(now time.Time) bool {
+	limit := c.t.options.PingInterval + c.t.options.PingTimeout
+	return now.Sub(time.Unix(0, c.lastRead.Load())) < limit
+}
+
+// open reports whether streams can be opened.
+func (c *conn) open() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closed && !c.draining
+}
--- /dev/null
+++ b/internal/peer/kinds.go
@@ -0,0 +1,52 @@
+package peer
+
+import "strconv"
+
+// Kind is the kind of a stream or notification. It tells the receiving node
+// which handler decodes the opening message. Numbers never change.
+type Kind uint16
+
+// Kinds of the inner protocol.
+const (
+	// Submit forwards an accepted request to its owner.
+	Submit Kind = 1
+	// Attach follows the answer of a request at its owner.
+	Attach Kind = 2
+	// Transfer hands running requests to a new owner.
+	Transfer Kind = 3
+	// Gossip spreads load reports and counters.
+	Gossip Kind = 4
+	// ConfigPull fetches the operators' document from a peer.
+	ConfigPull Kind = 5
+	// ClaimCommit sends a batch of claims to the zone's writer.
+	ClaimCommit Kind = 6
+	// Locate asks a node whether it knows a request.
+	Locate Kind = 7
+	// Cancel stops a request at its owner.
+	Cancel Kind = 8
+	// ConfigAnnounce tells the revision of the operators' document.
+	ConfigAnnounce Kind = 9
+	// InventoryPull fetches the VM list and notices from a peer.
+	InventoryPull Kind = 10
+	// InventoryAnnounce tells the version of the VM list.
+	InventoryAnnounce Kind = 11
+	// TableAnnounce tells the revision of the table of members.
+	TableAnnounce Kind = 12
+	// TablePull fetches the table of members from a peer.
+	TablePull Kind = 13
+)
+
+var kindNames = map[Kind]string{
+	Submit: "submit", Attach: "attach", Transfer: "transfer", Gossip: "gossip",
+	ConfigPull: "config-pull", ClaimCommit: "claim-commit", Locate: "locate",
+	Cancel: "cancel", ConfigAnnounce: "config-announce", InventoryPull: "inventory-pull",
+	InventoryAnnounce: "inventory-announce", TableAnnounce: "table-announce", TablePull: "table-pull",
+}
+
+// String returns the kind's name, or its number if it has none.
+func (k Kind) String() string {
+	if name, ok := kindNames[k]; ok {
+		return name
+	}
+	return "kind-" + strconv.Itoa(int(k))
+}
--- /dev/null
+++ b/internal/peer/remote.go
@@ -0,0 +1,337 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"time"
+
+	"buckthornpick/internal/fault"
+)
+
+// remote is what a transport keeps about one peer. Guarded by Transport.mu.
+type remote struct {
+	conns []*conn
+	dial  *dial
+	// pending holds notifications until the dial has ended.
+	pending []*bytes.Buffer
+	// failedAt is when the last connection or dial failed; zero if none has
+	// since a connection was last opened.
+	failedAt time.Time
+}
+
+// dial is one attempt to connect; done is closed when conn or err is set.
+type dial struct {
+	done chan struct{}
+	conn *conn
+	err  error
+}
+
+const (
+	// failureMemory is how long a failed peer is known as not alive.
+	failureMemory = 10 * time.Second
+	// openAttempts bounds how often Open moves to another connection when
+	// the one it got is closing.
+	openAttempts = 3
+)
+
+// Open sends first to a handler of kind at the node to, which may be the node
+// itself, and returns the stream. It does not wait for the handler. ctx bounds
+// the opening only; the caller ends the stream by Close, or by receiving its
+// end. An error of type fault.Unavailable means that the peer has not seen the
+// message; losses after that are fault.Ambiguous and come from Recv and Send.
+func (t *Transport) Open(ctx context.Context, to Node, kind Kind, first any) (*Stream, error) {
+	var err error
+	for range openAttempts {
+		var c *conn
+		if c, err = t.connect(ctx, to); err != nil {
+			return nil, err
+		}
+		var s *Stream
+		if s, err = c.add(kind); err != nil {
+			if fault.Is(err, fault.Unavailable) {
+				continue
+			}
+			return nil, err
+		}
+		b, encodeErr := messageFrame(frameOpen, s.id, kindPrefix(kind), first, t.options.MaxFrameBytes+kindBytes)
+		if encodeErr != nil {
+			s.finish(encodeErr)
+			return nil, encodeErr
+		}
+		if err = c.enqueue(ctx, b); err == nil {
+			return s, nil
+		}
+		s.finish(err)
+		if ctx.Err() != nil {
+			return nil, err
+		}
+	}
+	return nil, err
+}
+
+// Notify sends msg one way, best effort. fault.Exhausted means that the queue
+// to the peer is full, fault.Unavailable that the transport does not run.
+func (t *Transport) Notify(to Node, kind Kind, msg any) error {
+	b, err := messageFrame(frameNotify, 0, kindPrefix(kind), msg, t.options.MaxFrameBytes+kindBytes)
+	if err != nil {
+		return err
+	}
+	if !t.running() {
+		putBuffer(b)
+		return fault.New(fault.Unavailable, "peer.notify", to.ID, "transport is not running")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closing {
+		putBuffer(b)
+		return fault.New(fault.Unavailable, "peer.notify", to.ID, "transport has stopped")
+	}
+	r := t.remote(to.ID)
+	if c := r.pick(t.self.ID); c != nil {
+		return c.tryEnqueue(b)
+	}
+	if len(r.pending) >= t.options.Window {
+		putBuffer(b)
+		return fault.New(fault.Exhausted, "peer.notify", to.ID, "queue full")
+	}
+	r.pending = append(r.pending, b)
+	t.startDial(r, to)
+	return nil
+}
+
+func (c *conn) tryEnqueue(b *bytes.Buffer) error {
+	select {
+	case c.queue <- b:
+		c.lastUse.Store(time.Now().UnixNano())
+		return nil
+	default:
+		putBuffer(b)
+		return fault.New(fault.Exhausted, "peer.notify", c.remote.ID, "queue full")
+	}
+}
+
+// Reachable tells whether the peer is alive, by recent frames on an open
+// connection. known is false if there is neither a connection nor a recent
+// failure.
+func (t *Transport) Reachable(id string) (alive, known bool) {
+	if id == t.self.ID {
+		return true, true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.peers[id]
+	if !ok {
+		return false, false
+	}
+	now := time.Now()
+	for _, c := range r.conns {
+		if c.alive(now) {
+			return true, true
+		}
+	}
+	return false, len(r.conns) > 0 || now.Sub(r.failedAt) < failureMemory
+}
+
+func (t *Transport) running() bool {
+	select {
+	case <-t.stopped:
+		return false
+	default:
+	}
+	select {
+	case <-t.started:
+		return true
+	default:
+		return false
+	}
+}
+
+// connect returns an open connection to the peer; it waits for Run to start.
+func (t *Transport) connect(ctx context.Context, to Node) (*conn, error) {
+	const step = "peer.open"
+	select {
+	case <-t.started:
+	case <-ctx.Done():
+		return nil, fault.Wrap(ctx.Err(), fault.Unavailable, step, to.ID, "transport is not running")
+	}
+	t.mu.Lock()
+	if t.closing {
+		t.mu.Unlock()
+		return nil, fault.New(fault.Unavailable, step, to.ID, "transport has stopped")
+	}
+	r := t.remote(to.ID)
+	if c := r.pick(t.self.ID); c != nil {
+		t.mu.Unlock()
+		return c, nil
+	}
+	d := t.startDial(r, to)
+	t.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, fault.Wrap(ctx.Err(), fault.Unavailable, step, to.ID, "not connected")
+	}
+}
+
+// remote returns the entry of a peer; t.mu is held.
+func (t *Transport) remote(id string) *remote {
+	r, ok := t.peers[id]
+	if !ok {
+		r = &remote{}
+		t.peers[id] = r
+	}
+	return r
+}
+
+// pick returns the open connection that new streams use, or nil.
+func (r *remote) pick(self string) *conn {
+	var best *conn
+	for _, c := range r.conns {
+		if c.open() && (best == nil || c.preferred(self)) {
+			best = c
+		}
+	}
+	return best
+}
+
+// preferred tells whether the node with the lower ID dialled c.
+func (c *conn) preferred(self string) bool { return c.dialled == (self < c.remote.ID) }
+
+// startDial returns the running dial, or starts one; t.mu is held and the
+// transport is not closing.
+func (t *Transport) startDial(r *remote, to Node) *dial {
+	if r.dial != nil {
+		return r.dial
+	}
+	d := &dial{done: make(chan struct{})}
+	r.dial = d
+	t.wg.Go(func() { t.runDial(t.runCtx, d, to) })
+	return d
+}
+
+// runDial connects and then serves the connection.
+func (t *Transport) runDial(ctx context.Context, d *dial, to Node) {
+	if to.ID == t.self.ID {
+		t.serveLoopback(ctx, d)
+		return
+	}
+	nc, err := t.dialTCP(ctx, to)
+	var theirs hello
+	if err == nil {
+		theirs, err = t.handshake(ctx, nc, func(nc net.Conn) (hello, error) { return t.greet(nc, to) })
+	}
+	if err != nil {
+		t.endDial(d, to.ID, nil, err)
+		return
+	}
+	c := newConn(t, nc, theirs.node(), theirs.Incarnation, true)
+	t.endDial(d, to.ID, c, nil)
+	t.serve(ctx, c)
+}
+
+func (t *Transport) dialTCP(ctx context.Context, to Node) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.options.DialTimeout)
+	defer cancel()
+	nc, err := t.network.Dial(ctx, to.Address)
+	return nc, fault.Wrap(err, fault.Unavailable, "peer.dial", to.ID, "dial %s", to.Address)
+}
+
+// serveLoopback connects the node to itself in memory.
+func (t *Transport) serveLoopback(ctx context.Context, d *dial) {
+	near, far := net.Pipe()
+	c := newConn(t, near, t.self, t.incarnation, true)
+	other := newConn(t, far, t.self, t.incarnation, false)
+	if !t.spawn(other.run) {
+		_ = near.Close()
+		_ = far.Close()
+		t.endDial(d, t.self.ID, nil, fault.New(fault.Unavailable, "peer.open", t.self.ID, "transport has stopped"))
+		return
+	}
+	t.endDial(d, t.self.ID, c, nil)
+	t.serve(ctx, c)
+}
+
+// endDial publishes the result and sends or drops the waiting notifications.
+func (t *Transport) endDial(d *dial, id string, c *conn, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.remote(id)
+	r.dial = nil
+	d.conn, d.err = c, err
+	if err != nil {
+		r.failedAt = time.Now()
+	}
+	for _, b := range r.pending {
+		if c == nil {
+			t.notifyDropped.Inc(1)
+			putBuffer(b)
+		} else if c.tryEnqueue(b) != nil {
+			t.notifyDropped.Inc(1)
+		}
+	}
+	r.pending = nil
+	if c != nil {
+		t.registerLocked(c)
+	}
+	t.sweep()
+	close(d.done)
+}
+
+func (t *Transport) register(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.registerLocked(c)
+}
+
+// registerLocked adds c; connections of an earlier run of the peer end, and
+// of two connections the one that is not preferred is drained.
+func (t *Transport) registerLocked(c *conn) {
+	r := t.remote(c.remote.ID)
+	for _, old := range r.conns {
+		if old == c {
+			return
+		}
+	}
+	r.failedAt = time.Time{}
+	r.conns = append(r.conns, c)
+	for _, old := range r.conns {
+		if old.incarnation != c.incarnation {
+			old.fail(fault.New(fault.Unavailable, "peer.accept", c.remote.ID, "the peer was restarted"))
+		}
+	}
+	best := r.pick(t.self.ID)
+	for _, other := range r.conns {
+		if best != nil && other != best && other.incarnation == best.incarnation {
+			other.drain(false)
+		}
+	}
+}
+
+func (t *Transport) unregister(c *conn, lost bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.remote(c.remote.ID)
+	for i, old := range r.conns {
+		if old == c {
+			r.conns = append(r.conns[:i], r.conns[i+1:]...)
+			break
+		}
+	}
+	if lost {
+		r.failedAt = time.Now()
+	}
+	t.sweep()
+}
+
+// sweep forgets peers without connections, dials and recent failures; t.mu is
+// held.
+func (t *Transport) sweep() {
+	now := time.Now()
+	for id, r := range t.peers {
+		if len(r.conns) == 0 && r.dial == nil && len(r.pending) == 0 && now.Sub(r.failedAt) >= failureMemory {
+			delete(t.peers, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/stream.go
@@ -0,0 +1,312 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"sync"
+
+	"buckthornpick/internal/fault"
+)
+
+// Stream carries ordered messages in both directions. One goroutine may send
+// while another receives; Close may be called from any.
+type Stream struct {
+	c      *conn
+	id     uint32
+	kind   Kind
+	opener bool
+	first  *bytes.Buffer // the opening message, at the handler's side
+
+	inbox  chan *bytes.Buffer // bounded by the window
+	ended  chan struct{}      // closed when no more messages come
+	gone   chan struct{}      // closed when nothing can be sent any more
+	credit chan struct{}      // signals that credits were added
+
+	consumed int // messages received since the last credit; owned by Recv
+
+	mu        sync.Mutex
+	credits   int
+	endErr    error // what Recv returns after the last message
+	recvEnded bool
+	sendEnded bool // gone is closed
+	sentEnd   bool
+}
+
+func newStream(c *conn, id uint32, kind Kind, opener bool) *Stream {
+	window := c.t.options.Window
+	return &Stream{
+		c: c, id: id, kind: kind, opener: opener, credits: window,
+		inbox:  make(chan *bytes.Buffer, window),
+		ended:  make(chan struct{}),
+		gone:   make(chan struct{}),
+		credit: make(chan struct{}, 1),
+	}
+}
+
+// Peer returns the node on the other side.
+func (s *Stream) Peer() Node { return s.c.remote }
+
+// First decodes the opening message; only the handler's side has one, and it
+// can be read once.
+func (s *Stream) First(into any) error {
+	if s.first == nil {
+		return fault.New(fault.Invalid, "peer.first", s.c.remote.ID, "no opening message")
+	}
+	b := s.first
+	s.first = nil
+	defer putBuffer(b)
+	return decode(b.Bytes(), into)
+}
+
+// Send queues msg; it blocks while the peer's window is full. An error means
+// that the peer does not see msg (fault.Unavailable), or that the stream has
+// ended (fault.Ambiguous for what was sent before, or the handler's error).
+func (s *Stream) Send(ctx context.Context, msg any) error {
+	if err := s.takeCredit(ctx); err != nil {
+		return err
+	}
+	b, err := messageFrame(frameData, s.id, nil, msg, s.c.t.options.MaxFrameBytes)
+	if err != nil {
+		s.addCredits(1)
+		return err
+	}
+	return s.c.enqueue(ctx, b)
+}
+
+func (s *Stream) takeCredit(ctx context.Context) error {
+	for {
+		s.mu.Lock()
+		switch {
+		case s.sendEnded:
+			err := s.endErr
+			s.mu.Unlock()
+			if err == nil || err == io.EOF {
+				err = fault.New(fault.Unavailable, "peer.send", s.c.remote.ID, "stream has ended")
+			}
+			return err
+		case s.sentEnd:
+			s.mu.Unlock()
+			return fault.New(fault.Invalid, "peer.send", s.c.remote.ID, "send after CloseSend")
+		case s.credits > 0:
+			s.credits--
+			s.mu.Unlock()
+			return nil
+		}
+		s.mu.Unlock()
+		select {
+		case <-s.credit:
+		case <-s.gone:
+		case <-ctx.Done():
+			return fault.Wrap(ctx.Err(), fault.Unavailable, "peer.send", s.c.remote.ID, "window full")
+		}
+	}
+}
+
+func (s *Stream) addCredits(n int) {
+	s.mu.Lock()
+	s.credits = min(s.credits+n, s.c.t.options.Window)
+	s.mu.Unlock()
+	select {
+	case s.credit <- struct{}{}:
+	default:
+	}
+}
+
+// Recv decodes the next message. It returns io.EOF after the last one,
+// *RemoteError if the handler failed, and fault.Ambiguous if the peer was
+// lost or ctx ended.
+func (s *Stream) Recv(ctx context.Context, into any) error {
+	b, err := s.next(ctx)
+	if err != nil {
+		return err
+	}
+	defer putBuffer(b)
+	s.consumed++
+	if s.consumed >= max(s.c.t.options.Window/2, 1) {
+		s.sendCredits()
+	}
+	if b == nil {
+		return fault.New(fault.Protocol, "peer.recv", s.c.remote.ID, "empty message")
+	}
+	return decode(b.Bytes(), into)
+}
+
+func (s *Stream) next(ctx context.Context) (*bytes.Buffer, error) {
+	select {
+	case b := <-s.inbox:
+		return b, nil
+	default:
+	}
+	select {
+	case b := <-s.inbox:
+		return b, nil
+	case <-s.ended:
+	case <-ctx.Done():
+		return nil, fault.Wrap(ctx.Err(), fault.Ambiguous, "peer.recv", s.c.remote.ID, "%s not answered", s.kind)
+	}
+	select { // ended is closed after the last push
+	case b := <-s.inbox:
+		return b, nil
+	default:
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return nil, s.endErr
+}
+
+func (s *Stream) sendCredits() {
+	b := creditFrame(s.id, s.consumed)
+	s.consumed = 0
+	select {
+	case s.c.ctrl <- b:
+	case <-s.c.done:
+		putBuffer(b)
+	}
+}
+
+// CloseSend tells the peer that no more messages come.
+func (s *Stream) CloseSend() error {
+	s.mu.Lock()
+	skip := s.sentEnd || s.sendEnded
+	s.sentEnd = true
+	s.mu.Unlock()
+	if skip {
+		return nil
+	}
+	return s.c.enqueue(context.Background(), rawFrame(frameEnd, s.id))
+}
+
+// Close abandons the stream: the context of the peer's handler ends. It does
+// nothing on a stream that has ended.
+func (s *Stream) Close() {
+	s.mu.Lock()
+	ended := s.sendEnded
+	s.mu.Unlock()
+	err := fault.New(fault.Ambiguous, "peer.stream", s.c.remote.ID, "stream was closed here")
+	switch {
+	case ended:
+	case s.opener:
+		s.finish(err)
+		// Through the queue, so that it does not overtake the opening.
+		_ = s.c.enqueue(context.Background(), rawFrame(frameReset, s.id))
+	default:
+		s.reply(fault.New(fault.Ambiguous, "peer.serve", "", "the handler abandoned the stream"))
+	}
+}
+
+// finish ends both directions; Recv returns err after the last message.
+func (s *Stream) finish(err error) {
+	s.endRecv(err)
+	s.mu.Lock()
+	if !s.sendEnded {
+		s.sendEnded = true
+		close(s.gone)
+	}
+	s.mu.Unlock()
+	s.c.remove(s)
+}
+
+func (s *Stream) endRecv(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.recvEnded {
+		if s.endErr == io.EOF {
+			s.endErr = err
+		}
+		return
+	}
+	s.recvEnded, s.endErr = true, err
+	close(s.ended)
+}
+
+// push is called by the read loop; it never blocks.
+func (s *Stream) push(b *bytes.Buffer) error {
+	select {
+	case s.inbox <- b:
+		return nil
+	default:
+		putBuffer(b)
+		return fault.New(fault.Protocol, "peer.recv", s.c.remote.ID, "stream %d exceeded its window", s.id)
+	}
+}
+
+// control acts on a frame that changes the stream's state.
+func (s *Stream) control(kind frameType, payload *bytes.Buffer) error {
+	switch kind {
+	case frameEnd:
+		s.endRecv(io.EOF)
+	case frameDone:
+		s.finish(s.outcome(payload))
+	case frameReset:
+		s.finish(fault.New(fault.Unavailable, "peer.stream", s.c.remote.ID, "the opener abandoned the stream"))
+	case frameCredit:
+		if payload == nil || payload.Len() != creditBytes {
+			return fault.New(fault.Protocol, "peer.read", s.c.remote.ID, "malformed credit")
+		}
+		s.addCredits(int(binary.BigEndian.Uint32(payload.Bytes())))
+	}
+	return nil
+}
+
+func (s *Stream) outcome(payload *bytes.Buffer) error {
+	if payload == nil {
+		return io.EOF
+	}
+	e := &RemoteError{Peer: s.c.remote.ID}
+	if err := decode(payload.Bytes(), e); err != nil {
+		return err
+	}
+	return e
+}
+
+// serve runs the handler and reports its result to the opener.
+func (s *Stream) serve(ctx context.Context, h Handler) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		select {
+		case <-s.gone:
+			cancel()
+		case <-stop:
+		}
+	})
+	err := s.call(ctx, h)
+	close(stop)
+	wg.Wait()
+	s.reply(err)
+	if s.first != nil {
+		putBuffer(s.first)
+		s.first = nil
+	}
+}
+
+func (s *Stream) call(ctx context.Context, h Handler) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.c.t.log.Log(EvHandlerPanic, "peer", s.c.remote.ID, "kind", s.kind.String(), "panic", fmt.Sprint(p))
+			err = fault.New(fault.Ambiguous, "peer.serve", "", "handler of %s panicked", s.kind)
+		}
+	}()
+	return h(ctx, s.c.remote, s)
+}
+
+func (s *Stream) reply(err error) {
+	select {
+	case <-s.gone: // nobody is there to be told
+	default:
+		b := rawFrame(frameDone, s.id)
+		if err != nil {
+			if e, encodeErr := messageFrame(frameDone, s.id, nil, remoteError("peer.serve", err), s.c.t.options.MaxFrameBytes); encodeErr == nil {
+				putBuffer(b)
+				b = e
+			}
+		}
+		_ = s.c.enqueue(context.Background(), b) // fails only with the connection
+	}
+	s.finish(io.EOF)
+}
--- /dev/null
+++ b/internal/peer/transport.go
@@ -0,0 +1,230 @@
+// Package peer is the inner protocol between nodes: typed streams and
+// notifications, msgpack in length-prefixed frames, over one authenticated TCP
+// connection per pair of nodes.
+//
+// A connection is dialled when it is first needed. When two nodes dial each
+// other at the same time, both connections work; new streams use the one
+// dialled by the node with the lower ID, and the other is closed when its
+// streams have ended.
+package peer
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/netx"
+	"buckthornpick/internal/telemetry"
+)
+
+// Node is one entry node.
+type Node struct {
+	ID   string `msgpack:"i"`
+	Zone string `msgpack:"z"`
+	// Address is the host:port of the node's inner protocol.
+	Address string `msgpack:"a"`
+}
+
+// Handler serves one stream. A returned error reaches the opener as
+// *RemoteError. ctx ends when the opener abandons the stream or is lost.
+type Handler func(ctx context.Context, from Node, s *Stream) error
+
+// NotifyHandler serves one notification. It runs in the read loop of the
+// connection and must not block.
+type NotifyHandler func(from Node, decode func(any) error)
+
+// Transport opens and accepts streams. It must be running to do so.
+type Transport struct {
+	self        Node
+	network     netx.Network
+	log         *telemetry.Logger
+	options     Options
+	incarnation uint64
+
+	// handlers and notify do not change after Run has started.
+	handlers map[Kind]Handler
+	notify   map[Kind]NotifyHandler
+
+	connections, lost, handshakeErrors, notifyDropped metrics.Counter
+
+	handshakes chan struct{} // one token for each running handshake of an accepted connection
+
+	started chan struct{} // closed when runCtx is set
+	stopped chan struct{} // closed when Run is ending
+	runCtx  context.Context
+
+	mu      sync.Mutex
+	peers   map[string]*remote
+	closing bool
+	wg      sync.WaitGroup // goroutines of dials and connections; Add under mu
+}
+
+// New returns a transport for the node self.
+func New(self Node, n netx.Network, log *telemetry.Logger, registry metrics.Registry, o Options) *Transport {
+	var seed [8]byte
+	_, _ = rand.Read(seed[:]) // never fails, by its documentation
+	return &Transport{
+		self: self, network: n, log: log, options: o.withDefaults(),
+		incarnation:     binary.BigEndian.Uint64(seed[:]),
+		handlers:        map[Kind]Handler{},
+		notify:          map[Kind]NotifyHandler{},
+		connections:     metrics.GetOrRegisterCounter("peer.connections", registry),
+		lost:            metrics.GetOrRegisterCounter("peer.lost", registry),
+		handshakeErrors: metrics.GetOrRegisterCounter("peer.handshake_errors", registry),
+		notifyDropped:   metrics.GetOrRegisterCounter("peer.notify_dropped", registry),
+		handshakes:      make(chan struct{}, maxHandshakes),
+		started:         make(chan struct{}),
+		stopped:         make(chan struct{}),
+		peers:           map[string]*remote{},
+	}
+}
+
+// Self returns the node of this transport.
+func (t *Transport) Self() Node { return t.self }
+
+// Handle sets the handler of a kind; it must be called before Run.
+func (t *Transport) Handle(kind Kind, h Handler) { t.handlers[kind] = h }
+
+// HandleNotify sets the handler of a kind of notification; it must be called
+// before Run.
+func (t *Transport) HandleNotify(kind Kind, h func(from Node, decode func(any) error)) {
+	t.notify[kind] = h
+}
+
+// Run accepts connections on the node's address until ctx ends. All goroutines
+// have ended when it returns. It can be called once.
+func (t *Transport) Run(ctx context.Context) error {
+	if len(t.options.Secret) == 0 {
+		return fault.New(fault.Invalid, "peer.run", "", "the shared secret is empty")
+	}
+	listener, err := t.network.Listen(t.self.Address)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, "peer.listen", t.self.Address, "listen")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t.runCtx = ctx
+	close(t.started)
+	t.log.Log(EvListening, "address", listener.Addr().String())
+	t.wg.Go(func() { t.acceptLoop(ctx, listener) })
+	<-ctx.Done()
+	close(t.stopped)
+	t.mu.Lock()
+	t.closing = true
+	t.mu.Unlock()
+	_ = listener.Close()
+	t.wg.Wait()
+	return nil
+}
+
+// spawn starts f unless the transport is ending.
+func (t *Transport) spawn(f func(ctx context.Context)) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closing {
+		return false
+	}
+	t.wg.Go(func() { f(t.runCtx) })
+	return true
+}
+
+const (
+	acceptRetry = 100 * time.Millisecond
+	// maxHandshakes bounds accepted connections that are not authenticated.
+	maxHandshakes = 1024
+)
+
+func (t *Transport) acceptLoop(ctx context.Context, l net.Listener) {
+	for {
+		nc, err := l.Accept()
+		if ctx.Err() != nil {
+			if err == nil {
+				_ = nc.Close()
+			}
+			return
+		}
+		if err != nil {
+			t.log.Log(EvAcceptFailed, "error", err.Error())
+			select {
+			case <-time.After(acceptRetry):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		select {
+		case t.handshakes <- struct{}{}:
+		default:
+			_ = nc.Close()
+			continue
+		}
+		if !t.spawn(func(ctx context.Context) { t.serveAccepted(ctx, nc) }) {
+			_ = nc.Close()
+		}
+	}
+}
+
+func (t *Transport) serveAccepted(ctx context.Context, nc net.Conn) {
+	theirs, err := t.handshake(ctx, nc, t.welcome)
+	<-t.handshakes
+	if err != nil {
+		return
+	}
+	t.serve(ctx, newConn(t, nc, theirs.node(), theirs.Incarnation, false))
+}
+
+// handshake runs one side within DialTimeout and closes nc if it fails.
+func (t *Transport) handshake(ctx context.Context, nc net.Conn, side func(net.Conn) (hello, error)) (hello, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.options.DialTimeout)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
+	theirs, err := side(nc)
+	if !stop() && err == nil {
+		err = fault.Wrap(ctx.Err(), fault.Unavailable, "peer.handshake", theirs.ID, "too late")
+	}
+	if err != nil {
+		_ = nc.Close()
+		t.handshakeErrors.Inc(1)
+		t.log.Log(EvHandshakeRefused, "peer", fault.Peer(err), "error", err.Error())
+	}
+	return theirs, err
+}
+
+// serve registers the connection and runs it to its end.
+func (t *Transport) serve(ctx context.Context, c *conn) {
+	t.register(c)
+	t.connections.Inc(1)
+	t.log.Log(EvConnected, "peer", c.remote.ID, "dialled", c.dialled)
+	c.run(ctx)
+	t.connections.Dec(1)
+	lost := ctx.Err() == nil && !c.drained()
+	t.unregister(c, lost)
+	if lost {
+		t.lost.Inc(1)
+		t.log.Log(EvLost, "peer", c.remote.ID, "error", c.cause().Error())
+	}
+}
+
+// deliver hands a notification to its handler; it owns payload.
+func (t *Transport) deliver(from Node, kind Kind, payload *bytes.Buffer) {
+	defer putBuffer(payload)
+	h, ok := t.notify[kind]
+	if !ok {
+		t.notifyDropped.Inc(1)
+		return
+	}
+	h(from, func(into any) error {
+		err := decode(payload.Bytes(), into)
+		if err != nil {
+			t.notifyDropped.Inc(1)
+			t.log.Log(EvNotifyDropped, "peer", from.ID, "kind", kind.String(), "error", err.Error())
+		}
+		return err
+	})
+}
