Peer: a failed connection is not alive; tests wait for the listener

Cause: under repetition Reachable answered alive between the failure of a connection and its removal, and two tests dialled before the other node listened. Change: alive looks at the connection's end; the tests' start waits for Run to listen, as a strict precondition. Conclusion: the answer of Reachable and the errors of Recv agree.

--- a/internal/peer/fake_test.go
+++ b/internal/peer/fake_test.go
@@ -18,7 +18,6 @@
 	listeners map[string]*pipeListener
 	conns     []net.Conn
 	dials     int
-	silent    bool // dialled connections swallow what the acceptor sends
 }
 
 func newPipeNet() *pipeNet { return &pipeNet{listeners: map[string]*pipeListener{}} }
@@ -95,7 +94,7 @@
 	return New(self, n, telemetry.Discard(), metrics.NewRegistry(), o)
 }
 
-// start runs the transports until the test ends.
+// start runs the transports until the test ends; they listen when it returns.
 func start(t testing.TB, transports ...*Transport) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -107,4 +106,7 @@
 		})
 	}
 	t.Cleanup(func() { cancel(); wg.Wait() })
+	for _, tr := range transports {
+		<-tr.started
+	}
 }
--- a/internal/peer/keepalive.go
+++ b/internal/peer/keepalive.go
@@ -86,8 +86,13 @@
 	return c.gotGoAway || c.sentGoAway
 }
 
-// alive reports whether a frame arrived recently.
+// alive reports whether the connection stands and a frame arrived recently.
 func (c *conn) alive(now time.Time) bool {
+	select {
+	case <-c.done:
+		return false
+	default:
+	}
 	limit := c.t.options.PingInterval + c.t.options.PingTimeout
 	return now.Sub(time.Unix(0, c.lastRead.Load())) < limit
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -121,6 +121,7 @@
 				ctx, stop := context.WithCancel(t.Context())
 				stopped := make(chan struct{})
 				go func() { _ = b.Run(ctx); close(stopped) }()
+				<-b.started
 				s, err := a.Open(t.Context(), nodeB, Attach, 1)
 				require.NoError(t, err)
 				synctest.Wait()
