--- /dev/null
+++ b/internal/route/decisionlog.go
@@ -0,0 +1,116 @@
+package route
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"buckthornpick/internal/telemetry"
+)
+
+const (
+	// decisionRing bounds the decision lines that wait to be written.
+	decisionRing = 256
+	// defaultLinesPerSecond bounds the decision lines written.
+	defaultLinesPerSecond = 200
+	// skippedInterval is how often skipped lines are counted in the log.
+	skippedInterval = 10 * time.Second
+)
+
+// Decision is one routing decision to be logged.
+type Decision struct {
+	// Request is the ID of the request.
+	Request string
+	Query   Query
+	Choice  Choice
+	// Err is the error of Pick, nil if a server was chosen.
+	Err error
+}
+
+// DecisionLog writes decision lines on its own goroutine. Lines beyond the
+// rate or the ring are dropped and counted, so that Log never blocks.
+type DecisionLog struct {
+	log     *telemetry.Logger
+	ring    chan Decision
+	limiter *rate.Limiter
+	skipped atomic.Int64
+}
+
+// NewDecisionLog returns a log that writes at most linesPerSecond lines;
+// 0 is the default of 200.
+func NewDecisionLog(log *telemetry.Logger, linesPerSecond int) *DecisionLog {
+	if linesPerSecond <= 0 {
+		linesPerSecond = defaultLinesPerSecond
+	}
+	return &DecisionLog{
+		log:     log,
+		ring:    make(chan Decision, decisionRing),
+		limiter: rate.NewLimiter(rate.Limit(linesPerSecond), linesPerSecond),
+	}
+}
+
+// Log queues one decision. It never blocks.
+func (l *DecisionLog) Log(d Decision) {
+	if !l.limiter.Allow() {
+		l.skipped.Add(1)
+		return
+	}
+	select {
+	case l.ring <- d:
+	default:
+		l.skipped.Add(1)
+	}
+}
+
+// Run writes queued lines until ctx ends, then those left in the ring.
+func (l *DecisionLog) Run(ctx context.Context) error {
+	ticker := time.NewTicker(skippedInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case d := <-l.ring:
+			l.write(d)
+		case <-ticker.C:
+			l.writeSkipped()
+		case <-ctx.Done():
+			l.drain()
+			return nil
+		}
+	}
+}
+
+func (l *DecisionLog) drain() {
+	for {
+		select {
+		case d := <-l.ring:
+			l.write(d)
+		default:
+			l.writeSkipped()
+			return
+		}
+	}
+}
+
+func (l *DecisionLog) writeSkipped() {
+	if n := l.skipped.Swap(0); n > 0 {
+		l.log.Log(EvSkipped, "lines", n)
+	}
+}
+
+func (l *DecisionLog) write(d Decision) {
+	var saturated *ErrSaturated
+	switch {
+	case d.Err == nil:
+		l.log.Log(EvChosen, "request", d.Request, "service", d.Query.Service,
+			"server", d.Choice.Server.ID, "reason", d.Choice.Reason,
+			"cachedTokens", d.Choice.ExpectedCachedTokens,
+			"predictedFirstToken", d.Choice.PredictedFirstToken, "candidates", d.Choice.Terms)
+	case errors.As(d.Err, &saturated):
+		l.log.Log(EvSaturated, "request", d.Request, "service", d.Query.Service, "retryAfter", saturated.RetryAfter)
+	default:
+		l.log.Log(EvNoServer, "request", d.Request, "service", d.Query.Service, "error", d.Err)
+	}
+}
--- /dev/null
+++ b/internal/route/latency.go
@@ -0,0 +1,149 @@
+package route
+
+// featureCount is the number of inputs of the latency prediction.
+const featureCount = 5
+
+// features are the inputs of the latency prediction: a constant, uncached
+// prompt tokens, prompt tokens ahead, running requests and waiting requests,
+// each scaled to the order of 1.
+type features [featureCount]float64
+
+const (
+	tokenScale   = 1000.0
+	requestScale = 10.0
+)
+
+func makeFeatures(uncached, ahead, running, waiting float64) features {
+	return features{1, uncached / tokenScale, ahead / tokenScale, running / requestScale, waiting / requestScale}
+}
+
+// latencyModel predicts the time to the first token in milliseconds. It is a
+// recursive least-squares fit with exponential forgetting over the
+// observations of one VM class.
+type latencyModel struct {
+	coef       features
+	covariance [featureCount]features
+	seen       int
+}
+
+const (
+	// forgetting weighs an observation n steps old by forgetting^n.
+	forgetting = 0.995
+	// priorVariance is the initial uncertainty of each coefficient.
+	priorVariance = 1e4
+	// maxVariance bounds the covariance while the inputs carry no information.
+	maxVariance = 1e6
+	// maxObservedMillis bounds the influence of one outlier.
+	maxObservedMillis = 20000
+	// learnedObservations is how many observations make a model trusted.
+	learnedObservations = 20
+)
+
+// newLatencyModel starts from a plain engine: 30 ms, 0.1 ms per prompt token,
+// 1 ms per running and 50 ms per waiting request.
+func newLatencyModel() *latencyModel {
+	m := &latencyModel{coef: features{30, 100, 100, 10, 500}}
+	for i := range m.covariance {
+		m.covariance[i][i] = priorVariance
+	}
+	return m
+}
+
+func (m *latencyModel) learned() bool { return m.seen >= learnedObservations }
+
+// predict returns milliseconds. Negative coefficients count as 0: more work
+// never makes a server faster.
+func (m *latencyModel) predict(f *features) float64 {
+	sum := 0.0
+	for i, c := range m.coef {
+		if c > 0 {
+			sum += c * f[i]
+		}
+	}
+	return sum
+}
+
+// observe updates the fit with one measured first-token time.
+func (m *latencyModel) observe(f *features, millis float64) {
+	millis = min(millis, maxObservedMillis)
+	m.seen++
+	var gain features
+	denominator := forgetting
+	predicted := 0.0
+	for i := range f {
+		for j := range f {
+			gain[i] += m.covariance[i][j] * f[j]
+		}
+		predicted += m.coef[i] * f[i]
+	}
+	for i := range f {
+		denominator += f[i] * gain[i]
+	}
+	residual := millis - predicted
+	for i := range f {
+		m.coef[i] += gain[i] / denominator * residual
+	}
+	m.shrink(&gain, denominator)
+}
+
+// shrink applies the covariance update and its bound.
+func (m *latencyModel) shrink(gain *features, denominator float64) {
+	scale := forgetting
+	for i := range gain {
+		if m.covariance[i][i] > maxVariance {
+			scale = 1
+		}
+	}
+	for i := range gain {
+		for j := range gain {
+			m.covariance[i][j] = (m.covariance[i][j] - gain[i]*gain[j]/denominator) / scale
+		}
+	}
+}
+
+// promptRate returns the learned prompt processing rate in tokens per
+// millisecond.
+func (m *latencyModel) promptRate() float64 {
+	const slowest, fastest = 0.5, 200
+	perToken := m.coef[1] / tokenScale
+	if perToken <= 1.0/fastest {
+		return fastest
+	}
+	return max(slowest, 1/perToken)
+}
+
+// tokenPace predicts the time between tokens in milliseconds from the number
+// of running requests, as a line fitted by exponentially weighted moments.
+type tokenPace struct {
+	weight, x, y, xx, xy float64
+}
+
+const paceDecay = 0.98
+
+// observe takes one load report: running requests and tokens per second.
+func (p *tokenPace) observe(running, tokensPerSecond float64) {
+	if running < 1 || tokensPerSecond <= 0 {
+		return
+	}
+	y := running / tokensPerSecond * 1000
+	p.weight = p.weight*paceDecay + 1
+	p.x = p.x*paceDecay + running
+	p.y = p.y*paceDecay + y
+	p.xx = p.xx*paceDecay + running*running
+	p.xy = p.xy*paceDecay + running*y
+}
+
+// predict returns milliseconds between tokens, 0 if nothing is known.
+func (p *tokenPace) predict(running float64) float64 {
+	const enoughWeight = 5
+	if p.weight < enoughWeight {
+		return 0
+	}
+	meanX, meanY := p.x/p.weight, p.y/p.weight
+	variance := p.xx/p.weight - meanX*meanX
+	slope := 0.0
+	if variance > 1e-6 {
+		slope = max(0, (p.xy/p.weight-meanX*meanY)/variance)
+	}
+	return max(0, meanY+slope*(running-meanX))
+}
--- /dev/null
+++ b/internal/route/prefix.go
@@ -0,0 +1,171 @@
+package route
+
+import "github.com/hashicorp/golang-lru/v2/simplelru"
+
+// maxHolders bounds the servers remembered per context or block.
+const maxHolders = 4
+
+// holder is a server that holds the first tokens of a context's prompt.
+type holder struct {
+	server *serverState
+	tokens int
+}
+
+// holders is ordered from the most recent to the oldest.
+type holders struct {
+	list  [maxHolders]holder
+	count int
+}
+
+func (h *holders) find(s *serverState) int {
+	for i := range h.count {
+		if h.list[i].server == s {
+			return i
+		}
+	}
+	return -1
+}
+
+// put moves s to the front with the given tokens and drops the oldest if full.
+func (h *holders) put(s *serverState, tokens int) {
+	i := h.find(s)
+	if i < 0 {
+		if h.count < maxHolders {
+			h.count++
+		}
+		i = h.count - 1
+	}
+	copy(h.list[1:i+1], h.list[:i])
+	h.list[0] = holder{s, tokens}
+}
+
+func (h *holders) remove(s *serverState) {
+	i := h.find(s)
+	if i < 0 {
+		return
+	}
+	copy(h.list[i:], h.list[i+1:h.count])
+	h.count--
+	h.list[h.count] = holder{}
+}
+
+// contextIndex remembers where own requests of a context ran.
+type contextIndex struct {
+	lru *simplelru.LRU[uint64, *holders]
+}
+
+func newContextIndex(size int) contextIndex {
+	// NewLRU fails only on a size below 1, which withDefaults excludes.
+	lru, _ := simplelru.NewLRU[uint64, *holders](size, nil)
+	return contextIndex{lru}
+}
+
+func (x contextIndex) get(context uint64) *holders {
+	if context == 0 {
+		return nil
+	}
+	h, _ := x.lru.Get(context)
+	return h
+}
+
+func (x contextIndex) put(context uint64, s *serverState, tokens int) {
+	if context == 0 {
+		return
+	}
+	h, ok := x.lru.Get(context)
+	if !ok {
+		h = &holders{}
+		x.lru.Add(context, h)
+	}
+	h.put(s, tokens)
+}
+
+// forget drops what is remembered of a context at s after a failed request.
+func (x contextIndex) forget(context uint64, s *serverState, ok bool) {
+	if ok || context == 0 {
+		return
+	}
+	if h, found := x.lru.Peek(context); found {
+		h.remove(s)
+	}
+}
+
+// blockIndex remembers which servers hold which prompt blocks. Blocks learned
+// from own dispatches and from cache events are held apart, because a gap in
+// the events of a server voids only what its events told.
+type blockIndex struct {
+	own    *simplelru.LRU[uint64, *holders]
+	events *simplelru.LRU[uint64, *holders]
+}
+
+func newBlockIndex(size int) blockIndex {
+	own, _ := simplelru.NewLRU[uint64, *holders](size, nil)
+	events, _ := simplelru.NewLRU[uint64, *holders](size, nil)
+	return blockIndex{own, events}
+}
+
+func putBlock(lru *simplelru.LRU[uint64, *holders], block uint64, s *serverState, epoch int) {
+	h, ok := lru.Get(block)
+	if !ok {
+		h = &holders{}
+		lru.Add(block, h)
+	}
+	h.put(s, epoch)
+}
+
+func dropBlock(lru *simplelru.LRU[uint64, *holders], block uint64, s *serverState) {
+	if h, ok := lru.Peek(block); ok {
+		h.remove(s)
+		if h.count == 0 {
+			lru.Remove(block)
+		}
+	}
+}
+
+// holds reports whether s holds the block by either source. In the event index
+// a holder's tokens field carries the server's event epoch.
+func (x blockIndex) holds(block uint64, s *serverState) bool {
+	if h, ok := x.own.Peek(block); ok && h.find(s) >= 0 {
+		return true
+	}
+	h, ok := x.events.Peek(block)
+	if !ok {
+		return false
+	}
+	i := h.find(s)
+	return i >= 0 && h.list[i].tokens == s.eventEpoch
+}
+
+// any reports whether some server holds the block by either source.
+func (x blockIndex) any(block uint64) bool {
+	return x.own.Contains(block) || x.events.Contains(block)
+}
+
+// matched returns how many leading blocks s holds, Hashes are
+// chained and engines evict the end of a prefix first, so binary search holds.
+func (x blockIndex) matched(blocks []uint64, s *serverState) int {
+	low, high := 0, len(blocks)
+	for low < high {
+		middle := (low + high) / 2
+		if x.holds(blocks[middle], s) {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+// known returns how many leading blocks any server holds.
+func (x blockIndex) known(blocks []uint64) int {
+	low, high := 0, len(blocks)
+	for low < high {
+		middle := (low + high) / 2
+		if x.any(blocks[middle]) {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
