limit: admission with fair queues, adaptive concurrency and a retry budget

Cause: a request that cannot meet its deadline must be refused before it is accepted, and a lost zone must not become a retry storm. Change: Scheduler, the pure decision (organisation rate and concurrency, start- time fair queueing in three priorities, displacement in a full queue, deadline check against the drain rate, spaced Retry-After, retry budget sized to the concurrency) and Admitter around it.

--- /dev/null
+++ b/internal/limit/admitter.go
@@ -0,0 +1,115 @@
+package limit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"buckthornpick/internal/config"
+)
+
+// Admitter admits the requests of one entry. It is safe for concurrent use.
+//
+// Lock order: mu is a leaf. Decisions are handed over by buffered channels, so
+// no caller's code runs while it is held.
+type Admitter struct {
+	mu        sync.Mutex
+	scheduler *Scheduler
+	refusals  *refusalLog
+}
+
+// NewAdmitter returns an admitter without organisations or services.
+func NewAdmitter(cfg Config) *Admitter {
+	return &Admitter{scheduler: NewScheduler(cfg), refusals: newRefusalLog(cfg.withDefaults().Log)}
+}
+
+// Ticket is the right to run one request.
+type Ticket struct {
+	admitter *Admitter
+	waiter   *Waiter
+}
+
+// Configure replaces the limits of organisations and services.
+func (a *Admitter) Configure(organisations []config.Organisation, services []config.Service) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.scheduler.Configure(organisations, services)
+}
+
+// SetCapacity tells the live servers of a service and the requests that this
+// entry may run at each.
+func (a *Admitter) SetCapacity(service string, servers, perServer int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.scheduler.SetCapacity(time.Now(), service, servers, perServer)
+}
+
+// AllowRetry takes one retry from the service's budget and reports whether the
+// budget had one.
+func (a *Admitter) AllowRetry(service string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.scheduler.AllowRetry(service)
+}
+
+// Admit waits until the request may run. It returns *Rejected as soon as it is
+// known that the request cannot run in time, and the error of ctx if ctx ends
+// first. Every ticket must be given back by Done.
+func (a *Admitter) Admit(ctx context.Context, ask Ask) (*Ticket, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	decision := make(chan *Rejected, 1)
+	a.mu.Lock()
+	waiter := a.scheduler.Offer(time.Now(), ask, func(r *Rejected) { decision <- r })
+	a.mu.Unlock()
+	ticket := &Ticket{admitter: a, waiter: waiter}
+	select {
+	case refusal := <-decision:
+		return ticket.outcome(refusal, ask)
+	default:
+	}
+	timer := time.NewTimer(time.Until(waiter.deadline))
+	defer timer.Stop()
+	for {
+		select {
+		case refusal := <-decision:
+			return ticket.outcome(refusal, ask)
+		case <-timer.C:
+			a.expire(waiter)
+		case <-ctx.Done():
+			return nil, a.withdraw(ctx, waiter)
+		}
+	}
+}
+
+func (t *Ticket) outcome(refusal *Rejected, ask Ask) (*Ticket, error) {
+	if refusal != nil {
+		t.admitter.refusals.write(ask, refusal)
+		return nil, refusal
+	}
+	return t, nil
+}
+
+func (a *Admitter) expire(w *Waiter) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.scheduler.Expire(time.Now(), w)
+}
+
+// withdraw gives back the place of a caller that left, also if it was admitted
+// in the meantime.
+func (a *Admitter) withdraw(ctx context.Context, w *Waiter) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.scheduler.Withdraw(w)
+	a.scheduler.Cancel(time.Now(), w)
+	return ctx.Err()
+}
+
+// Done ends the request. Only the first call counts.
+func (t *Ticket) Done(r Result) {
+	t.admitter.mu.Lock()
+	defer t.admitter.mu.Unlock()
+	t.admitter.scheduler.Done(time.Now(), t.waiter, r)
+}
--- /dev/null
+++ b/internal/limit/events.go
@@ -0,0 +1,38 @@
+package limit
+
+import (
+	"log/slog"
+	"sync/atomic"
+
+	"golang.org/x/time/rate"
+
+	"buckthornpick/internal/telemetry"
+)
+
+// Log events of admission.
+var (
+	EvRefused = telemetry.Register(1800, "limit.refused", slog.LevelInfo, "A request was refused before acceptance; skipped counts refusals left out since the last line.")
+)
+
+// refusalLinesPerSecond bounds the log lines about refusals.
+const refusalLinesPerSecond = 20
+
+// refusalLog writes a bounded number of lines about refusals.
+type refusalLog struct {
+	log     *telemetry.Logger
+	limiter *rate.Limiter
+	skipped atomic.Int64
+}
+
+func newRefusalLog(log *telemetry.Logger) *refusalLog {
+	return &refusalLog{log: log, limiter: rate.NewLimiter(refusalLinesPerSecond, refusalLinesPerSecond)}
+}
+
+func (l *refusalLog) write(ask Ask, r *Rejected) {
+	if !l.limiter.Allow() {
+		l.skipped.Add(1)
+		return
+	}
+	l.log.Log(EvRefused, "organisation", ask.Organisation, "service", ask.Service, "priority", ask.Priority,
+		"reason", r.Reason, "retryAfter", r.RetryAfter, "skipped", l.skipped.Swap(0))
+}
--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,294 @@
+package limit
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"buckthornpick/internal/config"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// newTestScheduler returns a scheduler whose service "s" has places places and
+// a known mean time of one second.
+func newTestScheduler(places int, cfg Config) *Scheduler {
+	s := NewScheduler(cfg)
+	s.SetCapacity(start, "s", places, 1)
+	s.service("s").meanTotal = time.Second
+	return s
+}
+
+// outcomes records decisions in their order.
+type outcomes struct {
+	admitted []string
+	refused  map[string]*Rejected
+}
+
+func newOutcomes() *outcomes { return &outcomes{refused: map[string]*Rejected{}} }
+
+func (o *outcomes) offer(s *Scheduler, now time.Time, name string, ask Ask) *Waiter {
+	ask.Service = "s"
+	return s.Offer(now, ask, func(r *Rejected) {
+		if r != nil {
+			o.refused[name] = r
+			return
+		}
+		o.admitted = append(o.admitted, name)
+	})
+}
+
+func TestOrganisationLimits(t *testing.T) {
+	s := newTestScheduler(10, Config{})
+	s.Configure([]config.Organisation{
+		{Name: "rated", RequestsPerSecond: 2, Burst: 1}, {Name: "bounded", MaxConcurrent: 1},
+	}, nil)
+	o := newOutcomes()
+	o.offer(s, start, "r1", Ask{Organisation: "rated"})
+	o.offer(s, start, "r2", Ask{Organisation: "rated"})
+	require.Equal(t, OrganisationRate, o.refused["r2"].Reason)
+	require.InDelta(t, 0.5, o.refused["r2"].RetryAfter.Seconds(), 0.01)
+	o.offer(s, start.Add(o.refused["r2"].RetryAfter), "r3", Ask{Organisation: "rated"})
+	first := o.offer(s, start.Add(time.Second), "b1", Ask{Organisation: "bounded"})
+	o.offer(s, start.Add(time.Second), "b2", Ask{Organisation: "bounded"})
+	require.Equal(t, OrganisationConcurrency, o.refused["b2"].Reason)
+	s.Done(start.Add(time.Second), first, Result{OK: true, Total: time.Second})
+	o.offer(s, start.Add(time.Second), "b3", Ask{Organisation: "bounded"})
+	require.Equal(t, []string{"r1", "r3", "b1", "b3"}, o.admitted)
+}
+
+func TestPriorityThenFairShare(t *testing.T) {
+	s := newTestScheduler(1, Config{})
+	o := newOutcomes()
+	current := o.offer(s, start, "first", Ask{Organisation: "large"})
+	var order []*Waiter
+	for i := range 4 {
+		order = append(order, o.offer(s, start, fmt.Sprintf("large%d", i), Ask{Organisation: "large", Cost: 100}))
+	}
+	order = append(order,
+		o.offer(s, start, "small", Ask{Organisation: "small", Cost: 100}),
+		o.offer(s, start, "low", Ask{Organisation: "other", Priority: "low"}),
+		o.offer(s, start, "high", Ask{Organisation: "large", Priority: "high"}))
+	s.Done(start, current, Result{OK: true, Total: time.Second})
+	for range 8 {
+		for _, w := range order {
+			s.Done(start, w, Result{OK: true, Total: time.Second})
+		}
+	}
+	require.Equal(t, []string{"first", "high", "small", "large0", "large1", "large2", "large3", "low"}, o.admitted)
+}
+
+func TestDeadlineIsRefusedAtOnceWithTruthfulRetryAfter(t *testing.T) {
+	s := newTestScheduler(2, Config{})
+	o := newOutcomes()
+	var running []*Waiter
+	for i := range 6 {
+		running = append(running, o.offer(s, start, fmt.Sprint(i), Ask{Deadline: start.Add(10 * time.Second)}))
+	}
+	o.offer(s, start, "late", Ask{Deadline: start.Add(time.Second)})
+	require.Equal(t, DeadlineUnreachable, o.refused["late"].Reason)
+	retry := o.refused["late"].RetryAfter
+	require.Equal(t, 1500*time.Millisecond, retry, "five wait, two leave per second, one second was allowed")
+	o.offer(s, start, "later", Ask{Deadline: start.Add(time.Second)})
+	require.Equal(t, 2*time.Second, o.refused["later"].RetryAfter, "the next promise comes one departure later")
+
+	now := start
+	for i, w := range running {
+		if i%2 == 0 {
+			now = now.Add(time.Second)
+		}
+		if !now.After(start.Add(retry)) {
+			s.Done(now, w, Result{OK: true, Total: time.Second})
+		}
+	}
+	now = start.Add(retry)
+	o.offer(s, now, "again", Ask{Deadline: now.Add(2 * time.Second)})
+	require.NotContains(t, o.refused, "again")
+}
+
+func TestFullQueueProtectsSmallOrganisationsAndPriorities(t *testing.T) {
+	s := newTestScheduler(1, Config{MaxQueue: 3, MaxWait: time.Hour})
+	o := newOutcomes()
+	for i := range 4 {
+		o.offer(s, start, fmt.Sprintf("large%d", i), Ask{Organisation: "large"})
+	}
+	o.offer(s, start, "more", Ask{Organisation: "large"})
+	require.Equal(t, QueueFull, o.refused["more"].Reason)
+	o.offer(s, start, "small", Ask{Organisation: "small"})
+	require.Equal(t, Displaced, o.refused["large3"].Reason)
+	o.offer(s, start, "urgent", Ask{Organisation: "large", Priority: "high"})
+	require.Equal(t, Displaced, o.refused["large2"].Reason)
+	o.offer(s, start, "low", Ask{Organisation: "small", Priority: "low"})
+	require.Equal(t, QueueFull, o.refused["low"].Reason)
+	require.Equal(t, 3, s.Queued("s"))
+}
+
+func TestZoneLossRefusesHopelessWaitersAtOnce(t *testing.T) {
+	s := newTestScheduler(6, Config{})
+	o := newOutcomes()
+	for i := range 18 {
+		o.offer(s, start, fmt.Sprint(i), Ask{Deadline: start.Add(4 * time.Second)})
+	}
+	require.Empty(t, o.refused)
+	s.SetCapacity(start, "s", 2, 1)
+	require.NotEmpty(t, o.refused)
+	require.LessOrEqual(t, s.Queued("s"), 8, "two per second for four seconds")
+	s.SetCapacity(start, "s", 0, 1)
+	require.Zero(t, s.Queued("s"))
+	o.offer(s, start, "none", Ask{})
+	require.Equal(t, NoCapacity, o.refused["none"].Reason)
+}
+
+func TestRetryBudgetStopsStorm(t *testing.T) {
+	s := newTestScheduler(20, Config{})
+	s.Configure(nil, []config.Service{{Name: "s", RetryBudget: 0.1}})
+	allowed := 0
+	for range 100 {
+		if s.AllowRetry("s") {
+			allowed++
+		}
+	}
+	require.Equal(t, 20, allowed, "each running request once")
+	o := newOutcomes()
+	for i := range 20 {
+		o.offer(s, start, fmt.Sprint(i), Ask{})
+	}
+	require.True(t, s.AllowRetry("s"))
+	require.True(t, s.AllowRetry("s"))
+	require.False(t, s.AllowRetry("s"))
+}
+
+func TestAdaptiveLimit(t *testing.T) {
+	window := func(a *adaptiveLimit, at time.Time, r Result) {
+		for range windowSamples {
+			a.observe(at, r, true)
+		}
+	}
+	for _, target := range []bool{true, false} {
+		a := newAdaptiveLimit(100)
+		a.hasTarget, a.windowStart = target, start.Add(-windowTime)
+		quick := Result{OK: true, FirstToken: 100 * time.Millisecond, Total: time.Second}
+		slow := Result{OK: true, FirstToken: time.Second, Total: 10 * time.Second, MissedTarget: true}
+		now := start
+		step := func(r Result) float64 {
+			window(a, now, r)
+			now = now.Add(time.Second)
+			return a.limit
+		}
+		require.Equal(t, 100.0, step(quick))
+		require.Less(t, step(slow), 100.0)
+		low := step(slow)
+		require.Greater(t, step(quick), low)
+		for range 60 {
+			step(slow)
+		}
+		require.GreaterOrEqual(t, a.limit, floorShare*100)
+	}
+}
+
+func TestAdmitterWaitsExpiresAndWithdraws(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := NewAdmitter(Config{})
+		a.SetCapacity("s", 1, 1)
+		first, err := a.Admit(t.Context(), Ask{Service: "s"})
+		require.NoError(t, err)
+
+		var wg sync.WaitGroup
+		begun := time.Now()
+		wg.Go(func() {
+			_, err := a.Admit(t.Context(), Ask{Service: "s", Deadline: begun.Add(time.Second)})
+			var refusal *Rejected
+			require.ErrorAs(t, err, &refusal)
+			require.Equal(t, time.Second, time.Since(begun))
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		wg.Go(func() {
+			_, err := a.Admit(ctx, Ask{Service: "s"})
+			require.ErrorIs(t, err, context.Canceled)
+		})
+		synctest.Wait()
+		cancel()
+		wg.Go(func() {
+			ticket, err := a.Admit(t.Context(), Ask{Service: "s"})
+			require.NoError(t, err)
+			require.Equal(t, 3*time.Second, time.Since(begun))
+			ticket.Done(Result{OK: true, Total: time.Second})
+		})
+		time.Sleep(3 * time.Second)
+		first.Done(Result{OK: true, Total: 3 * time.Second})
+		first.Done(Result{OK: true, Total: 3 * time.Second})
+		wg.Wait()
+		require.Zero(t, a.scheduler.Running("s"))
+		require.Zero(t, a.scheduler.Queued("s"))
+	})
+}
+
+// Every request is decided exactly once, running stays within the capacity, and
+// nobody waits while a place is free.
+func TestSchedulerProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newTestScheduler(3, Config{MaxQueue: 5})
+		now, capacity := start, 3
+		decisions := map[*int]int{}
+		var waiters []*Waiter
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0:
+				capacity = rapid.IntRange(0, 4).Draw(t, "capacity")
+				s.SetCapacity(now, "s", capacity, 1)
+			case 1, 2:
+				if len(waiters) > 0 {
+					w := rapid.SampledFrom(waiters).Draw(t, "waiter")
+					s.Done(now, w, Result{OK: true, Total: time.Second, FirstToken: 100 * time.Millisecond})
+					s.Expire(now, w)
+				}
+			default:
+				id := new(int)
+				waiters = append(waiters, s.Offer(now, Ask{
+					Service:      "s",
+					Organisation: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"),
+					Priority:     rapid.SampledFrom([]string{"high", "normal", "low"}).Draw(t, "priority"),
+					Cost:         rapid.IntRange(0, 50).Draw(t, "cost"),
+				}, func(*Rejected) { decisions[id]++ }))
+			}
+			checkScheduler(t, s, decisions, waiters)
+		}
+	})
+}
+
+func checkScheduler(t *rapid.T, s *Scheduler, decisions map[*int]int, waiters []*Waiter) {
+	for _, n := range decisions {
+		if n != 1 {
+			t.Fatalf("decided %d times", n)
+		}
+	}
+	undecided, present := 0, 0
+	for _, w := range waiters {
+		if w.state == waiting {
+			undecided++
+		}
+		if w.state != ended {
+			present++
+		}
+	}
+	if undecided != s.Queued("s") || len(decisions) != len(waiters)-undecided {
+		t.Fatalf("%d undecided, %d queued, %d decided", undecided, s.Queued("s"), len(decisions))
+	}
+	counted := 0
+	for _, o := range s.organisations {
+		counted += o.present
+	}
+	if counted != present {
+		t.Fatalf("%d present, %d counted", present, counted)
+	}
+	if s.Queued("s") > 0 && s.service("s").hasPlace() {
+		t.Fatalf("%d wait while a place is free", s.Queued("s"))
+	}
+}
--- /dev/null
+++ b/internal/limit/queue.go
@@ -0,0 +1,172 @@
+package limit
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// waiterState is the state of a Waiter.
+type waiterState int
+
+const (
+	waiting waiterState = iota
+	running
+	ended
+)
+
+// Waiter is one request known to a Scheduler.
+type Waiter struct {
+	ask      Ask
+	level    level
+	deadline time.Time
+	// start is the start tag of fair queueing in virtual cost.
+	start float64
+	state waiterState
+	// decided is called once: with nil on admission, else with the refusal.
+	decided func(*Rejected)
+}
+
+// flow is the queue of one organisation in one level, in the order of tags.
+type flow struct {
+	waiters []*Waiter
+	// finish is the finish tag of the last request queued.
+	finish float64
+}
+
+// ahead returns how many waiters of the flow have a tag of at most start.
+func (f *flow) ahead(start float64) int {
+	return sort.Search(len(f.waiters), func(i int) bool { return f.waiters[i].start > start })
+}
+
+// fairQueue is start-time fair queueing among organisations. Virtual time is
+// the start tag of the request served last.
+type fairQueue struct {
+	flows   map[string]*flow
+	virtual float64
+	size    int
+}
+
+func newFairQueue() *fairQueue { return &fairQueue{flows: map[string]*flow{}} }
+
+// startTag returns the tag that the next request of the organisation gets.
+func (q *fairQueue) startTag(organisation string) float64 {
+	if f, ok := q.flows[organisation]; ok {
+		return max(q.virtual, f.finish)
+	}
+	return q.virtual
+}
+
+// charge advances the organisation's finish tag by cost/share.
+func (q *fairQueue) charge(organisation string, start, cost, share float64) {
+	f, ok := q.flows[organisation]
+	if !ok {
+		f = &flow{}
+		q.flows[organisation] = f
+	}
+	f.finish = start + cost/share
+}
+
+// push queues w; its start tag must be set.
+func (q *fairQueue) push(w *Waiter) {
+	f := q.flows[w.ask.Organisation]
+	f.waiters = append(f.waiters, w)
+	q.size++
+}
+
+// pop removes the waiter with the least start tag; ties go to the first name.
+func (q *fairQueue) pop() *Waiter {
+	var best *flow
+	bestName := ""
+	for name, f := range q.flows {
+		if len(f.waiters) == 0 {
+			continue
+		}
+		if best == nil || f.waiters[0].start < best.waiters[0].start ||
+			f.waiters[0].start == best.waiters[0].start && name < bestName {
+			best, bestName = f, name
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	w := best.waiters[0]
+	best.waiters = slices.Delete(best.waiters, 0, 1)
+	q.size--
+	q.serve(w.start)
+	return w
+}
+
+// serve advances virtual time and forgets idle organisations.
+func (q *fairQueue) serve(start float64) {
+	q.virtual = max(q.virtual, start)
+	for name, f := range q.flows {
+		if len(f.waiters) == 0 && f.finish <= q.virtual {
+			delete(q.flows, name)
+		}
+	}
+}
+
+// remove takes w out of the queue and reports whether it was there.
+func (q *fairQueue) remove(w *Waiter) bool {
+	f, ok := q.flows[w.ask.Organisation]
+	if !ok {
+		return false
+	}
+	i := slices.Index(f.waiters, w)
+	if i < 0 {
+		return false
+	}
+	f.waiters = slices.Delete(f.waiters, i, i+1)
+	q.size--
+	return true
+}
+
+// ahead returns how many waiters run before one with the given start tag.
+func (q *fairQueue) ahead(start float64) int {
+	n := 0
+	for _, f := range q.flows {
+		n += f.ahead(start)
+	}
+	return n
+}
+
+// longest returns the organisation with the most waiters per share, counting
+// one more for joining; "" if there is none. Ties go to joining, then to the
+// first name.
+func (q *fairQueue) longest(joining string, share func(string) float64) string {
+	longest, most := "", 0.0
+	if joining != "" {
+		longest, most = joining, 1/share(joining)
+	}
+	if f, ok := q.flows[joining]; ok {
+		most = float64(len(f.waiters)+1) / share(joining)
+	}
+	for name, f := range q.flows {
+		length := float64(len(f.waiters)) / share(name)
+		tie := length == most && length > 0 && longest != joining && name < longest
+		if name != joining && (length > most || tie) {
+			longest, most = name, length
+		}
+	}
+	return longest
+}
+
+// inOrder returns the waiters in the order in which they would run.
+func (q *fairQueue) inOrder() []*Waiter {
+	all := make([]*Waiter, 0, q.size)
+	for _, f := range q.flows {
+		all = append(all, f.waiters...)
+	}
+	slices.SortStableFunc(all, func(a, b *Waiter) int {
+		switch {
+		case a.start < b.start || a.start == b.start && a.ask.Organisation < b.ask.Organisation:
+			return -1
+		case a.start == b.start && a.ask.Organisation == b.ask.Organisation:
+			return 0
+		default:
+			return 1
+		}
+	})
+	return all
+}
--- /dev/null
+++ b/internal/limit/service.go
@@ -0,0 +1,132 @@
+package limit
+
+import "time"
+
+const (
+	// meanWeight is the divisor of one observation in moving means.
+	meanWeight = 16
+	// quickStep is the relative step of the low quantile of first-token times.
+	quickStep = 0.05
+	// quickQuantile is the quantile of first-token times below which no
+	// request is expected to be.
+	quickQuantile = 0.25
+	// minRetryAfter and maxRetryAfter bound the advice of a refusal.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 60 * time.Second
+	// noCapacityRetryAfter is advised while a service has no server.
+	noCapacityRetryAfter = 2 * time.Second
+	// sweepInterval is the least time between checks of all waiters.
+	sweepInterval = 50 * time.Millisecond
+)
+
+// service is the admission state of one service.
+type service struct {
+	limit   *adaptiveLimit
+	budget  retryBudget
+	queues  [levels]*fairQueue
+	running int
+
+	// meanTotal is the mean time of a request from admission to end.
+	meanTotal time.Duration
+	// quickFirst is a low quantile of first-token times.
+	quickFirst time.Duration
+	// promised is the time of the last place promised by a refusal.
+	promised  time.Time
+	lastSweep time.Time
+}
+
+func newService(capacity float64) *service {
+	s := &service{limit: newAdaptiveLimit(capacity), budget: newRetryBudget(capacity)}
+	for i := range s.queues {
+		s.queues[i] = newFairQueue()
+	}
+	return s
+}
+
+// queued returns the number of waiting requests.
+func (s *service) queued() int {
+	n := 0
+	for _, q := range s.queues {
+		n += q.size
+	}
+	return n
+}
+
+// hasPlace reports whether one more request may run.
+func (s *service) hasPlace() bool {
+	return float64(s.running) < max(s.limit.limit, min(1, s.limit.capacity))
+}
+
+// drainRate returns the requests per second that leave at the current limit;
+// 0 is unknown.
+func (s *service) drainRate() float64 {
+	if s.meanTotal <= 0 {
+		return 0
+	}
+	return s.limit.limit / s.meanTotal.Seconds()
+}
+
+// ahead returns the waiters that run before one at level l with tag start.
+func (s *service) ahead(l level, start float64) int {
+	n := s.queues[l].ahead(start)
+	for higher := range l {
+		n += s.queues[higher].size
+	}
+	return n
+}
+
+// wait predicts how long a request with n others ahead waits.
+func (s *service) wait(n int) time.Duration {
+	rate := s.drainRate()
+	if rate <= 0 || s.hasPlace() && n == 0 {
+		return 0
+	}
+	return time.Duration(float64(n+1) / rate * float64(time.Second))
+}
+
+// retryAfter promises the next free place at or after need from now. Promises
+// are spaced by the drain rate, so that refused callers do not come back
+// together.
+func (s *service) retryAfter(now time.Time, need time.Duration) time.Duration {
+	if s.limit.capacity < 1 {
+		return noCapacityRetryAfter
+	}
+	at := now.Add(max(need, minRetryAfter))
+	if s.promised.After(at) {
+		at = s.promised
+	}
+	if rate := s.drainRate(); rate > 0 {
+		s.promised = at.Add(time.Duration(float64(time.Second) / rate))
+	}
+	if latest := now.Add(maxRetryAfter); s.promised.After(latest) {
+		s.promised = latest
+	}
+	return min(at.Sub(now), maxRetryAfter)
+}
+
+// observe takes the end of one request.
+func (s *service) observe(now time.Time, r Result) {
+	saturated := s.queued() > 0 || !s.hasPlace()
+	if r.OK {
+		s.learn(r)
+	}
+	s.limit.observe(now, r, saturated)
+}
+
+func (s *service) learn(r Result) {
+	if s.meanTotal == 0 {
+		s.meanTotal = r.Total
+	}
+	s.meanTotal += (r.Total - s.meanTotal) / meanWeight
+	if r.FirstToken <= 0 {
+		return
+	}
+	switch {
+	case s.quickFirst == 0:
+		s.quickFirst = r.FirstToken
+	case r.FirstToken > s.quickFirst:
+		s.quickFirst += time.Duration(quickStep * quickQuantile * float64(s.quickFirst))
+	default:
+		s.quickFirst -= time.Duration(quickStep * (1 - quickQuantile) * float64(s.quickFirst))
+	}
+}
