--- /dev/null
+++ b/internal/platform/cloudhttp/client.go
@@ -0,0 +1,202 @@
+// Package cloudhttp speaks HTTP to the platform's cloud API: VM list, reclaim
+// notices, offers, VM starts and stops.
+package cloudhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/platform"
+	"buckthornpick/internal/telemetry"
+)
+
+// DefaultNoticeWait is how long one call waits for notices.
+const DefaultNoticeWait = 10 * time.Second
+
+// maxAnswerBytes bounds one answer: the VM list of a large region fits.
+const maxAnswerBytes = 16 << 20
+
+// typeCapacity is the error type of a start that the platform refuses.
+const typeCapacity = "capacity"
+
+// Client is the adapter. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+	log  *telemetry.Logger
+	// NoticeWait is how long one call of Notices waits, in whole
+	// milliseconds; default DefaultNoticeWait. Set it before the first call.
+	NoticeWait time.Duration
+}
+
+var (
+	_ platform.Lister       = (*Client)(nil)
+	_ platform.NoticeSource = (*Client)(nil)
+	_ platform.Cloud        = (*Client)(nil)
+)
+
+// New returns an adapter for the cloud API at base ("http://host:port").
+func New(base string, httpClient *http.Client, log *telemetry.Logger) *Client {
+	return &Client{base: strings.TrimSuffix(base, "/"), http: httpClient, log: log, NoticeWait: DefaultNoticeWait}
+}
+
+// ListVMs implements platform.Lister.
+func (c *Client) ListVMs(ctx context.Context) ([]platform.VM, error) {
+	var list struct {
+		VMs []platform.VM `json:"vms"`
+	}
+	err := c.call(ctx, call{step: "cloud.list", method: http.MethodGet, path: "/v1/vms", answer: &list})
+	return list.VMs, err
+}
+
+// Notices implements platform.NoticeSource. It returns no notice and no error
+// if none came within NoticeWait.
+func (c *Client) Notices(ctx context.Context, after int64) ([]platform.Notice, error) {
+	query := url.Values{
+		"after": {strconv.FormatInt(after, 10)},
+		"wait":  {strconv.FormatInt(c.NoticeWait.Milliseconds(), 10)},
+	}
+	var list struct {
+		Notices []platform.Notice `json:"notices"`
+	}
+	path := "/v1/notices?" + query.Encode()
+	err := c.call(ctx, call{step: "cloud.notices", method: http.MethodGet, path: path, answer: &list})
+	return list.Notices, err
+}
+
+// Offers implements platform.Cloud.
+func (c *Client) Offers(ctx context.Context) ([]platform.Offer, error) {
+	var list struct {
+		Offers []platform.Offer `json:"offers"`
+	}
+	err := c.call(ctx, call{step: "cloud.offers", method: http.MethodGet, path: "/v1/offers", answer: &list})
+	return list.Offers, err
+}
+
+// StartVM implements platform.Cloud. After fault.Ambiguous the VM may have
+// been started; the same spec with the same OperationID finds out.
+func (c *Client) StartVM(ctx context.Context, spec platform.VMSpec) (platform.VM, error) {
+	var vm platform.VM
+	err := c.call(ctx, call{
+		step: "cloud.start", method: http.MethodPost, path: "/v1/vms", body: spec, answer: &vm, writes: true,
+	})
+	if fault.Is(err, fault.Exhausted) {
+		c.log.Log(EvStartRefused, "zone", spec.Zone, "class", spec.Class, "operation", spec.OperationID)
+	}
+	if err != nil {
+		return platform.VM{}, err
+	}
+	c.log.Log(EvVMStarted, "vm", vm.ID, "zone", vm.Zone, "class", vm.Class, "operation", spec.OperationID)
+	return vm, nil
+}
+
+// StopVM implements platform.Cloud. Stopping an ended VM is no error.
+func (c *Client) StopVM(ctx context.Context, id string) error {
+	return c.call(ctx, call{
+		step: "cloud.stop", method: http.MethodDelete, path: "/v1/vms/" + url.PathEscape(id), writes: true,
+	})
+}
+
+// call is one call of the cloud API.
+type call struct {
+	step   string
+	method string
+	path   string
+	body   any // nil sends none
+	answer any // nil ignores it
+	// writes is true if the call may take effect though its answer is lost.
+	writes bool
+}
+
+func (c *Client) call(ctx context.Context, k call) error {
+	err := c.send(ctx, k)
+	if err != nil && ctx.Err() == nil {
+		c.log.Log(EvCallFailed, "step", k.step, "peer", c.base, "error", err)
+	}
+	return err
+}
+
+func (c *Client) send(ctx context.Context, k call) error {
+	req, err := c.newRequest(ctx, k)
+	if err != nil {
+		return fault.Wrap(err, fault.Invalid, k.step, c.base, "request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return c.lost(k, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil {
+		return c.lost(k, err)
+	}
+	if resp.StatusCode >= 300 {
+		return c.statusError(k, resp.StatusCode, data)
+	}
+	if len(data) > maxAnswerBytes {
+		return fault.New(fault.Protocol, k.step, c.base, "answer exceeds %d bytes", maxAnswerBytes)
+	}
+	if k.answer == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, k.answer); err != nil {
+		return fault.Wrap(err, fault.Protocol, k.step, c.base, "answer")
+	}
+	return nil
+}
+
+func (c *Client) newRequest(ctx context.Context, k call) (*http.Request, error) {
+	if k.body == nil {
+		return http.NewRequestWithContext(ctx, k.method, c.base+k.path, nil)
+	}
+	data, err := json.Marshal(k.body)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, k.method, c.base+k.path, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	return req, nil
+}
+
+// lost is a call without a whole answer.
+func (c *Client) lost(k call, err error) error {
+	t := fault.Unavailable
+	if k.writes {
+		t = fault.Ambiguous
+	}
+	return fault.Wrap(err, t, k.step, c.base, "no answer")
+}
+
+func (c *Client) statusError(k call, status int, data []byte) error {
+	var problem struct {
+		Error struct {
+			Type    string `json:"type"`
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	text := "no reason given"
+	if json.Unmarshal(data, &problem) == nil && problem.Error.Message != "" {
+		text = problem.Error.Message
+	}
+	t := fault.Invalid
+	switch {
+	case problem.Error.Type == typeCapacity:
+		t = fault.Exhausted
+	case status == http.StatusConflict:
+		t = fault.Conflict
+	case status >= 500, status == http.StatusTooManyRequests:
+		t = fault.Unavailable
+	}
+	return fault.New(t, k.step, c.base, "status %d: %s", status, text)
+}
--- /dev/null
+++ b/internal/platform/cloudhttp/client_test.go
@@ -0,0 +1,98 @@
+package cloudhttp
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/platform"
+	"buckthornpick/internal/standin/cloud"
+	"buckthornpick/internal/telemetry"
+)
+
+func start(t *testing.T, settings cloud.Settings) (*cloud.Server, *Client) {
+	t.Helper()
+	settings.Offers = []platform.Offer{{Zone: "a", Class: "small", Reclaimable: true, PricePerHour: 2, Accelerators: 1}}
+	s := cloud.New(settings)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = s.Run(ctx) })
+	srv := httptest.NewServer(s)
+	t.Cleanup(func() { srv.Close(); cancel(); wg.Wait() })
+	return s, New(srv.URL, srv.Client(), telemetry.Discard())
+}
+
+func spec(operation string) platform.VMSpec {
+	return platform.VMSpec{OperationID: operation, Zone: "a", Class: "small", Reclaimable: true, Service: "audit"}
+}
+
+func TestStartIsIdempotentAlsoAfterALostAnswer(t *testing.T) {
+	s, c := start(t, cloud.Settings{})
+	s.SetFaults(cloud.Faults{LoseAnswers: true})
+	_, err := c.StartVM(t.Context(), spec("op1"))
+	require.True(t, fault.Is(err, fault.Ambiguous), "%v", err)
+	s.SetFaults(cloud.Faults{})
+	vm, err := c.StartVM(t.Context(), spec("op1"))
+	require.NoError(t, err)
+	require.Len(t, s.VMs(), 1)
+	require.Equal(t, s.VMs()[0].ID, vm.ID)
+
+	other := spec("op1")
+	other.Service = "report"
+	_, err = c.StartVM(t.Context(), other)
+	require.True(t, fault.Is(err, fault.Conflict), "%v", err)
+	require.NoError(t, c.StopVM(t.Context(), vm.ID))
+	require.NoError(t, c.StopVM(t.Context(), vm.ID))
+	require.Equal(t, platform.VMTerminated, s.VMs()[0].State)
+}
+
+func TestRefusedStartsAndOutages(t *testing.T) {
+	s, c := start(t, cloud.Settings{})
+	s.SetRefusal("a", "small", true)
+	_, err := c.StartVM(t.Context(), spec("op1"))
+	require.True(t, fault.Is(err, fault.Exhausted), "%v", err)
+	s.SetRefusal("a", "small", false)
+	_, err = c.StartVM(t.Context(), spec("op1"))
+	require.NoError(t, err, "a refused start leaves its operation free")
+
+	s.SetFaults(cloud.Faults{Outage: true})
+	_, err = c.ListVMs(t.Context())
+	require.True(t, fault.Is(err, fault.Unavailable), "%v", err)
+	_, err = c.StartVM(t.Context(), spec("op2"))
+	require.True(t, fault.Is(err, fault.Unavailable), "%v", err)
+}
+
+func TestPricesAndNotices(t *testing.T) {
+	s, c := start(t, cloud.Settings{})
+	s.SetPrice("a", "small", true, 3)
+	offers, err := c.Offers(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, 3.0, offers[0].PricePerHour)
+
+	got := make(chan []platform.Notice, 1)
+	go func() { list, _ := c.Notices(context.Background(), 0); got <- list }()
+	s.Add(platform.VM{ID: "v1", Zone: "a", Reclaimable: true})
+	s.Add(platform.VM{ID: "v2", Zone: "a"})
+	s.Add(platform.VM{ID: "v3", Zone: "a", Reclaimable: true})
+	require.Equal(t, []string{"v1", "v3"}, s.ReclaimZone("a", time.Hour))
+	list := <-got
+	require.Len(t, list, 2)
+	require.Equal(t, list[0].Wave, list[1].Wave)
+	c.NoticeWait = time.Millisecond
+	list, err = c.Notices(t.Context(), list[1].Sequence)
+	require.NoError(t, err)
+	require.Empty(t, list)
+}
+
+func TestAnswersThatMakeNoSense(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("x")) }))
+	defer srv.Close()
+	_, err := New(srv.URL, srv.Client(), telemetry.Discard()).ListVMs(t.Context())
+	require.True(t, fault.Is(err, fault.Protocol), "%v", err)
+}
--- a/internal/standin/engine/attempt.go
+++ b/internal/standin/engine/attempt.go
@@ -219,12 +219,15 @@
 }
 
 // frame returns the server-sent event with index i of a.events.
-func (a *attempt) frame(i int) []byte {
+func (a *attempt) frame(i int, withID bool) []byte {
 	data := a.events[i]
 	out := make([]byte, 0, len(data)+32)
-	out = append(out, "id: "...)
-	out = strconv.AppendInt(out, int64(a.offset()+i+1), 10)
-	out = append(out, "\ndata: "...)
+	if withID {
+		out = append(out, "id: "...)
+		out = strconv.AppendInt(out, int64(a.offset()+i+1), 10)
+		out = append(out, '\n')
+	}
+	out = append(out, "data: "...)
 	out = append(out, data...)
 	return append(out, "\n\n"...)
 }
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -122,7 +122,7 @@
 	sent := 0
 	for headed := false; ; {
 		s.mu.Lock()
-		frames := a.framesFrom(next, withUsage)
+		frames := a.framesFrom(next, withUsage, !s.settings.PlainStreams)
 		finished, canceled, changed := a.finished, a.canceled, a.changed
 		faults := s.faults
 		s.mu.Unlock()
@@ -162,14 +162,14 @@
 
 // framesFrom returns the frames from index next on. The usage is the last
 // event of an answer that was not canceled.
-func (a *attempt) framesFrom(next int, withUsage bool) [][]byte {
+func (a *attempt) framesFrom(next int, withUsage, withID bool) [][]byte {
 	end := len(a.events)
 	if a.finished && !a.canceled && !withUsage {
 		end--
 	}
 	var frames [][]byte
 	for i := next; i < end; i++ {
-		frames = append(frames, a.frame(i))
+		frames = append(frames, a.frame(i, withID))
 	}
 	return frames
 }
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -137,7 +137,7 @@
 		return nil, http.StatusServiceUnavailable
 	}
 	id := r.Header.Get("X-Attempt-Id")
-	if id == "" {
+	if id == "" || s.settings.PlainStreams {
 		s.minted++
 		id = s.settings.ID + "-" + strconv.FormatUint(s.minted, 10)
 	}
--- a/internal/standin/engine/settings.go
+++ b/internal/standin/engine/settings.go
@@ -35,6 +35,9 @@
 	CacheEventGapEvery int
 	// ChecksFencing refuses orders with an old fencing number.
 	ChecksFencing bool
+	// PlainStreams leaves out the ids of events and does not refuse a known
+	// attempt, as a server without the extensions does.
+	PlainStreams bool
 	// Seed feeds the salts of requests with a temperature.
 	Seed uint64
 	// MaxRecorded bounds the executions recorded for oracles; default 100000.
