Command skeleton, signals, TLS reload and admin pages of the binaries

Cause: all binaries need the same flags, exit codes, stop and admin listener. Change: internal/cli with Daemon, Execute, ListenAdmin, ServerTLS and Pages (Prometheus text, JSON, health, readiness, optional pprof). Conclusion: exit codes, second signal, graceful admin stop and certificate reload are tested.

--- /dev/null
+++ b/internal/cli/certificate.go
@@ -0,0 +1,103 @@
+package cli
+
+import (
+	"crypto/tls"
+	"os"
+	"sync"
+	"time"
+
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/telemetry"
+)
+
+// certificateCheckInterval is the least time between two looks at the
+// certificate files.
+const certificateCheckInterval = 5 * time.Second
+
+// certificates serves a certificate from files and reads them again when they
+// change.
+type certificates struct {
+	files config.TLSSettings
+	log   *telemetry.Logger
+
+	// mu guards the fields below.
+	mu        sync.Mutex
+	current   *tls.Certificate
+	stamp     fileStamp
+	checkedAt time.Time
+}
+
+// fileStamp changes when one of the two files does.
+type fileStamp struct {
+	certTime, keyTime time.Time
+	certSize, keySize int64
+}
+
+// ServerTLS returns the TLS configuration of a listener, nil if it speaks
+// plain TCP. The files must be good now; a later change to wrong files keeps
+// the old certificate.
+func ServerTLS(files config.TLSSettings, log *telemetry.Logger) (*tls.Config, error) {
+	if !files.Enabled() {
+		return nil, nil
+	}
+	c := &certificates{files: files, log: log}
+	if err := c.load(); err != nil {
+		return nil, err
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: c.get}, nil
+}
+
+func (c *certificates) get(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now := time.Now(); now.Sub(c.checkedAt) >= certificateCheckInterval {
+		c.checkedAt = now
+		c.refresh()
+	}
+	return c.current, nil
+}
+
+// refresh requires c.mu.
+func (c *certificates) refresh() {
+	stamp, err := c.stat()
+	if err == nil && stamp == c.stamp {
+		return
+	}
+	if err == nil {
+		err = c.load()
+	}
+	if err != nil {
+		c.log.Log(EvCertificateFailed, "file", c.files.CertFile, "err", err)
+		return
+	}
+	c.log.Log(EvCertificateReloaded, "file", c.files.CertFile)
+}
+
+func (c *certificates) load() error {
+	stamp, err := c.stat()
+	if err != nil {
+		return err
+	}
+	pair, err := tls.LoadX509KeyPair(c.files.CertFile, c.files.KeyFile)
+	if err != nil {
+		return fault.Wrap(err, fault.Invalid, "tls.load", "", "cannot use certificate %s", c.files.CertFile)
+	}
+	c.current, c.stamp = &pair, stamp
+	return nil
+}
+
+func (c *certificates) stat() (fileStamp, error) {
+	cert, err := os.Stat(c.files.CertFile)
+	if err != nil {
+		return fileStamp{}, fault.Wrap(err, fault.Invalid, "tls.load", "", "cannot read certificate")
+	}
+	key, err := os.Stat(c.files.KeyFile)
+	if err != nil {
+		return fileStamp{}, fault.Wrap(err, fault.Invalid, "tls.load", "", "cannot read private key")
+	}
+	return fileStamp{
+		certTime: cert.ModTime(), keyTime: key.ModTime(),
+		certSize: cert.Size(), keySize: key.Size(),
+	}, nil
+}
--- /dev/null
+++ b/internal/cli/daemon.go
@@ -0,0 +1,104 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/urfave/cli/v3"
+
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/telemetry"
+)
+
+// Process is what a binary's Run gets besides its settings.
+type Process struct {
+	Log     *telemetry.Logger
+	Metrics metrics.Registry
+	Stdout  io.Writer
+}
+
+// Daemon describes a binary that runs until it is told to stop. T is its
+// settings file.
+type Daemon[T any] struct {
+	Name  string
+	Usage string
+	// Node returns the parts of the settings that every daemon has.
+	Node func(*T) (config.NodeSettings, *config.LogSettings)
+	// Run works until ctx ends, finishes its work and returns.
+	Run func(ctx context.Context, settings T, p *Process) error
+}
+
+// Main runs the daemon with the process's arguments and signals, and ends the
+// process with its exit code.
+func (d Daemon[T]) Main() {
+	os.Exit(Execute(context.Background(), d.Command(), os.Args, os.Stdout, os.Stderr))
+}
+
+// Command returns the daemon's command line.
+func (d Daemon[T]) Command() *cli.Command {
+	return &cli.Command{
+		Name:  d.Name,
+		Usage: d.Usage,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "read settings from `FILE` (JSON with comments)"},
+			&cli.BoolFlag{Name: "check-config", Usage: "check the settings and exit"},
+			&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error; goes before the settings"},
+		},
+		Action: d.action,
+	}
+}
+
+func (d Daemon[T]) action(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() > 0 {
+		return UsageError("unexpected argument %q", c.Args().First())
+	}
+	if c.String("config") == "" {
+		return UsageError("--config FILE is required")
+	}
+	settings, err := config.Load[T](c.String("config"))
+	if err != nil {
+		return WithCode(ExitSettings, err)
+	}
+	node, logSettings := d.Node(&settings)
+	if text := c.String("log-level"); text != "" {
+		logSettings.Level = text
+	}
+	level, err := parseLevel(logSettings.Level)
+	if err != nil {
+		return WithCode(ExitUsage, err)
+	}
+	if c.Bool("check-config") {
+		_, _ = fmt.Fprintf(c.Root().Writer, "%s: settings are good\n", c.String("config"))
+		return nil
+	}
+	log := telemetry.NewLogger(c.Root().ErrWriter, level, node.ID, node.Zone)
+	return d.run(ctx, settings, &Process{Log: log, Metrics: metrics.NewRegistry(), Stdout: c.Root().Writer})
+}
+
+func (d Daemon[T]) run(ctx context.Context, settings T, p *Process) error {
+	ctx, stop := withSignals(ctx, p.Log)
+	defer stop()
+	p.Log.Log(EvStarting, "program", d.Name, "version", FullVersion())
+	err := d.Run(ctx, settings, p)
+	if err != nil && !(ctx.Err() != nil && errors.Is(err, context.Canceled)) {
+		p.Log.Log(EvFailed, "err", err)
+		return WithCode(ExitFailure, err)
+	}
+	p.Log.Log(EvStopped)
+	return nil
+}
+
+func parseLevel(text string) (slog.Level, error) {
+	var level slog.Level
+	switch text {
+	case "debug", "info", "warn", "error":
+		err := level.UnmarshalText([]byte(text))
+		return level, err
+	}
+	return level, fmt.Errorf("--log-level: expected debug, info, warn or error, got %q", text)
+}
