fleet: sizing by price, wave risk and the loss of a zone

Cause: cost at the latency target depends on the VMs kept; one decision should serve the planner and the policy experiment. Change: Size (greedy growth, then drops and exchanges) and DemandEstimator (target utilisation that follows missed targets, rises at once, falls late).

--- /dev/null
+++ b/internal/fleet/size_test.go
@@ -0,0 +1,92 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"buckthornpick/internal/platform"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func testOffers() []platform.Offer {
+	var offers []platform.Offer
+	for i, zone := range []string{"a", "b", "c"} {
+		offers = append(offers,
+			platform.Offer{Zone: zone, Class: "g1", Reclaimable: true, PricePerHour: 1 + 0.2*float64(i), Accelerators: 1},
+			platform.Offer{Zone: zone, Class: "g1", PricePerHour: 3, Accelerators: 1})
+	}
+	return offers
+}
+
+func TestSizePicksCheapestZoneUnlessAZoneMustBeSurvived(t *testing.T) {
+	cheapest := Size(SizeInput{Now: start, Demand: Demand{Total: 6}, Offers: testOffers()})
+	require.Equal(t, 6, cheapest.Want[OfferKey{"a", "g1", true}])
+	require.InDelta(t, 6.0, cheapest.PricePerHour, 1e-9)
+
+	safe := Size(SizeInput{Now: start, Demand: Demand{Total: 6, Protected: 4}, Offers: testOffers()})
+	require.GreaterOrEqual(t, safe.AfterZoneLoss, 4.0)
+	require.InDelta(t, 2+2*1.2+2*1.4, safe.PricePerHour, 1e-9)
+}
+
+func TestSizeFallsOverOnRefusedStartsAndReportsShortage(t *testing.T) {
+	refused := map[OfferKey]time.Time{{"a", "g1", true}: start.Add(time.Minute)}
+	plan := Size(SizeInput{Now: start, Demand: Demand{Total: 4}, Offers: testOffers(),
+		Current: map[OfferKey]int{{"a", "g1", true}: 1}, RefusedUntil: refused})
+	require.Equal(t, 1, plan.Want[OfferKey{"a", "g1", true}])
+	require.Equal(t, 3, plan.Want[OfferKey{"b", "g1", true}])
+
+	only := testOffers()[:1]
+	plan = Size(SizeInput{Now: start, Demand: Demand{Total: 4}, Offers: only, RefusedUntil: refused})
+	require.True(t, plan.Short)
+	plan = Size(SizeInput{Now: start, Demand: Demand{Total: 4, Protected: 1}, Offers: only})
+	require.True(t, plan.Short, "one zone cannot survive its own loss")
+	require.Equal(t, 4, plan.Want[OfferKey{"a", "g1", true}])
+}
+
+func TestSizeWeighsWaveRisk(t *testing.T) {
+	plan := Size(SizeInput{Now: start, Demand: Demand{Total: 3}, Offers: testOffers(),
+		WavesPerHour: map[string]float64{"a": 2}, RestartHours: 0.2})
+	require.Equal(t, 3, plan.Want[OfferKey{"b", "g1", true}])
+}
+
+func TestDemandRisesAtOnceAndFallsLate(t *testing.T) {
+	e := NewDemandEstimator(DemandConfig{RequestsPerAccelerator: 10, InitialUtilisation: 0.5, ShrinkAfter: time.Minute})
+	require.Equal(t, 4.0, e.Observe(start, Sample{Requests: 20}).Total)
+	require.Equal(t, 8.0, e.Observe(start.Add(time.Second), Sample{Requests: 40}).Total)
+	require.Equal(t, 8.0, e.Observe(start.Add(30*time.Second), Sample{Requests: 10}).Total)
+	require.Equal(t, 2.0, e.Observe(start.Add(90*time.Second), Sample{Requests: 10}).Total)
+	before := e.Utilisation()
+	e.Observe(start.Add(91*time.Second), Sample{Requests: 10, Finished: 100, Missed: 50, Changing: true})
+	require.Equal(t, before, e.Utilisation())
+	e.Observe(start.Add(92*time.Second), Sample{Requests: 10, Finished: 100, Missed: 50})
+	require.Less(t, e.Utilisation(), before)
+}
+
+// A plan that is not short meets both demands, and no single VM can be dropped.
+func TestSizeProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := SizeInput{Now: start, Offers: testOffers(), Demand: Demand{Total: rapid.Float64Range(0, 30).Draw(t, "total")}}
+		in.Demand.Protected = in.Demand.Total * rapid.Float64Range(0, 1).Draw(t, "protected")
+		for i := range in.Offers {
+			in.Offers[i].PricePerHour = rapid.Float64Range(0.5, 4).Draw(t, "price")
+			in.Offers[i].Accelerators = rapid.IntRange(1, 4).Draw(t, "accelerators")
+		}
+		plan := Size(in)
+		if plan.Short || plan.Accelerators < in.Demand.Total-1e-6 || plan.AfterZoneLoss < in.Demand.Protected-1e-6 {
+			t.Fatalf("plan %+v does not meet %+v", plan, in.Demand)
+		}
+		options := in.options()
+		for i := range options {
+			options[i].count = plan.Want[options[i].key]
+		}
+		for i := range options {
+			if options[i].count > 0 && tryMove(options, in, i, -1, 0) {
+				t.Fatalf("a VM of %v is not needed", options[i].key)
+			}
+		}
+	})
+}
