--- a/internal/dispatch/execution.go
+++ b/internal/dispatch/execution.go
@@ -35,7 +35,7 @@
 	// claimNumber is the number of the last claim written, 0 before the first.
 	claimNumber int
 	current     attempt
-	stop    context.CancelCauseFunc
+	stop        context.CancelCauseFunc
 	// isObserver is set when another node owns the request now: the execution
 	// only follows its running attempt.
 	isObserver bool
@@ -119,7 +119,7 @@
 			Message: "rule " + e.plan.rule + " names no known service"}, false
 	}
 	ticket, err := e.d.deps.Admitter.Admit(ctx, limit.Ask{
-		Organisation: e.req.Organisation, Service: e.plan.services[0].Name,
+		Organisation: e.req.Organisation, Service: e.plan.admittedAs(),
 		Priority: e.plan.priority, Deadline: e.plan.startBy,
 		Cost: e.req.PromptTokens + e.req.MaxTokens,
 	})
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -41,7 +41,17 @@
 	problemStopping    = "stopping_error"
 )
 
-const olderSystemID = "older-system"
+// OlderSystem is the name under which requests for the older system are
+// admitted and logged.
+const OlderSystem = "older-system"
+
+// admittedAs returns the name of the capacity that the request takes.
+func (p *plan) admittedAs() string {
+	if p.older != nil {
+		return OlderSystem
+	}
+	return p.services[0].Name
+}
 
 // decide applies the rules. A non-nil end refuses the request.
 func (d *Dispatcher) decide(r *request.Request, now time.Time) (*plan, *request.End) {
@@ -91,7 +101,7 @@
 		}
 	}
 	if decision.OlderSystem && doc.OlderSystem != nil {
-		p.older = &backend.Target{ID: olderSystemID, Address: doc.OlderSystem.Address, Class: backend.Older}
+		p.older = &backend.Target{ID: OlderSystem, Address: doc.OlderSystem.Address, Class: backend.Older}
 	}
 	return p
 }
--- /dev/null
+++ b/internal/entry/follow.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/gateway"
+	"buckthornpick/internal/peer"
+	"buckthornpick/internal/request"
+)
+
+// follower delivers one answer to the gateway. It follows the request when its
+// owner changes: from the same event on, at the new owner.
+type follower struct {
+	node         *Node
+	req          *request.Request // nil for an attach
+	id           request.ID
+	organisation string
+	info         request.Info
+	after        int
+	// delivered holds the events that came from a peer, so that a new owner
+	// can go on from them if the old one is lost.
+	delivered []request.Event
+	wasSent   bool
+	src       source
+}
+
+// Info implements gateway.Answer.
+func (f *follower) Info() request.Info { return f.info }
+
+// Ready implements gateway.Answer.
+func (f *follower) Ready() bool { return f.src.ready() }
+
+// Close implements gateway.Answer.
+func (f *follower) Close() {
+	if f.src != nil {
+		f.src.close()
+	}
+}
+
+// Next implements gateway.Answer.
+func (f *follower) Next(ctx context.Context) (request.Step, error) {
+	for {
+		step, err := f.src.next(ctx)
+		if err == nil && !step.HandedOver {
+			f.note(step)
+			return step, nil
+		}
+		if ctx.Err() != nil {
+			return request.Step{}, ctx.Err()
+		}
+		f.node.log.Log(EvOwnerLost, "request", f.id, "after", f.after, "error", err)
+		if err := f.connect(ctx); err != nil {
+			return request.Step{}, err
+		}
+	}
+}
+
+func (f *follower) note(step request.Step) {
+	if step.Event == nil {
+		return
+	}
+	f.after = step.Event.Sequence
+	if _, isRemote := f.src.(*remoteSource); isRemote && f.req != nil && f.req.Repeatable {
+		f.delivered = append(f.delivered, *step.Event)
+	}
+}
+
+// connect finds the request's owner and the answer's source. It tries again
+// while ownership moves.
+func (f *follower) connect(ctx context.Context) error {
+	started := time.Now()
+	for {
+		err := f.connectOnce(ctx)
+		if err == nil {
+			return nil
+		}
+		if final := f.finalError(err); final != nil {
+			return final
+		}
+		if f.mayRunHere(started) {
+			return f.runHere(ctx)
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if time.Since(started) > ownerWait {
+			return f.ownerUnreachable(err)
+		}
+		pause(ctx, ownerPause)
+	}
+}
+
+func (f *follower) connectOnce(ctx context.Context) error {
+	var src source
+	var info request.Info
+	var err error
+	if f.req == nil {
+		src, info, err = f.node.openAttach(ctx, f.organisation, f.id, f.after)
+	} else {
+		src, info, err = f.node.openSubmit(ctx, f.submission(), f.delivered, f.after)
+	}
+	if !fault.Is(err, fault.Unavailable) {
+		f.wasSent = true
+	}
+	if err != nil {
+		return err
+	}
+	f.use(src, info)
+	return nil
+}
+
+// submission returns the request; once it may have reached an owner it no
+// longer counts as never submitted before.
+func (f *follower) submission() *request.Request {
+	if !f.wasSent || !f.req.Minted {
+		return f.req
+	}
+	again := *f.req
+	again.Minted = false
+	return &again
+}
+
+func (f *follower) use(src source, info request.Info) {
+	if f.src != nil {
+		f.src.close()
+	}
+	f.src, f.info = src, info
+}
+
+// mayRunHere reports whether this node runs the request although its owner is
+// another node, which cannot be reached.
+func (f *follower) mayRunHere(started time.Time) bool {
+	if f.req == nil || !f.req.Repeatable || time.Since(started) < localFallback {
+		return false
+	}
+	return f.after == len(f.delivered)
+}
+
+func (f *follower) runHere(ctx context.Context) error {
+	f.node.log.Log(EvRunsHere, "request", f.id, "after", f.after)
+	rec, err := f.node.owner.Submit(f.submission(), f.delivered)
+	if err != nil {
+		return submitError(err)
+	}
+	f.use(localSource{rec.Cursor(f.after)}, rec.Request.Info())
+	return nil
+}
+
+// finalError returns the answer for an error that trying again cannot mend,
+// else nil.
+func (f *follower) finalError(err error) error {
+	if end, ok := remoteEnd(err); ok {
+		return end
+	}
+	var remote *peer.RemoteError
+	isRemoteInvalid := errors.As(err, &remote) && fault.Is(err, fault.Invalid)
+	switch {
+	case f.req != nil && isRemoteInvalid:
+		return submitError(fault.New(fault.Invalid, "entry.submit", remote.Peer, "%s", remote.Message))
+	case f.req == nil && fault.Is(err, fault.Invalid):
+		return &gateway.EndError{End: request.End{Outcome: request.Unknown, Problem: "not_found_error",
+			Message: "no such request: it ended too long ago, or its owner was lost; send it again with its Idempotency-Key",
+			Status:  http.StatusNotFound}}
+	}
+	return nil
+}
+
+// ownerUnreachable tells the caller that the request's owner cannot be asked.
+// Only a request that no owner can have seen is "not-run".
+func (f *follower) ownerUnreachable(err error) error {
+	end := request.End{Outcome: request.Unknown, Problem: "owner_unreachable",
+		Message: "the node that owns this request cannot be reached: " + err.Error(),
+		Status:  http.StatusServiceUnavailable, RetryAfter: time.Second}
+	if f.req != nil && f.req.Minted && !f.wasSent {
+		end.Outcome = request.NotRun
+	}
+	return &gateway.EndError{End: end}
+}
--- /dev/null
+++ b/internal/entry/leave.go
@@ -0,0 +1,220 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"buckthornpick/internal/dispatch"
+	"buckthornpick/internal/inventory"
+	"buckthornpick/internal/member"
+	"buckthornpick/internal/peer"
+)
+
+// Reasons for failing readiness.
+var (
+	errDraining   = errors.New("node is draining")
+	errNoDocument = errors.New("node has no configuration yet")
+)
+
+// DrainConfig bounds a node's stop.
+type DrainConfig struct {
+	// Grace bounds a planned stop. Default 10 min.
+	Grace time.Duration
+	// RedirectMargin is the time before a reclaim at which callers are sent to
+	// other nodes. Default 1500 ms.
+	RedirectMargin time.Duration
+	// LeaveWait bounds the removal from the table. Default 2 s.
+	LeaveWait time.Duration
+}
+
+func (c DrainConfig) withDefaults() DrainConfig {
+	if c.Grace == 0 {
+		c.Grace = 10 * time.Minute
+	}
+	if c.RedirectMargin == 0 {
+		c.RedirectMargin = 1500 * time.Millisecond
+	}
+	if c.LeaveWait == 0 {
+		c.LeaveWait = 2 * time.Second
+	}
+	return c
+}
+
+// drainState tells how far a node's stop has come.
+type drainState struct {
+	// leaving is closed when callers must attach elsewhere.
+	leaving chan struct{}
+	// reclaim holds the deadline once this node's own VM is under notice.
+	reclaim chan time.Time
+
+	mu           sync.Mutex
+	draining     bool
+	reclaimed    bool
+	hasSentAway  bool
+	hasOwnNotice bool
+}
+
+func newDrainState() *drainState {
+	return &drainState{leaving: make(chan struct{}), reclaim: make(chan time.Time, 1)}
+}
+
+func (s *drainState) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+func (s *drainState) isReclaimed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reclaimed
+}
+
+// start marks the drain. It reports whether there is something to do: a
+// reclaim may follow a planned stop, but nothing follows a reclaim.
+func (s *drainState) start(isReclaim bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	isNew := !s.draining || (isReclaim && !s.reclaimed)
+	s.draining = true
+	s.reclaimed = s.reclaimed || isReclaim
+	return isNew
+}
+
+func (s *drainState) sendCallersAway() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.hasSentAway {
+		s.hasSentAway = true
+		close(s.leaving)
+	}
+}
+
+// notice delivers the deadline of this node's own VM once.
+func (s *drainState) notice(deadline time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.hasOwnNotice {
+		s.hasOwnNotice = true
+		s.reclaim <- deadline
+	}
+}
+
+// Leaving implements gateway.Node.
+func (n *Node) Leaving() <-chan struct{} { return n.drain.leaving }
+
+// Reclaim delivers the deadline once this node's own VM is under notice.
+func (n *Node) Reclaim() <-chan time.Time { return n.drain.reclaim }
+
+func (n *Node) noticeOwnDeadline(view *inventory.View) {
+	if deadline, isNoticed := view.Deadlines[n.cfg.Self.ID]; isNoticed {
+		n.drain.notice(deadline)
+	}
+}
+
+// Drain makes the node leave for a planned stop: it gives up its partitions,
+// finishes every request and hands its recent answers over. It returns when no
+// request is left or Grace is over.
+func (n *Node) Drain(ctx context.Context) {
+	if !n.drain.start(false) {
+		return
+	}
+	cfg := n.cfg.Drain.withDefaults()
+	n.log.Log(EvDraining, "grace", cfg.Grace)
+	ctx, cancel := context.WithTimeout(ctx, cfg.Grace)
+	defer cancel()
+	n.leaveTable(ctx, cfg)
+	n.awaitNoRequests(ctx)
+	n.handOver(ctx)
+	n.log.Log(EvDrained, "running", n.owner.Running())
+}
+
+// DrainBefore makes the node leave before its VM is taken back: requests are
+// handed over at once, and callers are sent to other nodes shortly before the
+// deadline.
+func (n *Node) DrainBefore(ctx context.Context, deadline time.Time) {
+	if !n.drain.start(true) {
+		return
+	}
+	cfg := n.cfg.Drain.withDefaults()
+	n.log.Log(EvDraining, "deadline", deadline)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	n.leaveTable(ctx, cfg)
+	n.handOver(ctx)
+	redirectAt, stop := context.WithDeadline(ctx, deadline.Add(-cfg.RedirectMargin))
+	defer stop()
+	n.awaitNoRequests(redirectAt)
+	n.drain.sendCallersAway()
+	n.handOver(ctx)
+	n.log.Log(EvDrained, "running", n.owner.Running())
+}
+
+func (n *Node) leaveTable(ctx context.Context, cfg DrainConfig) {
+	ctx, cancel := context.WithTimeout(ctx, cfg.LeaveWait)
+	defer cancel()
+	if err := n.members.Leave(ctx); err != nil {
+		n.log.Log(EvLeaveFailed, "error", err)
+	}
+	n.spreader.Changed()
+}
+
+const drainPoll = 50 * time.Millisecond
+
+func (n *Node) awaitNoRequests(ctx context.Context) {
+	for n.owner.Running() > 0 && ctx.Err() == nil {
+		pause(ctx, drainPoll)
+	}
+}
+
+// transferBatch bounds the requests of one message.
+const transferBatch = 64
+
+// handOver sends every request to its new owner.
+func (n *Node) handOver(ctx context.Context) {
+	for heir, transfers := range n.byHeir(n.owner.Export()) {
+		for len(transfers) > 0 {
+			batch := transfers[:min(transferBatch, len(transfers))]
+			transfers = transfers[len(batch):]
+			n.transferTo(ctx, heir, batch)
+		}
+	}
+}
+
+func (n *Node) byHeir(transfers []dispatch.Transfer) map[member.Member][]dispatch.Transfer {
+	out := map[member.Member][]dispatch.Transfer{}
+	heirs := n.heirs()
+	for _, t := range transfers {
+		if heir, ok := heirs.Owner(t.Request.ID.Partition()); ok {
+			out[heir] = append(out[heir], t)
+		}
+	}
+	return out
+}
+
+// heirs returns the table without this node and without members under notice.
+func (n *Node) heirs() member.Table {
+	table := n.members.Table()
+	deadlines := n.inventory.View().Deadlines
+	var rest []member.Member
+	for _, m := range table.Members {
+		_, isLeaving := deadlines[m.ID]
+		if m.ID != n.cfg.Self.ID && !isLeaving {
+			rest = append(rest, m)
+		}
+	}
+	return member.NewTable(table.Revision, rest, nil)
+}
+
+const transferTimeout = 2 * time.Second
+
+func (n *Node) transferTo(ctx context.Context, heir member.Member, batch []dispatch.Transfer) {
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	_, err := peer.Call[transferReply](ctx, n.transport, nodeOf(heir), peer.Transfer, transferMsg{Transfers: batch})
+	if err != nil {
+		n.log.Log(EvTransferFailed, "peer", heir.ID, "requests", len(batch), "error", err)
+	}
+}
--- /dev/null
+++ b/internal/entry/messages.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"buckthornpick/internal/dispatch"
+	"buckthornpick/internal/request"
+)
+
+// submitMsg opens a Submit stream: a request for its owner.
+type submitMsg struct {
+	Request *request.Request `msgpack:"r"`
+	// After is the sequence number of the last event that the caller has.
+	After int `msgpack:"a,omitempty"`
+	// Delivered are the events that the ingress has from a lost owner.
+	Delivered []request.Event `msgpack:"d,omitempty"`
+}
+
+// attachMsg opens an Attach stream: the answer of a known request.
+type attachMsg struct {
+	Organisation string     `msgpack:"o"`
+	ID           request.ID `msgpack:"i"`
+	After        int        `msgpack:"a,omitempty"`
+	// IsLocal asks for records of the receiving node only.
+	IsLocal bool `msgpack:"l,omitempty"`
+}
+
+// stepMsg is one message of an answer. The first one holds Info.
+type stepMsg struct {
+	Info       *request.Info   `msgpack:"i,omitempty"`
+	Head       *request.Head   `msgpack:"h,omitempty"`
+	Events     []request.Event `msgpack:"e,omitempty"`
+	End        *request.End    `msgpack:"d,omitempty"`
+	HandedOver bool            `msgpack:"o,omitempty"`
+}
+
+// locateMsg asks whether a node has the record of a request.
+type locateMsg struct {
+	ID request.ID `msgpack:"i"`
+}
+
+// locateReply answers a locateMsg.
+type locateReply struct {
+	Found bool `msgpack:"f"`
+}
+
+// transferMsg hands requests over to their new owner.
+type transferMsg struct {
+	Transfers []dispatch.Transfer `msgpack:"t"`
+}
+
+// transferReply confirms a transferMsg.
+type transferReply struct {
+	// Adopted counts the requests that the new owner now holds.
+	Adopted int `msgpack:"n"`
+}
--- /dev/null
+++ b/internal/entry/ownership.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"time"
+
+	"buckthornpick/internal/member"
+	"buckthornpick/internal/peer"
+	"buckthornpick/internal/request"
+)
+
+// ownership shows the membership to the dispatcher and the claim ledger.
+type ownership struct {
+	self    string
+	members *member.Membership
+}
+
+// Self implements dispatch.Ownership.
+func (o ownership) Self() string { return o.self }
+
+// Incarnation implements dispatch.Ownership.
+func (o ownership) Incarnation() int64 {
+	m, ok := o.members.Table().Find(o.self)
+	if !ok {
+		return 0
+	}
+	return m.Incarnation
+}
+
+// OwnsPartition implements dispatch.Ownership and claim.Ownership.
+func (o ownership) OwnsPartition(partition int) bool {
+	m, ok := o.members.Table().Owner(partition)
+	return ok && m.ID == o.self
+}
+
+// AcquiredDirty implements dispatch.Ownership.
+func (o ownership) AcquiredDirty(partition int) (time.Time, bool) {
+	return o.members.AcquiredDirty(partition)
+}
+
+// TableKey implements claim.Ownership.
+func (o ownership) TableKey() string { return o.members.TableKey() }
+
+// TableRevision implements claim.Ownership.
+func (o ownership) TableRevision() int64 { return o.members.Table().Revision }
+
+// Writer implements claim.Ownership: the member of this zone with the lowest
+// ID writes the zone's claims.
+func (o ownership) Writer() (peer.Node, bool) {
+	table := o.members.Table()
+	self, ok := table.Find(o.self)
+	if !ok {
+		return peer.Node{}, false
+	}
+	for _, m := range table.Members {
+		if m.Zone == self.Zone {
+			return nodeOf(m), true
+		}
+	}
+	return peer.Node{}, false
+}
+
+func nodeOf(m member.Member) peer.Node {
+	return peer.Node{ID: m.ID, Zone: m.Zone, Address: m.Address}
+}
+
+// rankInZone returns the position of the member among those of its zone; -1 if
+// it is not in the table.
+func rankInZone(t member.Table, id string) int {
+	self, ok := t.Find(id)
+	if !ok {
+		return -1
+	}
+	rank := 0
+	for _, m := range t.Members {
+		if m.ID == id {
+			return rank
+		}
+		if m.Zone == self.Zone {
+			rank++
+		}
+	}
+	return -1
+}
+
+// ownedPartitions returns the partitions of the member by the table.
+func ownedPartitions(t member.Table, id string) []int {
+	var out []int
+	for p := range request.Partitions {
+		if m, ok := t.Owner(p); ok && m.ID == id {
+			out = append(out, p)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/entry/path_test.go
@@ -0,0 +1,59 @@
+package entry_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"buckthornpick/internal/standin/engine"
+)
+
+func TestChatIsAnsweredWholeByEveryEntry(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		body := chatBody("check the shop", 20, false)
+		for _, e := range s.Entries() {
+			for _, key := range []string{"", "key-of-" + e.ID} {
+				r, err := s.send(e, "POST", "/v1/chat/completions", map[string]string{"Idempotency-Key": key}, body)
+				require.NoError(t, err)
+				require.Equal(t, 200, r.status, "%s", r.body)
+				require.Equal(t, "completed", r.outcome())
+				require.NoError(t, engine.VerifyText(engine.PromptOf(body), answerText(t, r.body), 20))
+			}
+		}
+	})
+}
+
+func TestChatIsStreamedWhole(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		body := chatBody("check the shop", 30, true)
+		for _, e := range s.Entries() {
+			r, err := s.send(e, "POST", "/v1/chat/completions", map[string]string{"Idempotency-Key": "k" + e.ID}, body)
+			require.NoError(t, err)
+			require.Equal(t, 200, r.status, "%s", r.body)
+			require.Equal(t, "completed", r.outcome())
+			require.NoError(t, engine.VerifyText(engine.PromptOf(body), streamText(t, r.body), 30))
+			require.Contains(t, string(r.body), "data: [DONE]")
+		}
+	})
+}
+
+func TestResentKeyGetsTheSameAnswerFromAnyEntry(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		header := map[string]string{"Idempotency-Key": "once"}
+		first, err := s.send(s.Entries()[0], "POST", "/services/report/exports", header, []byte("x"))
+		require.NoError(t, err)
+		require.Equal(t, 200, first.status, "%s", first.body)
+		for _, e := range s.Entries() {
+			again, err := s.send(e, "POST", "/services/report/exports", header, []byte("x"))
+			require.NoError(t, err)
+			require.Equal(t, first.body, again.body)
+		}
+		runs := 0
+		for _, sv := range s.Servers() {
+			if sv.Plain != nil {
+				runs += len(sv.Plain.Runs())
+			}
+		}
+		require.Equal(t, 1, runs)
+	})
+}
--- /dev/null
+++ b/internal/entry/process.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Process is an entry node with its listener for callers.
+type Process struct {
+	Node *Node
+	// Listener accepts callers' connections.
+	Listener net.Listener
+	// Server serves them; its handler is the node's.
+	Server *http.Server
+	// ReadyDelay is the time between failing readiness and refusing new
+	// connections, for the balancer to notice.
+	ReadyDelay time.Duration
+	// ShutdownGrace bounds the wait for callers' connections. Default 10 min.
+	ShutdownGrace time.Duration
+}
+
+const defaultShutdownGrace = 10 * time.Minute
+
+// Run serves until ctx ends, which starts a planned stop, or until the node's
+// VM is taken back. It returns when the node has left.
+func (p *Process) Run(ctx context.Context) error {
+	return p.RunUntilKilled(ctx, context.WithoutCancel(ctx))
+}
+
+// RunUntilKilled is Run for tests: the end of killed ends the node at once, as
+// the death of its process does.
+func (p *Process) RunUntilKilled(ctx, killed context.Context) error {
+	life, end := context.WithCancel(killed)
+	defer end()
+	g, life := errgroup.WithContext(life)
+	g.Go(func() error { return p.Node.Run(life) })
+	g.Go(p.serve)
+	g.Go(func() error {
+		defer end()
+		p.awaitStop(ctx, life)
+		return nil
+	})
+	return g.Wait()
+}
+
+func (p *Process) serve() error {
+	p.Server.Handler = p.Node.Handler()
+	err := p.Server.Serve(p.Listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// awaitStop waits for a stop of either kind and sees it through. A reclaim
+// notice during a planned stop hurries it up.
+func (p *Process) awaitStop(ctx, life context.Context) {
+	planned := make(chan struct{})
+	var deadline time.Time
+	select {
+	case <-life.Done():
+		_ = p.Server.Close()
+		return
+	case deadline = <-p.Node.Reclaim():
+	case <-ctx.Done():
+		drain, cancel := context.WithCancel(life)
+		go func() {
+			defer close(planned)
+			p.stopPlanned(drain)
+		}()
+		select {
+		case <-planned:
+			cancel()
+			return
+		case deadline = <-p.Node.Reclaim():
+			cancel()
+			<-planned
+		}
+	}
+	p.stopBefore(life, deadline)
+}
+
+// stopPlanned finishes every request and every caller's answer.
+func (p *Process) stopPlanned(ctx context.Context) {
+	readyDelay, cancel := context.WithTimeout(ctx, p.ReadyDelay)
+	defer cancel()
+	p.Node.Drain(ctx)
+	<-readyDelay.Done()
+	p.shutdown(ctx, p.grace())
+}
+
+// stopBefore hands over what cannot be finished before the deadline.
+func (p *Process) stopBefore(ctx context.Context, deadline time.Time) {
+	p.Node.DrainBefore(ctx, deadline)
+	p.shutdown(ctx, time.Until(deadline))
+	_ = p.Server.Close()
+}
+
+func (p *Process) shutdown(ctx context.Context, grace time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, grace)
+	defer cancel()
+	_ = p.Server.Shutdown(ctx)
+}
+
+func (p *Process) grace() time.Duration {
+	if p.ShutdownGrace == 0 {
+		return defaultShutdownGrace
+	}
+	return p.ShutdownGrace
+}
--- /dev/null
+++ b/internal/entry/source.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"buckthornpick/internal/peer"
+	"buckthornpick/internal/request"
+)
+
+// source delivers an answer from one node.
+type source interface {
+	next(ctx context.Context) (request.Step, error)
+	ready() bool
+	close()
+}
+
+// localSource reads a record of this node.
+type localSource struct{ cursor *request.Cursor }
+
+func (s localSource) next(ctx context.Context) (request.Step, error) { return s.cursor.Next(ctx) }
+func (s localSource) ready() bool                                    { return s.cursor.Ready() }
+func (s localSource) close()                                         {}
+
+// remoteSource reads an answer from a peer. One goroutine receives; steps wait
+// in a bounded channel, so that a wait that ends with its context loses none.
+type remoteSource struct {
+	stream *peer.Stream
+	steps  chan stepOrError
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+type stepOrError struct {
+	step request.Step
+	err  error
+}
+
+// remoteBuffer bounds the steps that were received but not delivered.
+const remoteBuffer = 64
+
+func newRemoteSource(ctx context.Context, stream *peer.Stream) *remoteSource {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	s := &remoteSource{stream: stream, steps: make(chan stepOrError, remoteBuffer), cancel: cancel}
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		s.receive(ctx)
+	}()
+	return s
+}
+
+func (s *remoteSource) receive(ctx context.Context) {
+	for {
+		var m stepMsg
+		if err := s.stream.Recv(ctx, &m); err != nil {
+			s.put(ctx, stepOrError{err: err})
+			return
+		}
+		for _, step := range stepsOf(m) {
+			if !s.put(ctx, stepOrError{step: step}) {
+				return
+			}
+		}
+		if m.End != nil || m.HandedOver {
+			return
+		}
+	}
+}
+
+func (s *remoteSource) put(ctx context.Context, v stepOrError) bool {
+	select {
+	case s.steps <- v:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *remoteSource) next(ctx context.Context) (request.Step, error) {
+	select {
+	case v := <-s.steps:
+		return v.step, v.err
+	case <-ctx.Done():
+		return request.Step{}, ctx.Err()
+	}
+}
+
+func (s *remoteSource) ready() bool { return len(s.steps) > 0 }
+
+func (s *remoteSource) close() {
+	s.cancel()
+	s.stream.Close()
+	s.done.Wait()
+}
+
+// stepsOf splits a message into steps.
+func stepsOf(m stepMsg) []request.Step {
+	var steps []request.Step
+	if m.Head != nil {
+		steps = append(steps, request.Step{Head: m.Head})
+	}
+	for i := range m.Events {
+		steps = append(steps, request.Step{Event: &m.Events[i]})
+	}
+	if m.End != nil {
+		steps = append(steps, request.Step{End: m.End})
+	}
+	if m.HandedOver {
+		steps = append(steps, request.Step{HandedOver: true})
+	}
+	return steps
+}
--- /dev/null
+++ b/internal/entry/submit.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/gateway"
+	"buckthornpick/internal/peer"
+	"buckthornpick/internal/request"
+)
+
+const (
+	// ownerWait bounds the search for a request's owner while ownership moves.
+	ownerWait = 15 * time.Second
+	// ownerPause is the time between two tries.
+	ownerPause = 100 * time.Millisecond
+	// localFallback is how long a repeatable request waits for an unreachable
+	// owner before this node runs it.
+	localFallback = time.Second
+)
+
+// MintID implements gateway.Node.
+func (n *Node) MintID() request.ID { return n.minter.mint() }
+
+// Submit implements gateway.Node.
+func (n *Node) Submit(ctx context.Context, r *request.Request, after int) (gateway.Answer, error) {
+	r.Zone = n.cfg.Self.Zone
+	f := &follower{node: n, req: r, id: r.ID, organisation: r.Organisation, after: after, info: r.Info()}
+	if err := f.connect(ctx); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// Attach implements gateway.Node.
+func (n *Node) Attach(ctx context.Context, organisation string, id request.ID, after int) (gateway.Answer, error) {
+	f := &follower{node: n, id: id, organisation: organisation, after: after}
+	if err := f.connect(ctx); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// openSubmit brings a request to its owner and returns the answer's source.
+func (n *Node) openSubmit(ctx context.Context, r *request.Request, delivered []request.Event, after int) (source, request.Info, error) {
+	owner, ok := n.members.Table().Owner(r.ID.Partition())
+	if !ok || owner.ID == n.cfg.Self.ID {
+		return n.submitHere(ctx, r, delivered, after)
+	}
+	return n.openRemote(ctx, nodeOf(owner), peer.Submit, submitMsg{Request: r, After: after, Delivered: delivered})
+}
+
+// submitHere starts a request at this node, unless a node that owned it before
+// still has it.
+func (n *Node) submitHere(ctx context.Context, r *request.Request, delivered []request.Event, after int) (source, request.Info, error) {
+	if _, ok := n.owner.Find(r.ID); !ok && !r.Minted {
+		if s, info, ok := n.openAtEarlierOwner(ctx, r, after); ok {
+			return s, info, nil
+		}
+	}
+	rec, err := n.owner.Submit(r, delivered)
+	if err != nil {
+		return nil, request.Info{}, submitError(err)
+	}
+	return localSource{rec.Cursor(after)}, rec.Request.Info(), nil
+}
+
+// submitError turns a refused idempotency key into an answer.
+func submitError(err error) error {
+	if !fault.Is(err, fault.Invalid) {
+		return err
+	}
+	return &gateway.EndError{End: request.End{Outcome: request.NotRun, Problem: "idempotency_error",
+		Message: err.Error(), Status: http.StatusUnprocessableEntity}}
+}
+
+// openAttach finds the answer of a known request.
+func (n *Node) openAttach(ctx context.Context, organisation string, id request.ID, after int) (source, request.Info, error) {
+	if s, info, ok := n.attachHere(organisation, id, after); ok {
+		return s, info, nil
+	}
+	m := attachMsg{Organisation: organisation, ID: id, After: after}
+	owner, ok := n.members.Table().Owner(id.Partition())
+	if ok && owner.ID != n.cfg.Self.ID {
+		return n.openRemote(ctx, nodeOf(owner), peer.Attach, m)
+	}
+	m.IsLocal = true
+	for _, earlier := range n.earlierOwners(id.Partition()) {
+		if s, info, err := n.openRemote(ctx, earlier, peer.Attach, m); err == nil {
+			return s, info, nil
+		}
+	}
+	return nil, request.Info{}, fault.New(fault.Invalid, "entry.attach", "", "no such request")
+}
+
+func (n *Node) attachHere(organisation string, id request.ID, after int) (source, request.Info, bool) {
+	rec, ok := n.owner.Find(id)
+	if !ok || rec.Request.Organisation != organisation {
+		return nil, request.Info{}, false
+	}
+	return localSource{rec.Cursor(after)}, rec.Request.Info(), true
+}
+
+// openRemote opens a stream to a peer and waits for the answer's Info.
+func (n *Node) openRemote(ctx context.Context, to peer.Node, kind peer.Kind, first any) (source, request.Info, error) {
+	stream, err := n.transport.Open(context.WithoutCancel(ctx), to, kind, first)
+	if err != nil {
+		return nil, request.Info{}, err
+	}
+	var m stepMsg
+	if err := stream.Recv(ctx, &m); err != nil {
+		stream.Close()
+		return nil, request.Info{}, err
+	}
+	if m.Info == nil {
+		stream.Close()
+		return nil, request.Info{}, fault.New(fault.Protocol, "entry.open", to.ID, "answer without info")
+	}
+	return newRemoteSource(ctx, stream), *m.Info, nil
+}
+
+const locateTimeout = 500 * time.Millisecond
+
+// openAtEarlierOwner follows a request that an earlier owner of its partition
+// still has.
+func (n *Node) openAtEarlierOwner(ctx context.Context, r *request.Request, after int) (source, request.Info, bool) {
+	for _, earlier := range n.earlierOwners(r.ID.Partition()) {
+		if !n.isLocatedAt(ctx, earlier, r.ID) {
+			continue
+		}
+		m := attachMsg{Organisation: r.Organisation, ID: r.ID, After: after, IsLocal: true}
+		if s, info, err := n.openRemote(ctx, earlier, peer.Attach, m); err == nil {
+			return s, info, true
+		}
+	}
+	return nil, request.Info{}, false
+}
+
+func (n *Node) isLocatedAt(ctx context.Context, at peer.Node, id request.ID) bool {
+	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
+	defer cancel()
+	reply, err := peer.Call[locateReply](ctx, n.transport, at, peer.Locate, locateMsg{ID: id})
+	return err == nil && reply.Found
+}
+
+// earlierOwners returns the other nodes that owned the partition by earlier
+// tables, latest first, without those that are known to be unreachable.
+func (n *Node) earlierOwners(partition int) []peer.Node {
+	var out []peer.Node
+	seen := map[string]bool{n.cfg.Self.ID: true}
+	for _, table := range n.members.Previous() {
+		m, ok := table.Owner(partition)
+		if !ok || seen[m.ID] {
+			continue
+		}
+		seen[m.ID] = true
+		if isAlive, isKnown := n.transport.Reachable(m.ID); isAlive || !isKnown {
+			out = append(out, nodeOf(m))
+		}
+	}
+	return out
+}
+
+// remoteEnd returns the answer that a peer's handler gave as an error.
+func remoteEnd(err error) (*gateway.EndError, bool) {
+	var end *gateway.EndError
+	if errors.As(err, &end) {
+		return end, true
+	}
+	return nil, false
+}
--- /dev/null
+++ b/internal/entry/topics.go
@@ -0,0 +1,148 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/confstore"
+	"buckthornpick/internal/inventory"
+	"buckthornpick/internal/member"
+	"buckthornpick/internal/peer"
+	"buckthornpick/internal/spread"
+)
+
+// Names of the topics that nodes pass on.
+const (
+	topicDocument  = "document"
+	topicTable     = "table"
+	topicInventory = "inventory"
+)
+
+func (n *Node) newSpreader() *spread.Spreader {
+	cfg := n.cfg.Spread
+	cfg.Peers = n.otherNodes
+	s := spread.New(cfg, n.transport, n.cfg.Log, n.cfg.Registry)
+	s.Add(topicDocument, documentTopic{n.documents})
+	s.Add(topicTable, tableTopic{n.members})
+	s.Add(topicInventory, inventoryTopic{n.inventory})
+	return s
+}
+
+// otherNodes returns the members but this one; before there is a table, the
+// seeds.
+func (n *Node) otherNodes() []peer.Node {
+	table := n.members.Table()
+	var out []peer.Node
+	for _, m := range table.Members {
+		if m.ID != n.cfg.Self.ID {
+			out = append(out, nodeOf(m))
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	return append(out, n.cfg.Seeds...)
+}
+
+const seedInterval = 500 * time.Millisecond
+
+// pullFromSeeds asks the seeds until the node has a document, so that it can
+// start while the store is away.
+func (n *Node) pullFromSeeds(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if _, ok := n.documents.Current(); ok {
+			return nil
+		}
+		for _, seed := range n.cfg.Seeds {
+			n.spreader.CompareWith(ctx, seed)
+		}
+		pause(ctx, seedInterval)
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// documentTopic spreads the operators' document.
+type documentTopic struct{ store *confstore.Store }
+
+// Version implements spread.Topic.
+func (t documentTopic) Version() int64 {
+	if s, ok := t.store.Current(); ok {
+		return s.Revision
+	}
+	return 0
+}
+
+// Encode implements spread.Topic.
+func (t documentTopic) Encode() ([]byte, int64, error) {
+	s, ok := t.store.Current()
+	if !ok {
+		return nil, 0, nil
+	}
+	value, err := msgpack.Marshal(s.Document)
+	return value, s.Revision, err
+}
+
+// Observe implements spread.Topic.
+func (t documentTopic) Observe(value []byte) (bool, error) {
+	var doc config.Document
+	if err := msgpack.Unmarshal(value, &doc); err != nil {
+		return false, err
+	}
+	return t.store.Observe(&doc), nil
+}
+
+// tableTopic spreads the table of members.
+type tableTopic struct{ members *member.Membership }
+
+// Version implements spread.Topic.
+func (t tableTopic) Version() int64 { return t.members.Table().Revision }
+
+// Encode implements spread.Topic.
+func (t tableTopic) Encode() ([]byte, int64, error) {
+	table := t.members.Table()
+	value, err := msgpack.Marshal(table)
+	return value, table.Revision, err
+}
+
+// Observe implements spread.Topic.
+func (t tableTopic) Observe(value []byte) (bool, error) {
+	var table member.Table
+	if err := msgpack.Unmarshal(value, &table); err != nil {
+		return false, err
+	}
+	return t.members.Observe(table), nil
+}
+
+// inventoryTopic spreads the view of the site.
+type inventoryTopic struct{ inventory *inventory.Inventory }
+
+// Version implements spread.Topic.
+func (t inventoryTopic) Version() int64 { return t.inventory.View().Version }
+
+// Encode implements spread.Topic.
+func (t inventoryTopic) Encode() ([]byte, int64, error) {
+	view := t.inventory.View()
+	value, err := msgpack.Marshal(view)
+	return value, view.Version, err
+}
+
+// Observe implements spread.Topic.
+func (t inventoryTopic) Observe(value []byte) (bool, error) {
+	var view inventory.View
+	if err := msgpack.Unmarshal(value, &view); err != nil {
+		return false, err
+	}
+	return t.inventory.Observe(&view), nil
+}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -213,7 +213,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	next := &View{
-		Version: i.view.Version, VMs: i.view.VMs,
+		Version: max(time.Now().UnixMicro(), i.view.Version+1), VMs: i.view.VMs,
 		Deadlines: maps.Clone(i.view.Deadlines), LastNotice: i.view.LastNotice,
 	}
 	for _, n := range notices {
--- /dev/null
+++ b/internal/load/events.go
@@ -0,0 +1,50 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+)
+
+// event is one server-sent event.
+type event struct {
+	id   int
+	name string
+	data []byte
+}
+
+// eventReader reads server-sent events.
+type eventReader struct{ lines *bufio.Scanner }
+
+// next returns the next event; comments are skipped.
+func (r *eventReader) next() (event, error) {
+	var ev event
+	for r.lines.Scan() {
+		line := r.lines.Bytes()
+		if len(line) == 0 {
+			if len(ev.data) > 0 {
+				return ev, nil
+			}
+			continue
+		}
+		ev.field(line)
+	}
+	if err := r.lines.Err(); err != nil {
+		return event{}, err
+	}
+	return event{}, io.ErrUnexpectedEOF
+}
+
+func (e *event) field(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		e.id, _ = strconv.Atoi(string(value))
+	case "event":
+		e.name = string(value)
+	case "data":
+		e.data = append(e.data, value...)
+	}
+}
--- /dev/null
+++ b/internal/standin/site/entry.go
@@ -0,0 +1,174 @@
+package site
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"buckthornpick/internal/backend"
+	"buckthornpick/internal/entry"
+	"buckthornpick/internal/kv/etcd"
+	"buckthornpick/internal/member"
+	"buckthornpick/internal/netx"
+	"buckthornpick/internal/peer"
+	"buckthornpick/internal/platform"
+	"buckthornpick/internal/platform/cloudhttp"
+	"buckthornpick/internal/telemetry"
+)
+
+// Tune changes the configuration of an entry before it starts.
+type Tune func(*entry.Config)
+
+// Secret authenticates the nodes of a stand-in site to each other.
+const Secret = "stand-in site"
+
+// Entry is one entry node of the site.
+type Entry struct {
+	ID, Zone string
+	// URL is the base URL of the callers' listener.
+	URL      string
+	Node     *entry.Node
+	Registry metrics.Registry
+
+	site    *Site
+	server  *http.Server
+	clients []*http.Client
+	stop    context.CancelFunc
+	kill    context.CancelFunc
+	done    chan struct{}
+	killing sync.Once
+}
+
+// StartEntry starts an entry node on a new VM.
+func (s *Site) StartEntry(zone string) (*Entry, error) {
+	return s.StartEntryOn(s.name("entry-"+zone), zone)
+}
+
+// StartEntryOn starts an entry node on the VM with the ID, which may have run
+// one before.
+func (s *Site) StartEntryOn(id, zone string) (*Entry, error) {
+	network := s.options.Fabric.Host(id, zone)
+	address := s.options.Fabric.Address(id, "http")
+	listener, err := network.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{ID: id, Zone: zone, URL: "http://" + address, Registry: metrics.NewRegistry(),
+		site: s, done: make(chan struct{})}
+	self := member.Member{ID: id, Zone: zone, Address: s.options.Fabric.Address(id, "peer"), HTTPAddress: address}
+	e.Node = entry.New(s.entryConfig(e, self, network))
+	e.server = &http.Server{ReadHeaderTimeout: time.Minute}
+	p := &entry.Process{Node: e.Node, Listener: listener, Server: e.server}
+	s.Cloud.Add(platform.VM{ID: id, Zone: zone, Class: "entry", Reclaimable: true})
+	s.addEntry(e)
+	e.run(p)
+	return e, nil
+}
+
+func (s *Site) entryConfig(e *Entry, self member.Member, network netx.Network) entry.Config {
+	log := telemetry.Discard()
+	if s.options.Log != nil {
+		log = s.options.Log(self.ID, self.Zone)
+	}
+	storeClient := e.client(network)
+	cloudClient := e.client(network)
+	cloud := cloudhttp.New(s.cloudURL, cloudClient, log)
+	c := entry.Config{
+		Self: self, Secret: []byte(Secret), Seeds: s.seeds(self.ID), Network: network,
+		Store:  etcd.New(etcd.Config{Endpoint: s.storeURL}, storeClient, e.Registry),
+		Lister: cloud, Notices: cloud,
+		Backends: backend.NewHTTPClient(e.client(network), log),
+		Log:      log, Registry: e.Registry,
+	}
+	if s.options.Tune != nil {
+		s.options.Tune(&c)
+	}
+	return c
+}
+
+func (e *Entry) client(n netx.Network) *http.Client {
+	c := netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: 64})
+	e.clients = append(e.clients, c)
+	return c
+}
+
+// seeds returns the entries that run already.
+func (s *Site) seeds(self string) []peer.Node {
+	var out []peer.Node
+	for _, e := range s.Entries() {
+		if m, ok := e.Node.Members().Table().Find(e.ID); ok && e.ID != self {
+			out = append(out, peer.Node{ID: m.ID, Zone: m.Zone, Address: m.Address})
+		}
+	}
+	return out
+}
+
+func (e *Entry) run(p *entry.Process) {
+	planned, stop := context.WithCancel(context.Background())
+	e.stop = stop
+	killed, kill := context.WithCancel(context.Background())
+	e.kill = kill
+	go func() {
+		defer close(e.done)
+		defer e.closeClients()
+		_ = p.RunUntilKilled(planned, killed)
+	}()
+}
+
+func (e *Entry) closeClients() {
+	for _, c := range e.clients {
+		c.CloseIdleConnections()
+	}
+}
+
+// Stop starts a planned stop, as SIGTERM does. Done tells when it is over.
+func (e *Entry) Stop() { e.stop() }
+
+// Done is closed when the entry's process has ended.
+func (e *Entry) Done() <-chan struct{} { return e.done }
+
+// Kill ends the entry's process at once, as SIGKILL does.
+func (e *Entry) Kill() {
+	e.killing.Do(func() {
+		e.site.options.Fabric.Kill(e.ID)
+		e.kill()
+		_ = e.server.Close()
+		<-e.done
+		e.stop()
+	})
+}
+
+func (s *Site) addEntry(e *Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries[e.ID] = e
+}
+
+// Entry returns the entry node with the ID.
+func (s *Site) Entry(id string) (*Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[id]
+	return e, ok
+}
+
+// Entries returns the entries whose processes have not ended, in the order of
+// their IDs.
+func (s *Site) Entries() []*Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*Entry
+	for _, e := range s.entries {
+		select {
+		case <-e.done:
+		default:
+			out = append(out, e)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
