Membership: lease, table of members by compare-and-swap, ownership

Cause: every request needs one owner, and ownership must stay put while the store is away and move soon after a node dies. Change: internal/member. One lease and one key per node, one table key; two watchers a zone remove lapsed members with a guard on the absence of their lease keys; partitions that moved without a handover are marked for the gap window; rendezvous hashing gives the owners.

--- /dev/null
+++ b/internal/member/follow.go
@@ -0,0 +1,288 @@
+package member
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/kv"
+)
+
+const (
+	// watchersPerZone is how many members of a zone watch the store.
+	watchersPerZone = 2
+	// removalDelay gathers members that lapse together into one change.
+	removalDelay = 100 * time.Millisecond
+	// removalStagger is the further delay for each watcher that goes first.
+	removalStagger = 300 * time.Millisecond
+	// watchBackoff is the first wait before a broken watch is opened again.
+	watchBackoff = 250 * time.Millisecond
+	// maxWatchBackoff bounds that wait.
+	maxWatchBackoff = 5 * time.Second
+)
+
+// follow keeps the table fresh: by a watch if the node is one of its zone's
+// watchers, otherwise by what peers pass on and a rare read.
+func (m *Membership) follow(ctx context.Context) error {
+	tables, cancel := m.Subscribe()
+	defer cancel()
+	wait := watchBackoff
+	for ctx.Err() == nil {
+		if !m.isWatcher() {
+			m.awaitTable(ctx, tables)
+			continue
+		}
+		opened := time.Now()
+		err := m.watch(ctx, tables)
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		m.log.Log(EvWatchBroken, "error", err)
+		if time.Since(opened) > maxWatchBackoff {
+			wait = watchBackoff
+		}
+		pause(ctx, m.jitter(wait))
+		wait = min(2*wait, maxWatchBackoff)
+	}
+	return ctx.Err()
+}
+
+// awaitTable returns when a newer table came or it is time to read it.
+func (m *Membership) awaitTable(ctx context.Context, tables <-chan Table) {
+	timer := time.NewTimer(m.jitter(2 * m.cfg.PollInterval)) // PollInterval and above
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-tables:
+	case <-timer.C:
+		_, _ = m.read(ctx) // a failure is tried again at the next turn
+	}
+}
+
+func (m *Membership) isWatcher() bool {
+	return slices.ContainsFunc(watchers(m.Table()), func(w Member) bool { return w.ID == m.cfg.Self.ID })
+}
+
+// watchers returns the lowest-ranked members of each zone.
+func watchers(t Table) []Member {
+	var out []Member
+	perZone := map[string]int{}
+	for _, member := range t.Members {
+		if perZone[member.Zone] < watchersPerZone {
+			perZone[member.Zone]++
+			out = append(out, member)
+		}
+	}
+	return out
+}
+
+// removalOrder is the watcher's turn in removing lapsed: watchers of the same
+// zone go first, and the lapsed member itself does not count.
+func removalOrder(t Table, lapsed Member, self string) int {
+	order := slices.DeleteFunc(watchers(t), func(w Member) bool { return w.ID == lapsed.ID })
+	slices.SortStableFunc(order, func(a, b Member) int {
+		if (a.Zone == lapsed.Zone) != (b.Zone == lapsed.Zone) {
+			if a.Zone == lapsed.Zone {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+	return max(0, slices.IndexFunc(order, func(w Member) bool { return w.ID == self }))
+}
+
+// missing is a member of the table without a lease key.
+type missing struct {
+	member Member
+	due    time.Time
+}
+
+// session is one open watch of the table and the lease keys.
+type session struct {
+	m *Membership
+	// trusted is when lease keys may be held missing: members that lost their
+	// leases in an outage have had a lease's time to come back.
+	trusted time.Time
+	live    map[string]bool // lease keys in the store
+	missing map[string]missing
+}
+
+// watch follows the store until the stream breaks (an error) or the node is no
+// longer a watcher (nil).
+func (m *Membership) watch(ctx context.Context, tables <-chan Table) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	snap, err := m.store.List(ctx, memberPrefix)
+	if err != nil {
+		return err
+	}
+	if _, err := m.read(ctx); err != nil {
+		return err
+	}
+	tableWatch, err := m.store.Watch(ctx, tableKey, snap.Revision)
+	if err != nil {
+		return err
+	}
+	defer drain(tableWatch)
+	memberWatch, err := m.store.Watch(ctx, memberPrefix, snap.Revision)
+	if err != nil {
+		cancel()
+		return err
+	}
+	defer drain(memberWatch)
+	defer cancel()
+	s := &session{m: m, trusted: time.Now().Add(m.cfg.LeaseTTL), live: map[string]bool{}, missing: map[string]missing{}}
+	for _, e := range snap.Entries {
+		s.live[e.Key] = true
+	}
+	return s.run(ctx, tables, tableWatch, memberWatch)
+}
+
+// drain waits for the end of a watch whose context has ended.
+func drain(batches <-chan kv.WatchBatch) {
+	for range batches {
+	}
+}
+
+func (s *session) run(ctx context.Context, tables <-chan Table, tableWatch, memberWatch <-chan kv.WatchBatch) error {
+	poll := time.NewTicker(s.m.cfg.PollInterval)
+	defer poll.Stop()
+	for s.m.isWatcher() {
+		s.compare(s.m.Table())
+		due := time.NewTimer(s.nextDue())
+		var err error
+		select {
+		case <-ctx.Done():
+			err = ctx.Err()
+		case <-tables:
+		case batch, ok := <-tableWatch:
+			err = s.takeTable(batch, ok)
+		case batch, ok := <-memberWatch:
+			err = s.takeMembers(batch, ok)
+		case <-poll.C:
+			_, err = s.m.read(ctx)
+		case <-due.C:
+			err = s.removeDue(ctx)
+		}
+		due.Stop()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkBatch(batch kv.WatchBatch, ok bool) error {
+	if !ok || batch.Compacted {
+		return fault.New(fault.Unavailable, "member.watch", "", "watch ended (compacted: %t)", batch.Compacted)
+	}
+	return nil
+}
+
+func (s *session) takeTable(batch kv.WatchBatch, ok bool) error {
+	if err := checkBatch(batch, ok); err != nil {
+		return err
+	}
+	for _, e := range batch.Events {
+		if e.Deleted || e.Entry.Key != tableKey {
+			continue
+		}
+		t, err := decodeTable(e.Entry.Value, e.Entry.ModRevision)
+		if err != nil {
+			return fault.Wrap(err, fault.Protocol, "member.watch", tableKey, "decode table")
+		}
+		s.m.Observe(t)
+	}
+	return nil
+}
+
+func (s *session) takeMembers(batch kv.WatchBatch, ok bool) error {
+	if err := checkBatch(batch, ok); err != nil {
+		return err
+	}
+	for _, e := range batch.Events {
+		if e.Deleted {
+			delete(s.live, e.Entry.Key)
+		} else {
+			s.live[e.Entry.Key] = true
+		}
+	}
+	return nil
+}
+
+// compare brings the missing members in line with the table and the lease keys.
+func (s *session) compare(t Table) {
+	for id, lost := range s.missing {
+		if now, ok := t.Find(id); !ok || now != lost.member || s.live[memberKey(now)] {
+			delete(s.missing, id)
+		}
+	}
+	for _, member := range t.Members {
+		if _, known := s.missing[member.ID]; known || s.live[memberKey(member)] {
+			continue
+		}
+		turn := removalOrder(t, member, s.m.cfg.Self.ID)
+		due := time.Now().Add(removalDelay + time.Duration(turn)*removalStagger)
+		if due.Before(s.trusted) {
+			due = s.trusted.Add(time.Duration(turn) * removalStagger)
+		}
+		s.missing[member.ID] = missing{member: member, due: due}
+	}
+}
+
+// nextDue returns the wait for the next removal, an hour if there is none.
+func (s *session) nextDue() time.Duration {
+	wait := time.Hour
+	for _, lost := range s.missing {
+		wait = min(wait, max(0, time.Until(lost.due)))
+	}
+	return wait
+}
+
+// removeDue removes the members whose turn has come. A node whose own lease is
+// in doubt removes nobody.
+func (s *session) removeDue(ctx context.Context) error {
+	var due []Member
+	for id, lost := range s.missing {
+		if time.Now().Before(lost.due) {
+			continue
+		}
+		due = append(due, lost.member)
+		lost.due = time.Now().Add(time.Second) // should this try not end it
+		s.missing[id] = lost
+	}
+	if len(due) == 0 || !s.m.LeaseValid() {
+		return nil
+	}
+	slices.SortFunc(due, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	ctx, cancel := context.WithTimeout(ctx, s.m.cfg.LeaseTTL)
+	defer cancel()
+	removed := 0
+	err := s.m.change(ctx, func(t Table) (next Table, guards []kv.Compare, changed bool, err error) {
+		next, guards, removed = s.m.remove(t, due)
+		return next, guards, removed > 0, nil
+	})
+	if err == nil && removed > 0 {
+		s.m.log.Log(EvRemoved, "members", removed)
+		s.m.count("removals")
+	}
+	return err
+}
+
+// remove takes those of lapsed that the table still has out of it, each with a
+// gap. The guards hold only while none of them has a lease key.
+func (m *Membership) remove(t Table, lapsed []Member) (next Table, guards []kv.Compare, removed int) {
+	next = t
+	for _, member := range lapsed {
+		if now, ok := t.Find(member.ID); !ok || now != member {
+			continue
+		}
+		guards = append(guards, kv.Compare{Key: memberKey(member)})
+		next = next.without(member.ID).withGap(gapOf(t, member), m.cfg.GapWindow)
+		removed++
+	}
+	return next, guards, removed
+}
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,244 @@
+// Package member keeps a node's lease, the versioned table of members and the
+// ownership of partitions. The table is one key of the store that changes by
+// compare-and-swap only: a member joins, leaves, or is removed after its lease
+// has lapsed. The table stays as it is while the store is away.
+package member
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"buckthornpick/internal/kv"
+	"buckthornpick/internal/telemetry"
+)
+
+const (
+	tableKey     = "bp/table"
+	memberPrefix = "bp/members/"
+
+	defaultLeaseTTL     = 10 * time.Second
+	defaultGapWindow    = 11 * time.Minute
+	defaultPollInterval = 30 * time.Second
+	// maxPrevious bounds the earlier tables that are kept.
+	maxPrevious = 8
+)
+
+// Config is the settings of a node's membership.
+type Config struct {
+	// Self is the node; its Incarnation is set on joining.
+	Self Member
+	// LeaseTTL is the time after the last renewal at which the store drops
+	// the node; default 10 s, whole seconds.
+	LeaseTTL time.Duration
+	// DriftMargin is taken off the lease for clock drift; default LeaseTTL/10.
+	DriftMargin time.Duration
+	// GapWindow is how long a partition that changed hands without a handover
+	// counts as dirty; default 11 min (the key window of 10 min and a minute
+	// for clocks that differ).
+	GapWindow time.Duration
+	// PollInterval is how often the table is read when nothing was heard of
+	// it, and how often a watcher checks its connection; default 30 s.
+	PollInterval time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.LeaseTTL, defaultLeaseTTL)
+	setDefault(&c.DriftMargin, c.LeaseTTL/10)
+	setDefault(&c.GapWindow, defaultGapWindow)
+	setDefault(&c.PollInterval, defaultPollInterval)
+	return c
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+// Membership is one node's view of the table and its own place in it.
+type Membership struct {
+	cfg   Config
+	store kv.Store
+	log   *telemetry.Logger
+	reg   metrics.Registry
+
+	// lifecycle is held (by sending) while the node joins or leaves.
+	lifecycle chan struct{}
+	// rejoin asks the lease loop to look at the node's place in the table.
+	rejoin chan struct{}
+
+	mu          sync.Mutex
+	rng         *rand.Rand
+	table       Table
+	previous    []Table
+	subscribers map[chan Table]struct{}
+	lease       kv.LeaseID
+	incarnation int64
+	lives       map[int64]bool // incarnations of this process
+	validUntil  time.Time      // by the monotonic and the wall clock
+	leaving     bool
+}
+
+// New returns a membership that does nothing until Run. Metrics go to registry
+// as "member.*".
+func New(cfg Config, store kv.Store, log *telemetry.Logger, registry metrics.Registry) *Membership {
+	return &Membership{
+		cfg:         cfg.withDefaults(),
+		store:       store,
+		log:         log,
+		reg:         registry,
+		lifecycle:   make(chan struct{}, 1),
+		rejoin:      make(chan struct{}, 1),
+		rng:         rand.New(rand.NewPCG(xxhash.Sum64String(cfg.Self.ID), 0)),
+		subscribers: map[chan Table]struct{}{},
+		lives:       map[int64]bool{},
+	}
+}
+
+// Run joins the table, renews the lease and follows the table until ctx ends.
+// It does not leave: a node that stops for good calls Leave first.
+func (m *Membership) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return m.keepLease(ctx) })
+	g.Go(func() error { return m.follow(ctx) })
+	return g.Wait()
+}
+
+// Table returns the latest table seen; its Revision is 0 before the first.
+func (m *Membership) Table() Table {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table
+}
+
+// Previous returns up to 8 earlier tables, newest first.
+func (m *Membership) Previous() []Table {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]Table(nil), m.previous...)
+}
+
+// Observe takes a table that a peer or the store passed on. It returns false
+// if the table is not newer than the one in force.
+func (m *Membership) Observe(t Table) bool {
+	t = NewTable(t.Revision, t.Members, t.Gaps)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if t.Revision <= m.table.Revision {
+		return false
+	}
+	if m.table.Revision > 0 {
+		m.previous = append([]Table{m.table}, m.previous...)
+		m.previous = m.previous[:min(len(m.previous), maxPrevious)]
+	}
+	m.table = t
+	m.log.Log(EvTableChanged, "revision", t.Revision, "members", len(t.Members), "gaps", len(t.Gaps))
+	metrics.GetOrRegisterGauge("member.table.revision", m.reg).Update(t.Revision)
+	metrics.GetOrRegisterGauge("member.table.members", m.reg).Update(int64(len(t.Members)))
+	for ch := range m.subscribers {
+		offer(ch, t)
+	}
+	if self, ok := t.Find(m.cfg.Self.ID); !ok || self.Incarnation != m.incarnation {
+		m.requestRejoin()
+	}
+	return true
+}
+
+// offer replaces the value that waits in ch. Membership.mu makes it the only
+// sender.
+func offer(ch chan Table, t Table) {
+	select {
+	case <-ch:
+	default:
+	}
+	ch <- t
+}
+
+// Subscribe returns a channel that holds the latest table not yet taken, the
+// present one first if there is one, and a function that ends the subscription.
+func (m *Membership) Subscribe() (<-chan Table, func()) {
+	ch := make(chan Table, 1)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.subscribers[ch] = struct{}{}
+	if m.table.Revision > 0 {
+		ch <- m.table
+	}
+	return ch, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.subscribers, ch)
+	}
+}
+
+// LeaseValid reports whether the node's lease certainly holds. It is counted
+// from before the renewal was sent, less the margin, and needs the monotonic
+// and the wall clock to agree: the monotonic clock may stand still while a VM
+// is suspended.
+func (m *Membership) LeaseValid() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	return now.Before(m.validUntil) && now.Round(0).Before(m.validUntil.Round(0))
+}
+
+// TableKey returns the store key of the table. A transaction guarded by this
+// key and Table().Revision commits only while that table is in force.
+func (m *Membership) TableKey() string { return tableKey }
+
+// AcquiredDirty reports whether the node owns the partition and the partition
+// changed hands without a handover within the gap window, and since when. A
+// gap left by this process itself does not count: it still knows its requests.
+func (m *Membership) AcquiredDirty(partition int) (since time.Time, dirty bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	owner, ok := m.table.Owner(partition)
+	if !ok || owner.ID != m.cfg.Self.ID {
+		return time.Time{}, false
+	}
+	for _, gap := range m.table.Gaps {
+		if m.lives[gap.Member.Incarnation] || !gap.Partitions.Has(partition) {
+			continue
+		}
+		if time.Since(gap.Since) < m.cfg.GapWindow && gap.Since.After(since) {
+			since, dirty = gap.Since, true
+		}
+	}
+	return since, dirty
+}
+
+func (m *Membership) requestRejoin() {
+	select {
+	case m.rejoin <- struct{}{}:
+	default:
+	}
+}
+
+// jitter returns a random duration in [d/2, d].
+func (m *Membership) jitter(d time.Duration) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return d/2 + time.Duration(m.rng.Int64N(int64(d/2)+1))
+}
+
+func (m *Membership) count(name string) {
+	metrics.GetOrRegisterCounter("member."+name, m.reg).Inc(1)
+}
+
+// pause waits for d; false means that ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,319 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/kv"
+	"buckthornpick/internal/telemetry"
+)
+
+func TestSevenNodesJoinAtOnce(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		c.startAll(7)
+		require.Empty(t, c.requireAgreement(7).Gaps)
+		tables := c.history(c.nodes["e00"])
+		require.Len(t, tables, 7, "one change for each join")
+		for i, table := range tables {
+			require.Len(t, table.Members, i+1, "a join undid another one")
+		}
+	})
+}
+
+func TestLoneNodeWatchesAndReplacesTheDead(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		c.startAll(3)
+		for i := range 3 {
+			c.crash(fmt.Sprintf("e%02d", i))
+		}
+		time.Sleep(settle)
+		require.Len(t, c.stored().Members, 3, "nobody is left to remove them")
+		c.start(5)
+		time.Sleep(settle)
+		require.Len(t, c.requireAgreement(1).Gaps, 3)
+	})
+}
+
+func TestCrashedMemberIsRemovedOnceWithGap(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		c.startAll(7)
+		before := c.stored()
+		c.crash("e00")
+		c.crash("e03") // both watchers of zone z0
+		time.Sleep(defaultLeaseTTL + 2*time.Second)
+		require.Len(t, c.stored().Members, 5, "removed soon after the leases lapse")
+		time.Sleep(settle)
+		after := c.requireAgreement(5)
+		require.Len(t, after.Gaps, 2)
+		dirty := 0
+		for p := range partitions {
+			old, _ := before.Owner(p)
+			now, _ := after.Owner(p)
+			lost := old.ID == "e00" || old.ID == "e03"
+			if !lost {
+				require.Equal(t, old.ID, now.ID, "partition moved without need")
+			}
+			_, got := c.nodes[now.ID].AcquiredDirty(p)
+			require.Equal(t, lost, got)
+			if got {
+				dirty++
+			}
+		}
+		require.Positive(t, dirty)
+		time.Sleep(defaultGapWindow)
+		for p := range partitions {
+			now, _ := after.Owner(p)
+			_, got := c.nodes[now.ID].AcquiredDirty(p)
+			require.False(t, got, "the gap window has passed")
+		}
+	})
+}
+
+func TestWholeZoneLapses(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		c.startAll(7)
+		for _, id := range []string{"e00", "e03", "e06"} {
+			c.net.CutHost(id)
+		}
+		time.Sleep(settle)
+		require.Len(t, c.stored().Members, 4)
+		require.Len(t, c.stored().Gaps, 3)
+		c.net.HealAll()
+		time.Sleep(settle)
+		c.requireAgreement(7)
+	})
+}
+
+func TestLeaveHandsOverWithoutGap(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		c.startAll(4)
+		leaver := c.nodes["e01"]
+		require.NoError(t, leaver.Leave(t.Context()))
+		require.False(t, leaver.LeaseValid())
+		time.Sleep(settle)
+		_, revision := c.server.Peek(memberKey(leaver.cfg.Self))
+		require.Zero(t, revision, "the lease key is gone")
+		c.stop("e01")
+		require.Empty(t, c.requireAgreement(3).Gaps)
+	})
+}
+
+func TestPausedMemberLosesLeaseFirstAndComesBack(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		c.startAll(4)
+		paused := c.nodes["e02"]
+		old := paused.life()
+		c.net.PauseHost("e02")
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+			if _, in := c.stored().Find("e02"); !in {
+				require.False(t, paused.LeaseValid(), "removed while it held its lease")
+			}
+		}
+		_, in := c.stored().Find("e02")
+		require.False(t, in)
+		c.net.ResumeHost("e02")
+		time.Sleep(settle)
+		c.requireAgreement(4)
+		require.Greater(t, paused.life(), old)
+		for p := range partitions {
+			_, dirty := paused.AcquiredDirty(p)
+			require.False(t, dirty, "the process still knows its own requests")
+		}
+	})
+}
+
+func TestStoreOutageRemovesNobody(t *testing.T) {
+	for name, lapse := range map[string]bool{"leases kept": false, "leases lapse": true} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, c *cluster) {
+				c.startAll(7)
+				before := c.stored()
+				c.server.Faults.LapseInOutage(lapse)
+				c.server.Faults.SetOutage(true)
+				time.Sleep(5 * time.Minute)
+				require.Equal(t, before.Revision, c.stored().Revision)
+				for id, n := range c.nodes {
+					require.False(t, n.LeaseValid(), id)
+				}
+				c.server.Faults.SetOutage(false)
+				time.Sleep(settle)
+				after := c.requireAgreement(7)
+				require.Empty(t, after.Gaps)
+				require.Equal(t, lapse, after.Revision != before.Revision)
+			})
+		})
+	}
+}
+
+func TestSlowReturnAfterOutageIsWaitedFor(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		c.startAll(7)
+		c.server.Faults.LapseInOutage(true)
+		c.server.Faults.SetOutage(true)
+		time.Sleep(time.Minute)
+		c.net.CutHost("e05")
+		c.server.Faults.SetOutage(false)
+		time.Sleep(8 * time.Second) // under a lease's time
+		c.net.HealHost("e05")
+		time.Sleep(settle)
+		require.Empty(t, c.requireAgreement(7).Gaps)
+	})
+}
+
+func TestMemberMissingFromTableEntersAgain(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		c.startAll(3)
+		life := c.nodes["e02"].life()
+		table := c.stored()
+		value, err := encodeTable(table.without("e02"))
+		require.NoError(t, err)
+		_, err = c.nodes["e00"].store.Txn(t.Context(), nil, []kv.Op{kv.Put(tableKey, value)})
+		require.NoError(t, err)
+		time.Sleep(settle)
+		c.requireAgreement(3)
+		require.Equal(t, life, c.nodes["e02"].life(), "the lease still held")
+	})
+}
+
+func TestRestartUnderSameIDLeavesGap(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		c.startAll(3)
+		old := c.nodes["e01"].life()
+		c.crash("e01")
+		reborn := c.start(1) // at once, while the old lease still runs
+		time.Sleep(settle)
+		after := c.requireAgreement(3)
+		require.Greater(t, reborn.life(), old)
+		require.Len(t, after.Gaps, 1)
+		require.Equal(t, old, after.Gaps[0].Member.Incarnation)
+		for p := range partitions {
+			owner, _ := after.Owner(p)
+			_, dirty := c.nodes[owner.ID].AcquiredDirty(p)
+			require.Equal(t, owner.ID == "e01", dirty)
+		}
+	})
+}
+
+func TestChangesWithLostAnswersSettle(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		c.server.Faults.LoseAnswers(0.3)
+		c.startAll(7)
+		c.requireMembers(7)
+		ctx, cancel := context.WithTimeout(t.Context(), settle)
+		defer cancel()
+		require.NoError(t, c.nodes["e04"].Leave(ctx))
+		c.stop("e04")
+		c.crash("e05")
+		c.server.Faults.LoseAnswers(0)
+		time.Sleep(2 * settle)
+		require.Len(t, c.requireAgreement(5).Gaps, 1)
+	})
+}
+
+// requireMembers checks the members of the stored table.
+func (c *cluster) requireMembers(count int) {
+	c.t.Helper()
+	require.Len(c.t, c.stored().Members, count)
+}
+
+func TestDelayedRemovalDoesNotTakeOutTheRejoined(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		c.startAll(3)
+		n := c.nodes["e00"]
+		lapsed := c.stored()
+		// The guards of a removal fail while the member has a lease key.
+		_, guards, removed := n.remove(lapsed, []Member{lapsed.Members[2]})
+		require.Equal(t, 1, removed)
+		result, err := n.store.Txn(t.Context(), guards, nil)
+		require.NoError(t, err)
+		require.False(t, result.Succeeded)
+	})
+}
+
+func TestLeaveWithoutStoreSaysSo(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		c.startAll(2)
+		c.server.Faults.SetOutage(true)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		err := c.nodes["e00"].Leave(ctx)
+		require.True(t, fault.Is(err, fault.Unavailable), "%v", err)
+		require.Len(t, c.stored().Members, 2)
+	})
+}
+
+func TestObserveOnlyRises(t *testing.T) {
+	m := New(Config{Self: Member{ID: "a"}}, nil, telemetry.Discard(), metrics.NewRegistry())
+	tables, cancel := m.Subscribe()
+	defer cancel()
+	for revision := int64(1); revision <= 20; revision++ {
+		require.True(t, m.Observe(Table{Revision: revision}))
+		require.False(t, m.Observe(Table{Revision: revision}))
+		require.False(t, m.Observe(Table{Revision: revision - 1}))
+	}
+	require.Equal(t, int64(20), (<-tables).Revision, "only the latest waits")
+	require.Len(t, m.Previous(), maxPrevious)
+	require.Equal(t, int64(19), m.Previous()[0].Revision)
+}
+
+func TestOwnersAreBalancedAndStable(t *testing.T) {
+	var members []Member
+	for i := range 7 {
+		members = append(members, Member{ID: fmt.Sprintf("entry-%d", i)})
+	}
+	full := NewTable(1, members, nil)
+	less := full.without("entry-3")
+	count := map[string]int{}
+	for p := range partitions {
+		a, ok := full.Owner(p)
+		require.True(t, ok)
+		count[a.ID]++
+		plain, _ := Table{Members: full.Members}.Owner(p)
+		require.Equal(t, a, plain)
+		if b, _ := less.Owner(p); a.ID != "entry-3" {
+			require.Equal(t, a, b)
+		}
+	}
+	for id, n := range count {
+		require.InDelta(t, partitions/7, n, partitions/14, id)
+	}
+	_, ok := Table{}.Owner(0)
+	require.False(t, ok)
+	_, ok = full.Owner(partitions)
+	require.False(t, ok)
+}
+
+// TestIdleCallRate measures the calls per second and node on the store, and
+// holds them to one renewal per third of a lease and one read per poll.
+func TestIdleCallRate(t *testing.T) {
+	const span = 10 * time.Minute
+	for _, count := range []int{1, 7, 50} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			bubble(t, func(t *testing.T, c *cluster) {
+				c.startAll(count)
+				time.Sleep(settle)
+				before := c.server.Calls()
+				time.Sleep(span)
+				after := c.server.Calls()
+				perNode := map[string]float64{}
+				for kind, n := range after {
+					if n > before[kind] {
+						perNode[kind] = float64(n-before[kind]) / span.Seconds() / float64(count)
+					}
+				}
+				t.Logf("%d members: calls/s per node %v, standing watches %d", count, perNode, after["watch"])
+				require.LessOrEqual(t, perNode["keepalive"], renewalsPerTTL/defaultLeaseTTL.Seconds()+0.01)
+				require.LessOrEqual(t, perNode["range"], 1/defaultPollInterval.Seconds()+0.01)
+				require.Len(t, perNode, 2, "idle nodes renew and read, nothing else")
+				c.requireAgreement(count)
+			})
+		})
+	}
+}
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -167,3 +167,14 @@
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(wire.Error{Message: r.message, Code: r.code})
 }
+
+// Peek returns a key's value and ModRevision past all faults and without
+// counting a call; the revision is 0 if the key does not exist.
+func (s *Server) Peek(key string) (value []byte, revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.state.keys[key]; r != nil {
+		return r.kv.Value, r.kv.ModRevision
+	}
+	return nil, 0
+}
