Operators' API, bpctl and the settings page

Cause: operators drive the site by its document only and need to see who has it in force. Change: internal/admin serves and calls /admin/v1/ (document with If-Match and Operation-Id, history, explain, revision, status, drain); internal/control is bpctl; docs/SETTINGS.md lists every field, checked by a test. The reader takes null for an empty list, because Go writes it so: without that, a document read by get was refused by apply. Conclusion: accepted, conflicting, faulty and unknown changes have an exit code each, tested over HTTP.

--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,215 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/confstore"
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/kv"
+	"buckthornpick/internal/telemetry"
+)
+
+// memory is a kv.Store for one writer at a time; txnErr fails transactions.
+type memory struct {
+	kv.Store
+	mu       sync.Mutex
+	entries  map[string]kv.Entry
+	revision int64
+	txnErr   error
+}
+
+func (m *memory) Get(_ context.Context, key string) (kv.Entry, bool, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.entries[key]
+	return e, ok, nil
+}
+
+func (m *memory) List(_ context.Context, prefix string) (kv.Snapshot, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	snapshot := kv.Snapshot{Revision: m.revision}
+	for k, e := range m.entries {
+		if strings.HasPrefix(k, prefix) {
+			snapshot.Entries = append(snapshot.Entries, e)
+		}
+	}
+	return snapshot, nil
+}
+
+func (m *memory) Txn(_ context.Context, guards []kv.Compare, ops []kv.Op) (kv.TxnResult, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.txnErr != nil {
+		return kv.TxnResult{}, m.txnErr
+	}
+	for _, g := range guards {
+		if m.entries[g.Key].ModRevision != g.ModRevision {
+			return kv.TxnResult{}, nil
+		}
+	}
+	m.revision++
+	for _, op := range ops {
+		m.entries[op.Key] = kv.Entry{Key: op.Key, Value: op.Value, ModRevision: m.revision}
+	}
+	return kv.TxnResult{Succeeded: true, Revision: m.revision}, nil
+}
+
+type site struct {
+	store  *memory
+	server *httptest.Server
+	client *Client
+}
+
+func newSite(t *testing.T) *site {
+	store := &memory{entries: map[string]kv.Entry{}}
+	api := New(Config{
+		Node: "n1", Zone: "a", Token: "secret", ProposeTimeout: 100 * time.Millisecond, Log: telemetry.Discard(),
+		Document: confstore.New(confstore.Config{Self: "n1"}, store, telemetry.Discard(), nil),
+	})
+	server := httptest.NewServer(api.Handler())
+	t.Cleanup(server.Close)
+	settings := config.ControlSettings{AdminURLs: []string{server.URL}, Token: "secret", Author: "ola"}
+	client, err := NewClient(settings)
+	require.NoError(t, err)
+	return &site{store: store, server: server, client: client}
+}
+
+func document(service string) *config.Document {
+	return &config.Document{
+		Organisations: []config.Organisation{{Name: "shop"}},
+		Services:      []config.Service{{Name: service, Kind: config.PlainService}},
+		Rules: []config.Rule{
+			{Name: "shop", When: config.When{Organisations: []string{"shop"}}, Then: config.Then{Service: service}},
+			{Name: "rest", Then: config.Then{Refuse: &config.Refuse{Reason: "closed"}}},
+		},
+	}
+}
+
+func answerOf(t *testing.T, err error) *AnswerError {
+	var answer *AnswerError
+	require.ErrorAs(t, err, &answer)
+	return answer
+}
+
+func TestChangeIsAcceptedOnceAndReadBack(t *testing.T) {
+	s := newSite(t)
+	_, err := s.client.Document(t.Context())
+	require.Equal(t, http.StatusNotFound, answerOf(t, err).Status)
+
+	for range 2 {
+		accepted, err := s.client.Apply(t.Context(), document("a"), 0, "op1")
+		require.NoError(t, err)
+		require.EqualValues(t, 1, accepted.Revision)
+	}
+	doc, err := s.client.Document(t.Context())
+	require.NoError(t, err)
+	require.EqualValues(t, 1, doc.Revision)
+	history, err := s.client.History(t.Context(), 5)
+	require.NoError(t, err)
+	require.Len(t, history.Entries, 1)
+	require.Equal(t, "ola", history.Entries[0].Author)
+	revision, err := s.client.Revision(t.Context(), s.server.URL)
+	require.NoError(t, err)
+	require.Equal(t, RevisionAnswer{Node: "n1", Zone: "a", Revision: 1, OperationID: "op1"}, *revision)
+}
+
+func TestLostChangeGetsTheCurrentRevisionAndADiff(t *testing.T) {
+	s := newSite(t)
+	_, err := s.client.Apply(t.Context(), document("a"), 0, "op1")
+	require.NoError(t, err)
+	_, err = s.client.Apply(t.Context(), document("b"), 0, "op2")
+	answer := answerOf(t, err)
+	require.Equal(t, http.StatusConflict, answer.Status)
+	require.EqualValues(t, 1, answer.Answer.Revision)
+	require.Contains(t, answer.Answer.Diff, config.Difference{
+		Field: `rules["shop"].then.service`, Old: `"a"`, New: `"b"`})
+}
+
+func TestChangeFailures(t *testing.T) {
+	tests := []struct {
+		name   string
+		txnErr error
+		doc    *config.Document
+		status int
+		kind   string
+	}{
+		{"faults", nil, &config.Document{Rules: []config.Rule{{Name: "r"}}}, http.StatusUnprocessableEntity, TypeInvalid},
+		{"store down", fault.New(fault.Unavailable, "kv", "", "down"), document("a"), http.StatusServiceUnavailable, TypeUnavailable},
+		{"lost answers", fault.New(fault.Ambiguous, "kv", "", "lost"), document("a"), http.StatusGatewayTimeout, TypeOutcomeUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSite(t)
+			s.store.txnErr = tt.txnErr
+			_, err := s.client.Apply(t.Context(), tt.doc, 0, "op1")
+			require.Error(t, err)
+			answer := answerOf(t, err)
+			require.Equal(t, tt.status, answer.Status)
+			require.Equal(t, tt.kind, answer.Answer.Type)
+			if tt.status == http.StatusUnprocessableEntity {
+				require.Equal(t, "rules[0].then", answer.Answer.Problems[0].Field)
+			}
+		})
+	}
+}
+
+func TestExplainAnswersForASample(t *testing.T) {
+	s := newSite(t)
+	_, err := s.client.Apply(t.Context(), document("a"), 0, "op1")
+	require.NoError(t, err)
+	answer, err := s.client.Explain(t.Context(), ExplainRequest{Organisation: "other", Service: "a", Kind: "plain"})
+	require.NoError(t, err)
+	require.Equal(t, "rest", answer.Name)
+	require.Equal(t, []string{`organisation "other" is not one of ["shop"]`}, answer.Steps[0].Reasons)
+
+	answer, err = s.client.Explain(t.Context(), ExplainRequest{Organisation: "shop", Document: document("b")})
+	require.NoError(t, err)
+	require.Equal(t, "b", answer.Then.Service)
+}
+
+func TestRequestsWithoutTheTokenOrHeadersAreRefused(t *testing.T) {
+	s := newSite(t)
+	tests := []struct {
+		name, method, path string
+		header             http.Header
+		status             int
+	}{
+		{"no token", "GET", PathDocument, nil, http.StatusUnauthorized},
+		{"wrong token", "GET", PathDocument, http.Header{"Authorization": {"Bearer secre"}}, http.StatusUnauthorized},
+		{"no revision", "PUT", PathDocument, http.Header{"Authorization": {"Bearer secret"}}, http.StatusPreconditionRequired},
+		{"no operation ID", "PUT", PathDocument,
+			http.Header{"Authorization": {"Bearer secret"}, "If-Match": {"0"}}, http.StatusBadRequest},
+		{"cannot drain", "POST", PathDrain, http.Header{"Authorization": {"Bearer secret"}}, http.StatusNotFound},
+		{"history limit", "GET", PathHistory + "?limit=x", http.Header{"Authorization": {"Bearer secret"}}, http.StatusBadRequest},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			req, err := http.NewRequestWithContext(t.Context(), tt.method, s.server.URL+tt.path, strings.NewReader("{}"))
+			require.NoError(t, err)
+			req.Header = tt.header
+			resp, err := http.DefaultClient.Do(req)
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			require.Equal(t, tt.status, resp.StatusCode)
+		})
+	}
+}
+
+func TestEmptyTokenRefusesEverybody(t *testing.T) {
+	api := New(Config{Log: telemetry.Discard()})
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodGet, PathRevision, nil)
+	r.Header.Set("Authorization", "Bearer ")
+	api.Handler().ServeHTTP(w, r)
+	require.Equal(t, http.StatusUnauthorized, w.Code)
+}
--- /dev/null
+++ b/internal/admin/client.go
@@ -0,0 +1,209 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/joomcode/errorx"
+
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/fault"
+)
+
+// Client calls the operators' API of one or more entries.
+type Client struct {
+	settings config.ControlSettings
+	token    string
+	http     *http.Client
+}
+
+// NewClient returns a client.
+func NewClient(settings config.ControlSettings) (*Client, error) {
+	token, err := config.Secret(settings.Token, settings.TokenFile)
+	if err != nil {
+		return nil, err
+	}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	if settings.CAFile != "" {
+		pem, err := os.ReadFile(settings.CAFile)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.Invalid, "admin.client", "", "cannot read caFile")
+		}
+		pool := x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(pem) {
+			return nil, fault.New(fault.Invalid, "admin.client", "", "caFile %s holds no certificate", settings.CAFile)
+		}
+		transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	}
+	return &Client{
+		settings: settings, token: token,
+		http: &http.Client{Transport: transport, Timeout: settings.Timeout.Std()},
+	}, nil
+}
+
+// URLs returns the base URLs that the client was given.
+func (c *Client) URLs() []string { return c.settings.AdminURLs }
+
+// AnswerError is an answer that is not a success.
+type AnswerError struct {
+	URL    string
+	Status int
+	Answer ErrorAnswer
+}
+
+// Error implements error.
+func (e *AnswerError) Error() string {
+	if len(e.Answer.Problems) > 0 {
+		return e.Answer.Message + "\n" + e.Answer.Problems.Error()
+	}
+	return fmt.Sprintf("%s answered %d: %s", e.URL, e.Status, e.Answer.Message)
+}
+
+// Document returns the document in force at the first entry that answers.
+func (c *Client) Document(ctx context.Context) (*config.Document, error) {
+	return first[config.Document](ctx, c, call{method: http.MethodGet, path: PathDocument})
+}
+
+// Apply proposes a document. Another entry is asked only if the one before
+// could not be reached or did not know the outcome; the operation ID makes
+// that safe. The error is an *AnswerError, fault.Ambiguous if an entry was sent
+// the change and its answer was lost, or fault.Unavailable if none was reached.
+func (c *Client) Apply(ctx context.Context, doc *config.Document, expected int64, operationID string) (*ChangeAnswer, error) {
+	body, err := json.Marshal(doc)
+	if err != nil {
+		return nil, err
+	}
+	header := http.Header{}
+	header.Set("If-Match", strconv.Quote(strconv.FormatInt(expected, 10)))
+	header.Set(HeaderOperationID, operationID)
+	header.Set(HeaderAuthor, c.settings.Author)
+	return first[ChangeAnswer](ctx, c, call{method: http.MethodPut, path: PathDocument, body: body, header: header})
+}
+
+// Explain asks the first entry that answers about a sample request.
+func (c *Client) Explain(ctx context.Context, sample ExplainRequest) (*ExplainAnswer, error) {
+	body, err := json.Marshal(sample)
+	if err != nil {
+		return nil, err
+	}
+	return first[ExplainAnswer](ctx, c, call{method: http.MethodPost, path: PathExplain, body: body})
+}
+
+// History returns the latest accepted changes.
+func (c *Client) History(ctx context.Context, limit int) (*HistoryAnswer, error) {
+	return first[HistoryAnswer](ctx, c, call{method: http.MethodGet, path: PathHistory + "?limit=" + strconv.Itoa(limit)})
+}
+
+// Status asks the entry at url.
+func (c *Client) Status(ctx context.Context, url string) (*StatusAnswer, error) {
+	return do[StatusAnswer](ctx, c, url, call{method: http.MethodGet, path: PathStatus})
+}
+
+// Revision asks the entry at url.
+func (c *Client) Revision(ctx context.Context, url string) (*RevisionAnswer, error) {
+	return do[RevisionAnswer](ctx, c, url, call{method: http.MethodGet, path: PathRevision})
+}
+
+// Drain asks the entry at url to drain.
+func (c *Client) Drain(ctx context.Context, url string) (*RevisionAnswer, error) {
+	return do[RevisionAnswer](ctx, c, url, call{method: http.MethodPost, path: PathDrain})
+}
+
+type call struct {
+	method, path string
+	body         []byte
+	header       http.Header
+}
+
+// first makes a call at each entry in turn, until one gives a definite answer.
+func first[T any](ctx context.Context, c *Client, call call) (*T, error) {
+	var unknown, last error
+	for _, url := range c.settings.AdminURLs {
+		answer, err := do[T](ctx, c, url, call)
+		if err == nil {
+			return answer, nil
+		}
+		if !tryNext(err) {
+			return nil, err
+		}
+		if call.method == http.MethodPut && mayBeWritten(err) {
+			unknown = err
+		}
+		last = err
+	}
+	if unknown != nil {
+		return nil, unknown
+	}
+	return nil, last
+}
+
+func tryNext(err error) bool {
+	answer, ok := err.(*AnswerError)
+	return !ok || answer.Status >= http.StatusInternalServerError || answer.Status == http.StatusNotFound
+}
+
+// mayBeWritten reports whether a failed change may have taken effect.
+func mayBeWritten(err error) bool {
+	if answer, ok := err.(*AnswerError); ok {
+		return answer.Status == http.StatusGatewayTimeout
+	}
+	return fault.Is(err, fault.Ambiguous)
+}
+
+func do[T any](ctx context.Context, c *Client, url string, call call) (*T, error) {
+	base := strings.TrimSuffix(url, "/")
+	req, err := http.NewRequestWithContext(ctx, call.method, base+call.path, bytes.NewReader(call.body))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "admin.call", base, "wrong URL")
+	}
+	for name, values := range call.header {
+		req.Header[name] = values
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fault.Wrap(err, callFault(err), "admin.call", base, "no answer")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Ambiguous, "admin.call", base, "the answer broke off")
+	}
+	return decodeAnswer[T](base, resp.StatusCode, data)
+}
+
+// callFault returns fault.Unavailable if nothing was sent.
+func callFault(err error) *errorx.Type {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fault.Unavailable
+	}
+	return fault.Ambiguous
+}
+
+func decodeAnswer[T any](url string, status int, data []byte) (*T, error) {
+	if status >= http.StatusBadRequest {
+		failed := &AnswerError{URL: url, Status: status}
+		if json.Unmarshal(data, &failed.Answer) != nil {
+			failed.Answer.Message = strings.TrimSpace(string(data))
+		}
+		return nil, failed
+	}
+	var answer T
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return nil, fault.Wrap(err, fault.Protocol, "admin.call", url, "wrong answer")
+	}
+	return &answer, nil
+}
--- /dev/null
+++ b/internal/admin/doc.go
@@ -0,0 +1,2 @@
+// Package admin is the operators' HTTP API under /admin/v1/ and its client.
+package admin
--- a/internal/config/strict.go
+++ b/internal/config/strict.go
@@ -65,7 +65,10 @@
 	case reflect.Struct:
 		c.object(v, t, path)
 	case reflect.Slice:
-		c.array(v, t, path)
+		// Go writes an empty list as null.
+		if literal(v) != "null" {
+			c.array(v, t, path)
+		}
 	default:
 		c.scalar(v, t, path)
 	}
--- /dev/null
+++ b/internal/control/command.go
@@ -0,0 +1,143 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"os/signal"
+	"os/user"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"buckthornpick/internal/admin"
+	bpcli "buckthornpick/internal/cli"
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/fault"
+)
+
+// Exit codes beside those of package cli.
+const (
+	// ExitConflict: another change came first.
+	ExitConflict = 4
+	// ExitUnknown: the outcome of a change is not known.
+	ExitUnknown = 5
+	// ExitTimeout: wait ended before every node had the revision.
+	ExitTimeout = 6
+	// ExitDiffers: diff found differences.
+	ExitDiffers = 7
+)
+
+// Main runs bpctl and ends the process.
+func Main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	code := Run(ctx, os.Args, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// Run runs bpctl with args and returns its exit code.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	return bpcli.Execute(ctx, Command(), args, stdout, stderr)
+}
+
+// Command returns bpctl's command line.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "bpctl",
+		Usage: "drive a buckthornpick site: services, organisations and rules",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "read settings from `FILE` (JSON with comments)"},
+			&cli.BoolFlag{Name: "check-config", Usage: "check the settings and exit"},
+			&cli.StringSliceFlag{Name: "url", Usage: "base `URL` of an admin listener; goes before the settings"},
+			&cli.StringFlag{Name: "token-file", Usage: "`FILE` with the operators' token; goes before the settings"},
+			&cli.StringFlag{Name: "output", Value: "text", Usage: "`FORMAT`: text or json"},
+		},
+		Commands: []*cli.Command{
+			applyCommand(), getCommand(), diffCommand(), explainCommand(),
+			waitCommand(), historyCommand(), statusCommand(), drainCommand(),
+		},
+		Action: rootAction,
+	}
+}
+
+func rootAction(_ context.Context, c *cli.Command) error {
+	if !c.Bool("check-config") {
+		if c.Args().Len() > 0 {
+			return bpcli.UsageError("unknown command %q; see bpctl --help", c.Args().First())
+		}
+		return bpcli.UsageError("expected a command; see bpctl --help")
+	}
+	if _, err := settings(c); err != nil {
+		return err
+	}
+	return newPrinter(c).line("%s: settings are good", c.String("config"))
+}
+
+// settings reads the settings file and the flags that go before it.
+func settings(c *cli.Command) (config.ControlSettings, error) {
+	var s config.ControlSettings
+	s.SetDefaults()
+	if file := c.String("config"); file != "" {
+		var err error
+		if s, err = config.Load[config.ControlSettings](file); err != nil {
+			return s, bpcli.WithCode(bpcli.ExitSettings, err)
+		}
+	}
+	if urls := c.StringSlice("url"); len(urls) > 0 {
+		s.AdminURLs = urls
+	}
+	if file := c.String("token-file"); file != "" {
+		s.Token, s.TokenFile = "", file
+	}
+	if s.Author == "" {
+		if u, err := user.Current(); err == nil {
+			s.Author = u.Username
+		}
+	}
+	return s, bpcli.WithCode(bpcli.ExitSettings, s.Validate().Err())
+}
+
+func connect(c *cli.Command) (*admin.Client, error) {
+	s, err := settings(c)
+	if err != nil {
+		return nil, err
+	}
+	client, err := admin.NewClient(s)
+	return client, bpcli.WithCode(bpcli.ExitSettings, err)
+}
+
+// readDocument reads the document in the file that is the command's argument.
+func readDocument(c *cli.Command) (config.Document, error) {
+	if c.Args().Len() != 1 {
+		return config.Document{}, bpcli.UsageError("expected one argument: the document's file")
+	}
+	doc, err := config.Load[config.Document](c.Args().First())
+	return doc, bpcli.WithCode(bpcli.ExitSettings, err)
+}
+
+// codeFor gives an error of the API its exit code.
+func codeFor(err error) error {
+	var answer *admin.AnswerError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &answer) && answer.Answer.Type == admin.TypeConflict:
+		return bpcli.WithCode(ExitConflict, err)
+	case errors.As(err, &answer) && answer.Answer.Type == admin.TypeOutcomeUnknown:
+		return bpcli.WithCode(ExitUnknown, err)
+	case errors.As(err, &answer) && len(answer.Answer.Problems) > 0:
+		return bpcli.WithCode(bpcli.ExitSettings, err)
+	}
+	return bpcli.WithCode(bpcli.ExitFailure, err)
+}
+
+// codeForChange is codeFor for a change, where a lost answer leaves the
+// outcome unknown.
+func codeForChange(err error) error {
+	if fault.Is(err, fault.Ambiguous) {
+		return bpcli.WithCode(ExitUnknown, err)
+	}
+	return codeFor(err)
+}
--- /dev/null
+++ b/internal/control/doc.go
@@ -0,0 +1,2 @@
+// Package control is the command line of bpctl.
+package control
