Claims: at most once with group commit

Cause: a non-repeatable request must be dispatched at most once, over takeovers, pauses, lost answers and late writes, with few writes to the store. Change: internal/claim. Batches of a node are merged by the zone's writer into transactions guarded by the table's revision and by one key per batch that holds the operation ID; an ambiguous write is sent again while a caller waits and made impossible when none does. A takeover reads the partition once per tenure.

--- /dev/null
+++ b/internal/claim/batch.go
@@ -0,0 +1,304 @@
+package claim
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/kv"
+	"buckthornpick/internal/peer"
+)
+
+// States of a write.
+const (
+	writeQueued int32 = iota
+	writeSent
+	writeWithdrawn
+)
+
+// write is one claim on its way to the store.
+type write struct {
+	claim     Claim
+	encoded   []byte
+	partition *partition
+	state     atomic.Int32
+	abandoned atomic.Bool // the caller does not wait any more
+	done      chan error  // takes one result
+}
+
+// fate is what is known about a batch.
+type fate string
+
+const (
+	fateWritten     fate = "written"
+	fateConflict    fate = "conflict"    // not written and never will be: the table moved
+	fateUnavailable fate = "unavailable" // not written and never will be
+	fateAmbiguous   fate = "ambiguous"
+)
+
+// record is the claims of one partition in a batch.
+type record struct {
+	Key   string `msgpack:"k"`
+	Value []byte `msgpack:"v"`
+}
+
+// batch is what a node asks the writer to write: all records or none, and only
+// if the table has the given revision and the first record's key does not
+// exist. That key holds the operation ID, so a batch takes effect once however
+// often and late it is sent.
+type batch struct {
+	Table   int64    `msgpack:"t"`
+	Records []record `msgpack:"r"`
+}
+
+type reply struct {
+	Fate fate `msgpack:"f"`
+}
+
+func (b batch) size() int {
+	n := 0
+	for _, r := range b.Records {
+		n += len(r.Key) + len(r.Value)
+	}
+	return n
+}
+
+func (b batch) guard() kv.Compare { return kv.Compare{Key: b.Records[0].Key} }
+
+// nodeBatch is a batch with the writes it came from.
+type nodeBatch struct {
+	batch
+	bucket int64
+	writes []*write
+	keys   map[*partition]string
+}
+
+// collect forms batches: one starts as soon as a token is free, with all that
+// has come until then.
+func (l *Ledger) collect(ctx context.Context) {
+	for {
+		select {
+		case l.inFlight <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case w := <-l.queue:
+			b := l.form(l.drain(w))
+			l.wg.Go(func() { l.send(ctx, b) })
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *Ledger) drain(first *write) []*write {
+	writes := []*write{first}
+	size := len(first.encoded)
+	parts := map[*partition]bool{first.partition: true}
+	for len(writes) < maxBatchClaims && size < maxBatchBytes && len(parts) < maxBatchKeys {
+		select {
+		case w := <-l.queue:
+			writes = append(writes, w)
+			size += len(w.encoded)
+			parts[w.partition] = true
+		default:
+			return writes
+		}
+	}
+	return writes
+}
+
+// form builds a batch for the current table. Writes whose tenure has ended are
+// refused. The table's revision is read before and after the tenures, so that
+// all belong to the same table.
+func (l *Ledger) form(writes []*write) *nodeBatch {
+	var held []*write
+	for _, w := range writes {
+		if w.state.CompareAndSwap(writeQueued, writeSent) {
+			held = append(held, w)
+		}
+	}
+	for {
+		table := l.ownership.TableRevision()
+		var keep, moved []*write
+		for _, w := range held {
+			if since, ok := l.ownership.OwnedSince(w.partition.number); ok && since == w.partition.since {
+				keep = append(keep, w)
+			} else {
+				moved = append(moved, w)
+			}
+		}
+		if l.ownership.TableRevision() != table {
+			continue
+		}
+		for _, w := range moved {
+			l.settle(w, "", fateConflict)
+		}
+		return l.encode(table, keep)
+	}
+}
+
+func (l *Ledger) encode(table int64, writes []*write) *nodeBatch {
+	b := &nodeBatch{batch: batch{Table: table}, writes: writes, keys: map[*partition]string{}}
+	b.bucket = bucketOf(time.Now(), l.config.BucketLength)
+	operation := l.nextOperation()
+	index := map[*partition]int{}
+	for _, w := range writes {
+		i, ok := index[w.partition]
+		if !ok {
+			i = len(b.Records)
+			index[w.partition] = i
+			key := claimKey(l.config.Prefix, w.partition.number, b.bucket, operation)
+			b.keys[w.partition] = key
+			b.Records = append(b.Records, record{Key: key})
+		}
+		b.Records[i].Value = append(b.Records[i].Value, w.encoded...)
+	}
+	return b
+}
+
+// send writes b and tells its fate; it holds a token of inFlight.
+func (l *Ledger) send(ctx context.Context, b *nodeBatch) {
+	if len(b.writes) == 0 {
+		<-l.inFlight
+		return
+	}
+	l.batchClaims.Update(int64(len(b.writes)))
+	f := l.deliver(ctx, b.batch)
+	if f != fateAmbiguous {
+		l.settleAll(b, f)
+		<-l.inFlight
+		return
+	}
+	l.ambiguities.Inc(1)
+	l.log.Log(EvAmbiguous, "key", b.Records[0].Key, "claims", len(b.writes))
+	// The token of inFlight is kept until one of unresolved is free, so the
+	// batches without a known fate are bounded.
+	select {
+	case l.unresolved <- struct{}{}:
+		<-l.inFlight
+		defer func() { <-l.unresolved }()
+	case <-ctx.Done():
+		<-l.inFlight
+	}
+	f = l.resolve(ctx, b)
+	l.log.Log(EvResolved, "key", b.Records[0].Key, "fate", string(f))
+	l.settleAll(b, f)
+}
+
+// deliver hands b to the zone's writer, or writes it here if that is certain
+// not to have written it.
+func (l *Ledger) deliver(ctx context.Context, b batch) fate {
+	node, ok := l.ownership.Writer()
+	if !ok || node.ID == l.transport.Self().ID {
+		return l.writer.submit(ctx, b)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, l.config.WriteTimeout)
+	defer cancel()
+	answer, err := peer.Call[reply](callCtx, l.transport, node, peer.ClaimCommit, b)
+	switch {
+	case err == nil && answer.Fate != fateUnavailable:
+		return answer.Fate
+	case err == nil || fault.Is(err, fault.Unavailable):
+		if err != nil {
+			l.log.Log(EvWriterLost, "peer", node.ID, "error", err.Error())
+		}
+		return l.writer.submit(ctx, b)
+	}
+	return fateAmbiguous
+}
+
+const (
+	firstRetry = 20 * time.Millisecond
+	lastRetry  = time.Second
+)
+
+// resolve finds out the fate of b. While a caller waits it sends b again; the
+// guard on the operation's key makes that harmless. When nobody waits it
+// creates that key empty, which makes every late copy of b fail.
+func (l *Ledger) resolve(ctx context.Context, b *nodeBatch) fate {
+	delay := firstRetry
+	for {
+		select {
+		case <-ctx.Done():
+			return fateAmbiguous
+		case <-time.After(delay):
+		}
+		delay = min(2*delay, lastRetry)
+		if f := l.attempt(ctx, b); f == fateWritten || f == fateConflict {
+			return f
+		}
+	}
+}
+
+// attempt tries once; every result but written and conflict is undecided.
+func (l *Ledger) attempt(ctx context.Context, b *nodeBatch) fate {
+	ctx, cancel := context.WithTimeout(ctx, l.config.WriteTimeout)
+	defer cancel()
+	guards, ops := []kv.Compare{b.guard()}, []kv.Op{kv.Put(b.guard().Key, nil)}
+	waiting := b.waiting()
+	if waiting {
+		guards, ops = l.writer.transaction([]batch{b.batch})
+	}
+	res, err := l.store.Txn(ctx, guards, ops)
+	if err != nil {
+		return fateAmbiguous
+	}
+	if res.Succeeded {
+		if waiting {
+			return fateWritten
+		}
+		return fateConflict
+	}
+	return l.writer.explain(ctx, b.batch, false)
+}
+
+func (b *nodeBatch) waiting() bool {
+	for _, w := range b.writes {
+		if !w.abandoned.Load() {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Ledger) settleAll(b *nodeBatch, f fate) {
+	l.mu.Lock()
+	for p, key := range b.keys {
+		if f != fateUnavailable { // the key may exist, perhaps empty
+			p.keys[b.bucket] = append(p.keys[b.bucket], key)
+		}
+	}
+	l.mu.Unlock()
+	for _, w := range b.writes {
+		l.settle(w, b.keys[w.partition], f)
+	}
+}
+
+// settle records the fate of w and tells its caller.
+func (l *Ledger) settle(w *write, key string, f fate) {
+	var err error
+	switch f {
+	case fateWritten:
+		l.committed.Inc(1)
+	case fateConflict:
+		err = conflict("the ownership of partition %d moved, or the write was given up", w.partition.number)
+	case fateUnavailable:
+		err = unavailable("the store refused the write")
+	default:
+		err = ambiguous("the write has no known end")
+	}
+	l.mu.Lock()
+	delete(w.partition.pending, w.claim.Request)
+	if f == fateWritten {
+		bucket, _ := bucketOfKey(key, partitionPrefix(l.config.Prefix, w.partition.number)) // made by claimKey
+		w.partition.claims[w.claim.Request] = stored{w.claim, bucket}
+	}
+	l.mu.Unlock()
+	if err != nil {
+		l.refused.Inc(1)
+	}
+	w.done <- err
+}
--- /dev/null
+++ b/internal/claim/fake_test.go
@@ -0,0 +1,308 @@
+package claim
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"buckthornpick/internal/backend"
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/kv"
+	"buckthornpick/internal/peer"
+	"buckthornpick/internal/request"
+	"buckthornpick/internal/telemetry"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	tableKey     = "table"
+	storeLatency = 2 * time.Millisecond
+)
+
+// fakeStore is a store in memory; views give each node its own faults.
+type fakeStore struct {
+	kv.Store // leases and watches are not used
+	mu       sync.Mutex
+	revision int64
+	entries  map[string]kv.Entry
+	txns     int
+	applied  func(op kv.Op) // called under mu for each put that takes effect
+	late     sync.WaitGroup
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{entries: map[string]kv.Entry{}} }
+
+func (s *fakeStore) apply(guards []kv.Compare, ops []kv.Op) kv.TxnResult {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.txns++
+	for _, g := range guards {
+		if s.entries[g.Key].ModRevision != g.ModRevision {
+			return kv.TxnResult{Revision: s.revision}
+		}
+	}
+	s.revision++
+	for _, op := range ops {
+		if op.Delete {
+			delete(s.entries, op.Key)
+			continue
+		}
+		s.entries[op.Key] = kv.Entry{Key: op.Key, Value: op.Value, ModRevision: s.revision}
+		if s.applied != nil {
+			s.applied(op)
+		}
+	}
+	return kv.TxnResult{Succeeded: true, Revision: s.revision}
+}
+
+func (s *fakeStore) list(prefix string) kv.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	snap := kv.Snapshot{Revision: s.revision}
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			snap.Entries = append(snap.Entries, e)
+		}
+	}
+	sort.Slice(snap.Entries, func(i, j int) bool { return snap.Entries[i].Key < snap.Entries[j].Key })
+	return snap
+}
+
+// view is one node's way to the store.
+type view struct {
+	*fakeStore
+	mu       sync.Mutex
+	down     bool
+	lose     int           // answers of the next writes that are lost after their effect
+	lateBy   time.Duration // the next write arrives so late, its answer is lost
+	unpaused chan struct{} // nil: not paused
+}
+
+func (v *view) set(f func(*view)) { v.mu.Lock(); defer v.mu.Unlock(); f(v) }
+
+// enter waits for the latency and, if the node is paused, for its wake.
+func (v *view) enter() error {
+	time.Sleep(storeLatency)
+	v.mu.Lock()
+	gate := v.unpaused
+	v.mu.Unlock()
+	if gate != nil {
+		<-gate
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.down {
+		return fault.New(fault.Unavailable, "fake", "store", "down")
+	}
+	return nil
+}
+
+func (v *view) Get(_ context.Context, key string) (kv.Entry, bool, error) {
+	if err := v.enter(); err != nil {
+		return kv.Entry{}, false, err
+	}
+	v.fakeStore.mu.Lock()
+	defer v.fakeStore.mu.Unlock()
+	e, ok := v.entries[key]
+	return e, ok, nil
+}
+
+func (v *view) List(_ context.Context, prefix string) (kv.Snapshot, error) {
+	if err := v.enter(); err != nil {
+		return kv.Snapshot{}, err
+	}
+	return v.list(prefix), nil
+}
+
+func (v *view) Txn(ctx context.Context, guards []kv.Compare, ops []kv.Op) (kv.TxnResult, error) {
+	if err := v.enter(); err != nil {
+		return kv.TxnResult{}, err
+	}
+	lost := fault.New(fault.Ambiguous, "fake", "store", "answer lost")
+	v.mu.Lock()
+	late, lose := v.lateBy, v.lose > 0
+	v.lateBy = 0
+	v.lose = max(v.lose-1, 0)
+	v.mu.Unlock()
+	if late > 0 {
+		v.late.Go(func() { time.Sleep(late); v.apply(guards, ops) })
+		return kv.TxnResult{}, lost
+	}
+	res := v.apply(guards, ops)
+	if lose || ctx.Err() != nil {
+		return kv.TxnResult{}, lost
+	}
+	return res, nil
+}
+
+// site is several ledgers over one store and an in-memory network.
+type site struct {
+	store *fakeStore
+	net   *memNet
+	nodes []*node
+	stop  func()
+
+	mu     sync.Mutex
+	table  int64
+	owners map[int]int // partition to node, by the current table
+}
+
+type node struct {
+	Tenure
+	*Ledger
+	self   peer.Node
+	view   *view
+	mu     sync.Mutex
+	writer *peer.Node
+}
+
+func (n *node) TableKey() string { return tableKey }
+func (n *node) Writer() (peer.Node, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.writer == nil {
+		return peer.Node{}, false
+	}
+	return *n.writer, true
+}
+
+func (n *node) setWriter(w *node) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.writer = nil
+	if w != nil {
+		n.writer = &w.self
+	}
+}
+
+func newSite(nodes int, cfg Config) *site {
+	s := &site{store: newFakeStore(), net: &memNet{listeners: map[string]*memListener{}}, owners: map[int]int{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i := range nodes {
+		id := fmt.Sprint("n", i)
+		n := &node{self: peer.Node{ID: id, Zone: "z", Address: id + ":1"}, view: &view{fakeStore: s.store}}
+		log, registry := telemetry.Discard(), metrics.NewRegistry()
+		t := peer.New(n.self, s.net, log, registry, peer.Options{Secret: []byte("s")})
+		n.Ledger = New(cfg, n, n.view, t, log, registry)
+		s.nodes = append(s.nodes, n)
+		wg.Go(func() { _ = t.Run(ctx) })
+		wg.Go(func() { _ = n.Run(ctx) })
+	}
+	time.Sleep(time.Millisecond) // virtual time: all listen
+	s.stop = func() {
+		for _, n := range s.nodes {
+			s.pause(n, false)
+		}
+		cancel()
+		wg.Wait()
+		s.store.late.Wait()
+	}
+	return s
+}
+
+// assign writes a new table and delivers it to the given nodes.
+func (s *site) assign(partition, owner int, to ...*node) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	res := s.store.apply(nil, []kv.Op{kv.Put(tableKey, nil)})
+	previous := s.table
+	s.table = res.Revision
+	s.owners[partition] = owner
+	for _, n := range to {
+		s.deliver(n, previous)
+	}
+}
+
+func (s *site) deliver(n *node, previous int64) {
+	n.Observe(s.table, previous, func(p int) bool {
+		owner, ok := s.owners[p]
+		return ok && s.nodes[owner] == n
+	})
+}
+
+func (s *site) pause(n *node, on bool) {
+	n.view.set(func(v *view) {
+		switch {
+		case on && v.unpaused == nil:
+			v.unpaused = make(chan struct{})
+		case !on && v.unpaused != nil:
+			close(v.unpaused)
+			v.unpaused = nil
+		}
+	})
+}
+
+// claim makes a first claim of a request in partition 0.
+func (n *node) claim(id request.ID, serial int) Claim {
+	return Claim{Request: id, Organisation: "org", Service: "rewrite", Owner: n.self.ID, Incarnation: 1, Number: 1,
+		Target: backend.Target{ID: "e1", Address: "10.0.0.1:80", Class: backend.Engine}, Attempt: backend.AttemptID(fmt.Sprint(id, ".", serial))}
+}
+
+func testID(partition, n int) request.ID { return request.ID(fmt.Sprintf("%04x%028x", partition, n)) }
+
+// memNet is an in-memory network of net.Pipe connections.
+type memNet struct {
+	mu        sync.Mutex
+	listeners map[string]*memListener
+	cut       bool
+}
+
+type memListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func (l *memListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+func (l *memListener) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
+func (l *memListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (n *memNet) Listen(address string) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &memListener{conns: make(chan net.Conn), done: make(chan struct{})}
+	n.listeners[address] = l
+	return l, nil
+}
+
+func (n *memNet) Dial(ctx context.Context, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l, cut := n.listeners[address], n.cut
+	n.mu.Unlock()
+	if l == nil || cut {
+		return nil, fault.New(fault.Unavailable, "dial", address, "refused")
+	}
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/claim/ledger.go
@@ -0,0 +1,205 @@
+package claim
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/kv"
+	"buckthornpick/internal/peer"
+	"buckthornpick/internal/request"
+	"buckthornpick/internal/telemetry"
+)
+
+// Ledger writes and looks up the claims of the partitions of one node.
+//
+// Lock order: Ledger.mu is a leaf; nothing is called while it is held but
+// methods of partition.
+type Ledger struct {
+	config    Config
+	ownership Ownership
+	store     kv.Store
+	transport *peer.Transport
+	log       *telemetry.Logger
+	writer    *writer
+
+	// session makes operation IDs unique among all runs of all nodes.
+	session    string
+	operations atomic.Int64
+
+	committed, refused, ambiguities metrics.Counter
+	loadedBytes, batchClaims        metrics.Histogram
+
+	queue      chan *write
+	inFlight   chan struct{} // tokens of batches under way
+	unresolved chan struct{} // tokens of batches being resolved
+	loads      chan struct{} // tokens of partitions being read
+	stopped    chan struct{} // closed when Run is ending
+	runCtx     context.Context
+
+	mu         sync.Mutex
+	running    bool
+	closing    bool
+	partitions map[int]*partition
+	wg         sync.WaitGroup // Add under mu while not closing, or from a counted goroutine
+}
+
+const (
+	// concurrentLoads bounds the partitions that are read at once.
+	concurrentLoads = 8
+	histogramSample = 1028
+	sessionBytes    = 8
+)
+
+// New returns a ledger. It registers the handler of peer.ClaimCommit, so it
+// must be called before the transport runs.
+func New(cfg Config, own Ownership, store kv.Store, t *peer.Transport, log *telemetry.Logger, registry metrics.Registry) *Ledger {
+	cfg = cfg.withDefaults()
+	session := make([]byte, sessionBytes)
+	_, _ = rand.Read(session) // never fails, by its documentation
+	l := &Ledger{
+		config: cfg, ownership: own, store: store, transport: t, log: log,
+		session:     hex.EncodeToString(session),
+		committed:   metrics.GetOrRegisterCounter("claim.committed", registry),
+		refused:     metrics.GetOrRegisterCounter("claim.refused", registry),
+		ambiguities: metrics.GetOrRegisterCounter("claim.ambiguous", registry),
+		loadedBytes: metrics.GetOrRegisterHistogram("claim.loaded_bytes", registry, metrics.NewUniformSample(histogramSample)),
+		batchClaims: metrics.GetOrRegisterHistogram("claim.batch_claims", registry, metrics.NewUniformSample(histogramSample)),
+		queue:       make(chan *write, cfg.QueueClaims),
+		inFlight:    make(chan struct{}, cfg.NodeInFlight),
+		unresolved:  make(chan struct{}, cfg.MaxUnresolved),
+		loads:       make(chan struct{}, concurrentLoads),
+		stopped:     make(chan struct{}),
+		partitions:  map[int]*partition{},
+	}
+	l.writer = newWriter(cfg, store, own.TableKey(), registry)
+	t.Handle(peer.ClaimCommit, peer.HandleCall(func(ctx context.Context, _ peer.Node, b batch) (reply, error) {
+		return reply{Fate: l.writer.submit(ctx, b)}, nil
+	}))
+	return l
+}
+
+// Run writes claims until ctx ends. All goroutines have ended when it returns.
+func (l *Ledger) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l.mu.Lock()
+	l.runCtx, l.running = ctx, true
+	l.wg.Go(func() { l.writer.run(ctx) })
+	l.wg.Go(func() { l.collect(ctx) })
+	l.wg.Go(func() { l.sweepLoop(ctx) })
+	l.mu.Unlock()
+	<-ctx.Done()
+	l.mu.Lock()
+	l.closing = true
+	l.mu.Unlock()
+	close(l.stopped)
+	l.wg.Wait()
+	return nil
+}
+
+// Commit writes the first claim of a request, or one after a released claim.
+// nil means that it is written and that this node was the owner by the current
+// table when it was. Errors: fault.Conflict if it is definitely not written,
+// since another claim exists or the ownership moved; fault.Unavailable if it
+// is definitely not written; fault.Ambiguous if it may be written, or if an
+// earlier claim of the request may be; fault.Invalid for a malformed claim.
+// Committing the same attempt again gives nil.
+func (l *Ledger) Commit(ctx context.Context, c Claim) error { return l.write(ctx, c, false) }
+
+// Amend replaces a claim whose attempt is known not to have run: by the next
+// attempt number with a new target, or by the same number with Released set.
+// Errors as for Commit.
+func (l *Ledger) Amend(ctx context.Context, c Claim) error { return l.write(ctx, c, true) }
+
+// Lookup returns the latest claim of a request whose partition this node owns.
+// The answer covers the claims of all earlier owners. Errors: fault.Conflict
+// if the node does not own the partition, fault.Unavailable if the claims
+// cannot be read or a write of the request's claim is undecided.
+func (l *Ledger) Lookup(ctx context.Context, id request.ID) (Claim, bool, error) {
+	p, err := l.owned(ctx, id.Partition())
+	if err != nil {
+		return Claim{}, false, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p.pending[id] != nil {
+		return Claim{}, false, fault.New(fault.Unavailable, "claim.lookup", "", "a claim of %s is being written", id)
+	}
+	c, ok := p.claims[id]
+	return c.Claim, ok, nil
+}
+
+func (l *Ledger) write(ctx context.Context, c Claim, amend bool) error {
+	if c.At.IsZero() {
+		c.At = time.Now()
+	}
+	c.At = c.At.Truncate(time.Millisecond)
+	encoded, err := encodeClaim(c)
+	if err != nil {
+		return err
+	}
+	p, err := l.owned(ctx, c.Request.Partition())
+	if err != nil {
+		return err
+	}
+	w := &write{claim: c, encoded: encoded, partition: p, done: make(chan error, 1)}
+	done, err := l.enqueue(w, amend)
+	if err != nil || done {
+		return err
+	}
+	select {
+	case err := <-w.done:
+		return err
+	case <-ctx.Done():
+		return l.leave(w, ctx.Err())
+	case <-l.stopped:
+		return l.leave(w, context.Canceled)
+	}
+}
+
+// enqueue checks w against what is known and queues it.
+func (l *Ledger) enqueue(w *write, amend bool) (done bool, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if done, err := w.partition.check(w.claim, amend); done || err != nil {
+		return done, err
+	}
+	if len(l.unresolved) == cap(l.unresolved) {
+		return false, unavailable("too many writes are undecided")
+	}
+	select {
+	case l.queue <- w:
+		w.partition.pending[w.claim.Request] = w
+		return false, nil
+	default:
+		return false, unavailable("the queue of claims is full")
+	}
+}
+
+// leave is called when the caller stops waiting. A write that was not sent is
+// withdrawn; one that was sent goes on without the caller.
+func (l *Ledger) leave(w *write, cause error) error {
+	if w.state.CompareAndSwap(writeQueued, writeWithdrawn) {
+		l.settle(w, "", fateUnavailable)
+		return fault.Wrap(cause, fault.Unavailable, stepCommit, "", "not sent to the store in time")
+	}
+	w.abandoned.Store(true)
+	select {
+	case err := <-w.done:
+		return err
+	default:
+		return fault.Wrap(cause, fault.Ambiguous, stepCommit, "store", "no answer in time")
+	}
+}
+
+func (l *Ledger) nextOperation() string {
+	return l.session + strconv.FormatInt(l.operations.Add(1), 36)
+}
--- /dev/null
+++ b/internal/claim/partition.go
@@ -0,0 +1,184 @@
+package claim
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/kv"
+	"buckthornpick/internal/request"
+)
+
+// partition is the ledger's knowledge of one partition during one tenure. A
+// new tenure makes a new value. Guarded by Ledger.mu but for loaded and err,
+// which are set before done is closed.
+type partition struct {
+	number int
+	since  int64 // table revision that began the tenure
+	done   chan struct{}
+	err    error
+
+	claims  map[request.ID]stored
+	pending map[request.ID]*write
+	// keys are the store keys of the partition by bucket.
+	keys map[int64][]string
+}
+
+type stored struct {
+	Claim
+	bucket int64
+}
+
+// owned returns the knowledge of a partition that this node owns; it reads
+// the partition from the store if the tenure is new.
+func (l *Ledger) owned(ctx context.Context, number int) (*partition, error) {
+	for {
+		since, ok := l.ownership.OwnedSince(number)
+		if !ok {
+			return nil, conflict("partition %d is owned by another node", number)
+		}
+		p, err := l.tenure(number, since)
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case <-p.done:
+		case <-ctx.Done():
+			return nil, fault.Wrap(ctx.Err(), fault.Unavailable, "claim.load", "", "partition %d is not read yet", number)
+		case <-l.stopped:
+			return nil, unavailable("the ledger has stopped")
+		}
+		if p.err != nil {
+			return nil, p.err
+		}
+		if now, ok := l.ownership.OwnedSince(number); ok && now == since {
+			return p, nil
+		}
+	}
+}
+
+// tenure returns the partition's value for the tenure, and starts its load if
+// it is new.
+func (l *Ledger) tenure(number int, since int64) (*partition, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p := l.partitions[number]; p != nil && p.since >= since {
+		return p, nil
+	}
+	if l.closing || !l.running {
+		return nil, unavailable("the ledger is not running")
+	}
+	p := &partition{
+		number: number, since: since, done: make(chan struct{}),
+		claims: map[request.ID]stored{}, pending: map[request.ID]*write{}, keys: map[int64][]string{},
+	}
+	l.partitions[number] = p
+	l.wg.Go(func() { l.load(p) })
+	return p, nil
+}
+
+// load reads the partition; a failed load is forgotten, so that the next
+// caller tries again.
+func (l *Ledger) load(p *partition) {
+	select {
+	case l.loads <- struct{}{}:
+		defer func() { <-l.loads }()
+		p.err = l.read(p)
+	case <-l.stopped:
+		p.err = unavailable("the ledger has stopped")
+	}
+	if p.err != nil {
+		l.log.Log(EvLoadFailed, "partition", p.number, "error", p.err.Error())
+		l.mu.Lock()
+		if l.partitions[p.number] == p {
+			delete(l.partitions, p.number)
+		}
+		l.mu.Unlock()
+	} else {
+		l.log.Log(EvLoaded, "partition", p.number, "claims", len(p.claims), "since", p.since)
+	}
+	close(p.done)
+}
+
+func (l *Ledger) read(p *partition) error {
+	ctx, cancel := context.WithTimeout(l.runCtx, l.config.WriteTimeout)
+	defer cancel()
+	prefix := partitionPrefix(l.config.Prefix, p.number)
+	snap, err := l.store.List(ctx, prefix)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, "claim.load", "store", "read partition %d", p.number)
+	}
+	if snap.Revision < p.since {
+		return fault.New(fault.Unavailable, "claim.load", "store", "read at revision %d, before the table's %d", snap.Revision, p.since)
+	}
+	sort.SliceStable(snap.Entries, func(i, j int) bool {
+		return snap.Entries[i].ModRevision < snap.Entries[j].ModRevision
+	})
+	for _, e := range snap.Entries {
+		if err := l.take(p, prefix, e); err != nil {
+			l.log.Log(EvBadRecord, "key", e.Key, "error", err.Error())
+			return fault.Wrap(err, fault.Unavailable, "claim.load", "store", "key %s", e.Key)
+		}
+	}
+	l.loadedBytes.Update(sizeOf(snap.Entries))
+	return nil
+}
+
+func (l *Ledger) take(p *partition, prefix string, e kv.Entry) error {
+	bucket, err := bucketOfKey(e.Key, prefix)
+	if err != nil {
+		return err
+	}
+	claims, err := decodeClaims(e.Value)
+	if err != nil {
+		return err
+	}
+	p.keys[bucket] = append(p.keys[bucket], e.Key)
+	for _, c := range claims {
+		p.claims[c.Request] = stored{c, bucket}
+	}
+	return nil
+}
+
+func sizeOf(entries []kv.Entry) int64 {
+	n := 0
+	for _, e := range entries {
+		n += len(e.Key) + len(e.Value)
+	}
+	return int64(n)
+}
+
+// check tells whether c may follow what is known; l.mu is held. done is true
+// if c is already committed.
+func (p *partition) check(c Claim, amend bool) (done bool, err error) {
+	if w := p.pending[c.Request]; w != nil {
+		if w.abandoned.Load() {
+			return false, ambiguous("an earlier claim of %s may be written", c.Request)
+		}
+		return false, conflict("another claim of %s is being written", c.Request)
+	}
+	old, exists := p.claims[c.Request]
+	switch {
+	case exists && old.sameAttempt(c):
+		return true, nil
+	case !amend && (!exists || old.Released):
+		return false, nil
+	case amend && exists && !old.Released && (c.Number == old.Number+1 || c.Released && c.Number == old.Number):
+		return false, nil
+	case !exists:
+		return false, conflict("%s has no claim to amend", c.Request)
+	}
+	return false, conflict("%s is claimed as attempt %d by %s", c.Request, old.Number, old.Owner)
+}
+
+// expired returns the keys whose bucket ended before the limit.
+func (p *partition) expired(limit time.Time, length time.Duration) map[int64][]string {
+	out := map[int64][]string{}
+	for bucket, keys := range p.keys {
+		if (bucket+1)*int64(length) <= limit.UnixNano() {
+			out[bucket] = keys
+		}
+	}
+	return out
+}
