--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -26,7 +26,7 @@
 	if !found {
 		return nil, false
 	}
-	e.setClaimNumber(earlier.Number)
+	e.setLastClaim(earlier)
 	if earlier.Released {
 		return nil, false
 	}
@@ -83,12 +83,12 @@
 func (e *execution) writeClaim(ctx context.Context, a *attempt) error {
 	c := e.newClaim(a)
 	write := e.d.deps.Claims.Commit
-	if c.Number > 1 {
+	if last := e.lastClaim(); last.Number > 0 && !last.Released {
 		write = e.d.deps.Claims.Amend
 	}
 	err := write(ctx, c)
 	if err == nil || fault.Is(err, fault.Ambiguous) {
-		e.setClaimNumber(c.Number)
+		e.setLastClaim(c)
 	}
 	return err
 }
@@ -98,7 +98,7 @@
 	return claim.Claim{
 		Request: e.req.ID, Organisation: e.req.Organisation, Service: a.service,
 		Owner: own.Self(), Incarnation: own.Incarnation(),
-		Target: a.target, Attempt: a.id, Number: e.lastClaim() + 1,
+		Target: a.target, Attempt: a.id, Number: e.lastClaim().Number + 1,
 		At: time.Now(), Fingerprint: e.req.Fingerprint,
 	}
 }
@@ -109,29 +109,30 @@
 // releaseClaim lets a request that did not run be claimed again. If the store
 // does not take it, later submissions are answered "unknown".
 func (e *execution) releaseClaim() {
-	if e.lastClaim() == 0 {
+	c := e.lastClaim()
+	if c.Number == 0 || c.Released {
 		return
 	}
 	ctx, cancel := context.WithTimeout(e.d.base, releaseWait)
 	defer cancel()
-	a := e.currentAttempt()
-	c := e.newClaim(&a)
 	c.Released = true
 	if err := e.d.deps.Claims.Amend(ctx, c); err != nil {
 		e.d.deps.Log.Log(EvNotReleased, "request", e.req.ID, "error", err)
 	}
 }
 
-func (e *execution) lastClaim() int {
+// lastClaim returns the last claim of the request that is known here; its
+// Number is 0 if there is none.
+func (e *execution) lastClaim() claim.Claim {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.claimNumber
+	return e.written
 }
 
-func (e *execution) setClaimNumber(n int) {
+func (e *execution) setLastClaim(c claim.Claim) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.claimNumber = n
+	e.written = c
 }
 
 // notClaimed ends a request whose claim could not be written. It is not
--- a/internal/dispatch/execution.go
+++ b/internal/dispatch/execution.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"buckthornpick/internal/backend"
+	"buckthornpick/internal/claim"
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/limit"
 	"buckthornpick/internal/request"
@@ -32,10 +33,10 @@
 	firstAt    time.Time
 
 	mu sync.Mutex
-	// claimNumber is the number of the last claim written, 0 before the first.
-	claimNumber int
-	current     attempt
-	stop        context.CancelCauseFunc
+	// written is the last claim, with Number 0 before the first.
+	written claim.Claim
+	current attempt
+	stop    context.CancelCauseFunc
 	// isObserver is set when another node owns the request now: the execution
 	// only follows its running attempt.
 	isObserver bool
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"buckthornpick/internal/backend"
+	"buckthornpick/internal/claim"
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/request"
 )
@@ -18,10 +19,10 @@
 	Attempt backend.AttemptID `msgpack:"a,omitempty"`
 	// Number is the number of the last dispatch.
 	Number int `msgpack:"n"`
-	// ClaimNumber is the number of the last claim written.
-	ClaimNumber int             `msgpack:"c"`
-	Head        *request.Head   `msgpack:"h,omitempty"`
-	Events      []request.Event `msgpack:"e,omitempty"`
+	// Claim is the last claim written, nil for none.
+	Claim  *claim.Claim    `msgpack:"c,omitempty"`
+	Head   *request.Head   `msgpack:"h,omitempty"`
+	Events []request.Event `msgpack:"e,omitempty"`
 	// End is set if the request has ended.
 	End *request.End `msgpack:"d,omitempty"`
 }
@@ -58,7 +59,7 @@
 	state := e.rec.State()
 	if state == request.Accepted {
 		e.interrupt(errHandedOver)
-		return Transfer{Request: resubmitted(e.req), ClaimNumber: e.lastClaim()}, true
+		return Transfer{Request: resubmitted(e.req), Claim: e.exportedClaim()}, true
 	}
 	a := e.currentAttempt()
 	if state != request.Running || a.target.Class != backend.Engine {
@@ -69,11 +70,19 @@
 	e.mu.Unlock()
 	return Transfer{
 		Request: resubmitted(e.req), Service: a.service, Target: a.target, Attempt: a.id,
-		Number: e.rec.Attempt(), ClaimNumber: e.lastClaim(),
+		Number: e.rec.Attempt(), Claim: e.exportedClaim(),
 		Head: e.rec.Head(), Events: e.rec.Events(),
 	}, true
 }
 
+func (e *execution) exportedClaim() *claim.Claim {
+	c := e.lastClaim()
+	if c.Number == 0 {
+		return nil
+	}
+	return &c
+}
+
 // resubmitted returns the request for another owner, which must not take it
 // for one that was never submitted before.
 func resubmitted(r *request.Request) *request.Request {
@@ -102,7 +111,9 @@
 		return d.adoptEndedLocked(rec, *t.End)
 	}
 	e := newExecution(d, rec)
-	e.claimNumber = t.ClaimNumber
+	if t.Claim != nil {
+		e.written = *t.Claim
+	}
 	if t.Attempt != "" {
 		e.current = adoptedAttempt(t)
 	}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -85,7 +85,7 @@
 	n.transport = peer.New(self, cfg.Network, cfg.Log, cfg.Registry, cfg.Peer)
 	cfg.Member.Self = cfg.Self
 	n.members = member.New(cfg.Member, cfg.Store, cfg.Log, cfg.Registry)
-	n.own = ownership{self: cfg.Self.ID, members: n.members}
+	n.own = ownership{Tenure: &claim.Tenure{}, self: cfg.Self.ID, members: n.members}
 	n.documents = confstore.New(confstore.Config{Self: cfg.Self.ID, WatchesStore: n.isPoller}, cfg.Store, cfg.Log, cfg.Registry)
 	cfg.Inventory.IsPoller = n.isPoller
 	n.inventory = inventory.New(cfg.Inventory, cfg.Lister, cfg.Notices, cfg.Log)
@@ -209,6 +209,7 @@
 		case <-ctx.Done():
 			return nil
 		case table := <-tables:
+			n.own.observe(table)
 			n.minter.setPartitions(ownedPartitions(table, n.cfg.Self.ID))
 			n.spreader.Changed()
 		}
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -3,13 +3,16 @@
 import (
 	"time"
 
+	"buckthornpick/internal/claim"
 	"buckthornpick/internal/member"
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/request"
 )
 
-// ownership shows the membership to the dispatcher and the claim ledger.
+// ownership shows the membership to the dispatcher and the claim ledger. The
+// tenure tells the ledger since when it knows a partition's claims.
 type ownership struct {
+	*claim.Tenure
 	self    string
 	members *member.Membership
 }
@@ -18,19 +21,10 @@
 func (o ownership) Self() string { return o.self }
 
 // Incarnation implements dispatch.Ownership.
-func (o ownership) Incarnation() int64 {
-	m, ok := o.members.Table().Find(o.self)
-	if !ok {
-		return 0
-	}
-	return m.Incarnation
-}
+func (o ownership) Incarnation() int64 { return o.members.Incarnation() }
 
-// OwnsPartition implements dispatch.Ownership and claim.Ownership.
-func (o ownership) OwnsPartition(partition int) bool {
-	m, ok := o.members.Table().Owner(partition)
-	return ok && m.ID == o.self
-}
+// OwnsPartition implements dispatch.Ownership.
+func (o ownership) OwnsPartition(partition int) bool { return o.members.Owns(partition) }
 
 // AcquiredDirty implements dispatch.Ownership.
 func (o ownership) AcquiredDirty(partition int) (time.Time, bool) {
@@ -40,8 +34,10 @@
 // TableKey implements claim.Ownership.
 func (o ownership) TableKey() string { return o.members.TableKey() }
 
-// TableRevision implements claim.Ownership.
-func (o ownership) TableRevision() int64 { return o.members.Table().Revision }
+// observe takes a new table into the tenure of the claim ledger.
+func (o ownership) observe(t member.Table) {
+	o.Observe(t.Revision, t.Previous, o.members.Owns)
+}
 
 // Writer implements claim.Ownership: the member of this zone with the lowest
 // ID writes the zone's claims.
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -6,7 +6,6 @@
 type stats struct {
 	received metrics.Counter
 	aborted  metrics.Counter
-	outcomes map[string]metrics.Counter
 }
 
 func newStats(r metrics.Registry) stats {
--- a/internal/member/change.go
+++ b/internal/member/change.go
@@ -76,7 +76,7 @@
 	if err != nil || !changed {
 		return err == nil, err
 	}
-	value, err := encodeTable(next)
+	value, err := encodeTable(next.after(t.Revision))
 	if err != nil {
 		return false, fault.Wrap(err, fault.Invalid, "member.change", tableKey, "encode table")
 	}
@@ -85,6 +85,6 @@
 	if err != nil || !result.Succeeded {
 		return false, err
 	}
-	m.Observe(NewTable(result.Revision, next.Members, next.Gaps))
+	m.Observe(NewTable(result.Revision, next.Members, next.Gaps).after(t.Revision))
 	return true, nil
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -127,7 +127,7 @@
 // Observe takes a table that a peer or the store passed on. It returns false
 // if the table is not newer than the one in force.
 func (m *Membership) Observe(t Table) bool {
-	t = NewTable(t.Revision, t.Members, t.Gaps)
+	t = NewTable(t.Revision, t.Members, t.Gaps).after(t.Previous)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if t.Revision <= m.table.Revision {
@@ -188,6 +188,22 @@
 	return now.Before(m.validUntil) && now.Round(0).Before(m.validUntil.Round(0))
 }
 
+// Owns reports whether this life of the node owns the partition by the latest
+// table. Another process under the same ID has another incarnation.
+func (m *Membership) Owns(partition int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	owner, ok := m.table.Owner(partition)
+	return ok && owner.ID == m.cfg.Self.ID && owner.Incarnation == m.incarnation
+}
+
+// Incarnation returns that of this life of the node; 0 before it has joined.
+func (m *Membership) Incarnation() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.incarnation
+}
+
 // TableKey returns the store key of the table. A transaction guarded by this
 // key and Table().Revision commits only while that table is in force.
 func (m *Membership) TableKey() string { return tableKey }
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -36,6 +36,9 @@
 type Table struct {
 	// Revision is the store revision that wrote the table; 0 is no table.
 	Revision int64 `json:"-" msgpack:"r"`
+	// Previous is the revision of the table that this one replaced; 0 for the
+	// first.
+	Previous int64 `json:"previous,omitempty" msgpack:"p,omitempty"`
 	// Members are in the order of their IDs.
 	Members []Member `json:"members" msgpack:"m"`
 	// Gaps are the recent removals without a handover, oldest first.
@@ -51,6 +54,12 @@
 	return Table{Revision: revision, Members: members, Gaps: gaps, owners: &owners{}}
 }
 
+// after returns the table with Previous set.
+func (t Table) after(previous int64) Table {
+	t.Previous = previous
+	return t
+}
+
 // Find returns the member with the ID.
 func (t Table) Find(id string) (Member, bool) {
 	i, found := t.search(id)
@@ -133,5 +142,5 @@
 	if err := json.Unmarshal(value, &t); err != nil {
 		return Table{}, err
 	}
-	return NewTable(revision, t.Members, t.Gaps), nil
+	return NewTable(revision, t.Members, t.Gaps).after(t.Previous), nil
 }
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -34,6 +34,8 @@
 	TableAnnounce Kind = 12
 	// TablePull fetches the table of members from a peer.
 	TablePull Kind = 13
+	// GossipCompare exchanges the versions of the spread values.
+	GossipCompare Kind = 14
 )
 
 var kindNames = map[Kind]string{
@@ -41,6 +43,7 @@
 	ConfigPull: "config-pull", ClaimCommit: "claim-commit", Locate: "locate",
 	Cancel: "cancel", ConfigAnnounce: "config-announce", InventoryPull: "inventory-pull",
 	InventoryAnnounce: "inventory-announce", TableAnnounce: "table-announce", TablePull: "table-pull",
+	GossipCompare: "gossip-compare",
 }
 
 // String returns the kind's name, or its number if it has none.
