--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -131,6 +131,7 @@
 				<-ended
 				stop()
 				<-stopped
+				synctest.Wait() // the opener sees the end of the connection
 				_, err = a.Open(t.Context(), nodeB, Attach, 1)
 				require.True(t, fault.Is(err, fault.Unavailable), "%v", err)
 				alive, known := a.Reachable("b")
