--- a/cmd/buckthornpick-entry/main.go
+++ b/cmd/buckthornpick-entry/main.go
@@ -2,4 +2,6 @@
 // callers' requests, owns and routes them and streams the answers back.
 package main
 
-func main() {}
+import "buckthornpick/internal/entryd"
+
+func main() { entryd.Daemon().Main() }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -38,6 +38,9 @@
 	Token string `json:"token"`
 	// TokenFile is a file that holds the token; default empty.
 	TokenFile string `json:"tokenFile"`
+	// Advertised is the base URL at which operators reach this listener;
+	// default empty.
+	Advertised string `json:"advertised"`
 	// Pprof serves Go profiles under /debug/pprof/; default false.
 	Pprof bool `json:"pprof"`
 	// TLS names the listener's certificate.
@@ -89,6 +92,9 @@
 func (a *AdminSettings) validate(ps *Problems) {
 	address(ps, "admin.address", a.Address)
 	a.TLS.validate(ps, "admin.tls")
+	if a.Advertised != "" {
+		httpURL(ps, "admin.advertised", a.Advertised)
+	}
 	if a.Token != "" && a.TokenFile != "" {
 		ps.add("admin.tokenFile", "", "expected either token or tokenFile, got both")
 	}
--- a/internal/config/settings_entry.go
+++ b/internal/config/settings_entry.go
@@ -44,6 +44,17 @@
 	Secret string `json:"secret"`
 	// SecretFile is a file that holds the secret; default empty.
 	SecretFile string `json:"secretFile"`
+	// Seeds are entries that a starting node asks for the configuration while
+	// the store is away; default empty.
+	Seeds []SeedSettings `json:"seeds"`
+}
+
+// SeedSettings name an entry.
+type SeedSettings struct {
+	// ID is the entry's node ID.
+	ID string `json:"id"`
+	// Address is the "host:port" of its inner protocol.
+	Address string `json:"address"`
 }
 
 // LeaseSettings describe the node's lease in the store.
@@ -154,6 +165,10 @@
 	for _, a := range p.Advertised {
 		address(ps, "peers.advertised", a)
 	}
+	for _, seed := range p.Seeds {
+		required(ps, "peers.seeds.id", seed.ID)
+		address(ps, "peers.seeds.address", seed.Address)
+	}
 	if (p.Secret == "") == (p.SecretFile == "") {
 		ps.add("peers.secret", "", "expected either secret or secretFile")
 	}
--- /dev/null
+++ b/internal/entryd/entryd.go
@@ -0,0 +1,154 @@
+// Package entryd makes an entry process from its settings file.
+package entryd
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"buckthornpick/internal/admin"
+	"buckthornpick/internal/cli"
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/entry"
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/netx"
+	"buckthornpick/internal/telemetry"
+)
+
+// Daemon returns the description of the buckthornpick-entry binary.
+func Daemon() cli.Daemon[config.EntrySettings] {
+	return cli.Daemon[config.EntrySettings]{
+		Name:  "buckthornpick-entry",
+		Usage: "take callers' requests, own and route them, and stream the answers back",
+		Node: func(s *config.EntrySettings) (config.NodeSettings, *config.LogSettings) {
+			return s.Node, &s.Log
+		},
+		Run: Run,
+	}
+}
+
+// Run provisions and runs an entry until ctx ends, which starts a planned stop.
+func Run(ctx context.Context, s config.EntrySettings, p *cli.Process) error {
+	network := netx.TCP{}
+	cfg, cleanup, err := nodeConfig(s, network, p)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	node := entry.New(cfg)
+	listener, err := listen(network, s.Callers.Address, s.Callers.TLS, p.Log)
+	if err != nil {
+		return err
+	}
+	drain, requestDrain := context.WithCancel(ctx)
+	defer requestDrain()
+	pages, err := adminServer(s, node, requestDrain, p)
+	if err != nil {
+		return err
+	}
+	process := &entry.Process{
+		Node: node, Listener: listener, Server: callerServer(s),
+		ReadyDelay:    time.Duration(s.Drain.ReadyDelay),
+		ShutdownGrace: time.Duration(s.Drain.Grace),
+	}
+	return runBoth(drain, process, pages)
+}
+
+// runBoth serves the admin pages until the entry has stopped.
+func runBoth(ctx context.Context, process *entry.Process, pages *cli.AdminServer) error {
+	pagesCtx, stopPages := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopPages()
+	var g errgroup.Group
+	g.Go(func() error { return pages.Run(pagesCtx) })
+	g.Go(func() error {
+		defer stopPages()
+		return process.Run(ctx)
+	})
+	return g.Wait()
+}
+
+func callerServer(s config.EntrySettings) *http.Server {
+	return &http.Server{
+		ReadHeaderTimeout: time.Duration(s.Callers.ReadHeaderTimeout),
+		IdleTimeout:       time.Duration(s.Callers.IdleTimeout),
+		MaxHeaderBytes:    s.Bounds.MaxHeaderBytes,
+	}
+}
+
+func listen(n netx.Network, address string, files config.TLSSettings, log *telemetry.Logger) (net.Listener, error) {
+	tlsConfig, err := cli.ServerTLS(files, log)
+	if err != nil {
+		return nil, err
+	}
+	l, err := n.Listen(address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "callers.listen", address, "cannot listen")
+	}
+	log.Log(cli.EvListening, "listener", "callers", "address", l.Addr().String(), "tls", tlsConfig != nil)
+	if tlsConfig != nil {
+		return tls.NewListener(l, tlsConfig), nil
+	}
+	return l, nil
+}
+
+func adminServer(s config.EntrySettings, node *entry.Node, drain func(), p *cli.Process) (*cli.AdminServer, error) {
+	token, err := config.Secret(s.Admin.Token, s.Admin.TokenFile)
+	if err != nil {
+		return nil, err
+	}
+	tlsConfig, err := cli.ServerTLS(s.Admin.TLS, p.Log)
+	if err != nil {
+		return nil, err
+	}
+	api := admin.New(admin.Config{
+		Node: s.Node.ID, Zone: s.Node.Zone, Region: s.Node.Region, Version: cli.FullVersion(),
+		Token: token, Document: node.Documents(), Members: members{node}, Drainer: drainer(drain), Log: p.Log,
+	})
+	pages := &cli.Pages{Metrics: p.Metrics, Ready: node.Ready, Pprof: s.Admin.Pprof}
+	if token != "" {
+		pages.API = api.Handler()
+	}
+	return cli.ListenAdmin(netx.TCP{}, s.Admin.Address, tlsConfig, pages.Handler(), p.Log)
+}
+
+// members lists the table for operators.
+type members struct{ node *entry.Node }
+
+// Members implements admin.Members.
+func (m members) Members() []admin.Member {
+	var out []admin.Member
+	for _, x := range m.node.Members().Table().Members {
+		out = append(out, admin.Member{ID: x.ID, Zone: x.Zone, State: m.stateOf(x.ID), AdminURL: x.AdminURL})
+	}
+	return out
+}
+
+// Words for the state of a member.
+const (
+	stateLive    = "live"
+	stateLeaving = "leaving"
+)
+
+func (m members) stateOf(id string) string {
+	if _, isNoticed := m.node.Inventory().View().Deadlines[id]; isNoticed {
+		return stateLeaving
+	}
+	return stateLive
+}
+
+// drainer starts a planned stop.
+type drainer func()
+
+// Drain implements admin.Drainer.
+func (d drainer) Drain(context.Context) error {
+	if d == nil {
+		return errors.New("this process cannot be drained")
+	}
+	d()
+	return nil
+}
--- /dev/null
+++ b/internal/entryd/provision.go
@@ -0,0 +1,87 @@
+package entryd
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"buckthornpick/internal/backend"
+	"buckthornpick/internal/cli"
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/dispatch"
+	"buckthornpick/internal/entry"
+	"buckthornpick/internal/gateway"
+	"buckthornpick/internal/kv/etcd"
+	"buckthornpick/internal/member"
+	"buckthornpick/internal/netx"
+	"buckthornpick/internal/peer"
+	"buckthornpick/internal/platform"
+	"buckthornpick/internal/platform/cloudhttp"
+)
+
+const (
+	// backendIdleConns bounds kept connections to one backend server.
+	backendIdleConns = 64
+	// platformIdleConns bounds kept connections to a service of the platform.
+	platformIdleConns = 8
+)
+
+// nodeConfig turns settings into a node's configuration. cleanup releases its
+// HTTP clients.
+func nodeConfig(s config.EntrySettings, n netx.Network, p *cli.Process) (cfg entry.Config, cleanup func(), err error) {
+	secret, err := config.Secret(s.Peers.Secret, s.Peers.SecretFile)
+	if err != nil {
+		return entry.Config{}, nil, err
+	}
+	store := netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: platformIdleConns})
+	cloud := netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: platformIdleConns})
+	backends := netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: backendIdleConns})
+	platformClient := cloudhttp.New(s.Cloud.URL, cloud, p.Log)
+	bounded := boundedCloud{Client: platformClient, timeout: time.Duration(s.Cloud.Timeout)}
+	cfg = entry.Config{
+		Self: member.Member{ID: s.Node.ID, Zone: s.Node.Zone, Address: s.Peers.Advertised[0],
+			HTTPAddress: s.Callers.Address, AdminURL: s.Admin.Advertised},
+		Peer: peer.Options{ListenAddress: s.Peers.Address},
+		Secret: []byte(secret), Seeds: seeds(s.Peers.Seeds), Network: n,
+		Store:  etcd.New(etcd.Config{Endpoint: s.Store.URL, Timeout: time.Duration(s.Store.Timeout)}, store, p.Metrics),
+		Lister: bounded, Notices: platformClient,
+		Backends: backend.NewHTTPClient(backends, p.Log), Log: p.Log, Registry: p.Metrics,
+		Gateway: gateway.Config{MaxBodyBytes: s.Bounds.MaxBodyBytes, BodyTimeout: time.Duration(s.Callers.ReadTimeout)},
+		Dispatch: dispatch.Config{
+			AnswerBytes: int(s.Bounds.AnswerBytesPerRequest), BufferBytes: int(s.Bounds.AnswerBytesTotal),
+			KeyWindow: time.Duration(s.Bounds.KeyWindow),
+		},
+		Member: member.Config{LeaseTTL: time.Duration(s.Lease.TTL)},
+		Drain:  entry.DrainConfig{Grace: time.Duration(s.Drain.Grace)},
+	}
+	return cfg, closer(store, cloud, backends), nil
+}
+
+func closer(clients ...*http.Client) func() {
+	return func() {
+		for _, c := range clients {
+			c.CloseIdleConnections()
+		}
+	}
+}
+
+func seeds(settings []config.SeedSettings) []peer.Node {
+	var out []peer.Node
+	for _, s := range settings {
+		out = append(out, peer.Node{ID: s.ID, Address: s.Address})
+	}
+	return out
+}
+
+// boundedCloud bounds the time of a read of the VM list.
+type boundedCloud struct {
+	*cloudhttp.Client
+	timeout time.Duration
+}
+
+// ListVMs implements platform.Lister.
+func (c boundedCloud) ListVMs(ctx context.Context) ([]platform.VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return c.Client.ListVMs(ctx)
+}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -15,6 +15,8 @@
 	Address string `json:"address" msgpack:"a"`
 	// HTTPAddress is "host:port" of the node's listener for callers.
 	HTTPAddress string `json:"httpAddress" msgpack:"h"`
+	// AdminURL is the base URL of the node's admin listener, if known.
+	AdminURL string `json:"adminUrl,omitempty" msgpack:"u,omitempty"`
 	// Incarnation is the create revision of the node's lease key; it rises
 	// with each life of the node.
 	Incarnation int64 `json:"incarnation" msgpack:"n"`
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -4,6 +4,8 @@
 
 // Options bound and tune a Transport. Zero fields take their defaults.
 type Options struct {
+	// ListenAddress is the listener's "host:port"; default the node's Address.
+	ListenAddress string
 	// Secret is shared by all nodes of the site; it must not be empty.
 	Secret []byte
 	// MaxFrameBytes bounds one message; default 8 MiB.
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -10,6 +10,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -104,7 +105,7 @@
 	if len(t.options.Secret) == 0 {
 		return fault.New(fault.Invalid, "peer.run", "", "the shared secret is empty")
 	}
-	listener, err := t.network.Listen(t.self.Address)
+	listener, err := t.network.Listen(cmp.Or(t.options.ListenAddress, t.self.Address))
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "peer.listen", t.self.Address, "listen")
 	}
--- a/internal/spread/events.go
+++ b/internal/spread/events.go
@@ -16,4 +16,6 @@
 		"A peer sent a value that could not be decoded or was refused.")
 	EvEncodeFailed = telemetry.Register(1963, "encode-failed", slog.LevelError,
 		"A value could not be encoded for peers.")
+	EvPushDropped = telemetry.Register(1964, "push-dropped", slog.LevelDebug,
+		"Too many pushes wait at this node; the regular comparison will bring the value.")
 )
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -58,11 +58,22 @@
 	names  []string
 	topics map[string]Topic
 	wake   chan struct{}
+	// received holds pushes that wait to be taken in.
+	received chan receivedPush
 
 	mu     sync.Mutex
 	pushes map[string]int64
 }
 
+// maxReceived bounds the pushes that wait; the regular comparison makes up for
+// one that is dropped.
+const maxReceived = 64
+
+type receivedPush struct {
+	from peer.Node
+	push push
+}
+
 // push carries a value to a peer.
 type push struct {
 	Topic string `msgpack:"t"`
@@ -92,12 +103,13 @@
 	}
 	s := &Spreader{
 		cfg: cfg, transport: transport, log: log,
-		pushed: metrics.GetOrRegisterCounter("spread_pushes_total", registry),
-		pulled: metrics.GetOrRegisterCounter("spread_comparisons_total", registry),
-		bytes:  metrics.GetOrRegisterCounter("spread_sent_bytes_total", registry),
-		topics: map[string]Topic{},
-		wake:   make(chan struct{}, 1),
-		pushes: map[string]int64{},
+		pushed:   metrics.GetOrRegisterCounter("spread_pushes_total", registry),
+		pulled:   metrics.GetOrRegisterCounter("spread_comparisons_total", registry),
+		bytes:    metrics.GetOrRegisterCounter("spread_sent_bytes_total", registry),
+		topics:   map[string]Topic{},
+		wake:     make(chan struct{}, 1),
+		received: make(chan receivedPush, maxReceived),
+		pushes:   map[string]int64{},
 	}
 	transport.HandleNotify(peer.Gossip, s.receivePush)
 	transport.Handle(peer.GossipCompare, s.answerDigest)
@@ -128,6 +140,8 @@
 			return nil
 		case <-s.wake:
 			s.pushNews()
+		case r := <-s.received:
+			s.observe(r.from, r.push.Topic, r.push.Value)
 		case <-timer.C:
 			s.pushNews()
 			s.compareWithOne(ctx)
@@ -176,7 +190,11 @@
 		s.log.Log(EvBadValue, "peer", from.ID, "error", err)
 		return
 	}
-	s.observe(from, p.Topic, p.Value)
+	select {
+	case s.received <- receivedPush{from: from, push: p}:
+	default:
+		s.log.Log(EvPushDropped, "peer", from.ID, "topic", p.Topic)
+	}
 }
 
 func (s *Spreader) observe(from peer.Node, name string, value []byte) {
