--- a/internal/backend/assemble.go
+++ b/internal/backend/assemble.go
@@ -9,54 +9,6 @@
 	"buckthornpick/internal/request"
 )
 
-// streamChunk is one event of a streamed answer.
-type streamChunk struct {
-	ID                string          `json:"id"`
-	Created           int64           `json:"created"`
-	Model             string          `json:"model"`
-	SystemFingerprint string          `json:"system_fingerprint"`
-	Choices           []chunkChoice   `json:"choices"`
-	Usage             *chunkUsage     `json:"usage"`
-	Error             json.RawMessage `json:"error"`
-}
-
-type chunkChoice struct {
-	Index        int                        `json:"index"`
-	Delta        map[string]json.RawMessage `json:"delta"`
-	Text         string                     `json:"text"`
-	FinishReason *string                    `json:"finish_reason"`
-}
-
-type chunkUsage struct {
-	PromptTokens     int `json:"prompt_tokens"`
-	CompletionTokens int `json:"completion_tokens"`
-	Details          struct {
-		CachedTokens int `json:"cached_tokens"`
-	} `json:"prompt_tokens_details"`
-}
-
-// tokens counts the generated tokens of the chunk: engines send one token for
-// each choice with text.
-func (c *streamChunk) tokens() int {
-	n := 0
-	for _, ch := range c.Choices {
-		if ch.Text != "" || ch.hasDelta() {
-			n++
-		}
-	}
-	return n
-}
-
-func (ch *chunkChoice) hasDelta() bool {
-	for name, raw := range ch.Delta {
-		empty := string(raw) == `""` || string(raw) == "null" || string(raw) == "[]"
-		if name != "role" && !empty {
-			return true
-		}
-	}
-	return false
-}
-
 // TextOf returns the generated text of the first choice of events.
 func TextOf(kind request.Kind, events []request.Event) (string, error) {
 	var sb strings.Builder
@@ -69,17 +21,11 @@
 			if ch.Index != 0 {
 				continue
 			}
-			if kind != request.Chat {
+			if kind == request.Chat {
+				sb.WriteString(ch.Delta.Content)
+			} else {
 				sb.WriteString(ch.Text)
-				continue
 			}
-			var text string
-			if raw, ok := ch.Delta["content"]; ok {
-				if err := json.Unmarshal(raw, &text); err != nil {
-					return "", fmt.Errorf("event %d: content: %w", e.Sequence, err)
-				}
-			}
-			sb.WriteString(text)
 		}
 	}
 	return sb.String(), nil
@@ -135,14 +81,7 @@
 }
 
 func merge(out *wholeAnswer, choices map[int]*choiceBuilder, e request.Event) error {
-	var c struct {
-		streamChunk
-		Choices []struct {
-			chunkChoice
-			Logprobs json.RawMessage `json:"logprobs"`
-		} `json:"choices"`
-		Usage json.RawMessage `json:"usage"`
-	}
+	var c fullChunk
 	if err := json.Unmarshal(e.Data, &c); err != nil {
 		return err
 	}
@@ -159,7 +98,7 @@
 			b = newChoiceBuilder()
 			choices[ch.Index] = b
 		}
-		if err := b.add(ch.chunkChoice, ch.Logprobs); err != nil {
+		if err := b.add(ch); err != nil {
 			return err
 		}
 	}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -44,11 +44,15 @@
 	MeasuredAt time.Time `json:"measuredAt" msgpack:"m"`
 }
 
-// Usage is reported by an engine at the end of an answer.
+// Usage is reported by an engine at the end of an answer. It counts the whole
+// answer, also after a continuation.
 type Usage struct {
 	PromptTokens     int `msgpack:"p"`
 	CachedTokens     int `msgpack:"c"`
 	CompletionTokens int `msgpack:"g"`
+	// ComputedTokens were prefilled by this attempt: prompt and continued
+	// text, less what was cached.
+	ComputedTokens int `msgpack:"k,omitempty"`
 }
 
 // Continuation asks an engine to go on from text that another one generated.
--- a/internal/backend/choice.go
+++ b/internal/backend/choice.go
@@ -18,12 +18,12 @@
 
 func newChoiceBuilder() *choiceBuilder { return &choiceBuilder{message: newDeltaBuilder()} }
 
-func (b *choiceBuilder) add(ch chunkChoice, logprobs json.RawMessage) error {
+func (b *choiceBuilder) add(ch fullChoice) error {
 	b.text.WriteString(ch.Text)
-	if ch.FinishReason != nil && *ch.FinishReason != "" {
-		b.finish = *ch.FinishReason
+	if ch.FinishReason != "" {
+		b.finish = ch.FinishReason
 	}
-	if err := b.addLogprobs(logprobs); err != nil {
+	if err := b.addLogprobs(ch.Logprobs); err != nil {
 		return err
 	}
 	return b.message.add(ch.Delta)
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -133,6 +133,8 @@
 	rest, err := readAll(a)
 	require.NoError(t, err)
 	require.Equal(t, 21, rest[0].Sequence)
+	require.Equal(t, 40, a.Usage().CompletionTokens, "the usage counts the whole answer")
+	require.Equal(t, s.Executions()[1].Recomputed, a.Usage().ComputedTokens)
 	text, err := TextOf(request.Chat, append(whole[:20:20], rest...))
 	require.NoError(t, err)
 	require.NoError(t, engine.VerifyText(engine.PromptOf([]byte(chatBody)), text, 40))
@@ -320,6 +322,19 @@
 	}
 }
 
+func TestRedirectIsAnAnswer(t *testing.T) {
+	var requests atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requests.Add(1)
+		http.Redirect(w, r, "/elsewhere", http.StatusFound)
+	}))
+	defer srv.Close()
+	a, err := newClient(t).Start(t.Context(), target(srv.Listener.Addr().String(), Plain), plainRequest("POST"), "r.1", nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusFound, a.Head().Status)
+	require.EqualValues(t, 1, requests.Load())
+}
+
 func TestTruncatedPlainBody(t *testing.T) {
 	for name, reply := range map[string]string{
 		"length":    "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 10\r\n\r\nabc",
--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -264,16 +264,15 @@
 }
 
 func (a *engineAnswer) observe(chunk *streamChunk) {
-	for _, ch := range chunk.Choices {
+	for i := range chunk.Choices {
+		ch := &chunk.Choices[i]
 		a.begun[ch.Index] = true
-		if ch.FinishReason != nil && *ch.FinishReason != "" {
+		if ch.FinishReason != "" {
 			a.finished[ch.Index] = true
 		}
 	}
 	if u := chunk.Usage; u != nil {
-		a.usage = Usage{
-			PromptTokens: u.PromptTokens, CachedTokens: u.Details.CachedTokens, CompletionTokens: u.CompletionTokens,
-		}
+		a.usage = u.usage()
 	}
 }
 
--- a/internal/standin/engine/attempt.go
+++ b/internal/standin/engine/attempt.go
@@ -34,6 +34,7 @@
 	words      []string
 	cached     int // tokens found cached
 	pending    int // tokens left to prefill
+	computed   int // tokens to prefill at the start
 	promptSize int // tokens of prompt and continuation
 	generated  int // tokens, those of a continuation included
 	last       string
@@ -147,7 +148,8 @@
 }
 
 type usageDetails struct {
-	CachedTokens int `json:"cached_tokens"`
+	CachedTokens   int `json:"cached_tokens"`
+	ComputedTokens int `json:"computed_tokens"`
 }
 
 func (a *attempt) chunk() *chunk {
@@ -185,11 +187,12 @@
 	a.notify()
 }
 
+// usage counts the whole answer, as if one engine had generated it.
 func (a *attempt) usage() *usage {
-	done := a.generated - a.continued()
+	prompt := a.promptSize - a.continued()
 	return &usage{
-		PromptTokens: a.promptSize, CompletionTokens: done, TotalTokens: a.promptSize + done,
-		Details: usageDetails{CachedTokens: a.cached},
+		PromptTokens: prompt, CompletionTokens: a.generated, TotalTokens: prompt + a.generated,
+		Details: usageDetails{CachedTokens: min(a.cached, prompt), ComputedTokens: a.computed},
 	}
 }
 
--- a/internal/standin/engine/doc.go
+++ b/internal/standin/engine/doc.go
@@ -20,6 +20,8 @@
 //   - Body field "continuation": {"text", "tokens", "after"} goes on after
 //     text that was generated elsewhere. It costs a prefill of the prompt and
 //     the tokens, less cached ones. Events are numbered from after+1.
+//   - The usage counts the whole answer, also after a continuation;
+//     prompt_tokens_details.computed_tokens is what the attempt prefilled.
 //   - GET /v1/kv/{attempt} exports the attempt's KV cache as an opaque blob,
 //     POST /v1/kv imports it.
 //   - Response header endpoint-load-metrics carries a load report in the JSON
@@ -29,6 +31,10 @@
 //   - POST /v1/orders changes the model, adapter or role.
 //   - A 503 or 429 with X-Not-Run: true says that the request was not run.
 //
+// A crashed engine drops every connection and each new request unanswered. A
+// test that wants new connections refused closes the listener in
+// Settings.OnCrash.
+//
 // # Answers
 //
 // A token is a word. The first one is a hash of the prompt and a salt, each
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -308,3 +308,42 @@
 		})
 	}
 }
+
+func TestCancelFreesTheBatch(t *testing.T) {
+	serve(t, Settings{MaxBatch: 1}, func(t *testing.T, s *Server, c *http.Client) {
+		first := call(t, c, "POST", chatPath, chatBody("long", 10000, ""), "X-Attempt-Id", "a.1")
+		defer first.Body.Close()
+		waiting := call(t, c, "POST", chatPath, chatBody("short", 20, ""), "X-Attempt-Id", "a.2")
+		defer waiting.Body.Close()
+		time.Sleep(time.Second)
+		for range 2 { // cancelling twice is no error
+			require.NoError(t, call(t, c, "DELETE", "/v1/streams/a.1", "").Body.Close())
+		}
+		require.False(t, read(first.Body).done)
+		require.True(t, read(waiting.Body).done)
+	})
+}
+
+func TestLoadReportLags(t *testing.T) {
+	serve(t, Settings{MaxBatch: 1, MaxWaiting: 1, LoadLag: time.Second}, func(t *testing.T, s *Server, c *http.Client) {
+		idle := s.Load()
+		require.Zero(t, idle.Running)
+		var bodies []io.Closer
+		for range 2 {
+			bodies = append(bodies, call(t, c, "POST", chatPath, chatBody("x", 1000, "")).Body)
+			synctest.Wait()
+		}
+		refused := call(t, c, "POST", chatPath, chatBody("x", 1000, ""))
+		require.Equal(t, http.StatusServiceUnavailable, refused.StatusCode, "the queue is full")
+		require.Contains(t, refused.Header.Get(LoadHeader), `JSON {"running":0`, "the report lags")
+		bodies = append(bodies, refused.Body)
+		time.Sleep(2 * time.Second)
+		busy := s.Load()
+		require.Equal(t, 1, busy.Running)
+		require.Equal(t, 1, busy.Waiting)
+		require.InDelta(t, 100/(1+1.0/64), busy.TokensPerSecond, 1)
+		for _, b := range bodies {
+			require.NoError(t, b.Close())
+		}
+	})
+}
--- a/internal/standin/engine/schedule.go
+++ b/internal/standin/engine/schedule.go
@@ -97,6 +97,7 @@
 func (s *Server) start(a *attempt) {
 	a.cached = s.cache.match(BlockHashes(a.words)) * BlockWords
 	a.pending = max(a.promptSize-a.cached, 1)
+	a.computed = a.pending
 	if a.body.Temperature > 0 {
 		s.runs++
 		a.salt = s.settings.Seed ^ PromptHash(s.settings.ID+a.id) ^ s.runs<<1 | 1
--- a/internal/standin/engine/tokens.go
+++ b/internal/standin/engine/tokens.go
@@ -107,8 +107,9 @@
 	if b.N > 1 {
 		return nil, fmt.Errorf("body: n is %d, only 1 is supported", b.N)
 	}
-	if c := b.Continuation; c != nil && (c.Tokens < 0 || c.After < 0) {
-		return nil, fmt.Errorf("body: continuation has a negative count")
+	if c := b.Continuation; c != nil && (c.After < 0 || c.Tokens != len(strings.Fields(c.Text))) {
+		return nil, fmt.Errorf("body: continuation counts %d tokens after event %d, its text has %d",
+			c.Tokens, c.After, len(strings.Fields(c.Text)))
 	}
 	return &b, nil
 }
