--- a/internal/rules/set.go
+++ b/internal/rules/set.go
@@ -54,9 +54,10 @@
 	if in.Priority == "" {
 		in.Priority = normalPriority
 	}
+	hour := uint32(1) << in.Now.UTC().Hour()
 	for i := range s.rules {
 		r := &s.rules[i]
-		if !r.matches(&in) {
+		if r.hours&hour == 0 || !r.matches(&in) {
 			continue
 		}
 		return Decision{
@@ -67,10 +68,10 @@
 	return Decision{Rule: NoRule, Then: s.noMatch}
 }
 
+// matches evaluates all conditions but the hours.
 func (r *compiled) matches(in *Input) bool {
 	w := &r.when
-	return r.hours&(1<<in.Now.UTC().Hour()) != 0 &&
-		contains(w.Services, in.Service) &&
+	return contains(w.Services, in.Service) &&
 		contains(w.Organisations, in.Organisation) &&
 		contains(w.Models, in.Model) &&
 		contains(w.Kinds, in.Kind) &&
