Watching nodes read the document from time to time and repair a restored store

Cause: a watch that hangs without an end kept its node at the old document, and a restore seen by an open watch was not written back. Change: a watching node reads every 15 s and after an event that goes back; a value that cannot be read is left alone, since it may come from a later release. Conclusion: both are tested in virtual time.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"encoding/pem"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -213,3 +218,21 @@
 	api.Handler().ServeHTTP(w, r)
 	require.Equal(t, http.StatusUnauthorized, w.Code)
 }
+
+func TestClientTrustsTheAuthoritiesOfItsFile(t *testing.T) {
+	api := New(Config{Node: "n1", Token: "secret", Log: telemetry.Discard(),
+		Document: confstore.New(confstore.Config{Self: "n1"}, &memory{}, telemetry.Discard(), nil)})
+	server := httptest.NewUnstartedServer(api.Handler())
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.StartTLS()
+	defer server.Close()
+	file := filepath.Join(t.TempDir(), "ca.pem")
+	block := &pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw}
+	require.NoError(t, os.WriteFile(file, pem.EncodeToMemory(block), 0o600))
+	for caFile, trusted := range map[string]bool{"": false, file: true} {
+		client, err := NewClient(config.ControlSettings{AdminURLs: []string{server.URL}, Token: "secret", CAFile: caFile})
+		require.NoError(t, err)
+		_, err = client.Revision(t.Context(), server.URL)
+		require.Equal(t, trusted, err == nil, "%v", err)
+	}
+}
--- a/internal/confstore/fake_test.go
+++ b/internal/confstore/fake_test.go
@@ -30,6 +30,8 @@
 	entries  map[string]kv.Entry
 	revision int64
 	down     bool
+	// silent watches deliver nothing and do not end.
+	silent   bool
 	faults   []txnFault
 	delayed  []func()
 	watchers map[chan kv.WatchBatch]string
@@ -121,7 +123,7 @@
 		delete(f.entries, op.Key)
 	}
 	for ch, prefix := range f.watchers {
-		if strings.HasPrefix(op.Key, prefix) {
+		if strings.HasPrefix(op.Key, prefix) && !f.silent {
 			ch <- kv.WatchBatch{Events: []kv.Event{{Entry: e, Deleted: op.Delete}}, Revision: f.revision}
 		}
 	}
--- a/internal/confstore/store.go
+++ b/internal/confstore/store.go
@@ -28,6 +28,9 @@
 	maxBackoff = 5 * time.Second
 	// roleInterval is the time between checks of WatchesStore.
 	roleInterval = time.Second
+	// refreshInterval is the time between reads of a watching node. They find
+	// what a watch that has gone silent did not deliver.
+	refreshInterval = 15 * time.Second
 )
 
 // Config describes a Store.
--- a/internal/confstore/watch.go
+++ b/internal/confstore/watch.go
@@ -60,23 +60,25 @@
 	if err != nil {
 		return 0, err
 	}
-	i := slices.IndexFunc(snapshot.Entries, func(e kv.Entry) bool { return e.Key == s.cfg.Key })
 	var entry kv.Entry
-	var revision int64
-	if i >= 0 {
+	if i := slices.IndexFunc(snapshot.Entries, s.isDocument); i >= 0 {
 		entry = snapshot.Entries[i]
-		revision = s.see(entry.Value)
 	}
-	if ok && revision < before.Revision {
+	revision, readable := s.see(entry.Value)
+	if ok && readable && revision < before.Revision {
 		s.noteBehind(revision)
 		s.repair(ctx, before.Document, entry.ModRevision)
 	}
 	return snapshot.Revision, nil
 }
 
+func (s *Store) isDocument(e kv.Entry) bool { return e.Key == s.cfg.Key }
+
 func (s *Store) consume(ctx context.Context, batches <-chan kv.WatchBatch, wait *backoff) error {
 	role := time.NewTicker(roleInterval)
 	defer role.Stop()
+	refresh := time.NewTicker(refreshInterval)
+	defer refresh.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -86,48 +88,68 @@
 			if !s.cfg.WatchesStore() {
 				return nil
 			}
-		case b, ok := <-batches:
-			if !ok {
-				return fault.New(fault.Unavailable, "config.watch", "store", "the watch ended")
-			}
-			if b.Compacted {
-				return fault.New(fault.Unavailable, "config.watch", "store", "the watched revision is compacted")
+		case <-refresh.C:
+			if _, err := s.read(ctx); err != nil {
+				return err
 			}
-			for _, e := range b.Events {
-				s.seeEvent(e)
+		case b, ok := <-batches:
+			if err := s.seeBatch(ctx, b, ok); err != nil {
+				return err
 			}
 		}
 	}
 }
 
-func (s *Store) seeEvent(e kv.Event) {
-	if e.Entry.Key != s.cfg.Key {
-		return
+// seeBatch takes one delivery of the watch; open is false after the last one.
+func (s *Store) seeBatch(ctx context.Context, b kv.WatchBatch, open bool) error {
+	if !open {
+		return fault.New(fault.Unavailable, "config.watch", "store", "the watch ended")
 	}
-	var revision int64
-	if !e.Deleted {
-		revision = s.see(e.Entry.Value)
+	if b.Compacted {
+		return fault.New(fault.Unavailable, "config.watch", "store", "the watched revision is compacted")
 	}
-	s.mu.Lock()
-	behind := revision < s.seen
-	s.mu.Unlock()
-	if behind {
-		s.noteBehind(revision)
+	for _, e := range b.Events {
+		if !s.seeEvent(e) {
+			continue
+		}
+		if _, err := s.read(ctx); err != nil {
+			return err
+		}
 	}
+	return nil
 }
 
-// see takes the value of the document's key and returns its revision, 0 if it
-// is not a document.
-func (s *Store) see(value []byte) int64 {
+// seeEvent takes one change and reports whether it went back.
+func (s *Store) seeEvent(e kv.Event) (behind bool) {
+	if !s.isDocument(e.Entry) {
+		return false
+	}
+	value := e.Entry.Value
+	if e.Deleted {
+		value = nil
+	}
+	revision, readable := s.see(value)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return readable && revision < s.seen
+}
+
+// see takes the value of the document's key and returns its revision, 0 for an
+// absent document. A value that cannot be read may come from a later release,
+// so it is not treated as an older revision.
+func (s *Store) see(value []byte) (revision int64, readable bool) {
+	if value == nil {
+		return 0, true
+	}
 	doc, err := decodeDocument(value)
 	if err != nil {
 		s.refused.Inc(1)
 		s.log.Log(EvRefused, "source", "store", "err", err)
-		return 0
+		return 0, false
 	}
 	s.install(doc, "store")
 	s.noteStored(doc.Revision)
-	return doc.Revision
+	return doc.Revision, true
 }
 
 // noteStored records that the store holds revision.
--- a/internal/confstore/watch_test.go
+++ b/internal/confstore/watch_test.go
@@ -122,7 +122,7 @@
 	})
 }
 
-func TestRollbackUnderTheWatchIsNoticed(t *testing.T) {
+func TestRollbackUnderTheWatchIsRepaired(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFake()
 		put(t, f, at("new", 7))
@@ -131,14 +131,54 @@
 		put(t, f, at("old", 5))
 		synctest.Wait()
 		require.EqualValues(t, 7, revision(s))
+		require.EqualValues(t, 7, stored(t, f).Revision)
+		_, behind := s.RolledBackRevision()
+		require.False(t, behind)
+	})
+}
+
+func TestRollbackThatCannotBeRepairedIsShown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		put(t, f, at("new", 7))
+		s := testStore(f)
+		run(t, s)
+		f.mu.Lock()
+		f.faults = []txnFault{lostBefore}
+		f.mu.Unlock()
+		put(t, f, at("old", 5))
+		synctest.Wait()
 		shown, behind := s.RolledBackRevision()
 		require.True(t, behind)
 		require.EqualValues(t, 5, shown)
-		_, err := s.Propose(t.Context(), change("next", 7, "op8"))
-		require.NoError(t, err)
-		require.EqualValues(t, 8, stored(t, f).Revision)
-		_, behind = s.RolledBackRevision()
-		require.False(t, behind)
+		require.EqualValues(t, 7, revision(s))
+		time.Sleep(refreshInterval)
+		synctest.Wait()
+		require.EqualValues(t, 7, stored(t, f).Revision)
+	})
+}
+
+func TestChangeGoesOverARestoredStore(t *testing.T) {
+	f := newFake()
+	put(t, f, at("old", 5))
+	s := testStore(f)
+	require.True(t, s.Observe(at("new", 7)))
+	_, err := s.Propose(t.Context(), change("next", 7, "op8"))
+	require.NoError(t, err)
+	require.EqualValues(t, 8, stored(t, f).Revision)
+}
+
+func TestSilentWatchIsMadeUpForByReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.silent = true
+		put(t, f, at("a", 1))
+		s := testStore(f)
+		run(t, s)
+		put(t, f, at("b", 2))
+		time.Sleep(refreshInterval)
+		synctest.Wait()
+		require.EqualValues(t, 2, revision(s))
 	})
 }
 
@@ -156,5 +196,8 @@
 		synctest.Wait()
 		require.EqualValues(t, 1, revision(s))
 		require.EqualValues(t, 3, s.refused.Count())
+		time.Sleep(refreshInterval)
+		synctest.Wait()
+		require.Equal(t, "{", string(f.entries[DefaultKey].Value), "it may come from a later release")
 	})
 }
