Claims: leave a hung writer soon, check what peers ask to write

Cause: a paused writer held each batch for the store's timeout, and the writer took any key from a peer.

--- a/internal/claim/batch.go
+++ b/internal/claim/batch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -188,31 +190,44 @@
 	l.settleAll(b, f)
 }
 
-// deliver hands b to the zone's writer, or writes it here if that is certain
-// not to have written it.
+// deliver hands b to the zone's writer, or writes it here if the writer is
+// certain not to have written it.
 func (l *Ledger) deliver(ctx context.Context, b batch) fate {
 	node, ok := l.ownership.Writer()
-	if !ok || node.ID == l.transport.Self().ID {
+	if !ok || node.ID == l.transport.Self().ID || time.Now().UnixNano() < l.pauseUntil.Load() {
 		return l.writer.submit(ctx, b)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, l.config.WriteTimeout)
+	f := l.relay(ctx, node, b)
+	if f == fateUnavailable {
+		return l.writer.submit(ctx, b)
+	}
+	return f
+}
+
+// relay sends b to the writer; fateUnavailable means that it has not seen b or
+// could not reach the store.
+func (l *Ledger) relay(ctx context.Context, node peer.Node, b batch) fate {
+	ctx, cancel := context.WithTimeout(ctx, l.config.RelayTimeout)
 	defer cancel()
-	answer, err := peer.Call[reply](callCtx, l.transport, node, peer.ClaimCommit, b)
-	switch {
-	case err == nil && answer.Fate != fateUnavailable:
+	answer, err := peer.Call[reply](ctx, l.transport, node, peer.ClaimCommit, b)
+	if err == nil && answer.Fate != fateUnavailable {
 		return answer.Fate
-	case err == nil || fault.Is(err, fault.Unavailable):
-		if err != nil {
-			l.log.Log(EvWriterLost, "peer", node.ID, "error", err.Error())
-		}
-		return l.writer.submit(ctx, b)
+	}
+	l.pauseUntil.Store(time.Now().Add(l.config.RelayPause).UnixNano())
+	if err == nil {
+		return fateUnavailable
+	}
+	l.log.Log(EvWriterLost, "peer", node.ID, "error", err.Error())
+	var remote *peer.RemoteError
+	if fault.Is(err, fault.Unavailable) && !errors.As(err, &remote) {
+		return fateUnavailable
 	}
 	return fateAmbiguous
 }
 
 const (
 	firstRetry = 20 * time.Millisecond
-	lastRetry  = time.Second
+	lastRetry  = 2 * time.Second
 )
 
 // resolve finds out the fate of b. While a caller waits it sends b again; the
@@ -224,7 +239,7 @@
 		select {
 		case <-ctx.Done():
 			return fateAmbiguous
-		case <-time.After(delay):
+		case <-time.After(delay/2 + rand.N(delay)):
 		}
 		delay = min(2*delay, lastRetry)
 		if f := l.attempt(ctx, b); f == fateWritten || f == fateConflict {
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -83,6 +83,10 @@
 	WriteInterval time.Duration
 	// WriteTimeout bounds one call to the store; default 2 s.
 	WriteTimeout time.Duration
+	// RelayTimeout bounds one call to the zone's writer. After a call that
+	// failed the node writes itself for RelayPause. Defaults 250 ms and 1 s.
+	RelayTimeout time.Duration
+	RelayPause   time.Duration
 	// QueueClaims bounds the claims that wait at a node; default 4096.
 	QueueClaims int
 	// NodeInFlight bounds a node's batches that are under way; default 2.
@@ -100,6 +104,8 @@
 	defaultBucketLength   = 10 * time.Minute
 	defaultWriteInterval  = 5 * time.Millisecond
 	defaultWriteTimeout   = 2 * time.Second
+	defaultRelayTimeout   = 250 * time.Millisecond
+	defaultRelayPause     = time.Second
 	defaultQueueClaims    = 4096
 	defaultNodeInFlight   = 2
 	defaultWriterInFlight = 4
@@ -114,6 +120,8 @@
 	setDefault(&c.BucketLength, defaultBucketLength)
 	setDefault(&c.WriteInterval, defaultWriteInterval)
 	setDefault(&c.WriteTimeout, defaultWriteTimeout)
+	setDefault(&c.RelayTimeout, defaultRelayTimeout)
+	setDefault(&c.RelayPause, defaultRelayPause)
 	setDefault(&c.QueueClaims, defaultQueueClaims)
 	setDefault(&c.NodeInFlight, defaultNodeInFlight)
 	setDefault(&c.WriterInFlight, defaultWriterInFlight)
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -56,6 +56,40 @@
 	})
 }
 
+func TestLaterOwnersAmendmentsWin(t *testing.T) {
+	inSite(t, 6, Config{}, func(t *testing.T, s *site) {
+		c := s.nodes[0].claim(testID(0, 1), 1)
+		require.NoError(t, s.nodes[0].Commit(t.Context(), c))
+		for i, n := range s.nodes[1:] {
+			s.assign(0, i+1, s.nodes...)
+			got, found, err := n.Lookup(t.Context(), c.Request)
+			require.NoError(t, err)
+			require.True(t, found)
+			require.Equal(t, i+1, got.Number, "the latest attempt is known")
+			next := n.claim(c.Request, i+2)
+			next.Number = got.Number + 1
+			require.NoError(t, n.Amend(t.Context(), next))
+		}
+	})
+}
+
+func TestHungWriterIsLeft(t *testing.T) {
+	inSite(t, 2, Config{}, func(t *testing.T, s *site) {
+		a, b := s.nodes[0], s.nodes[1]
+		a.setWriter(b)
+		s.pause(b, true)
+		began := time.Now()
+		require.NoError(t, a.Commit(t.Context(), a.claim(testID(0, 1), 1)))
+		require.Less(t, time.Since(began), 2*defaultRelayTimeout)
+		require.EqualValues(t, 1, a.ambiguities.Count())
+		require.NoError(t, a.Commit(t.Context(), a.claim(testID(0, 2), 1)))
+		require.EqualValues(t, 1, a.ambiguities.Count(), "the writer is not tried again at once")
+		s.pause(b, false) // its late write fails
+		time.Sleep(time.Second)
+		require.Len(t, s.store.list("claims/").Entries, 2)
+	})
+}
+
 func TestPausedOwnerCannotCommit(t *testing.T) {
 	inSite(t, 2, Config{}, func(t *testing.T, s *site) {
 		a, b := s.nodes[0], s.nodes[1]
--- a/internal/claim/ledger.go
+++ b/internal/claim/ledger.go
@@ -33,6 +33,8 @@
 	// session makes operation IDs unique among all runs of all nodes.
 	session    string
 	operations atomic.Int64
+	// pauseUntil is when the zone's writer is tried again, in unix nanoseconds.
+	pauseUntil atomic.Int64
 
 	committed, refused, ambiguities metrics.Counter
 	loadedBytes, batchClaims        metrics.Histogram
--- a/internal/claim/writer.go
+++ b/internal/claim/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,8 +44,8 @@
 
 // submit writes b together with others and returns its fate.
 func (w *writer) submit(ctx context.Context, b batch) fate {
-	if len(b.Records) == 0 || len(b.Records) > maxTxnKeys || b.size() > maxTxnBytes {
-		return fateConflict
+	if !w.valid(b) {
+		return fateUnavailable
 	}
 	j := &job{batch: b, fate: make(chan fate, 1)}
 	select {
@@ -62,6 +63,19 @@
 	}
 }
 
+// valid reports whether b is within bounds and writes claims only.
+func (w *writer) valid(b batch) bool {
+	if len(b.Records) == 0 || len(b.Records) > maxTxnKeys || b.size() > maxTxnBytes {
+		return false
+	}
+	for _, r := range b.Records {
+		if !strings.HasPrefix(r.Key, w.config.Prefix) || len(r.Value) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // run starts at most one transaction per WriteInterval, with all that has come
 // until then.
 func (w *writer) run(ctx context.Context) {
