experiment: policy measurement in virtual time

Cause: routing, admission and sizing need one measurement against plain policies and bounds. Change: discrete-event loop with small engine models, workloads shaped like both users', faults, baselines, bounds, tables and plots; command buckthornpick-experiment.

--- /dev/null
+++ b/internal/experiment/cloud.go
@@ -0,0 +1,286 @@
+package experiment
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"buckthornpick/internal/fleet"
+	"buckthornpick/internal/platform"
+	"buckthornpick/internal/route"
+)
+
+var zones = []string{"a", "b", "c"}
+
+// Speeds of one-accelerator servers.
+var (
+	modelSpec = engineSpec{
+		base: 10 * time.Millisecond, perRequest: 200 * time.Microsecond, perToken: 60 * time.Microsecond,
+		maxBatch: 32, chunk: 192, cacheBlocks: 200_000 / blockTokens,
+	}
+	plainSpec = engineSpec{
+		base: 4 * time.Millisecond, perRequest: 500 * time.Microsecond,
+		maxBatch: 16, chunk: 64, cacheBlocks: 1,
+	}
+)
+
+const (
+	startTime    = 30 * time.Second
+	startSpread  = 10 * time.Second
+	planInterval = 5 * time.Second
+	// refusalBackoff is how long the planner leaves an offer that refused.
+	refusalBackoff = 30 * time.Second
+	// inventoryLag is the time until entries know of a change of the VM list.
+	inventoryLag = 500 * time.Millisecond
+	plainServers = 3
+)
+
+// vm is one VM of the model service or the plain service.
+type vm struct {
+	key     fleet.OfferKey
+	service string
+	engine  *engine
+	// live is false while the VM starts, leaving is true after a stop or a
+	// notice.
+	live, leaving, gone bool
+}
+
+// cloud is the model of the platform: offers, VMs and their cost.
+type cloud struct {
+	loop     *loop
+	rng      *rand.Rand
+	scenario Scenario
+	offers   []platform.Offer
+	vms      []*vm
+	nextID   int
+	cost     float64
+	changed  func()
+}
+
+func newCloud(l *loop, scenario Scenario, seed uint64, changed func()) *cloud {
+	c := &cloud{loop: l, rng: rand.New(rand.NewPCG(seed, 0xc10d)), scenario: scenario, changed: changed}
+	for i, zone := range zones {
+		price := []float64{1.0, 1.1, 1.25}[i]
+		c.offers = append(c.offers,
+			platform.Offer{Zone: zone, Class: "g1", Reclaimable: true, PricePerHour: price, Accelerators: 1},
+			platform.Offer{Zone: zone, Class: "g2", Reclaimable: true, PricePerHour: 2.1 * price, Accelerators: 2},
+			platform.Offer{Zone: zone, Class: "g1", PricePerHour: 2.6 * price, Accelerators: 1})
+	}
+	return c
+}
+
+// add makes a VM; it is not live yet.
+func (c *cloud) add(key fleet.OfferKey, service string, spec engineSpec) *vm {
+	c.nextID++
+	offer := c.offer(key)
+	server := route.Server{
+		ID: fmt.Sprintf("%s-%s-%03d", service, key.Zone, c.nextID), Zone: key.Zone, Class: key.Class,
+		Price: offer.PricePerHour, Accelerators: offer.Accelerators, Reclaimable: key.Reclaimable,
+	}
+	v := &vm{key: key, service: service, engine: newEngine(c.loop, server, spec)}
+	c.vms = append(c.vms, v)
+	return v
+}
+
+func (c *cloud) offer(key fleet.OfferKey) platform.Offer {
+	for _, o := range c.offers {
+		if fleet.KeyOf(o) == key {
+			return o
+		}
+	}
+	return platform.Offer{Accelerators: 1}
+}
+
+// start starts a VM and reports false if the platform refuses.
+func (c *cloud) start(key fleet.OfferKey) bool {
+	now := c.loop.now
+	if now >= c.scenario.RefuseFrom && now < c.scenario.RefuseTo && key.Zone != zones[len(zones)-1] {
+		return false
+	}
+	v := c.add(key, modelService, modelSpec)
+	c.loop.after(startTime+time.Duration(c.rng.Int64N(int64(startSpread))), func() {
+		if !v.gone {
+			v.live = true
+			c.loop.after(inventoryLag, c.changed)
+		}
+	})
+	return true
+}
+
+// stop drains a VM; it ends when it is idle.
+func (c *cloud) stop(v *vm) {
+	v.leaving = true
+	if !v.live {
+		v.gone = true
+		return
+	}
+	c.loop.after(inventoryLag, c.changed)
+}
+
+// reclaim announces the end of a VM.
+func (c *cloud) reclaim(v *vm) {
+	v.leaving = true
+	c.loop.after(inventoryLag, c.changed)
+	c.loop.after(noticeTime, func() { c.lose(v) })
+}
+
+// lose ends a VM at once.
+func (c *cloud) lose(v *vm) {
+	if v.gone {
+		return
+	}
+	v.gone, v.live = true, false
+	v.engine.kill()
+	c.loop.after(inventoryLag, c.changed)
+}
+
+// bill charges all model VMs for one interval and ends those that drained.
+func (c *cloud) bill(interval time.Duration) {
+	for _, v := range c.vms {
+		if v.gone || v.service != modelService {
+			continue
+		}
+		if v.leaving && v.engine.idle() {
+			v.gone = true
+			continue
+		}
+		if c.loop.now > warmup {
+			c.cost += c.offer(v.key).PricePerHour * interval.Hours()
+		}
+	}
+	c.vms = slices.DeleteFunc(c.vms, func(v *vm) bool { return v.gone })
+}
+
+// largestZone returns the zone with the most model VMs.
+func (c *cloud) largestZone() string {
+	counts := map[string]int{}
+	for _, v := range c.vms {
+		if v.service == modelService && !v.gone {
+			counts[v.key.Zone]++
+		}
+	}
+	return slices.MaxFunc(zones, func(a, b string) int { return cmp.Compare(counts[a], counts[b]) })
+}
+
+// servers returns the list that entries see for a service.
+func (c *cloud) servers(service string) []route.Server {
+	var list []route.Server
+	for _, v := range c.vms {
+		if v.service != service || !v.live || v.gone {
+			continue
+		}
+		s := v.engine.server
+		s.Price = c.offer(v.key).PricePerHour
+		if v.leaving {
+			s.State = route.Leaving
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+// planner sizes the model fleet.
+type planner struct {
+	cloud     *cloud
+	estimator *fleet.DemandEstimator
+	refused   map[fleet.OfferKey]time.Time
+	// requests and samples average the load reports of an interval.
+	requests float64
+	samples  int
+	finished int
+	missed   int
+	// unsettled is the time until which misses are blamed on a change.
+	unsettled time.Duration
+}
+
+// protectedShare is the share of the demand that must survive a zone.
+const protectedShare = 0.6
+
+func newPlanner(c *cloud) *planner {
+	return &planner{
+		cloud:     c,
+		estimator: fleet.NewDemandEstimator(fleet.DemandConfig{RequestsPerAccelerator: 16}),
+		refused:   map[fleet.OfferKey]time.Time{},
+	}
+}
+
+// sample adds the load reports of now.
+func (p *planner) sample() {
+	p.samples++
+	for _, v := range p.cloud.vms {
+		if v.service == modelService && v.live {
+			p.requests += float64(v.engine.report.Running + v.engine.report.Waiting)
+		}
+	}
+}
+
+// plan takes the interval's sample and starts and stops VMs.
+func (p *planner) plan() {
+	now := p.cloud.loop.clock()
+	demand := p.estimator.Observe(now, fleet.Sample{
+		Requests: p.requests / float64(max(1, p.samples)),
+		Finished: p.finished, Missed: p.missed, ProtectedShare: protectedShare,
+		Changing: p.cloud.loop.now < p.unsettled,
+	})
+	p.requests, p.samples, p.finished, p.missed = 0, 0, 0, 0
+	demand.Total = max(demand.Total, 2)
+	current := map[fleet.OfferKey]int{}
+	for _, v := range p.cloud.vms {
+		if v.service == modelService && !v.leaving && !v.gone {
+			current[v.key]++
+		}
+	}
+	plan := fleet.Size(fleet.SizeInput{
+		Now: now, Demand: demand, Offers: p.cloud.offers, Current: current, RefusedUntil: p.refused,
+		WavesPerHour: map[string]float64{"a": 1, "b": 1, "c": 1}, RestartHours: 0.02,
+	})
+	p.apply(now, plan, current)
+}
+
+func (p *planner) apply(now time.Time, plan fleet.Plan, current map[fleet.OfferKey]int) {
+	missing := 0
+	for _, o := range p.cloud.offers {
+		key := fleet.KeyOf(o)
+		for current[key] < plan.Want[key] {
+			if !p.cloud.start(key) {
+				p.refused[key] = now.Add(refusalBackoff)
+				break
+			}
+			current[key]++
+		}
+		missing += max(0, plan.Want[key]-current[key])
+	}
+	if missing > 0 || p.starting() {
+		return
+	}
+	for _, o := range p.cloud.offers {
+		key := fleet.KeyOf(o)
+		if current[key] > plan.Want[key] {
+			p.stopOne(key)
+			return
+		}
+	}
+}
+
+// starting reports whether a VM is starting; nothing is stopped meanwhile.
+func (p *planner) starting() bool {
+	return slices.ContainsFunc(p.cloud.vms, func(v *vm) bool { return !v.live && !v.gone })
+}
+
+// stopOne stops the VM of an offer with the fewest requests.
+func (p *planner) stopOne(key fleet.OfferKey) {
+	var idlest *vm
+	for _, v := range p.cloud.vms {
+		if v.key != key || v.service != modelService || v.leaving || !v.live {
+			continue
+		}
+		if idlest == nil || len(v.engine.running) < len(idlest.engine.running) {
+			idlest = v
+		}
+	}
+	if idlest != nil {
+		p.cloud.stop(idlest)
+	}
+}
--- /dev/null
+++ b/internal/experiment/plot.go
@@ -0,0 +1,106 @@
+package experiment
+
+import (
+	"fmt"
+	"image/color"
+	"path/filepath"
+	"slices"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// chart is one bar chart per site: policies by scenario.
+type chart struct {
+	file, title string
+	of          func(Figures) float64
+	// bound is drawn as one more series; nil draws none.
+	bound func(Figures) float64
+}
+
+var charts = []chart{
+	{"cost", "Cost per 1,000 requests within the target", cost, func(f Figures) float64 { return f.BoundCost }},
+	{"computed", "Prompt tokens computed per prompt token", computed, func(f Figures) float64 { return f.BoundComputed }},
+	{"first-p95", "First token p95, ms", func(f Figures) float64 { return f.FirstP95 }, nil},
+	{"goodput", "Requests within the target per second", func(f Figures) float64 { return f.Goodput }, nil},
+}
+
+// palette holds the colours of the series, bound last.
+var palette = []color.RGBA{
+	{158, 158, 158, 255}, {121, 85, 72, 255}, {255, 152, 0, 255}, {63, 81, 181, 255},
+	{0, 150, 136, 255}, {139, 195, 74, 255}, {0, 0, 0, 255},
+}
+
+// WritePlots writes one PNG per site and chart into directory.
+func WritePlots(directory string, groups []Group) error {
+	var sites []string
+	for _, g := range groups {
+		if !slices.Contains(sites, g.Site) {
+			sites = append(sites, g.Site)
+		}
+	}
+	for _, site := range sites {
+		for _, c := range charts {
+			if err := c.write(directory, site, groups); err != nil {
+				return fmt.Errorf("plot %s of %s: %w", c.file, site, err)
+			}
+		}
+	}
+	return nil
+}
+
+func (c chart) write(directory, site string, groups []Group) error {
+	p := plot.New()
+	p.Title.Text = site + ": " + c.title
+	p.Y.Min = 0
+	p.Legend.Top = true
+	scenarios, series := c.series(site, groups)
+	width := vg.Points(60 / float64(len(series)))
+	for i, s := range series {
+		bars, err := plotter.NewBarChart(s.values, width)
+		if err != nil {
+			return err
+		}
+		bars.Color = palette[i%len(palette)]
+		bars.LineStyle.Width = 0
+		bars.Offset = width * vg.Length(float64(i)-float64(len(series)-1)/2)
+		p.Add(bars)
+		p.Legend.Add(s.name, bars)
+	}
+	p.NominalX(scenarios...)
+	size := vg.Length(len(scenarios))*vg.Points(72) + vg.Points(100)
+	return p.Save(size, 4*vg.Inch, filepath.Join(directory, site+"-"+c.file+".png"))
+}
+
+type series struct {
+	name   string
+	values plotter.Values
+}
+
+// series returns the medians by policy, in the order of scenarios.
+func (c chart) series(site string, groups []Group) (scenarios []string, all []series) {
+	var bound series
+	for _, g := range groups {
+		if g.Site != site {
+			continue
+		}
+		if !slices.Contains(scenarios, g.Scenario) {
+			scenarios = append(scenarios, g.Scenario)
+			if c.bound != nil {
+				bound.values = append(bound.values, g.Spread(c.bound).Median)
+			}
+		}
+		i := slices.IndexFunc(all, func(s series) bool { return s.name == g.Policy })
+		if i < 0 {
+			all = append(all, series{name: g.Policy})
+			i = len(all) - 1
+		}
+		all[i].values = append(all[i].values, g.Spread(c.of).Median)
+	}
+	if c.bound != nil {
+		bound.name = "bound"
+		all = append(all, bound)
+	}
+	return scenarios, all
+}
