--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -81,7 +81,7 @@
 }
 
 func (d Daemon[T]) run(ctx context.Context, settings T, p *Process) error {
-	ctx, stop := withSignals(ctx, p.Log)
+	ctx, stop := WithSignals(ctx, p.Log)
 	defer stop()
 	p.Log.Log(EvStarting, "program", d.Name, "version", FullVersion())
 	err := d.Run(ctx, settings, p)
--- a/internal/cli/signal.go
+++ b/internal/cli/signal.go
@@ -9,9 +9,9 @@
 	"buckthornpick/internal/telemetry"
 )
 
-// withSignals returns a context that ends at the first SIGTERM or SIGINT. The
+// WithSignals returns a context that ends at the first SIGTERM or SIGINT. The
 // second ends the process at once with ExitFailure.
-func withSignals(parent context.Context, log *telemetry.Logger) (context.Context, func()) {
+func WithSignals(parent context.Context, log *telemetry.Logger) (context.Context, func()) {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	ctx, stop := handleSignals(parent, signals, log, os.Exit)
--- a/internal/entryd/provision.go
+++ b/internal/entryd/provision.go
@@ -41,7 +41,7 @@
 	cfg = entry.Config{
 		Self: member.Member{ID: s.Node.ID, Zone: s.Node.Zone, Address: s.Peers.Advertised[0],
 			HTTPAddress: s.Callers.Address, AdminURL: s.Admin.Advertised},
-		Peer: peer.Options{ListenAddress: s.Peers.Address},
+		Peer:   peer.Options{ListenAddress: s.Peers.Address},
 		Secret: []byte(secret), Seeds: seeds(s.Peers.Seeds), Network: n,
 		Store:  etcd.New(etcd.Config{Endpoint: s.Store.URL, Timeout: time.Duration(s.Store.Timeout)}, store, p.Metrics),
 		Lister: bounded, Notices: platformClient,
--- a/internal/standin/engine/attempt.go
+++ b/internal/standin/engine/attempt.go
@@ -47,6 +47,8 @@
 	doneAt   time.Time
 	changed  chan struct{}   // closed and replaced at each change
 	down     <-chan struct{} // closed when the engine crashes
+
+	execution *Execution // nil before the attempt has left the queue
 }
 
 func newAttempt(id, request string, b *body, p priority, now time.Time) *attempt {
@@ -97,6 +99,7 @@
 		text = " " + text
 	}
 	a.generated++
+	a.execution.Generated++
 	a.words = append(a.words, a.last)
 	a.appendChunk(text, "")
 }
@@ -114,6 +117,10 @@
 func (a *attempt) close(now time.Time) {
 	a.finished = true
 	a.doneAt = now
+	if a.execution != nil {
+		a.execution.EndedAt = now
+		a.execution.Canceled = a.canceled
+	}
 	a.notify()
 }
 
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -26,7 +26,7 @@
 	waiting    []*attempt
 	running    []*attempt
 	cache      *prefixCache
-	executions []Execution
+	executions []*Execution
 	runs       uint64
 	minted     uint64
 	load       loadState
@@ -122,7 +122,11 @@
 func (s *Server) Executions() []Execution {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]Execution{}, s.executions...)
+	out := make([]Execution, len(s.executions))
+	for i, e := range s.executions {
+		out[i] = *e
+	}
+	return out
 }
 
 // PromptHash returns the hash that Execution.PromptHash holds for prompt.
@@ -200,10 +204,11 @@
 	if len(s.executions) >= s.settings.MaxRecorded {
 		s.executions = s.executions[1:]
 	}
-	s.executions = append(s.executions, Execution{
+	a.execution = &Execution{
 		Attempt: a.id, Request: a.request, PromptHash: PromptHash(a.prompt), StartedAt: time.Now(),
-		Prompt: a.promptSize, Recomputed: a.pending, Crashed: crashed,
-	})
+		Prompt: a.promptSize, Recomputed: a.pending, Crashed: crashed, Continued: a.continued() > 0,
+	}
+	s.executions = append(s.executions, a.execution)
 }
 
 func (s *Server) poisoned(a *attempt) bool {
