Membership: a damaged or deleted table is built anew

Cause: a member that the table lost while its lease held entered again only if it saw a newer table; a deleted table key was not noticed at all. Change: a lost table or place makes the node renew and enter again with the same incarnation. Leave moves to its own file; idle connections are bounded.

--- a/internal/member/change.go
+++ b/internal/member/change.go
@@ -22,8 +22,12 @@
 // read returns the table in the store and takes it into force.
 func (m *Membership) read(ctx context.Context) (Table, error) {
 	entry, found, err := m.store.Get(ctx, tableKey)
-	if err != nil || !found {
-		return NewTable(0, nil, nil), err
+	if err != nil {
+		return Table{}, err
+	}
+	if !found {
+		m.tableGone()
+		return NewTable(0, nil, nil), nil
 	}
 	t, err := decodeTable(entry.Value, entry.ModRevision)
 	if err != nil {
@@ -33,6 +37,14 @@
 	return t, nil
 }
 
+// tableGone asks the node to enter again if the key of a table that was there
+// has been deleted. The members build it anew.
+func (m *Membership) tableGone() {
+	if m.Table().Revision > 0 {
+		m.requestRejoin()
+	}
+}
+
 // change applies e by compare-and-swap until it has taken effect.
 //
 // A lost answer is resolved by reading the table again: e names a wanted state
--- a/internal/member/follow.go
+++ b/internal/member/follow.go
@@ -187,7 +187,11 @@
 		return err
 	}
 	for _, e := range batch.Events {
-		if e.Deleted || e.Entry.Key != tableKey {
+		if e.Entry.Key != tableKey {
+			continue
+		}
+		if e.Deleted {
+			s.m.tableGone()
 			continue
 		}
 		t, err := decodeTable(e.Entry.Value, e.Entry.ModRevision)
--- a/internal/member/lease.go
+++ b/internal/member/lease.go
@@ -183,33 +183,28 @@
 	return Gap{Member: member, Since: time.Now().Round(0), PreviousRevision: t.Revision, Partitions: t.owned(member.ID)}
 }
 
-// renewUntilLapsed returns when the lease is lost, the node is not in the
-// table, or ctx ended.
+// renewUntilLapsed returns when the lease is lost, the node is leaving, or ctx
+// ended. If the table lost the node while its lease holds, the node enters the
+// table again with the same incarnation.
 func (m *Membership) renewUntilLapsed(ctx context.Context) {
 	due := time.Now().Add(m.cfg.LeaseTTL / renewalsPerTTL)
+	enter := false
 	for {
-		timer := time.NewTimer(time.Until(due))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		asked, err := m.awaitRenewal(ctx, due)
+		if err != nil || m.isLeaving() {
 			return
-		case <-m.rejoin:
-			timer.Stop()
-			if !m.isMember() && !m.reenter(ctx) {
-				return
-			}
-			continue
-		case <-timer.C:
 		}
-		if m.isLeaving() {
-			return
-		}
-		err := m.renew(ctx)
+		enter = enter || asked
+		err = m.renew(ctx)
 		if fault.Is(err, fault.Conflict) {
 			m.log.Log(EvLeaseLapsed, "error", err)
 			m.count("lapses")
 			return
 		}
+		if err == nil && enter {
+			err = m.reenter(ctx)
+			enter = err != nil
+		}
 		due = time.Now().Add(m.cfg.LeaseTTL / renewalsPerTTL)
 		if err != nil && ctx.Err() == nil {
 			m.log.Log(EvRenewFailed, "error", err)
@@ -218,25 +213,31 @@
 	}
 }
 
-// isMember reports whether the table has the node's present incarnation.
-func (m *Membership) isMember() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	self, ok := m.table.Find(m.cfg.Self.ID)
-	return m.leaving || ok && self.Incarnation == m.incarnation
+// awaitRenewal waits until due, or until the node is asked to enter the table
+// again.
+func (m *Membership) awaitRenewal(ctx context.Context, due time.Time) (asked bool, err error) {
+	timer := time.NewTimer(time.Until(due))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false, ctx.Err()
+	case <-m.rejoin:
+		return true, nil
+	case <-timer.C:
+		return false, nil
+	}
 }
 
-// reenter puts the node back into the table if its lease still holds; false
-// means that it must join with a new one.
-func (m *Membership) reenter(ctx context.Context) bool {
-	if err := m.renew(ctx); err != nil {
-		return false
-	}
+// reenter puts the node back into the table.
+func (m *Membership) reenter(ctx context.Context) error {
 	if err := m.acquireLifecycle(ctx); err != nil {
-		return false
+		return err
 	}
 	defer m.releaseLifecycle()
-	return m.isLeaving() || m.change(ctx, m.enter) == nil
+	if m.isLeaving() {
+		return nil
+	}
+	return m.change(ctx, m.enter)
 }
 
 // renew extends the lease, counted from before the renewal is sent.
@@ -257,49 +258,3 @@
 	}
 	return err
 }
-
-// Leave takes the node out of the table and ends its lease. It tries until ctx
-// ends; an error then says that the node may still be in the table, and the
-// others remove it when its lease lapses. The node does not join again.
-func (m *Membership) Leave(ctx context.Context) error {
-	m.mu.Lock()
-	m.leaving = true
-	m.mu.Unlock()
-	if err := m.acquireLifecycle(ctx); err != nil {
-		return fault.Wrap(err, fault.Unavailable, "member.leave", "", "still joining")
-	}
-	defer m.releaseLifecycle()
-	if err := m.retry(ctx, func() error { return m.change(ctx, m.exit) }); err != nil {
-		return err
-	}
-	m.mu.Lock()
-	lease := m.lease
-	m.lease, m.validUntil = 0, time.Time{}
-	m.mu.Unlock()
-	m.log.Log(EvLeft)
-	if lease == 0 {
-		return nil
-	}
-	return m.retry(ctx, func() error { return m.store.Revoke(ctx, lease) })
-}
-
-// exit takes the node's own incarnations out of the table.
-func (m *Membership) exit(t Table) (Table, []kv.Compare, bool, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	self, found := t.Find(m.cfg.Self.ID)
-	if !found || !m.lives[self.Incarnation] {
-		return t, nil, false, nil
-	}
-	return t.without(self.ID), nil, true, nil
-}
-
-// retry repeats f until it succeeds or ctx ends.
-func (m *Membership) retry(ctx context.Context, f func() error) error {
-	for wait := joinBackoff; ; wait = min(2*wait, maxJoinBackoff) {
-		err := f()
-		if err == nil || !pause(ctx, m.jitter(wait)) {
-			return err
-		}
-	}
-}
--- /dev/null
+++ b/internal/member/leave.go
@@ -0,0 +1,55 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/kv"
+)
+
+// Leave takes the node out of the table and ends its lease. It tries until ctx
+// ends; an error then says that the node may still be in the table, and the
+// others remove it when its lease lapses. The node does not join again.
+func (m *Membership) Leave(ctx context.Context) error {
+	m.mu.Lock()
+	m.leaving = true
+	m.mu.Unlock()
+	if err := m.acquireLifecycle(ctx); err != nil {
+		return fault.Wrap(err, fault.Unavailable, "member.leave", "", "still joining")
+	}
+	defer m.releaseLifecycle()
+	if err := m.retry(ctx, func() error { return m.change(ctx, m.exit) }); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	lease := m.lease
+	m.lease, m.validUntil = 0, time.Time{}
+	m.mu.Unlock()
+	m.log.Log(EvLeft)
+	if lease == 0 {
+		return nil
+	}
+	return m.retry(ctx, func() error { return m.store.Revoke(ctx, lease) })
+}
+
+// exit takes the node's own incarnations out of the table.
+func (m *Membership) exit(t Table) (Table, []kv.Compare, bool, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	self, found := t.Find(m.cfg.Self.ID)
+	if !found || !m.lives[self.Incarnation] {
+		return t, nil, false, nil
+	}
+	return t.without(self.ID), nil, true, nil
+}
+
+// retry repeats f until it succeeds or ctx ends.
+func (m *Membership) retry(ctx context.Context, f func() error) error {
+	for wait := joinBackoff; ; wait = min(2*wait, maxJoinBackoff) {
+		err := f()
+		if err == nil || !pause(ctx, m.jitter(wait)) {
+			return err
+		}
+	}
+}
--- a/internal/netx/http.go
+++ b/internal/netx/http.go
@@ -9,12 +9,15 @@
 
 // Defaults of HTTPOptions.
 const (
+	defaultMaxIdle        = 1024
 	defaultMaxIdlePerHost = 16
 	defaultIdleTimeout    = 30 * time.Second
 )
 
 // HTTPOptions tune a client made by HTTPClient.
 type HTTPOptions struct {
+	// MaxIdle bounds idle connections to all addresses; default 1024.
+	MaxIdle int
 	// MaxIdlePerHost bounds idle connections to one address; default 16.
 	MaxIdlePerHost int
 	// MaxConnsPerHost bounds all connections to one address; 0 is unbounded.
@@ -27,6 +30,9 @@
 // environment, follows no redirects and sets no timeout of its own: callers
 // bound each call by its context. CloseIdleConnections releases its goroutines.
 func HTTPClient(n Network, o HTTPOptions) *http.Client {
+	if o.MaxIdle == 0 {
+		o.MaxIdle = defaultMaxIdle
+	}
 	if o.MaxIdlePerHost == 0 {
 		o.MaxIdlePerHost = defaultMaxIdlePerHost
 	}
@@ -37,7 +43,7 @@
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return n.Dial(ctx, address)
 		},
-		MaxIdleConns:        0,
+		MaxIdleConns:        o.MaxIdle,
 		MaxIdleConnsPerHost: o.MaxIdlePerHost,
 		MaxConnsPerHost:     o.MaxConnsPerHost,
 		IdleConnTimeout:     o.IdleTimeout,
