A node that does not watch stops asking the store once it has a document

Cause: after a peer's document ended its wait, such a node asked a store in an outage once more, and no test showed it. The older system's choice also had no test that it depends on the context alone. Change: Run decides from what it has; tests for both.

--- a/internal/confstore/store.go
+++ b/internal/confstore/store.go
@@ -78,8 +78,6 @@
 	// it must have.
 	behind   bool
 	behindAt int64
-	// arrived is closed when the first document is in force.
-	arrived chan struct{}
 }
 
 // New returns a Store without a document. reg may be nil.
@@ -105,7 +103,6 @@
 		refused:     metrics.GetOrRegisterCounter("config.refused", reg),
 		reads:       metrics.GetOrRegisterCounter("config.store.reads", reg),
 		subscribers: map[chan *Snapshot]struct{}{},
-		arrived:     make(chan struct{}),
 	}
 }
 
@@ -188,9 +185,6 @@
 	if s.current != nil && s.current.Revision >= next.Revision {
 		return false
 	}
-	if s.current == nil {
-		close(s.arrived)
-	}
 	s.current = next
 	s.revision.Update(next.Revision)
 	for ch := range s.subscribers {
--- a/internal/confstore/watch.go
+++ b/internal/confstore/watch.go
@@ -15,20 +15,21 @@
 // WatchesStore allows, until ctx ends. It always returns ctx's error.
 func (s *Store) Run(ctx context.Context) error {
 	var wait backoff
-	first := true
+	tried, read := false, false
 	for ctx.Err() == nil {
-		if !first && !s.cfg.WatchesStore() {
+		_, have := s.Current()
+		if tried && (have || read) && !s.cfg.WatchesStore() {
 			s.sleep(ctx, roleInterval)
 			continue
 		}
+		tried = true
 		err := s.follow(ctx, &wait)
-		_, ok := s.Current()
-		first = !ok && err != nil
+		read = read || err == nil
 		if err == nil || ctx.Err() != nil {
 			continue
 		}
 		s.log.Log(EvReadFailed, "err", err)
-		s.sleepOrArrive(ctx, wait.next())
+		s.sleep(ctx, wait.next())
 	}
 	return ctx.Err()
 }
@@ -199,22 +200,6 @@
 	}
 }
 
-// sleepOrArrive is a sleep that ends when the first document arrives from a
-// peer.
-func (s *Store) sleepOrArrive(ctx context.Context, d time.Duration) {
-	if _, ok := s.Current(); ok {
-		s.sleep(ctx, d)
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-s.arrived:
-	}
-}
-
 // backoff doubles its wait up to maxBackoff. Half of each wait is random.
 type backoff struct{ last time.Duration }
 
--- a/internal/confstore/watch_test.go
+++ b/internal/confstore/watch_test.go
@@ -89,6 +89,21 @@
 	})
 }
 
+func TestNodeThatDoesNotWatchStopsAskingOnceItHasADocument(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.set(true)
+		s := New(Config{Self: "n1", WatchesStore: func() bool { return false }}, f, telemetry.Discard(), nil)
+		run(t, s)
+		time.Sleep(time.Minute)
+		asked := f.callCount()
+		require.Greater(t, asked, 1)
+		require.True(t, s.Observe(at("a", 7)))
+		time.Sleep(time.Hour)
+		require.Equal(t, asked, f.callCount())
+	})
+}
+
 func TestNodeThatDoesNotWatchReadsTheStoreOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFake()
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -132,6 +132,20 @@
 	require.InDelta(t, 300, moved, 60)
 }
 
+// A conversation must not change sides from one of its requests to the next.
+func TestOlderSystemTakesWholeContexts(t *testing.T) {
+	then := to("s1")
+	then.OlderSystemShare = 0.5
+	set := compile(t, config.Rule{Name: "r", Then: then})
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := inputs.Draw(t, "first"), inputs.Draw(t, "second")
+		a.Context = rapid.Uint64Min(1).Draw(t, "context")
+		b.Context, b.Service = a.Context, a.Service
+		a.RequestID, b.RequestID = "x", "y"
+		require.Equal(t, set.Match(a).OlderSystem, set.Match(b).OlderSystem)
+	})
+}
+
 func subset(values ...string) *rapid.Generator[[]string] {
 	return rapid.SliceOfNDistinct(rapid.SampledFrom(values), 0, len(values), rapid.ID)
 }
