Operators' changes under lost, late and refused writes, mixed by schedule

Cause: each failure had its own test, but none met another. Change: 150 seeded schedules of four nodes and operators in virtual time, with an oracle of what operators were told; the random waits of a Store can be set by its tests.

--- a/internal/confstore/fake_test.go
+++ b/internal/confstore/fake_test.go
@@ -38,6 +38,8 @@
 	calls    int
 	// beforeTxn runs before each transaction, without the lock.
 	beforeTxn func()
+	// plan decides the fault of each transaction once faults is used up.
+	plan func() txnFault
 }
 
 func newFake() *fakeStore {
@@ -90,6 +92,8 @@
 	how := answered
 	if len(f.faults) > 0 {
 		how, f.faults = f.faults[0], f.faults[1:]
+	} else if f.plan != nil {
+		how = f.plan()
 	}
 	switch how {
 	case lostAfter:
--- /dev/null
+++ b/internal/confstore/history_test.go
@@ -0,0 +1,187 @@
+package confstore
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/telemetry"
+)
+
+const (
+	schedules        = 150
+	nodesPerSchedule = 4
+	changesPerNode   = 6
+)
+
+// schedule is one run of several nodes, each with an operator, against a store
+// that loses and delays answers and has outages.
+type schedule struct {
+	t    *testing.T
+	fake *fakeStore
+
+	mu sync.Mutex
+	// accepted and refused hold what operators were told, by operation ID.
+	accepted map[string]int64
+	refused  map[string]error
+	unknown  int
+}
+
+func seeded(seed, stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
+
+func (c *schedule) node(name string, r *rand.Rand) *Store {
+	s := New(Config{Self: name}, c.fake, telemetry.Discard(), nil)
+	var mu sync.Mutex
+	s.random = func(d time.Duration) time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return time.Duration(r.Int64N(int64(d)))
+	}
+	return s
+}
+
+// operate makes changes at s, and asks again for some of the unknown ones.
+func (c *schedule) operate(s *Store, name string, r *rand.Rand) {
+	for i := range changesPerNode {
+		time.Sleep(time.Duration(r.IntN(2000)) * time.Millisecond)
+		expected := revision(s)
+		id := fmt.Sprint(name, "-", i)
+		err := c.propose(s, change(id, expected, id), r)
+		for fault.Is(err, fault.Ambiguous) && r.IntN(3) > 0 {
+			err = c.propose(s, change(id, expected, id), r)
+		}
+		c.mu.Lock()
+		switch {
+		case fault.Is(err, fault.Ambiguous):
+			c.unknown++
+		case fault.Is(err, fault.Conflict):
+			c.refused[id] = err
+		}
+		c.mu.Unlock()
+	}
+}
+
+func (c *schedule) propose(s *Store, change Change, r *rand.Rand) error {
+	ctx, cancel := context.WithTimeout(c.t.Context(), time.Duration(1+r.IntN(3000))*time.Millisecond)
+	defer cancel()
+	result, err := s.Propose(ctx, change)
+	if err == nil {
+		c.mu.Lock()
+		c.accepted[change.OperationID] = result.Revision
+		c.mu.Unlock()
+	}
+	return err
+}
+
+// disturb delays, loses and refuses until stop is closed, then heals.
+func (c *schedule) disturb(r *rand.Rand, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			c.fake.set(false)
+			c.fake.deliver()
+			return
+		case <-time.After(time.Duration(50+r.IntN(1500)) * time.Millisecond):
+		}
+		switch r.IntN(4) {
+		case 0:
+			c.fake.set(true)
+		case 1:
+			c.fake.deliver()
+		default:
+			c.fake.set(false)
+		}
+	}
+}
+
+// neverBack fails the test if a subscriber sees a revision go back.
+func (c *schedule) neverBack(s *Store, stop <-chan struct{}) {
+	latest, end := s.Subscribe()
+	defer end()
+	last := int64(0)
+	for {
+		select {
+		case <-stop:
+			return
+		case now := <-latest:
+			if now.Revision <= last {
+				c.t.Errorf("revision went from %d to %d", last, now.Revision)
+			}
+			last = now.Revision
+		}
+	}
+}
+
+func (c *schedule) run(seed uint64) {
+	faults := seeded(seed, 0)
+	c.fake.plan = func() txnFault {
+		if faults.IntN(2) == 0 {
+			return answered
+		}
+		return txnFault(faults.IntN(4))
+	}
+	var operators, helpers sync.WaitGroup
+	stop := make(chan struct{})
+	var nodes []*Store
+	for i := range nodesPerSchedule {
+		name := fmt.Sprint("n", i)
+		s := c.node(name, seeded(seed, uint64(100+i)))
+		run(c.t, s)
+		nodes = append(nodes, s)
+		helpers.Go(func() { c.neverBack(s, stop) })
+		operators.Go(func() { c.operate(s, name, seeded(seed, uint64(200+i))) })
+	}
+	helpers.Go(func() { c.disturb(seeded(seed, 1), stop) })
+	operators.Wait()
+	close(stop)
+	helpers.Wait()
+	time.Sleep(refreshInterval + maxBackoff)
+	synctest.Wait()
+	c.check(nodes)
+}
+
+func (c *schedule) check(nodes []*Store) {
+	t := c.t
+	history, err := nodes[0].History(t.Context(), 0)
+	require.NoError(t, err)
+	written := map[string]int64{}
+	for i, e := range history {
+		require.EqualValues(t, len(history)-i, e.Revision, "revisions have no gaps")
+		require.NotContains(t, written, e.OperationID, "a change is written once")
+		written[e.OperationID] = e.Revision
+	}
+	for id, revision := range c.accepted {
+		require.Equal(t, revision, written[id], "accepted change %s", id)
+	}
+	for id, err := range c.refused {
+		require.NotContains(t, written, id, "refused: %v", err)
+	}
+	for _, s := range nodes {
+		require.EqualValues(t, len(history), revision(s), "the latest change is in force everywhere")
+	}
+}
+
+func TestOperatorsAreToldTheTruth(t *testing.T) {
+	accepted, refused, unknown := 0, 0, 0
+	for seed := range uint64(schedules) {
+		synctest.Test(t, func(t *testing.T) {
+			c := &schedule{t: t, fake: newFake(), accepted: map[string]int64{}, refused: map[string]error{}}
+			c.run(seed)
+			accepted, refused, unknown = accepted+len(c.accepted), refused+len(c.refused), unknown+c.unknown
+		})
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+	t.Logf("accepted %d, refused %d, unknown %d", accepted, refused, unknown)
+	require.NotZero(t, accepted)
+	require.NotZero(t, refused)
+	require.NotZero(t, unknown)
+}
--- a/internal/confstore/propose.go
+++ b/internal/confstore/propose.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	var wait backoff
+	wait := backoff{random: s.random}
 	for {
 		done, err := p.attempt(ctx)
 		if done {
--- a/internal/confstore/store.go
+++ b/internal/confstore/store.go
@@ -1,6 +1,7 @@
 package confstore
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -63,6 +64,8 @@
 	cfg Config
 	kv  kv.Store
 	log *telemetry.Logger
+	// random returns a duration from 0 up to its argument.
+	random func(time.Duration) time.Duration
 
 	revision metrics.Gauge
 	refused  metrics.Counter
@@ -98,7 +101,7 @@
 		reg = metrics.NewRegistry()
 	}
 	return &Store{
-		cfg: cfg, kv: store, log: log,
+		cfg: cfg, kv: store, log: log, random: rand.N[time.Duration],
 		revision:    metrics.GetOrRegisterGauge("config.revision", reg),
 		refused:     metrics.GetOrRegisterCounter("config.refused", reg),
 		reads:       metrics.GetOrRegisterCounter("config.store.reads", reg),
--- a/internal/confstore/watch.go
+++ b/internal/confstore/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -14,7 +13,7 @@
 // Run reads the store until a document is in force, and watches it while
 // WatchesStore allows, until ctx ends. It always returns ctx's error.
 func (s *Store) Run(ctx context.Context) error {
-	var wait backoff
+	wait := backoff{random: s.random}
 	tried, read := false, false
 	for ctx.Err() == nil {
 		_, have := s.Current()
@@ -201,11 +200,14 @@
 }
 
 // backoff doubles its wait up to maxBackoff. Half of each wait is random.
-type backoff struct{ last time.Duration }
+type backoff struct {
+	last   time.Duration
+	random func(time.Duration) time.Duration
+}
 
 func (b *backoff) next() time.Duration {
 	b.last = min(max(2*b.last, minBackoff), maxBackoff)
-	return b.last/2 + rand.N(b.last/2)
+	return b.last/2 + b.random(b.last/2)
 }
 
 func (b *backoff) reset() { b.last = 0 }
