--- a/internal/confstore/store.go
+++ b/internal/confstore/store.go
@@ -1,6 +1,7 @@
 package confstore
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -63,6 +64,8 @@
 	cfg Config
 	kv  kv.Store
 	log *telemetry.Logger
+	// random returns a duration from 0 up to its argument.
+	random func(time.Duration) time.Duration
 
 	revision metrics.Gauge
 	refused  metrics.Counter
@@ -78,8 +81,6 @@
 	// it must have.
 	behind   bool
 	behindAt int64
-	// arrived is closed when the first document is in force.
-	arrived chan struct{}
 }
 
 // New returns a Store without a document. reg may be nil.
@@ -100,12 +101,11 @@
 		reg = metrics.NewRegistry()
 	}
 	return &Store{
-		cfg: cfg, kv: store, log: log,
+		cfg: cfg, kv: store, log: log, random: rand.N[time.Duration],
 		revision:    metrics.GetOrRegisterGauge("config.revision", reg),
 		refused:     metrics.GetOrRegisterCounter("config.refused", reg),
 		reads:       metrics.GetOrRegisterCounter("config.store.reads", reg),
 		subscribers: map[chan *Snapshot]struct{}{},
-		arrived:     make(chan struct{}),
 	}
 }
 
@@ -188,9 +188,6 @@
 	if s.current != nil && s.current.Revision >= next.Revision {
 		return false
 	}
-	if s.current == nil {
-		close(s.arrived)
-	}
 	s.current = next
 	s.revision.Update(next.Revision)
 	for ch := range s.subscribers {
