route: drop the pressure term for the time between tokens

Cause: the pace fitted from load reports counts requests that still process their prompt, so it predicted missed targets at two requests and drove contexts away from their caches. Change: the term and its fit are gone; a home spills at twice the mean load instead of 1.25 times.

--- a/internal/route/latency.go
+++ b/internal/route/latency.go
@@ -111,39 +111,3 @@
 	}
 	return max(slowest, 1/perToken)
 }
-
-// tokenPace predicts the time between tokens in milliseconds from the number
-// of running requests, as a line fitted by exponentially weighted moments.
-type tokenPace struct {
-	weight, x, y, xx, xy float64
-}
-
-const paceDecay = 0.98
-
-// observe takes one load report: running requests and tokens per second.
-func (p *tokenPace) observe(running, tokensPerSecond float64) {
-	if running < 1 || tokensPerSecond <= 0 {
-		return
-	}
-	y := running / tokensPerSecond * 1000
-	p.weight = p.weight*paceDecay + 1
-	p.x = p.x*paceDecay + running
-	p.y = p.y*paceDecay + y
-	p.xx = p.xx*paceDecay + running*running
-	p.xy = p.xy*paceDecay + running*y
-}
-
-// predict returns milliseconds between tokens, 0 if nothing is known.
-func (p *tokenPace) predict(running float64) float64 {
-	const enoughWeight = 5
-	if p.weight < enoughWeight {
-		return 0
-	}
-	meanX, meanY := p.x/p.weight, p.y/p.weight
-	variance := p.xx/p.weight - meanX*meanX
-	slope := 0.0
-	if variance > 1e-6 {
-		slope = max(0, (p.xy/p.weight-meanX*meanY)/variance)
-	}
-	return max(0, meanY+slope*(running-meanX))
-}
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -26,7 +26,6 @@
 	Server
 	hash  uint64
 	model *latencyModel
-	pace  *tokenPace
 
 	// own counts this entry's running requests.
 	own int
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -8,15 +8,15 @@
 const (
 	// loadBound is how far above the mean load a context's home may be before
 	// the context spills to the next server of its rendezvous order.
-	loadBound = 1.25
+	loadBound = 2
 	// freeRequests is the load per unit of weight below which no home spills.
-	freeRequests = 4
+	freeRequests = 8
 	// keepMillis and keepShare are the margin by which another server must be
 	// cheaper before a context moves.
 	keepMillis = 20
 	keepShare  = 0.1
-	// pressureFactor is the cost of each millisecond beyond pressureStart of a
-	// latency target.
+	// pressureFactor is the cost of each millisecond beyond the share
+	// pressureStart of the first-token target.
 	pressureFactor = 4
 	pressureStart  = 0.8
 	// minRetryAfter is the least advice given with ErrSaturated.
@@ -123,9 +123,6 @@
 	c.features = makeFeatures(uncached, s.backlog(q.Now), c.requests/s.weight(), s.waiting(q.Now)/s.weight())
 	latency := s.model.predict(&c.features) * s.slowness
 	pressure := pressureAbove(latency, p.cfg.Target.FirstTokenMillis)
-	if between := s.pace.predict(c.requests + 1); between > 0 {
-		pressure += float64(q.MaxTokens) * pressureAbove(between, p.cfg.Target.BetweenTokensMillis)
-	}
 	recompute := uncached * p.cfg.Weights.RecomputedTokenMillis
 	price := s.Price / s.weight() * p.cfg.Weights.PriceMillis
 	c.terms = CandidateTerms{
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -25,7 +25,6 @@
 	// usable is this entry's subset of the servers, ordered by ID.
 	usable []*serverState
 	models map[string]*latencyModel
-	paces  map[string]*tokenPace
 
 	contexts contextIndex
 	blocks   blockIndex
@@ -55,7 +54,6 @@
 		rng:      rand.New(rand.NewPCG(seed, mix(seed))),
 		servers:  map[string]*serverState{},
 		models:   map[string]*latencyModel{},
-		paces:    map[string]*tokenPace{},
 		contexts: newContextIndex(cfg.MaxContexts),
 		blocks:   newBlockIndex(cfg.MaxBlocks),
 		homeHit:  initialHomeHit,
@@ -76,7 +74,6 @@
 		}
 		state.Server = server
 		state.model = p.model(server.Class)
-		state.pace = p.pace(server.Class)
 		next[server.ID] = state
 		if server.State != Leaving {
 			usable = append(usable, state)
@@ -95,15 +92,6 @@
 	return m
 }
 
-func (p *Picker) pace(class string) *tokenPace {
-	t, ok := p.paces[class]
-	if !ok {
-		t = &tokenPace{}
-		p.paces[class] = t
-	}
-	return t
-}
-
 // Dispatched tells that a request was sent to server id.
 func (p *Picker) Dispatched(now time.Time, id string, q Query) {
 	p.mu.Lock()
@@ -181,7 +169,6 @@
 		return
 	}
 	s.take(now, load)
-	s.pace.observe(float64(load.Running), load.TokensPerSecond)
 }
 
 // CacheEvents takes the cache events from to to (inclusive) of server id:
--- a/internal/route/types.go
+++ b/internal/route/types.go
@@ -90,7 +90,7 @@
 	ID string `json:"id"`
 	// Latency is the predicted time to the first token.
 	Latency float64 `json:"latency"`
-	// Pressure is the cost of missing the latency targets.
+	// Pressure is the cost of coming near or above the first-token target.
 	Pressure float64 `json:"pressure"`
 	// Recompute is the weighted cost of recomputed prompt tokens.
 	Recompute float64 `json:"recompute"`
