--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -180,6 +180,9 @@
 	answer, err = s.client.Explain(t.Context(), ExplainRequest{Organisation: "shop", Document: document("b")})
 	require.NoError(t, err)
 	require.Equal(t, "b", answer.Then.Service)
+
+	_, err = s.client.Explain(t.Context(), ExplainRequest{ContextHash: "xyz"})
+	require.Contains(t, answerOf(t, err).Answer.Message, "hexadecimal")
 }
 
 func TestRequestsWithoutTheTokenOrHeadersAreRefused(t *testing.T) {
--- a/internal/admin/node.go
+++ b/internal/admin/node.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"buckthornpick/internal/config"
+	"buckthornpick/internal/fault"
 	"buckthornpick/internal/rules"
 )
 
@@ -56,7 +58,11 @@
 	if !ok {
 		return
 	}
-	in := a.input(&sample)
+	in, err := a.input(&sample)
+	if err != nil {
+		writeError(w, http.StatusUnprocessableEntity, ErrorAnswer{Type: TypeInvalid, Message: err.Error()})
+		return
+	}
 	d := set.Match(in)
 	writeJSON(w, http.StatusOK, ExplainAnswer{
 		Revision: revision, Steps: set.Explain(in),
@@ -84,7 +90,7 @@
 	return set, 0, true
 }
 
-func (a *API) input(s *ExplainRequest) rules.Input {
+func (a *API) input(s *ExplainRequest) (rules.Input, error) {
 	in := rules.Input{
 		Organisation: s.Organisation, Service: s.Service, Model: s.Model, Kind: s.Kind,
 		PromptTokens: s.PromptTokens, Repeatable: s.Repeatable == nil || *s.Repeatable,
@@ -103,8 +109,16 @@
 	if s.Context != "" {
 		in.Context = max(xxhash.Sum64String(s.Context), 1)
 	}
+	if s.ContextHash != "" {
+		hash, err := strconv.ParseUint(s.ContextHash, 16, 64)
+		if err != nil {
+			return in, fault.New(fault.Invalid, "admin.explain", "",
+				"contextHash: expected up to 16 hexadecimal digits, got %q", s.ContextHash)
+		}
+		in.Context = hash
+	}
 	if s.Now != nil {
 		in.Now = *s.Now
 	}
-	return in
+	return in, nil
 }
--- a/internal/admin/types.go
+++ b/internal/admin/types.go
@@ -100,8 +100,12 @@
 	// Repeatable is true by default.
 	Repeatable *bool  `json:"repeatable"`
 	Priority   string `json:"priority"`
-	// Context is any text that names the conversation; empty is none.
+	// Context is any text that names the conversation; empty is none. The
+	// choice of the older system is then that of a made-up context.
 	Context string `json:"context"`
+	// ContextHash is the context of a live request, in hexadecimal digits; it
+	// goes before Context.
+	ContextHash string `json:"contextHash"`
 	// RequestID stands in for Context; default "sample".
 	RequestID string `json:"requestId"`
 	// Zone is that of the entry; default the answering node's.
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -52,7 +53,7 @@
 			&cli.BoolFlag{Name: "check-config", Usage: "check the settings and exit"},
 			&cli.StringSliceFlag{Name: "url", Usage: "base `URL` of an admin listener; goes before the settings"},
 			&cli.StringFlag{Name: "token-file", Usage: "`FILE` with the operators' token; goes before the settings"},
-			&cli.StringFlag{Name: "output", Value: "text", Usage: "`FORMAT`: text or json"},
+			&cli.StringFlag{Name: "output", Value: "text", Usage: "`FORMAT`: text or json", Validator: checkOutput},
 		},
 		Commands: []*cli.Command{
 			applyCommand(), getCommand(), diffCommand(), explainCommand(),
@@ -62,6 +63,13 @@
 	}
 }
 
+func checkOutput(format string) error {
+	if format != "text" && format != "json" {
+		return fmt.Errorf("expected text or json, got %q", format)
+	}
+	return nil
+}
+
 func rootAction(_ context.Context, c *cli.Command) error {
 	if !c.Bool("check-config") {
 		if c.Args().Len() > 0 {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -164,7 +164,8 @@
 }
 
 func TestUsageErrors(t *testing.T) {
-	for _, args := range [][]string{{}, {"nope"}, {"apply"}, {"wait"}, {"wait", "--revision", "x"}, {"drain"}} {
+	for _, args := range [][]string{{}, {"nope"}, {"apply"}, {"wait"}, {"wait", "--revision", "x"}, {"drain"},
+		{"--output", "xml", "get"}} {
 		code, _, stderr := bpctl(t, []string{"http://127.0.0.1:1"}, args...)
 		require.Equal(t, bpcli.ExitUsage, code, "%v: %s", args, stderr)
 	}
--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -26,6 +26,7 @@
 			&cli.BoolFlag{Name: "non-repeatable", Usage: "the request must run at most once"},
 			&cli.StringFlag{Name: "priority", Usage: "high, normal or low"},
 			&cli.StringFlag{Name: "context", Usage: "any text that names the conversation"},
+			&cli.StringFlag{Name: "context-hash", Usage: "`HEX` hash of a live request's context; goes before --context"},
 			&cli.StringFlag{Name: "zone", Usage: "availability zone; default that of the entry"},
 			&cli.TimestampFlag{Name: "now", Usage: "`TIME` of the request, such as 2026-01-31T22:00:00Z; default the present",
 				Config: cli.TimestampConfig{Layouts: []string{"2006-01-02T15:04:05Z07:00"}}},
@@ -58,7 +59,8 @@
 	sample := admin.ExplainRequest{
 		Organisation: c.String("org"), Service: c.String("service"), Model: c.String("model"),
 		Kind: c.String("kind"), PromptTokens: c.Int("prompt-tokens"), Repeatable: &repeatable,
-		Priority: c.String("priority"), Context: c.String("context"), Zone: c.String("zone"),
+		Priority: c.String("priority"), Context: c.String("context"),
+		ContextHash: c.String("context-hash"), Zone: c.String("zone"),
 		Load: c.Float("load"), Price: c.Float("price"),
 	}
 	if now := c.Timestamp("now"); !now.IsZero() {
