Quarantine of contents that crash backend servers

A crash marks the request's content at all reachable nodes before the caller is told; with one mark a content runs alone by leave of a coordinator, with the second it is refused; an answered trial clears the mark of a bystander.

Test: with the limit raised to 99 the poison tests fail (12 resends crash more than two engines); with 2 they pass: 12 resends through six entries with other keys crash two engines, 18 requests beside the culprit are all answered.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -130,7 +130,7 @@
 
 // permit asks the quarantine for leave to dispatch.
 func (e *execution) permit(ctx context.Context, a *attempt) (*request.End, bool) {
-	permit, err := e.d.deps.Quarantine.Permit(ctx, e.req.Fingerprint, a.target.ID)
+	permit, err := e.d.deps.Quarantine.Permit(ctx, e.crashOf(a))
 	if err == nil {
 		a.permit = permit
 		return nil, true
@@ -138,9 +138,17 @@
 	if fault.Is(err, fault.Exhausted) {
 		return e.quarantined(err), false
 	}
+	if ctx.Err() == nil {
+		return e.giveUp(request.End{Problem: problemUnavailable, Message: err.Error(),
+			Status: http.StatusServiceUnavailable, RetryAfter: time.Second}), false
+	}
 	return e.giveUpOrHandOver(e.interrupted(ctx)), false
 }
 
+func (e *execution) crashOf(a *attempt) Crash {
+	return Crash{Fingerprint: e.req.Fingerprint, Server: a.target.ID, Attempt: a.id}
+}
+
 func (e *execution) quarantined(err error) *request.End {
 	end := request.End{Problem: problemQuarantined, Message: err.Error(), Status: http.StatusUnprocessableEntity}
 	if e.mayHaveRun {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -40,21 +40,28 @@
 	AcquiredDirty(partition int) (since time.Time, dirty bool)
 }
 
+// Crash names an attempt by its content and backend server.
+type Crash struct {
+	Fingerprint uint64
+	Server      string
+	Attempt     backend.AttemptID
+}
+
 // Quarantine stops requests whose content crashes backend servers.
 type Quarantine interface {
-	// Permit waits until a request with the fingerprint may be dispatched to
-	// the backend server. A quarantined fingerprint is refused with an error
-	// of type fault.Exhausted. The permit must be released.
-	Permit(ctx context.Context, fingerprint uint64, server string) (Permit, error)
-	// Crashed records that the backend server crashed while it ran a request
-	// with the fingerprint, and returns once reachable nodes know.
-	Crashed(ctx context.Context, fingerprint uint64, server string)
+	// Permit waits until the attempt may be dispatched. A quarantined content
+	// is refused with an error of type fault.Exhausted; fault.Unavailable means
+	// that a suspect content may not run now. The permit must be released.
+	Permit(ctx context.Context, c Crash) (Permit, error)
+	// Crashed records that the backend server crashed during the attempt, and
+	// returns once the nodes that can be reached know.
+	Crashed(ctx context.Context, c Crash)
 }
 
 // Permit allows one attempt.
 type Permit interface {
-	// Progress tells that the attempt has delivered an event.
-	Progress(events int)
+	// Answered tells that the attempt gave a whole answer.
+	Answered()
 	// Release ends the attempt.
 	Release()
 }
--- a/internal/dispatch/execution.go
+++ b/internal/dispatch/execution.go
@@ -28,6 +28,9 @@
 	tried map[string]bool
 	// mayHaveRun is true once a backend server may have run the request.
 	mayHaveRun bool
+	// isCrash tells whether the last attempt's server crashed, as opposed to
+	// being out of reach.
+	isCrash    bool
 	dispatches int
 	startedAt  time.Time
 	firstAt    time.Time
@@ -173,6 +176,7 @@
 	err = e.start(ctx, number, a)
 	e.release(a, err == nil)
 	if err == nil {
+		a.permit.Answered()
 		return &request.End{Outcome: request.Completed}, true
 	}
 	return e.afterLoss(ctx, a, err)
@@ -223,9 +227,6 @@
 			isFirst = false
 			e.noteFirst(a)
 		}
-		if a.permit != nil {
-			a.permit.Progress(ev.Sequence)
-		}
 	}
 }
 
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -30,7 +31,7 @@
 	case backend.Ran:
 		return e.afterFailure(a, lost)
 	default:
-		return e.afterDisconnect(ctx, a)
+		return e.afterDisconnect(ctx, a, lost)
 	}
 }
 
@@ -72,8 +73,9 @@
 
 // afterDisconnect follows an attempt that may have run or may still run: first
 // attach to it again, then continue elsewhere if the request is repeatable.
-func (e *execution) afterDisconnect(ctx context.Context, a *attempt) (*request.End, bool) {
+func (e *execution) afterDisconnect(ctx context.Context, a *attempt, lost error) (*request.End, bool) {
 	e.mayHaveRun = true
+	e.isCrash = !isTimeout(lost)
 	if a.target.Class == backend.Engine {
 		end, isDone := e.reattach(ctx, a)
 		if isDone {
@@ -88,7 +90,9 @@
 	if e.isLeaving(a.target.ID) {
 		return e.afterReclaim(a)
 	}
-	e.d.deps.Quarantine.Crashed(ctx, e.req.Fingerprint, a.target.ID)
+	if e.isCrash {
+		e.d.deps.Quarantine.Crashed(ctx, e.crashOf(a))
+	}
 	if e.req.Repeatable && e.withinBudget(a) {
 		return nil, false
 	}
@@ -126,6 +130,7 @@
 		if isDone || end != nil {
 			return end, isDone
 		}
+		e.isCrash = !isTimeout(err)
 		if e.isFinalForResume(err, a.target) {
 			return nil, false
 		}
@@ -159,6 +164,13 @@
 	return nil, false
 }
 
+// isTimeout reports whether the backend server may be well but out of reach.
+// A server that closes or refuses connections has crashed.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // isFinalForResume reports whether resuming again is of no use. A repeatable
 // request does not wait for a server that refuses connections.
 func (e *execution) isFinalForResume(err error, t backend.Target) bool {
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -22,6 +22,7 @@
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/platform"
 	"buckthornpick/internal/pool"
+	"buckthornpick/internal/quarantine"
 	"buckthornpick/internal/spread"
 	"buckthornpick/internal/telemetry"
 )
@@ -56,21 +57,22 @@
 
 // Node is one entry node.
 type Node struct {
-	cfg       Config
-	log       *telemetry.Logger
-	own       ownership
-	transport *peer.Transport
-	members   *member.Membership
-	documents *confstore.Store
-	inventory *inventory.Inventory
-	pools     *pool.Set
-	admitter  *limit.Admitter
-	ledger    *claim.Ledger
-	owner     *dispatch.Dispatcher
-	spreader  *spread.Spreader
-	gateway   *gateway.Gateway
-	minter    minter
-	drain     *drainState
+	cfg        Config
+	log        *telemetry.Logger
+	own        ownership
+	transport  *peer.Transport
+	members    *member.Membership
+	documents  *confstore.Store
+	inventory  *inventory.Inventory
+	pools      *pool.Set
+	admitter   *limit.Admitter
+	ledger     *claim.Ledger
+	owner      *dispatch.Dispatcher
+	spreader   *spread.Spreader
+	gateway    *gateway.Gateway
+	quarantine *quarantine.Quarantine
+	minter     minter
+	drain      *drainState
 }
 
 // pollers is the number of members of a zone that read the platform's lists
@@ -93,6 +95,8 @@
 	cfg.Limit.Log = cfg.Log
 	n.admitter = limit.NewAdmitter(cfg.Limit)
 	n.ledger = claim.New(cfg.Claim, n.own, cfg.Store, n.transport, cfg.Log, cfg.Registry)
+	n.quarantine = quarantine.New(quarantine.Config{Peers: n.otherNodes, Coordinator: n.trialCoordinator},
+		n.transport, cfg.Log, cfg.Registry)
 	n.owner = dispatch.New(cfg.Dispatch, n.dispatchDeps())
 	n.spreader = n.newSpreader()
 	n.gateway = gateway.New(cfg.Gateway, n, cfg.Log, cfg.Registry)
@@ -103,11 +107,19 @@
 func (n *Node) dispatchDeps() dispatch.Deps {
 	return dispatch.Deps{
 		Document: n.documents.Current, Pools: n.pools, Claims: n.ledger, Ownership: n.own,
-		Backends: n.cfg.Backends, Admitter: n.admitter, Quarantine: noQuarantine{},
+		Backends: n.cfg.Backends, Admitter: n.admitter, Quarantine: n.quarantine,
 		Zone: n.cfg.Self.Zone, Log: n.cfg.Log, Registry: n.cfg.Registry,
 	}
 }
 
+// trialPartition is the partition whose owner coordinates trials.
+const trialPartition = 0
+
+func (n *Node) trialCoordinator() (peer.Node, bool) {
+	m, ok := n.members.Table().Owner(trialPartition)
+	return nodeOf(m), ok
+}
+
 // isPoller reports whether this node reads the platform and watches the store
 // for its zone. A node without a table does, so that it can start.
 func (n *Node) isPoller() bool {
@@ -235,15 +247,3 @@
 		n.admitter.SetCapacity(dispatch.OlderSystem, 1, olderSystemCapacity)
 	}
 }
-
-// noQuarantine permits every request.
-type noQuarantine struct{}
-
-type freePermit struct{}
-
-func (noQuarantine) Permit(context.Context, uint64, string) (dispatch.Permit, error) {
-	return freePermit{}, nil
-}
-func (noQuarantine) Crashed(context.Context, uint64, string) {}
-func (freePermit) Progress(int)                              {}
-func (freePermit) Release()                                  {}
--- a/internal/entry/topics.go
+++ b/internal/entry/topics.go
@@ -11,6 +11,7 @@
 	"buckthornpick/internal/inventory"
 	"buckthornpick/internal/member"
 	"buckthornpick/internal/peer"
+	"buckthornpick/internal/quarantine"
 	"buckthornpick/internal/spread"
 )
 
@@ -19,6 +20,7 @@
 	topicDocument  = "document"
 	topicTable     = "table"
 	topicInventory = "inventory"
+	topicMarks     = "marks"
 )
 
 func (n *Node) newSpreader() *spread.Spreader {
@@ -28,6 +30,7 @@
 	s.Add(topicDocument, documentTopic{n.documents})
 	s.Add(topicTable, tableTopic{n.members})
 	s.Add(topicInventory, inventoryTopic{n.inventory})
+	s.Add(topicMarks, quarantine.Topic{Quarantine: n.quarantine})
 	return s
 }
 
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -36,6 +36,14 @@
 	TablePull Kind = 13
 	// GossipCompare exchanges the versions of the spread values.
 	GossipCompare Kind = 14
+	// CrashMark tells that a request's content crashed a backend server.
+	CrashMark Kind = 15
+	// CrashClear tells that a marked content was answered without a crash.
+	CrashClear Kind = 16
+	// TrialBegin asks the coordinator for leave to run a marked content.
+	TrialBegin Kind = 17
+	// TrialEnd gives that leave back.
+	TrialEnd Kind = 18
 )
 
 var kindNames = map[Kind]string{
@@ -43,7 +51,8 @@
 	ConfigPull: "config-pull", ClaimCommit: "claim-commit", Locate: "locate",
 	Cancel: "cancel", ConfigAnnounce: "config-announce", InventoryPull: "inventory-pull",
 	InventoryAnnounce: "inventory-announce", TableAnnounce: "table-announce", TablePull: "table-pull",
-	GossipCompare: "gossip-compare",
+	GossipCompare: "gossip-compare", CrashMark: "crash-mark", CrashClear: "crash-clear",
+	TrialBegin: "trial-begin", TrialEnd: "trial-end",
 }
 
 // String returns the kind's name, or its number if it has none.
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,210 @@
+// Package quarantine stops requests whose content crashes backend servers.
+//
+// A content is known by its fingerprint. When a backend server crashes while it
+// runs a request, the request's fingerprint is marked at every node that can be
+// reached, before the caller is told. A content with one mark is on trial: it
+// runs alone, that is, on the whole site one attempt of it at a time, and one
+// marked content at a time on a backend server, by leave of a coordinator. With
+// the second mark it is refused. A trial that is answered clears the mark, so
+// that requests which merely shared the server with the culprit go on.
+//
+// Resending does not reset a mark: it lasts for the retention after the last
+// crash.
+package quarantine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"buckthornpick/internal/dispatch"
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/peer"
+	"buckthornpick/internal/telemetry"
+)
+
+// maxCrashes is the number of crashes after which a content is refused.
+const maxCrashes = 2
+
+// Config holds the node's peers and bounds.
+type Config struct {
+	// Peers returns the other nodes.
+	Peers func() []peer.Node
+	// Coordinator returns the node that gives leave for trials; it may be this
+	// node. ok is false if there is none.
+	Coordinator func() (node peer.Node, ok bool)
+	// Retention is how long a mark lasts after the last crash. Default 1 h.
+	Retention time.Duration
+	// SpreadWait bounds the wait until peers know of a crash. Default 500 ms.
+	SpreadWait time.Duration
+	// TrialLength bounds a trial's leave. Default 60 s.
+	TrialLength time.Duration
+	// MaxMarks bounds the marks kept; the oldest goes first. Default 4096.
+	MaxMarks int
+}
+
+const (
+	defaultRetention   = time.Hour
+	defaultSpreadWait  = 500 * time.Millisecond
+	defaultTrialLength = time.Minute
+	defaultMaxMarks    = 4096
+)
+
+func (c Config) withDefaults() Config {
+	if c.Retention == 0 {
+		c.Retention = defaultRetention
+	}
+	if c.SpreadWait == 0 {
+		c.SpreadWait = defaultSpreadWait
+	}
+	if c.TrialLength == 0 {
+		c.TrialLength = defaultTrialLength
+	}
+	if c.MaxMarks == 0 {
+		c.MaxMarks = defaultMaxMarks
+	}
+	return c
+}
+
+// mark is what is known of one fingerprint.
+type mark struct {
+	// crashes holds the backend servers that crashed, by attempt.
+	crashes map[string]string
+	last    time.Time
+}
+
+// Quarantine implements dispatch.Quarantine. It is safe for concurrent use.
+//
+// Lock order: mu is a leaf.
+type Quarantine struct {
+	cfg       Config
+	transport *peer.Transport
+	log       *telemetry.Logger
+	crashes   metrics.Counter
+	refusals  metrics.Counter
+
+	mu     sync.Mutex
+	marks  map[uint64]*mark
+	trials trialTable
+}
+
+// New returns a quarantine and registers its handlers with the transport.
+func New(cfg Config, t *peer.Transport, log *telemetry.Logger, registry metrics.Registry) *Quarantine {
+	q := &Quarantine{
+		cfg: cfg.withDefaults(), transport: t, log: log,
+		crashes:  metrics.GetOrRegisterCounter("quarantine_crashes_total", registry),
+		refusals: metrics.GetOrRegisterCounter("quarantine_refused_total", registry),
+		marks:    map[uint64]*mark{},
+		trials:   newTrialTable(),
+	}
+	t.Handle(peer.CrashMark, peer.HandleCall(q.receiveMark))
+	t.HandleNotify(peer.CrashClear, q.receiveClear)
+	t.Handle(peer.TrialBegin, peer.HandleCall(q.receiveTrial))
+	t.HandleNotify(peer.TrialEnd, q.receiveTrialEnd)
+	return q
+}
+
+// Crashed implements dispatch.Quarantine.
+func (q *Quarantine) Crashed(ctx context.Context, c dispatch.Crash) {
+	m := crashMsg{Fingerprint: c.Fingerprint, Attempt: string(c.Attempt), Server: c.Server}
+	n := q.add(m)
+	q.crashes.Inc(1)
+	q.log.Log(EvCrash, "fingerprint", c.Fingerprint, "attempt", c.Attempt, "server", c.Server, "crashes", n)
+	q.tellPeers(ctx, m)
+}
+
+// tellPeers returns when every peer has the mark, or after SpreadWait.
+func (q *Quarantine) tellPeers(ctx context.Context, m crashMsg) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), q.cfg.SpreadWait)
+	defer cancel()
+	var work sync.WaitGroup
+	for _, p := range q.cfg.Peers() {
+		work.Go(func() {
+			if _, err := peer.Call[crashReply](ctx, q.transport, p, peer.CrashMark, m); err != nil {
+				q.log.Log(EvNotTold, "peer", p.ID, "fingerprint", m.Fingerprint, "error", err)
+			}
+		})
+	}
+	work.Wait()
+}
+
+// add records a crash and returns the number of crashes of the fingerprint.
+func (q *Quarantine) add(m crashMsg) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.expireLocked(time.Now())
+	known, ok := q.marks[m.Fingerprint]
+	if !ok {
+		known = &mark{crashes: map[string]string{}}
+		q.marks[m.Fingerprint] = known
+	}
+	known.crashes[m.Attempt] = m.Server
+	known.last = time.Now()
+	return len(known.crashes)
+}
+
+// crashesOf returns the number of crashes of the fingerprint.
+func (q *Quarantine) crashesOf(fingerprint uint64) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	m, ok := q.marks[fingerprint]
+	if !ok || time.Since(m.last) > q.cfg.Retention {
+		return 0
+	}
+	return len(m.crashes)
+}
+
+// expireLocked drops marks beyond the retention, and the oldest one if there
+// are too many.
+func (q *Quarantine) expireLocked(now time.Time) {
+	var oldest uint64
+	var oldestAt time.Time
+	for fingerprint, m := range q.marks {
+		if now.Sub(m.last) > q.cfg.Retention {
+			delete(q.marks, fingerprint)
+			continue
+		}
+		if oldestAt.IsZero() || m.last.Before(oldestAt) {
+			oldest, oldestAt = fingerprint, m.last
+		}
+	}
+	if len(q.marks) >= q.cfg.MaxMarks {
+		delete(q.marks, oldest)
+	}
+}
+
+// clear drops the single mark of a content that was answered.
+func (q *Quarantine) clear(fingerprint uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if m, ok := q.marks[fingerprint]; ok && len(m.crashes) < maxCrashes {
+		delete(q.marks, fingerprint)
+	}
+}
+
+// Answered clears the mark of a content whose trial was answered, here and at
+// the peers.
+func (q *Quarantine) answered(fingerprint uint64) {
+	q.clear(fingerprint)
+	for _, p := range q.cfg.Peers() {
+		_ = q.transport.Notify(p, peer.CrashClear, clearMsg{Fingerprint: fingerprint})
+	}
+}
+
+func (q *Quarantine) receiveMark(_ context.Context, _ peer.Node, m crashMsg) (crashReply, error) {
+	return crashReply{Crashes: q.add(m)}, nil
+}
+
+func (q *Quarantine) receiveClear(_ peer.Node, decode func(any) error) {
+	var m clearMsg
+	if decode(&m) == nil {
+		q.clear(m.Fingerprint)
+	}
+}
+
+func refused(fingerprint uint64) error {
+	return fault.New(fault.Exhausted, "quarantine.permit", "",
+		"this request crashed %d backend servers and is refused (fingerprint %016x)", maxCrashes, fingerprint)
+}
--- a/internal/standin/site/server.go
+++ b/internal/standin/site/server.go
@@ -101,3 +101,20 @@
 	sv, ok := s.servers[id]
 	return sv, ok
 }
+
+// Restart brings a crashed server's process back, with nothing in its memory.
+func (sv *Server) Restart() error {
+	l, err := sv.site.options.Fabric.Host(sv.ID, sv.Zone).Listen(sv.Address)
+	if err != nil {
+		return err
+	}
+	if sv.Engine != nil {
+		sv.Engine.Restart()
+	} else {
+		sv.Plain.Restart()
+	}
+	server := &http.Server{Handler: sv.http.Handler, ReadHeaderTimeout: sv.http.ReadHeaderTimeout}
+	sv.site.work.Go(func() { _ = server.Serve(l) })
+	context.AfterFunc(sv.site.ctx, func() { _ = server.Close() })
+	return nil
+}
