route: keep contexts at their home under overload

Cause: with nine engines or fewer the working set of Kierowca's contexts exceeds the caches; spilled contexts then filled several caches at once, the learned home hit fell, and all affinity ended. Change: constant expectation at home, homes spill only above 24 requests per accelerator, the pressure of the first-token target is bounded, and the learned slowness of a server stays within 0.7 to 1.5.

--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -10,7 +10,11 @@
 	// the context spills to the next server of its rendezvous order.
 	loadBound = 2
 	// freeRequests is the load per unit of weight below which no home spills.
-	freeRequests = 8
+	freeRequests = 24
+	// homeHit is the share of a prompt expected to be cached at its context's
+	// home without other knowledge. It is no learned value: learning it lets
+	// an overload end all affinity, and that makes the overload worse.
+	homeHit = 0.9
 	// keepMillis and keepShare are the margin by which another server must be
 	// cheaper before a context moves.
 	keepMillis = 20
@@ -108,7 +112,7 @@
 		c := &p.candidates[i]
 		cached := p.rememberedUpTo(q, past, c.server, known)
 		if cached == 0 && i == home {
-			cached = int(p.homeHit * float64(q.PromptTokens))
+			cached = int(homeHit * float64(q.PromptTokens))
 		}
 		informed = informed || cached > 0
 		p.cost(q, c, cached)
@@ -133,12 +137,13 @@
 }
 
 // pressureAbove is the cost of a latency near or above its target; both are in
-// milliseconds and a target of 0 is none.
+// milliseconds and a target of 0 is none. It is bounded, because a request that
+// misses the target anyway should stay with its cache.
 func pressureAbove(latency, target float64) float64 {
 	if target <= 0 || latency <= pressureStart*target {
 		return 0
 	}
-	return pressureFactor * (latency - pressureStart*target)
+	return pressureFactor * (min(latency, target) - pressureStart*target)
 }
 
 // remembered returns the prompt tokens that s is known to hold.
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -28,9 +28,6 @@
 
 	contexts contextIndex
 	blocks   blockIndex
-	// homeHit is the mean cached share of prompts that went to their context's
-	// home without other knowledge.
-	homeHit float64
 	// endInterval is the mean time between ends of own requests.
 	endInterval time.Duration
 	lastEnd     time.Time
@@ -39,12 +36,6 @@
 	candidates []candidate
 }
 
-const (
-	initialHomeHit = 0.5
-	// hitStep is the weight of one observation in the mean home hit.
-	hitStep = 0.1
-)
-
 // NewPicker returns a picker without servers.
 func NewPicker(cfg Config) *Picker {
 	cfg = cfg.withDefaults()
@@ -56,7 +47,6 @@
 		models:   map[string]*latencyModel{},
 		contexts: newContextIndex(cfg.MaxContexts),
 		blocks:   newBlockIndex(cfg.MaxBlocks),
-		homeHit:  initialHomeHit,
 	}
 }
 
@@ -120,7 +110,7 @@
 	}
 	millis := took.Seconds() * 1000
 	if c.learned {
-		const step, least, most = 0.05, 0.5, 4
+		const step, least, most = 0.05, 0.7, 1.5
 		ratio := millis / max(1, s.model.predict(&c.features))
 		s.slowness += step * (min(max(ratio, least), most) - s.slowness)
 	}
@@ -142,10 +132,6 @@
 		p.contexts.forget(q.Context, s, ok)
 		return
 	}
-	hit := min(1, float64(usage.CachedTokens)/float64(usage.PromptTokens))
-	if q.Context != 0 {
-		p.homeHit += hitStep * (hit - p.homeHit)
-	}
 	p.contexts.put(q.Context, s, usage.PromptTokens+usage.CompletionTokens)
 }
 
