entry: heirs take requests of owners whose VMs are being taken back

While the store is away the table keeps a reclaimed owner, so attaching to an answer that was handed over failed until the table could change. Nodes now send requests of an owner under notice to its heir by the table without members under notice. Before: TestReclaimedZoneDuringStoreOutage... fails (runs again elsewhere or not found); after: every entry gives the whole answer, one run.

--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -244,3 +244,28 @@
 		require.NotEmpty(t, refused.header.Get("Retry-After"))
 	})
 }
+
+func TestReclaimedZoneDuringStoreOutageHandsItsAnswersOver(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		owner := s.Entries()[5]
+		key := s.keyOwnedBy(owner, "wave-")
+		body := chatBody("check the shop", 900, true)
+		header := map[string]string{"Idempotency-Key": key}
+		answer := s.sendLater(owner, chatPath, header, body)
+		time.Sleep(300 * time.Millisecond)
+		s.Store.Faults.SetOutage(true)
+		defer s.Store.Faults.SetOutage(false)
+		s.Cloud.ReclaimZone("c", 5*time.Second)
+		got := <-answer
+		require.NoError(t, got.err)
+		require.Contains(t, string(got.reply.body), "event: reattach")
+		time.Sleep(3 * time.Second)
+		for _, e := range s.Entries() {
+			rest, err := s.send(e, "POST", chatPath, header, body)
+			require.NoError(t, err)
+			require.Equal(t, "completed", rest.outcome(), "%s", rest.tail())
+			require.NoError(t, engine.VerifyText(engine.PromptOf(body), streamText(t, rest.body), 900))
+		}
+		require.Equal(t, 1, s.runs(key))
+	})
+}
--- a/internal/entry/leave.go
+++ b/internal/entry/leave.go
@@ -194,14 +194,17 @@
 	return out
 }
 
-// heirs returns the table without this node and without members under notice.
+// heirs returns the table without members that are leaving, this node among
+// them if it drains.
 func (n *Node) heirs() member.Table {
 	table := n.members.Table()
 	deadlines := n.inventory.View().Deadlines
+	isDraining := n.drain.isDraining()
 	var rest []member.Member
 	for _, m := range table.Members {
 		_, isLeaving := deadlines[m.ID]
-		if m.ID != n.cfg.Self.ID && !isLeaving {
+		isLeaving = isLeaving || (isDraining && m.ID == n.cfg.Self.ID)
+		if !isLeaving {
 			rest = append(rest, m)
 		}
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -26,7 +26,7 @@
 	if m.Request == nil || !m.Request.ID.Valid() {
 		return fault.New(fault.Protocol, "entry.submit", from.ID, "submission without a valid request")
 	}
-	if _, isKnown := n.owner.Find(m.Request.ID); !isKnown && !n.own.OwnsPartition(m.Request.ID.Partition()) {
+	if _, isKnown := n.owner.Find(m.Request.ID); !isKnown && !n.takes(m.Request.ID.Partition()) {
 		return fault.New(fault.Conflict, "entry.submit", n.cfg.Self.ID, "this node does not own partition %d",
 			m.Request.ID.Partition())
 	}
@@ -55,7 +55,7 @@
 	if ok {
 		return n.relay(ctx, s, src, info)
 	}
-	if m.IsLocal || !n.own.OwnsPartition(m.ID.Partition()) {
+	if m.IsLocal || !n.takes(m.ID.Partition()) {
 		return fault.New(fault.Invalid, "entry.attach", n.cfg.Self.ID, "no such request")
 	}
 	src, info, err := n.openAttach(ctx, m.Organisation, m.ID, m.After)
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -8,6 +8,7 @@
 
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/gateway"
+	"buckthornpick/internal/member"
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/request"
 )
@@ -46,11 +47,39 @@
 
 // openSubmit brings a request to its owner and returns the answer's source.
 func (n *Node) openSubmit(ctx context.Context, r *request.Request, delivered []request.Event, after int) (source, request.Info, error) {
-	owner, ok := n.members.Table().Owner(r.ID.Partition())
+	owner, ok := n.ownerOf(r.ID.Partition())
 	if !ok || owner.ID == n.cfg.Self.ID {
 		return n.submitHere(ctx, r, delivered, after)
 	}
-	return n.openRemote(ctx, nodeOf(owner), peer.Submit, submitMsg{Request: r, After: after, Delivered: delivered})
+	return n.openRemote(ctx, owner, peer.Submit, submitMsg{Request: r, After: after, Delivered: delivered})
+}
+
+// ownerOf returns the node that takes requests of the partition: its owner by
+// the table, or the heir of an owner whose VM is being taken back. The heir
+// cannot claim non-repeatable requests before the table says so, but it has
+// what the owner has handed over, also while the store is away.
+func (n *Node) ownerOf(partition int) (peer.Node, bool) {
+	owner, ok := n.members.Table().Owner(partition)
+	if !ok {
+		return peer.Node{}, false
+	}
+	if _, isNoticed := n.inventory.View().Deadlines[owner.ID]; !isNoticed {
+		return nodeOf(owner), true
+	}
+	heir, ok := n.heirs().Owner(partition)
+	if !ok {
+		return nodeOf(owner), true
+	}
+	return nodeOf(heir), true
+}
+
+// takes reports whether this node takes requests of the partition.
+func (n *Node) takes(partition int) bool {
+	if n.own.OwnsPartition(partition) {
+		return true
+	}
+	owner, ok := n.ownerOf(partition)
+	return ok && owner.ID == n.cfg.Self.ID
 }
 
 // submitHere starts a request at this node, unless a node that owned it before
@@ -83,9 +112,9 @@
 		return s, info, nil
 	}
 	m := attachMsg{Organisation: organisation, ID: id, After: after}
-	owner, ok := n.members.Table().Owner(id.Partition())
+	owner, ok := n.ownerOf(id.Partition())
 	if ok && owner.ID != n.cfg.Self.ID {
-		return n.openRemote(ctx, nodeOf(owner), peer.Attach, m)
+		return n.openRemote(ctx, owner, peer.Attach, m)
 	}
 	m.IsLocal = true
 	for _, earlier := range n.earlierOwners(id.Partition()) {
@@ -146,12 +175,12 @@
 	return err == nil && reply.Found
 }
 
-// earlierOwners returns the other nodes that owned the partition by earlier
-// tables, latest first, without those that are known to be unreachable.
+// earlierOwners returns the other nodes that owned the partition by this table
+// or earlier ones, latest first, without those known to be unreachable.
 func (n *Node) earlierOwners(partition int) []peer.Node {
 	var out []peer.Node
 	seen := map[string]bool{n.cfg.Self.ID: true}
-	for _, table := range n.members.Previous() {
+	for _, table := range append([]member.Table{n.members.Table()}, n.members.Previous()...) {
 		m, ok := table.Owner(partition)
 		if !ok || seen[m.ID] {
 			continue
