Owner mode: services that go on while the store is away

With the outage policy owner a partition's owner runs non-repeatable requests without a claim, for at most OwnerModeLimit after its lease lapsed, and writes the claims when the store is back. A new owner answers unknown for the partitions of an owner that was removed without a handover while its keys may still be sent again (key window + owner mode limit + margin). Claims of owned partitions are read ahead of need where such a service exists.

--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -17,6 +17,13 @@
 	if e.req.Repeatable || e.req.Minted {
 		return nil, false
 	}
+	if own, ok := e.d.unclaimed.find(e.req.ID); ok {
+		e.mayHaveRun = true
+		return e.followClaim(ctx, own), true
+	}
+	if e.mayHideARun() {
+		return e.unresolved("an earlier owner of this request was lost and may have run it while the store was away"), true
+	}
 	lookupCtx, cancel := context.WithTimeout(ctx, e.d.cfg.ClaimWait)
 	defer cancel()
 	earlier, found, err := e.d.deps.Claims.Lookup(lookupCtx, e.req.ID)
@@ -68,7 +75,7 @@
 	claimCtx, cancel := context.WithTimeout(ctx, e.d.cfg.ClaimWait)
 	defer cancel()
 	err := e.writeClaim(claimCtx, a)
-	if err == nil {
+	if err == nil || e.runsUnclaimed(a, err) {
 		return nil, true
 	}
 	if loseErr := e.rec.Lose(); loseErr != nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -35,6 +35,9 @@
 	Incarnation() int64
 	// OwnsPartition reports whether this node owns the partition.
 	OwnsPartition(partition int) bool
+	// LeaseLapsed returns for how long this node's lease in the store may have
+	// lapsed; 0 while it holds.
+	LeaseLapsed() time.Duration
 	// AcquiredDirty reports when the partition came to this node without a
 	// handover from its earlier owner.
 	AcquiredDirty(partition int) (since time.Time, dirty bool)
@@ -86,6 +89,12 @@
 	RecoverWait time.Duration
 	// ClaimWait bounds the writing of a claim. Default 3 s.
 	ClaimWait time.Duration
+	// OwnerModeLimit is how long after the end of its lease a node runs
+	// non-repeatable requests of services with the outage policy "owner"
+	// without a claim. Default 10 min.
+	OwnerModeLimit time.Duration
+	// MaxUnclaimed bounds the requests that run without a claim. Default 4096.
+	MaxUnclaimed int
 	// MaxAttempts bounds the dispatches of one request. Default 5.
 	MaxAttempts int
 	// MigrationMargin is the time before a backend server's end at which a
@@ -101,11 +110,14 @@
 	defaultStartWait       = 3 * time.Second
 	defaultRecoverWait     = 3 * time.Second
 	defaultClaimWait       = 3 * time.Second
+	defaultOwnerModeLimit  = 10 * time.Minute
+	defaultMaxUnclaimed    = 4096
 	defaultMaxAttempts     = 5
 	defaultMigrationMargin = 1500 * time.Millisecond
 )
 
-func (c Config) withDefaults() Config {
+// WithDefaults returns the configuration with defaults for zero fields.
+func (c Config) WithDefaults() Config {
 	setDefault(&c.AnswerBytes, defaultAnswerBytes)
 	setDefault(&c.BufferBytes, defaultBufferBytes)
 	setDefault(&c.Retention, defaultRetention)
@@ -113,6 +125,8 @@
 	setDefault(&c.StartWait, defaultStartWait)
 	setDefault(&c.RecoverWait, defaultRecoverWait)
 	setDefault(&c.ClaimWait, defaultClaimWait)
+	setDefault(&c.OwnerModeLimit, defaultOwnerModeLimit)
+	setDefault(&c.MaxUnclaimed, defaultMaxUnclaimed)
 	setDefault(&c.MaxAttempts, defaultMaxAttempts)
 	setDefault(&c.MigrationMargin, defaultMigrationMargin)
 	return c
@@ -148,6 +162,8 @@
 	deps  Deps
 	stats stats
 
+	unclaimed *unclaimedSet
+
 	base   context.Context
 	cancel context.CancelFunc
 	work   sync.WaitGroup
@@ -163,10 +179,11 @@
 func New(cfg Config, deps Deps) *Dispatcher {
 	base, cancel := context.WithCancel(context.Background())
 	return &Dispatcher{
-		cfg: cfg.withDefaults(), deps: deps, stats: newStats(deps.Registry),
+		cfg: cfg.WithDefaults(), deps: deps, stats: newStats(deps.Registry),
 		base: base, cancel: cancel,
 		records:    map[request.ID]*request.Record{},
 		executions: map[request.ID]*execution{},
+		unclaimed:  newUnclaimedSet(),
 	}
 }
 
@@ -175,6 +192,12 @@
 // Run evicts ended requests and reacts to backend servers that leave, until
 // ctx ends. Then running requests are stopped.
 func (d *Dispatcher) Run(ctx context.Context) error {
+	uploads := make(chan struct{})
+	go func() {
+		defer close(uploads)
+		d.uploadClaims(ctx)
+	}()
+	defer func() { <-uploads }()
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -30,4 +30,8 @@
 		"A change of a request's state was refused by its state machine.")
 	EvNotReleased = telemetry.Register(1210, "claim-not-released", slog.LevelWarn,
 		"The claim of a request that did not run could not be released; later submissions get \"unknown\".")
+	EvUnclaimed = telemetry.Register(1211, "runs-without-claim", slog.LevelWarn,
+		"The store is away and the service goes on without it: a non-repeatable request runs without a claim.")
+	EvClaimOwed = telemetry.Register(1212, "owed-claim-settled", slog.LevelInfo,
+		"The claim of a request that ran without one was written, or its time is over.")
 )
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -86,6 +86,7 @@
 	cfg.Peer.Secret = cfg.Secret
 	n.transport = peer.New(self, cfg.Network, cfg.Log, cfg.Registry, cfg.Peer)
 	cfg.Member.Self = cfg.Self
+	cfg.Member.GapWindow = gapWindow(cfg)
 	n.members = member.New(cfg.Member, cfg.Store, cfg.Log, cfg.Registry)
 	n.own = ownership{Tenure: &claim.Tenure{}, self: cfg.Self.ID, members: n.members}
 	n.documents = confstore.New(confstore.Config{Self: cfg.Self.ID, WatchesStore: n.isPoller}, cfg.Store, cfg.Log, cfg.Registry)
@@ -104,6 +105,18 @@
 	return n
 }
 
+// gapMargin covers the time from the lapse of a lease to the removal of its
+// holder, and clocks that differ.
+const gapMargin = time.Minute
+
+// gapWindow returns how long a lost owner's requests may still be sent again:
+// it may run them without the store for OwnerModeLimit, and callers may resend
+// them for KeyWindow.
+func gapWindow(cfg Config) time.Duration {
+	d := cfg.Dispatch.WithDefaults()
+	return max(cfg.Member.GapWindow, d.KeyWindow+d.OwnerModeLimit+gapMargin)
+}
+
 func (n *Node) dispatchDeps() dispatch.Deps {
 	return dispatch.Deps{
 		Document: n.documents.Current, Pools: n.pools, Claims: n.ledger, Ownership: n.own,
@@ -133,7 +146,7 @@
 	for _, duty := range []func(context.Context) error{
 		n.transport.Run, n.members.Run, n.documents.Run, n.inventory.Run,
 		n.ledger.Run, n.owner.Run, n.spreader.Run,
-		n.applyDocuments, n.applyViews, n.applyTables, n.pullFromSeeds,
+		n.applyDocuments, n.applyViews, n.applyTables, n.pullFromSeeds, n.preloadClaims,
 	} {
 		g.Go(func() error { return duty(ctx) })
 	}
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -26,6 +26,9 @@
 // OwnsPartition implements dispatch.Ownership.
 func (o ownership) OwnsPartition(partition int) bool { return o.members.Owns(partition) }
 
+// LeaseLapsed implements dispatch.Ownership.
+func (o ownership) LeaseLapsed() time.Duration { return o.members.LeaseLapsed() }
+
 // AcquiredDirty implements dispatch.Ownership.
 func (o ownership) AcquiredDirty(partition int) (time.Time, bool) {
 	return o.members.AcquiredDirty(partition)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -204,6 +204,17 @@
 	return m.incarnation
 }
 
+// LeaseLapsed returns for how long the lease may have lapsed; 0 while it
+// certainly holds, and from the start of the process if there never was one.
+func (m *Membership) LeaseLapsed() time.Duration {
+	if m.LeaseValid() {
+		return 0
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(time.Since(m.validUntil), time.Nanosecond)
+}
+
 // TableKey returns the store key of the table. A transaction guarded by this
 // key and Table().Revision commits only while that table is in force.
 func (m *Membership) TableKey() string { return tableKey }
