--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/binary"
@@ -129,96 +128,6 @@
 	}
 }
 
-func (c *conn) writeLoop() {
-	w := bufio.NewWriterSize(c.nc, socketBuffer)
-	for {
-		b, ok := c.nextFrame(w)
-		if !ok {
-			return
-		}
-		_, err := w.Write(b.Bytes())
-		putBuffer(b)
-		if err != nil {
-			c.fail(fault.Wrap(err, fault.Unavailable, "peer.write", c.remote.ID, "write"))
-			return
-		}
-	}
-}
-
-// nextFrame returns the next frame to write; it flushes w before it waits.
-func (c *conn) nextFrame(w *bufio.Writer) (*bytes.Buffer, bool) {
-	select {
-	case b := <-c.ctrl:
-		return b, true
-	case b := <-c.queue:
-		return b, true
-	default:
-	}
-	if err := w.Flush(); err != nil {
-		c.fail(fault.Wrap(err, fault.Unavailable, "peer.write", c.remote.ID, "flush"))
-		return nil, false
-	}
-	select {
-	case b := <-c.ctrl:
-		return b, true
-	case b := <-c.queue:
-		return b, true
-	case <-c.done:
-		return nil, false
-	}
-}
-
-func (c *conn) readLoop(ctx context.Context, wg *sync.WaitGroup) error {
-	r := bufio.NewReaderSize(c.nc, socketBuffer)
-	limit := c.t.options.MaxFrameBytes + kindBytes
-	for {
-		h, b, err := readFrame(r, limit)
-		if err != nil {
-			if fault.Is(err, fault.Protocol) {
-				return err
-			}
-			return fault.Wrap(err, fault.Unavailable, "peer.read", c.remote.ID, "read")
-		}
-		c.lastRead.Store(time.Now().UnixNano())
-		if err := c.receive(ctx, wg, h, b); err != nil {
-			return err
-		}
-	}
-}
-
-// receive acts on one frame; it owns payload, which may be nil.
-func (c *conn) receive(ctx context.Context, wg *sync.WaitGroup, h header, payload *bytes.Buffer) error {
-	switch h.kind {
-	case frameOpen:
-		return c.accept(ctx, wg, h.stream, payload)
-	case frameNotify:
-		return c.notified(payload)
-	case frameData:
-		if s := c.stream(h.stream); s != nil {
-			return s.push(payload)
-		}
-		putBuffer(payload) // a stream that has ended here
-		return nil
-	}
-	defer putBuffer(payload)
-	switch h.kind {
-	case framePing:
-		c.control(rawFrame(framePong, 0))
-	case framePong:
-	case frameGoAway:
-		return c.goneAway()
-	case frameEnd, frameDone, frameReset, frameCredit:
-		s := c.stream(h.stream)
-		if s == nil {
-			return nil
-		}
-		return s.control(h.kind, payload)
-	default:
-		return fault.New(fault.Protocol, "peer.read", c.remote.ID, "unknown frame type %d", h.kind)
-	}
-	return nil
-}
-
 func (c *conn) stream(id uint32) *Stream {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -76,7 +76,7 @@
 	binary.BigEndian.PutUint32(head[lengthBytes+1:], stream)
 }
 
-// emptyFrame returns a frame with an optional raw payload.
+// rawFrame returns a frame with a payload that is not msgpack.
 func rawFrame(kind frameType, stream uint32, payload ...byte) *bytes.Buffer {
 	b := newFrame()
 	b.Write(payload)
