--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SITE  ?= nilevale
 SEED  ?= 1
 
-.PHONY: all build run dev test fmt-check vet lint unit bench clean
+.PHONY: all build run dev test fmt-check vet lint unit bench events clean
 
 all: build
 
@@ -36,5 +36,9 @@
 bench:
 	$(GO) test -run '^$$' -bench . -benchtime 1s ./...
 
+# Print the catalogue of log events into its page.
+events: build
+	./bin/buckthornpick-dev events > docs/EVENTS.md
+
 clean:
 	rm -rf bin out
--- a/internal/devsite/command.go
+++ b/internal/devsite/command.go
@@ -32,6 +32,7 @@
 		Commands: []*cli.Command{
 			{Name: "run", Usage: "drive the site's workload with reclaims on the way and report", Action: runAction,
 				Flags: append(shared, &cli.DurationFlag{Name: "duration", Usage: "how long requests arrive; default the workload's own"})},
+			{Name: "events", Usage: "print the catalogue of log events", Action: eventsAction},
 			{Name: "serve", Usage: "leave the site up and print calls to try", Action: serveAction, Flags: shared},
 		},
 	}
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -197,6 +197,7 @@
 	a.usage = answer.Usage()
 	e.d.stats.promptTokens.Inc(int64(a.usage.PromptTokens))
 	e.d.stats.cachedTokens.Inc(int64(a.usage.CachedTokens))
+	e.d.stats.computedTokens.Inc(int64(a.usage.ComputedTokens))
 	e.d.stats.completionTokens.Inc(int64(a.usage.CompletionTokens))
 	if load, ok := answer.Load(); ok && a.hasPicker {
 		e.d.deps.Pools.Report(time.Now(), a.service, a.target.ID, load)
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -18,6 +18,7 @@
 
 	promptTokens     metrics.Counter
 	cachedTokens     metrics.Counter
+	computedTokens   metrics.Counter
 	completionTokens metrics.Counter
 }
 
@@ -31,6 +32,7 @@
 		retries:          metrics.GetOrRegisterCounter("dispatch_retries_total", r),
 		promptTokens:     metrics.GetOrRegisterCounter("dispatch_prompt_tokens_total", r),
 		cachedTokens:     metrics.GetOrRegisterCounter("dispatch_cached_tokens_total", r),
+		computedTokens:   metrics.GetOrRegisterCounter("dispatch_computed_tokens_total", r),
 		completionTokens: metrics.GetOrRegisterCounter("dispatch_completion_tokens_total", r),
 		outcomes:         map[request.Outcome]metrics.Counter{},
 	}
