Backend tests: an event cut at the end marker, a redirect that ends

Cause: in trials on a scratch copy, a reader that takes a cut event for a whole one passed the tests, and the redirect test hung instead of failing. Change: a case with [DONE] cut before its blank line; the redirect test's server redirects once. Conclusion: both deliberate breaks now fail a named test.

--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -156,6 +156,7 @@
 		"no finish reason":  {"id: 1\n" + token + done, false},
 		"no done":           {"id: 1\n" + token + "id: 2\n" + finish, false},
 		"cut in an event":   {"id: 1\n" + token + "id: 2\ndata: {\"cho", false},
+		"cut in done":       {"id: 1\n" + token + "id: 2\n" + finish + "data: [DONE]\n", false},
 		"gap":               {"id: 1\n" + token + "id: 3\n" + finish + done, false},
 		"repeat":            {"id: 1\n" + token + "id: 1\n" + token + "id: 2\n" + finish + done, false},
 		"no id":             {token + finish + done, false},
@@ -325,7 +326,9 @@
 func TestRedirectIsAnAnswer(t *testing.T) {
 	var requests atomic.Int64
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		requests.Add(1)
+		if requests.Add(1) > 1 {
+			return
+		}
 		http.Redirect(w, r, "/elsewhere", http.StatusFound)
 	}))
 	defer srv.Close()
