limit, route: shed whole contexts and refuse late answers early

Change: admission sheds a share of the contexts by hash, the same at every entry; Pick refuses if the predicted first token is late (Query.FirstTokenWithin).

--- a/internal/experiment/site.go
+++ b/internal/experiment/site.go
@@ -229,7 +229,7 @@
 	}
 	deadline := s.loop.clock().Add(time.Duration(target.FirstTokenMillis) * time.Millisecond)
 	ask := limit.Ask{
-		Organisation: fmt.Sprint("org-", j.organisation), Service: j.service, Priority: j.priority,
+		Organisation: fmt.Sprint("org-", j.organisation), Service: j.service, Priority: j.priority, Context: j.context,
 		Deadline: deadline, Cost: j.prompt/10 + j.output,
 	}
 	r.waiter = e.scheduler.Offer(s.loop.clock(), ask, func(refusal *limit.Rejected) {
@@ -251,6 +251,9 @@
 	if s.cell.Policy == OursBlocks {
 		q.PrefixHashes = r.job.blocks
 	}
+	if !s.cell.Scenario.Unlimited && r.retries == 0 {
+		q.FirstTokenWithin = r.job.at + time.Duration(target.FirstTokenMillis)*time.Millisecond - s.loop.now
+	}
 	if len(r.lost) > 0 {
 		q.Exclude = func(id string) bool { return r.lost[id] }
 	}
@@ -296,7 +299,7 @@
 func (s *site) noServer(r *run, err error) {
 	var saturated *route.ErrSaturated
 	waited := s.loop.now - r.job.at
-	if errors.As(err, &saturated) && waited < time.Duration(target.FirstTokenMillis)*time.Millisecond {
+	if errors.As(err, &saturated) && !saturated.Late && waited < time.Duration(target.FirstTokenMillis)*time.Millisecond {
 		s.loop.after(pickRetry, func() { s.dispatch(r) })
 		return
 	}
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -292,3 +292,34 @@
 		t.Fatalf("%d wait while a place is free", s.Queued("s"))
 	}
 }
+
+func TestOverloadShedsTheSameContextsEverywhereAndEnds(t *testing.T) {
+	overload := func(s *shedder, from time.Time, bad bool, windows int) {
+		for i := range windows {
+			for range shedSamples {
+				s.observe(from.Add(time.Duration(i+1)*shedWindow), bad)
+			}
+		}
+	}
+	a, b := &shedder{}, &shedder{}
+	overload(a, start, true, 2)
+	overload(b, start, true, 4)
+	both, onlyB := 0, 0
+	for context := uint64(1); context <= 1000; context++ {
+		shedA, after := a.refuses(context)
+		shedB, _ := b.refuses(context)
+		if shedA {
+			require.True(t, shedB, "a deeper overload sheds more contexts, not others")
+			require.Positive(t, after)
+			both++
+		} else if shedB {
+			onlyB++
+		}
+	}
+	require.InDelta(t, 1000*a.share, both, 60)
+	require.Positive(t, onlyB)
+	shed, _ := a.refuses(0)
+	require.False(t, shed, "a request without a context has none to keep whole")
+	overload(a, start.Add(time.Hour), false, 40)
+	require.Zero(t, a.share)
+}
--- a/internal/limit/scheduler.go
+++ b/internal/limit/scheduler.go
@@ -157,6 +157,9 @@
 	if sv.limit.capacity < 1 {
 		return &Rejected{NoCapacity, noCapacityRetryAfter}
 	}
+	if shed, after := sv.shed.refuses(w.ask.Context); shed {
+		return &Rejected{Overload, min(max(after, minRetryAfter), maxRetryAfter)}
+	}
 	queue := sv.queues[w.level]
 	w.start = queue.startTag(w.ask.Organisation)
 	if late := sv.lateness(now, w, sv.ahead(w.level, w.start)); late > 0 {
--- a/internal/limit/service.go
+++ b/internal/limit/service.go
@@ -25,6 +25,7 @@
 	budget  retryBudget
 	queues  [levels]*fairQueue
 	running int
+	shed    shedder
 
 	// meanTotal is the mean time of a request from admission to end.
 	meanTotal time.Duration
@@ -88,6 +89,7 @@
 // are spaced by the drain rate, so that refused callers do not come back
 // together.
 func (s *service) retryAfter(now time.Time, need time.Duration) time.Duration {
+	s.shed.observe(now, true)
 	if s.limit.capacity < 1 {
 		return noCapacityRetryAfter
 	}
@@ -111,6 +113,7 @@
 		s.learn(r)
 	}
 	s.limit.observe(now, r, saturated)
+	s.shed.observe(now, r.MissedTarget)
 }
 
 func (s *service) learn(r Result) {
--- /dev/null
+++ b/internal/limit/shed.go
@@ -0,0 +1,78 @@
+package limit
+
+import "time"
+
+const (
+	// shedWindow and shedSamples are the least size of a window.
+	shedWindow  = time.Second
+	shedSamples = 32
+	// shedStart and shedEnd are the shares of late or refused requests above
+	// and below which the shed share rises and falls.
+	shedStart = 0.2
+	shedEnd   = 0.04
+	// shedGain is the part of the excess by which the share rises.
+	shedGain = 0.5
+	// shedFall is the share given back in a window without excess.
+	shedFall = 0.06
+	maxShed  = 0.95
+)
+
+// shedder refuses a share of the contexts while a service is overloaded.
+//
+// Refusing single requests would let every context run on in part: caches then
+// hold a little of each, all prompts are recomputed and goodput collapses. A
+// context is shed by its hash, so that entries shed the same contexts without
+// talking, and those kept stay whole.
+type shedder struct {
+	share float64
+
+	windowStart time.Time
+	samples     int
+	bad         int
+}
+
+// observe takes the fate of one request that was not shed; bad is true if it
+// was refused for lateness or missed its target.
+func (s *shedder) observe(now time.Time, bad bool) {
+	if s.windowStart.IsZero() {
+		s.windowStart = now
+	}
+	s.samples++
+	if bad {
+		s.bad++
+	}
+	if s.samples < shedSamples || now.Sub(s.windowStart) < shedWindow {
+		return
+	}
+	share := float64(s.bad) / float64(s.samples)
+	switch {
+	case share > shedStart:
+		s.share = min(maxShed, s.share+shedGain*(share-shedStart)*(1-s.share))
+	case share < shedEnd:
+		s.share = max(0, s.share-shedFall)
+	}
+	s.windowStart, s.samples, s.bad = now, 0, 0
+}
+
+// refuses reports whether a context is shed, and the time after which it will
+// not be if the overload ends now.
+func (s *shedder) refuses(context uint64) (bool, time.Duration) {
+	if context == 0 || s.share <= 0 {
+		return false, 0
+	}
+	excess := s.share - position(context)
+	if excess <= 0 {
+		return false, 0
+	}
+	return true, time.Duration(excess / shedFall * float64(shedWindow))
+}
+
+// position spreads contexts evenly over 0 to 1.
+func position(context uint64) float64 {
+	context ^= context >> 33
+	context *= 0xff51afd7ed558ccd
+	context ^= context >> 33
+	context *= 0xc4ceb9fe1a85ec53
+	context ^= context >> 33
+	return float64(context>>11) / (1 << 53)
+}
--- a/internal/limit/types.go
+++ b/internal/limit/types.go
@@ -11,6 +11,8 @@
 type Ask struct {
 	Organisation string
 	Service      string
+	// Context is the hash of the conversation or shared prefix; 0 is none.
+	Context uint64
 	// Priority is "high", "normal" or "low"; empty is normal.
 	Priority string
 	// Deadline is the latest time of the first byte; zero bounds the wait by
@@ -46,6 +48,9 @@
 	QueueFull Reason = "queue-full"
 	// DeadlineUnreachable: the request would wait beyond its deadline.
 	DeadlineUnreachable Reason = "deadline-unreachable"
+	// Overload: the service is overloaded and the request's context is among
+	// those shed.
+	Overload Reason = "overload"
 	// Displaced: a request of higher priority or of an organisation below its
 	// fair share took the place in the full queue.
 	Displaced Reason = "displaced"
--- a/internal/route/errors.go
+++ b/internal/route/errors.go
@@ -21,14 +21,20 @@
 }
 
 // ErrSaturated means that every usable server runs MaxConcurrentPerServer
-// requests of this entry.
+// requests of this entry, or that the best one would answer too late.
 type ErrSaturated struct {
 	Service string
-	// RetryAfter is the expected time until a running request ends.
+	// RetryAfter is the expected time until a place is free.
 	RetryAfter time.Duration
+	// Late is true if places are free but the first token would come later
+	// than Query.FirstTokenWithin.
+	Late bool
 }
 
 // Error implements error.
 func (e *ErrSaturated) Error() string {
+	if e.Late {
+		return fmt.Sprintf("the first token of service %q would be late, retry after %s", e.Service, e.RetryAfter)
+	}
 	return fmt.Sprintf("all backend servers of service %q are saturated, retry after %s", e.Service, e.RetryAfter)
 }
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -23,6 +23,9 @@
 	// pressureStart of the first-token target.
 	pressureFactor = 4
 	pressureStart  = 0.8
+	// lateTolerance is the factor by which a prediction must exceed the bound
+	// before a request is refused for it.
+	lateTolerance = 0.9
 	// minRetryAfter is the least advice given with ErrSaturated.
 	minRetryAfter = 50 * time.Millisecond
 )
@@ -55,9 +58,23 @@
 	home := p.home(&q)
 	informed := p.weigh(&q, past, home)
 	best, reason := p.choose(&q, past, home, informed)
+	if excess := p.candidates[best].lateness(&q); excess > 0 {
+		return Choice{}, &ErrSaturated{Service: q.Service, RetryAfter: max(minRetryAfter, excess), Late: true}
+	}
 	return p.choice(best, reason), nil
 }
 
+// lateness returns by how much the first token is predicted to exceed
+// q.FirstTokenWithin; 0 if it does not. A server with hardly any work always
+// gets the request, so that a wrong prediction is corrected by observations.
+func (c *candidate) lateness(q *Query) time.Duration {
+	if q.FirstTokenWithin <= 0 || !c.server.model.learned() || c.requests < 2*c.server.weight() {
+		return 0
+	}
+	predicted := time.Duration(c.terms.Latency * float64(time.Millisecond))
+	return max(0, predicted-time.Duration(lateTolerance*float64(q.FirstTokenWithin)))
+}
+
 // collect fills candidates with the servers in state that may get q and
 // reports whether any was left out for being full.
 func (p *Picker) collect(q *Query, state State) (full bool) {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -245,3 +245,24 @@
 		})
 	}
 }
+
+func TestLateFirstTokenIsRefusedUnlessServerIsIdle(t *testing.T) {
+	p := newTestPicker("entry", 1)
+	model := p.servers["engine-0000"].model
+	for range 2 * learnedObservations {
+		f := makeFeatures(1000, 0, 1, 0)
+		model.observe(&f, 2000)
+	}
+	q := Query{Now: start, PromptTokens: 1000, FirstTokenWithin: time.Second}
+	_, err := p.Pick(q)
+	require.NoError(t, err, "an idle server takes the request and corrects the prediction")
+	p.Report(start, "engine-0000", backend.Load{Running: 10, MeasuredAt: start})
+	var saturated *ErrSaturated
+	_, err = p.Pick(q)
+	require.ErrorAs(t, err, &saturated)
+	require.True(t, saturated.Late)
+	require.Positive(t, saturated.RetryAfter)
+	q.FirstTokenWithin = 0
+	_, err = p.Pick(q)
+	require.NoError(t, err)
+}
--- a/internal/route/types.go
+++ b/internal/route/types.go
@@ -65,6 +65,9 @@
 	Priority string
 	// VMClass restricts the choice to one VM class; empty is any.
 	VMClass string
+	// FirstTokenWithin refuses the request with ErrSaturated if the predicted
+	// time to the first token exceeds it; 0 never does.
+	FirstTokenWithin time.Duration
 	// Exclude reports servers that must not be chosen; nil excludes none.
 	Exclude func(id string) bool
 }
