--- /dev/null
+++ b/internal/bench/client.go
@@ -0,0 +1,128 @@
+package bench
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"buckthornpick/internal/gateway"
+	"buckthornpick/internal/load"
+	"buckthornpick/internal/request"
+)
+
+// sample is one call as the caller saw it.
+type sample struct {
+	request string
+	sent    time.Time
+	// received[i] is the time at which sequence number i+1 arrived.
+	received []time.Time
+	err      error
+}
+
+// target is where the calls of a phase go.
+type target struct {
+	// url returns the base URL for the call.
+	url func(call *load.Call) string
+	// isEngine is true for calls without an entry.
+	isEngine bool
+}
+
+const bodyReader = 8 << 10
+
+// call makes one call and reads its events, of which it checks the sequence
+// and the end.
+func call(ctx context.Context, client *http.Client, t target, c *load.Call) sample {
+	s := sample{received: make([]time.Time, 0, answerTokens+2)}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, t.url(c)+"/v1/chat/completions", bytes.NewReader(c.Body))
+	if err != nil {
+		s.err = err
+		return s
+	}
+	t.identify(req, c)
+	s.sent = time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		s.err = err
+		return s
+	}
+	defer func() { _ = resp.Body.Close() }()
+	s.request = resp.Header.Get(gateway.HeaderRequestID)
+	if t.isEngine {
+		s.request = c.Key
+	}
+	s.err = s.read(resp, t)
+	return s
+}
+
+func (t target) identify(req *http.Request, c *load.Call) {
+	req.Header.Set("Content-Type", "application/json")
+	if t.isEngine {
+		req.Header.Set("X-Attempt-Id", c.Key)
+		req.Header.Set("X-Request-Id", c.Key)
+		return
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Caller.Key)
+	if c.Key != "" {
+		req.Header.Set(gateway.HeaderIdempotencyKey, c.Key)
+	}
+}
+
+var (
+	errStatus   = errors.New("call was refused")
+	errSequence = errors.New("events are not in sequence")
+	errOutcome  = errors.New("answer is not complete")
+)
+
+func (s *sample) read(resp *http.Response, t target) error {
+	if resp.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(io.LimitReader(resp.Body, bodyReader))
+		return fmt.Errorf("%w: %d %s", errStatus, resp.StatusCode, body)
+	}
+	if err := s.readEvents(bufio.NewReaderSize(resp.Body, bodyReader)); err != nil {
+		return err
+	}
+	if t.isEngine {
+		return nil
+	}
+	if got := resp.Trailer.Get(gateway.HeaderOutcome); got != string(request.Completed) {
+		return fmt.Errorf("%w: outcome %q", errOutcome, got)
+	}
+	return nil
+}
+
+var (
+	idField  = []byte("id: ")
+	doneLine = []byte("data: [DONE]\n")
+)
+
+// readEvents reads to the end of the body.
+func (s *sample) readEvents(r *bufio.Reader) error {
+	isDone := false
+	for {
+		line, err := r.ReadSlice('\n')
+		if errors.Is(err, io.EOF) && isDone {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("after event %d: %w", len(s.received), err)
+		}
+		if bytes.Equal(line, doneLine) {
+			isDone = true
+		}
+		digits, ok := bytes.CutPrefix(line, idField)
+		if !ok {
+			continue
+		}
+		n, err := strconv.Atoi(string(bytes.TrimSpace(digits)))
+		if err != nil || n != len(s.received)+1 {
+			return fmt.Errorf("%w: %q after %d", errSequence, line, len(s.received))
+		}
+		s.received = append(s.received, time.Now())
+	}
+}
--- /dev/null
+++ b/internal/bench/phase.go
@@ -0,0 +1,127 @@
+package bench
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"buckthornpick/internal/load"
+)
+
+// Delays are percentiles of delays in milliseconds.
+type Delays struct {
+	P50 float64 `json:"p50"`
+	P99 float64 `json:"p99"`
+}
+
+// Phase is what the calls of one phase measured.
+type Phase struct {
+	Name string `json:"name"`
+	// Offered and Carried are tokens per second: those of all calls over the
+	// time of arrivals, and those received over the whole phase.
+	Offered float64 `json:"offered"`
+	Carried float64 `json:"carried"`
+	Calls   int     `json:"calls"`
+	Failed  int     `json:"failed"`
+	// Unpaired calls were whole but ran in more than one attempt; their times
+	// are left out.
+	Unpaired   int    `json:"unpaired"`
+	FirstToken Delays `json:"firstToken"`
+	Token      Delays `json:"token"`
+	// Processors is the processor time of the whole process, callers and
+	// engines included, per second.
+	Processors float64 `json:"processors"`
+	Seconds    float64 `json:"seconds"`
+	// Problem is the first failure.
+	Problem string `json:"problem,omitempty"`
+}
+
+const (
+	maxDelay        = int64(10 * time.Minute)
+	histogramDigits = 3
+)
+
+// runPhase makes the calls, each at its time whatever becomes of the others.
+func runPhase(ctx context.Context, name string, calls []load.Call, t target, client *http.Client, rec *recorder) Phase {
+	samples := make([]sample, len(calls))
+	before, started := processorTime(), time.Now()
+	var work sync.WaitGroup
+	for i := range calls {
+		if !pause(ctx, time.Until(started.Add(calls[i].At))) {
+			break
+		}
+		work.Go(func() { samples[i] = call(ctx, client, t, &calls[i]) })
+	}
+	work.Wait()
+	took := time.Since(started)
+	p := Phase{Name: name, Calls: len(calls), Seconds: took.Seconds()}
+	p.Processors = (processorTime() - before).Seconds() / took.Seconds()
+	p.summarise(samples, rec)
+	if n := len(calls); n > 0 {
+		p.Offered = float64(n*answerTokens) / calls[n-1].At.Seconds()
+	}
+	return p
+}
+
+func (p *Phase) summarise(samples []sample, rec *recorder) {
+	first := hdrhistogram.New(1, maxDelay, histogramDigits)
+	token := hdrhistogram.New(1, maxDelay, histogramDigits)
+	events := 0
+	for i := range samples {
+		s := &samples[i]
+		g, isSingle := rec.take(s.request)
+		events += len(s.received)
+		switch {
+		case s.err != nil:
+			p.Failed++
+			if p.Problem == "" {
+				p.Problem = s.err.Error()
+			}
+		case !isSingle || len(g.events) < len(s.received):
+			p.Unpaired++
+		default:
+			s.record(g, first, token)
+		}
+	}
+	p.Carried = float64(events) / p.Seconds
+	p.FirstToken, p.Token = percentiles(first), percentiles(token)
+}
+
+func (s *sample) record(g *generation, first, token *hdrhistogram.Histogram) {
+	for i, at := range s.received {
+		delay := max(at.Sub(g.events[i]), 1)
+		_ = token.RecordValue(int64(delay))
+		if i == 0 {
+			_ = first.RecordValue(int64(max(g.accepted.Sub(s.sent), 0) + delay))
+		}
+	}
+}
+
+func percentiles(h *hdrhistogram.Histogram) Delays {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / float64(time.Millisecond) }
+	return Delays{P50: at(50), P99: at(99)}
+}
+
+// processorTime returns the processor time of this process so far.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/bench/print.go
@@ -0,0 +1,82 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"strings"
+	"text/tabwriter"
+)
+
+// Goals of the entry's overhead, at the default rate.
+const (
+	goalP50        = 0.3 // milliseconds
+	goalP99        = 1.5 // milliseconds
+	goalProcessors = 0.5
+)
+
+// Machine is where a run was made.
+type Machine struct {
+	Processors int    `json:"processors"`
+	GoVersion  string `json:"goVersion"`
+	// LoadAverage is the system's at the start, over 1, 5 and 15 minutes;
+	// empty if it is not known.
+	LoadAverage string `json:"loadAverage"`
+}
+
+func machine() Machine {
+	m := Machine{Processors: runtime.NumCPU(), GoVersion: runtime.Version()}
+	if data, err := os.ReadFile("/proc/loadavg"); err == nil {
+		fields := strings.Fields(string(data))
+		m.LoadAverage = strings.Join(fields[:min(len(fields), 3)], " ")
+	}
+	return m
+}
+
+// Highest returns the step with the highest carried rate; ok is false if none
+// was carried.
+func (r *Report) Highest() (p Phase, ok bool) {
+	for _, step := range append([]Phase{r.Entry}, r.Steps...) {
+		if step.isCarried() {
+			p, ok = step, true
+		}
+	}
+	return p, ok
+}
+
+// WriteTable prints the report.
+func (r *Report) WriteTable(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	row := func(format string, args ...any) { _, _ = fmt.Fprintf(t, format+"\n", args...) }
+	row("%d processors, %s, load average %s", r.Machine.Processors, r.Machine.GoVersion, r.Machine.LoadAverage)
+	row("%.1f requests/s, %.0f tokens/s offered, %.0f s", float64(r.Entry.Calls)*r.Entry.Offered/float64(r.Entry.Calls*answerTokens),
+		r.Entry.Offered, r.Entry.Seconds)
+	row("\tdirect\tentry\tadded\tgoal\tby relay\tadded")
+	delay := func(name string, of func(*Phase) float64, goal float64) {
+		d, e, y := of(&r.Direct), of(&r.Entry), of(&r.Relay)
+		row("%s\t%.3f ms\t%.3f ms\t%.3f ms\t%.1f ms\t%.3f ms\t%.3f ms", name, d, e, e-d, goal, y, y-d)
+	}
+	delay("first token p50", func(p *Phase) float64 { return p.FirstToken.P50 }, goalP50)
+	delay("first token p99", func(p *Phase) float64 { return p.FirstToken.P99 }, goalP99)
+	delay("token p50", func(p *Phase) float64 { return p.Token.P50 }, goalP50)
+	delay("token p99", func(p *Phase) float64 { return p.Token.P99 }, goalP99)
+	row("processors\t%.2f\t%.2f\t%.2f\t%.1f\t%.2f\t%.2f", r.Direct.Processors, r.Entry.Processors,
+		r.Entry.Processors-r.Direct.Processors, goalProcessors, r.Relay.Processors, r.Relay.Processors-r.Direct.Processors)
+	row("idle site, processors\t%.2f", r.IdleProcessors)
+	_ = t.Flush()
+	r.writeHighest(w)
+}
+
+func (r *Report) writeHighest(w io.Writer) {
+	if len(r.Steps) == 0 {
+		return
+	}
+	if p, ok := r.Highest(); ok {
+		_, _ = fmt.Fprintf(w, "highest rate carried by one entry (token p99 up to %d ms): %.0f tokens/s offered, %.0f over the whole phase, process at %.1f processors\n",
+			carriedP99, p.Offered, p.Carried, p.Processors)
+	}
+	for i := range r.Steps {
+		_, _ = fmt.Fprintln(w, " ", &r.Steps[i])
+	}
+}
--- /dev/null
+++ b/internal/bench/recorder.go
@@ -0,0 +1,51 @@
+package bench
+
+import (
+	"sync"
+	"time"
+)
+
+// recorder keeps the times at which the engines accepted requests and
+// generated events. It is safe for concurrent use.
+type recorder struct {
+	mu    sync.Mutex
+	times map[string]*generation
+}
+
+// generation is what the engines noted of one request.
+type generation struct {
+	accepted time.Time
+	// events[i] is the time of sequence number i+1.
+	events []time.Time
+	// isRepeated is true if more than one attempt was accepted.
+	isRepeated bool
+}
+
+func newRecorder() *recorder { return &recorder{times: map[string]*generation{}} }
+
+// observe implements engine.Settings.Observe.
+func (r *recorder) observe(request string, sequence int, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g := r.times[request]
+	if g == nil {
+		g = &generation{accepted: at, events: make([]time.Time, 0, answerTokens+2)}
+		r.times[request] = g
+		return
+	}
+	if sequence != len(g.events)+1 {
+		g.isRepeated = true
+		return
+	}
+	g.events = append(g.events, at)
+}
+
+// take returns and forgets what was noted of the request; ok is false if its
+// times are not those of a single attempt.
+func (r *recorder) take(request string) (g *generation, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g = r.times[request]
+	delete(r.times, request)
+	return g, g != nil && !g.isRepeated
+}
--- a/internal/standin/engine/attempt.go
+++ b/internal/standin/engine/attempt.go
@@ -49,6 +49,7 @@
 	down     <-chan struct{} // closed when the engine crashes
 
 	execution *Execution // nil before the attempt has left the queue
+	observe   func(request string, sequence int, at time.Time)
 }
 
 func newAttempt(id, request string, b *body, p priority, now time.Time) *attempt {
@@ -191,6 +192,9 @@
 		panic("chunk: " + err.Error()) // plain structs always encode
 	}
 	a.events = append(a.events, data)
+	if a.observe != nil {
+		a.observe(a.request, a.offset()+len(a.events), time.Now())
+	}
 	a.notify()
 }
 
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -154,6 +154,9 @@
 		return nil, http.StatusBadRequest
 	}
 	a.down = s.down
+	if a.observe = s.settings.Observe; a.observe != nil {
+		a.observe(a.request, 0, a.created)
+	}
 	s.attempts[id] = a
 	s.enqueue(a)
 	s.signal()
--- a/internal/standin/engine/settings.go
+++ b/internal/standin/engine/settings.go
@@ -44,6 +44,9 @@
 	MaxRecorded int
 	// OnCrash is called, without locks, when a marker crashes the engine.
 	OnCrash func()
+	// Observe is called, under the engine's lock, when a request is accepted
+	// (sequence 0) and when an event of its answer is generated; nil is none.
+	Observe func(request string, sequence int, at time.Time)
 }
 
 const (
