--- a/internal/backend/plain.go
+++ b/internal/backend/plain.go
@@ -16,6 +16,14 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
+// answerHeaders returns the headers of an answer that callers get: load reports
+// are meant for the entry.
+func answerHeaders(h http.Header) http.Header {
+	out := endToEnd(h)
+	out.Del(LoadHeader)
+	return out
+}
+
 // endToEnd returns a copy of h without hop-by-hop headers.
 func endToEnd(h http.Header) http.Header {
 	out := h.Clone()
@@ -57,7 +65,7 @@
 	}
 	load, found := c.load(t, resp.Header)
 	return &plainAnswer{
-		head: request.Head{Status: resp.StatusCode, Header: endToEnd(resp.Header)},
+		head: request.Head{Status: resp.StatusCode, Header: answerHeaders(resp.Header)},
 		body: body, load: load, hasLoad: found,
 	}, nil
 }
--- a/internal/control/nodes.go
+++ b/internal/control/nodes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strconv"
@@ -38,7 +39,7 @@
 		Description: "Asks every admin URL of the settings and of the members that they list.\n" +
 			"Exit code 6: some node does not have the revision, or gave no answer, at the timeout.",
 		Flags: []cli.Flag{
-			&cli.Int64Flag{Name: "revision", Required: true, Usage: "wait for revision `N` or a later one"},
+			&cli.Int64Flag{Name: "revision", Usage: "wait for revision `N` or a later one; default the one in force"},
 			&cli.DurationFlag{Name: "timeout", Value: defaultWaitTimeout, Usage: "give up after `TIME`"},
 		},
 		Action: wait,
@@ -50,9 +51,12 @@
 	if err != nil {
 		return err
 	}
-	wanted := c.Int64("revision")
 	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
 	defer cancel()
+	wanted, err := wantedRevision(ctx, c, client)
+	if err != nil {
+		return err
+	}
 	poll := time.NewTicker(waitPollInterval)
 	defer poll.Stop()
 	var last []nodeReport
@@ -74,6 +78,22 @@
 	}
 }
 
+// wantedRevision returns the revision to wait for: the latest that any node has
+// unless the flag names one.
+func wantedRevision(ctx context.Context, c *cli.Command, client *admin.Client) (int64, error) {
+	if c.IsSet("revision") {
+		return c.Int64("revision"), nil
+	}
+	var latest int64
+	for _, r := range askAll(ctx, client) {
+		latest = max(latest, r.Revision)
+	}
+	if latest == 0 {
+		return 0, errors.New("no node has a document yet")
+	}
+	return latest, nil
+}
+
 func lacking(reports []nodeReport, wanted int64) int {
 	n := 0
 	for _, r := range reports {
--- a/internal/devsite/command.go
+++ b/internal/devsite/command.go
@@ -83,7 +83,12 @@
 		return err
 	}
 	defer s.Close()
+	urls, err := serveAdmin(ctx, s)
+	if err != nil {
+		return err
+	}
 	printExamples(o.Out, o.Profile, s.Entries())
+	printOperators(o.Out, urls)
 	<-ctx.Done()
 	return nil
 }
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -118,7 +118,7 @@
 }
 
 func noServer(err error) *request.End {
-	end := &request.End{Problem: problemUnavailable, Message: err.Error(),
+	end := &request.End{Problem: problemUnavailable, Message: fault.Text(err),
 		Status: http.StatusServiceUnavailable, RetryAfter: time.Second}
 	var saturated *route.ErrSaturated
 	if errors.As(err, &saturated) {
@@ -139,7 +139,7 @@
 		return e.quarantined(err), false
 	}
 	if ctx.Err() == nil {
-		return e.giveUp(request.End{Problem: problemUnavailable, Message: err.Error(),
+		return e.giveUp(request.End{Problem: problemUnavailable, Message: fault.Text(err),
 			Status: http.StatusServiceUnavailable, RetryAfter: time.Second}), false
 	}
 	return e.giveUpOrHandOver(e.interrupted(ctx)), false
@@ -150,7 +150,7 @@
 }
 
 func (e *execution) quarantined(err error) *request.End {
-	end := request.End{Problem: problemQuarantined, Message: err.Error(), Status: http.StatusUnprocessableEntity}
+	end := request.End{Problem: problemQuarantined, Message: fault.Text(err), Status: http.StatusUnprocessableEntity}
 	if e.mayHaveRun {
 		end.Outcome = request.Failed
 		return &end
--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -28,7 +28,7 @@
 	defer cancel()
 	earlier, found, err := e.d.deps.Claims.Lookup(lookupCtx, e.req.ID)
 	if err != nil {
-		return e.unresolved("the claims cannot be read now: " + err.Error()), true
+		return e.unresolved("the claims cannot be read now: " + fault.Text(err)), true
 	}
 	if !found {
 		return nil, false
@@ -147,7 +147,7 @@
 func (e *execution) notClaimed(err error) *request.End {
 	end := request.End{
 		Problem:    problemUnavailable,
-		Message:    "the at-most-once claim could not be written: " + err.Error(),
+		Message:    "the at-most-once claim could not be written: " + fault.Text(err),
 		Status:     http.StatusServiceUnavailable,
 		RetryAfter: time.Second,
 	}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -173,7 +173,7 @@
 // Only a request that no owner can have seen is "not-run".
 func (f *follower) ownerUnreachable(err error) error {
 	end := request.End{Outcome: request.Unknown, Problem: "owner_unreachable",
-		Message: "the node that owns this request cannot be reached: " + err.Error(),
+		Message: "the node that owns this request cannot be reached: " + fault.Text(err),
 		Status:  http.StatusServiceUnavailable, RetryAfter: time.Second}
 	if f.req != nil && f.req.Minted && !f.wasSent {
 		end.Outcome = request.NotRun
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -57,3 +57,27 @@
 		require.Equal(t, 1, runs)
 	})
 }
+
+func TestPlainServiceRefusalReachesTheCallerAsItIs(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		r, err := s.send(s.Entries()[0], "GET", "/services/report/missing", nil, nil)
+		require.NoError(t, err)
+		require.Equal(t, "completed", r.outcome())
+		require.Empty(t, r.header.Get("Endpoint-Load-Metrics"))
+	})
+}
+
+func TestReusedKeyWithOtherContentIsRefused(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		header := map[string]string{"Idempotency-Key": "used"}
+		_, err := s.send(s.Entries()[0], "POST", exportPath, header, []byte("October"))
+		require.NoError(t, err)
+		for _, e := range s.Entries() {
+			r, err := s.send(e, "POST", exportPath, header, []byte("November"))
+			require.NoError(t, err)
+			require.Equal(t, 422, r.status)
+			require.Contains(t, string(r.body), `"message":"the idempotency key was used with another request"`)
+		}
+		require.Equal(t, 1, s.runs("used"))
+	})
+}
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -103,7 +103,7 @@
 		return err
 	}
 	return &gateway.EndError{End: request.End{Outcome: request.NotRun, Problem: "idempotency_error",
-		Message: err.Error(), Status: http.StatusUnprocessableEntity}}
+		Message: fault.Text(err), Status: http.StatusUnprocessableEntity}}
 }
 
 // openAttach finds the answer of a known request.
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -105,15 +105,21 @@
 	if err != nil {
 		return nil, err
 	}
-	api := admin.New(admin.Config{
-		Node: s.Node.ID, Zone: s.Node.Zone, Region: s.Node.Region, Version: cli.FullVersion(),
-		Token: token, Document: node.Documents(), Members: members{node}, Drainer: drainer(drain), Log: p.Log,
-	})
-	pages := &cli.Pages{Metrics: p.Metrics, Ready: node.Ready, Pprof: s.Admin.Pprof}
+	handler := Pages(s.Node, s.Admin.Pprof, token, node, drain, p)
+	return cli.ListenAdmin(netx.TCP{}, s.Admin.Address, tlsConfig, handler, p.Log)
+}
+
+// Pages returns the handler of an entry's admin listener. Without a token the
+// operators' API is off.
+func Pages(s config.NodeSettings, pprof bool, token string, node *entry.Node, drain func(), p *cli.Process) http.Handler {
+	pages := &cli.Pages{Metrics: p.Metrics, Ready: node.Ready, Pprof: pprof}
 	if token != "" {
-		pages.API = api.Handler()
+		pages.API = admin.New(admin.Config{
+			Node: s.ID, Zone: s.Zone, Region: s.Region, Version: cli.FullVersion(),
+			Token: token, Document: node.Documents(), Members: members{node}, Drainer: drainer(drain), Log: p.Log,
+		}).Handler()
 	}
-	return cli.ListenAdmin(netx.TCP{}, s.Admin.Address, tlsConfig, pages.Handler(), p.Log)
+	return pages.Handler()
 }
 
 // members lists the table for operators.
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -87,3 +87,16 @@
 	ok := errors.As(err, &e)
 	return e, ok
 }
+
+// Text returns what went wrong and why, without types, steps and peers, for
+// callers.
+func Text(err error) string {
+	e, ok := outermost(err)
+	if !ok || e.Message() == "" {
+		return err.Error()
+	}
+	if cause := e.Cause(); cause != nil {
+		return e.Message() + ": " + Text(cause)
+	}
+	return e.Message()
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"buckthornpick/internal/backend"
+	"buckthornpick/internal/fault"
 	"buckthornpick/internal/request"
 )
 
@@ -99,7 +100,7 @@
 			s.end(end.End)
 			return
 		}
-		s.end(request.End{Outcome: request.Unknown, Problem: typeInternal, Message: err.Error(),
+		s.end(request.End{Outcome: request.Unknown, Problem: typeInternal, Message: fault.Text(err),
 			Status: http.StatusBadGateway, RetryAfter: time.Second})
 	}
 }
@@ -187,7 +188,7 @@
 	head, body, err := wholeBody(info.Kind, c)
 	if err != nil {
 		writeProblem(w, problem{status: http.StatusBadGateway, kind: typeInternal, id: info.ID,
-			message: "answer could not be assembled: " + err.Error(), outcome: request.Unknown})
+			message: "answer could not be assembled: " + fault.Text(err), outcome: request.Unknown})
 		return
 	}
 	h := w.Header()
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"buckthornpick/internal/config"
+	"buckthornpick/internal/fault"
 	"buckthornpick/internal/request"
 )
 
@@ -31,7 +32,7 @@
 			message: "body exceeds " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"}
 	}
 	return nil, &problem{status: http.StatusBadRequest, kind: typeInvalidRequest,
-		message: "body could not be read: " + err.Error()}
+		message: "body could not be read: " + fault.Text(err)}
 }
 
 // submit completes the request's identity, hands it to the node and writes the
@@ -141,7 +142,7 @@
 		return
 	}
 	writeProblem(w, problem{status: http.StatusBadGateway, kind: typeInternal, id: id,
-		message: err.Error(), outcome: request.Unknown, retryAfter: time.Second})
+		message: fault.Text(err), outcome: request.Unknown, retryAfter: time.Second})
 }
 
 func invalid(message string) problem {
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -54,7 +54,7 @@
 	if errors.As(err, &remote) {
 		return &RemoteError{Step: remote.Step, Type: remote.Type, Message: remote.Error()}
 	}
-	e := &RemoteError{Step: fault.Step(err), Type: typeInternal, Message: err.Error()}
+	e := &RemoteError{Step: fault.Step(err), Type: typeInternal, Message: fault.Text(err)}
 	if e.Step == "" {
 		e.Step = step
 	}
