Answers that leave an engine take their KV cache along where that is cheaper

A pure decision (route.MoveKV) compares moving and computing again by tokens, known cache at the target, learned bytes per token, transfer and prefill rates, the weight on recomputed tokens and the time left; transfers pass through the entry without being held, four at a time.

Cause of a first failure: the picker's expectation for a context's home counted as knowledge, so nothing was moved; only own knowledge counts now. Measured (go test -run MovesItsKVCache): a prompt of 2,000 tokens moved with 900 ms on its way is computed once (under 2,200 tokens) instead of twice (over 4,000).

--- /dev/null
+++ b/internal/backend/kvcache.go
@@ -0,0 +1,72 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+
+	"buckthornpick/internal/fault"
+)
+
+// MaxKVBytes bounds an exported KV cache.
+const MaxKVBytes = 1 << 30
+
+// MoveKV exports the KV cache of an attempt from one engine and imports it at
+// another one, through this process but without holding it. It returns the
+// bytes moved. Without the cache the target computes the prompt again, so every
+// error is harmless.
+func (c *HTTPClient) MoveKV(ctx context.Context, from Target, attempt AttemptID, to Target) (int64, error) {
+	const step = "engine.move-kv"
+	export, err := c.newRequest(ctx, from, http.MethodGet, "/v1/kv/"+url.PathEscape(string(attempt)), nil)
+	if err != nil {
+		return 0, err
+	}
+	exported, _, err := c.do(export)
+	if err != nil {
+		return 0, fault.Wrap(err, fault.Unavailable, step, from.ID, "export of %s", attempt)
+	}
+	defer exported.Body.Close()
+	if exported.StatusCode != http.StatusOK || exported.ContentLength > MaxKVBytes {
+		return 0, fault.New(fault.Unavailable, step, from.ID, "export of %s: status %d, %d bytes",
+			attempt, exported.StatusCode, exported.ContentLength)
+	}
+	counted := &countingReader{r: io.LimitReader(exported.Body, MaxKVBytes)}
+	if err := c.importKV(ctx, to, counted, exported.ContentLength); err != nil {
+		return counted.n, err
+	}
+	return counted.n, nil
+}
+
+func (c *HTTPClient) importKV(ctx context.Context, to Target, blob io.Reader, length int64) error {
+	const step = "engine.import-kv"
+	req, err := c.newRequest(ctx, to, http.MethodPost, "/v1/kv", nil)
+	if err != nil {
+		return err
+	}
+	req.Body = onceBody{blob}
+	req.ContentLength = length
+	req.Header.Set("Content-Type", "application/octet-stream")
+	resp, _, err := c.do(req)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, step, to.ID, "import")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return fault.New(fault.Unavailable, step, to.ID, "import: status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// countingReader counts the bytes read.
+type countingReader struct {
+	r io.Reader
+	n int64
+}
+
+// Read implements io.Reader.
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.n += int64(n)
+	return n, err
+}
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -182,8 +182,9 @@
 }
 
 func (e *execution) noteFirst(a *attempt) {
+	a.firstAt = time.Now()
 	if e.firstAt.IsZero() {
-		e.firstAt = time.Now()
+		e.firstAt = a.firstAt
 	}
 	if !a.hasPicker {
 		return
@@ -195,6 +196,9 @@
 
 func (e *execution) noteUsage(a *attempt, answer backend.Answer) {
 	a.usage = answer.Usage()
+	if !a.firstAt.IsZero() {
+		e.d.kv.prefilled(a.usage.ComputedTokens, a.firstAt.Sub(a.sentAt))
+	}
 	e.d.stats.promptTokens.Inc(int64(a.usage.PromptTokens))
 	e.d.stats.cachedTokens.Inc(int64(a.usage.CachedTokens))
 	e.d.stats.computedTokens.Inc(int64(a.usage.ComputedTokens))
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -141,11 +141,13 @@
 
 // Deps are the components that a dispatcher uses.
 type Deps struct {
-	Document   func() (*confstore.Snapshot, bool)
-	Pools      *pool.Set
-	Claims     Claims
-	Ownership  Ownership
-	Backends   backend.Client
+	Document  func() (*confstore.Snapshot, bool)
+	Pools     *pool.Set
+	Claims    Claims
+	Ownership Ownership
+	Backends  backend.Client
+	// KV moves KV cache between engines; nil never does.
+	KV         KVMover
 	Admitter   *limit.Admitter
 	Quarantine Quarantine
 	Zone       string
@@ -163,6 +165,7 @@
 	stats stats
 
 	unclaimed *unclaimedSet
+	kv        *kvRates
 
 	base   context.Context
 	cancel context.CancelFunc
@@ -184,6 +187,7 @@
 		records:    map[request.ID]*request.Record{},
 		executions: map[request.ID]*execution{},
 		unclaimed:  newUnclaimedSet(),
+		kv:         newKVRates(),
 	}
 }
 
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -34,4 +34,8 @@
 		"The store is away and the service goes on without it: a non-repeatable request runs without a claim.")
 	EvClaimOwed = telemetry.Register(1212, "owed-claim-settled", slog.LevelInfo,
 		"The claim of a request that ran without one was written, or its time is over.")
+	EvMoveDecision = telemetry.Register(1213, "move-decision", slog.LevelInfo,
+		"How an answer leaves its engine: whether its KV cache is moved or computed again.")
+	EvKVNotMoved = telemetry.Register(1214, "kv-not-moved", slog.LevelInfo,
+		"The KV cache of a moved answer could not be transferred; the target computes it again.")
 )
--- a/internal/dispatch/execution.go
+++ b/internal/dispatch/execution.go
@@ -34,6 +34,8 @@
 	dispatches int
 	startedAt  time.Time
 	firstAt    time.Time
+	// movedFrom is set between two attempts of an answer that moves.
+	movedFrom *movedFrom
 
 	mu sync.Mutex
 	// written is the last claim, with Number 0 before the first.
@@ -56,6 +58,8 @@
 	choice  route.Choice
 	query   route.Query
 	sentAt  time.Time
+	// firstAt is the time of the first event, zero before it.
+	firstAt time.Time
 	// hasPicker is false for the older system, which no picker chose.
 	hasPicker bool
 	permit    Permit
@@ -168,6 +172,7 @@
 			return end, true
 		}
 	}
+	e.bringKV(ctx, a)
 	number, err := e.rec.Dispatch()
 	if err != nil {
 		return e.stateRefused(err), true
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -98,6 +98,9 @@
 	e.d.deps.Log.Log(EvMoving, "request", e.req.ID, "attempt", a.id, "server", a.target.ID,
 		"events", len(e.rec.Events()))
 	isStopped := e.cancelAttempt(ctx, a)
+	if deadline, isNoticed := e.d.deps.Pools.Deadline(a.target.ID); isStopped && isNoticed {
+		e.movedFrom = &movedFrom{attempt: *a, deadline: deadline}
+	}
 	if ctx.Err() != nil {
 		return e.timedOut(ctx, a), true
 	}
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -14,6 +14,8 @@
 	resumes  metrics.Counter
 	moves    metrics.Counter
 	retries  metrics.Counter
+	kvMoves  metrics.Counter
+	kvBytes  metrics.Counter
 	outcomes map[request.Outcome]metrics.Counter
 
 	promptTokens     metrics.Counter
@@ -34,6 +36,8 @@
 		cachedTokens:     metrics.GetOrRegisterCounter("dispatch_cached_tokens_total", r),
 		computedTokens:   metrics.GetOrRegisterCounter("dispatch_computed_tokens_total", r),
 		completionTokens: metrics.GetOrRegisterCounter("dispatch_completion_tokens_total", r),
+		kvMoves:          metrics.GetOrRegisterCounter("dispatch_kv_moves_total", r),
+		kvBytes:          metrics.GetOrRegisterCounter("dispatch_kv_moved_bytes_total", r),
 		outcomes:         map[request.Outcome]metrics.Counter{},
 	}
 	for _, o := range []request.Outcome{request.Completed, request.NotRun, request.Failed, request.Unknown} {
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"buckthornpick/internal/entry"
 	"buckthornpick/internal/request"
 	"buckthornpick/internal/standin/engine"
 	"buckthornpick/internal/standin/site"
@@ -269,3 +271,28 @@
 		require.Equal(t, 1, s.runs(key))
 	})
 }
+
+// TestReclaimedEngineMovesItsKVCache compares the tokens computed for a long
+// prompt that moves with and without its KV cache.
+func TestReclaimedEngineMovesItsKVCache(t *testing.T) {
+	computed := map[bool]int{}
+	for _, movesKV := range []bool{false, true} {
+		tune := func(o *site.Options) {
+			if !movesKV {
+				o.Tune = func(c *entry.Config) { c.KV = nil }
+			}
+		}
+		withSite(t, tune, func(s *testSite) {
+			body := chatBody(strings.Repeat("shop page ", 1000), 600, true)
+			answer := s.sendLater(s.Entries()[0], chatPath, nil, body)
+			time.Sleep(700 * time.Millisecond)
+			s.Cloud.Reclaim(s.busyEngine().ID, 4*time.Second)
+			got := <-answer
+			require.NoError(t, got.err)
+			require.NoError(t, engine.VerifyText(engine.PromptOf(body), streamText(t, got.reply.body), 600))
+			computed[movesKV] = s.computed()
+		})
+	}
+	require.Less(t, computed[true], 2200, "one prompt of about 2,000 tokens, computed once")
+	require.Greater(t, computed[false], 4000, "the same prompt, computed at both engines")
+}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -41,6 +41,8 @@
 	Lister   platform.Lister
 	Notices  platform.NoticeSource
 	Backends backend.Client
+	// KV moves KV cache between engines; may be nil.
+	KV       dispatch.KVMover
 	Log      *telemetry.Logger
 	Registry metrics.Registry
 
@@ -120,7 +122,7 @@
 func (n *Node) dispatchDeps() dispatch.Deps {
 	return dispatch.Deps{
 		Document: n.documents.Current, Pools: n.pools, Claims: n.ledger, Ownership: n.own,
-		Backends: n.cfg.Backends, Admitter: n.admitter, Quarantine: n.quarantine,
+		Backends: n.cfg.Backends, KV: n.cfg.KV, Admitter: n.admitter, Quarantine: n.quarantine,
 		Zone: n.cfg.Self.Zone, Log: n.cfg.Log, Registry: n.cfg.Registry,
 	}
 }
--- a/internal/entryd/provision.go
+++ b/internal/entryd/provision.go
@@ -38,6 +38,7 @@
 	backends := netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: backendIdleConns})
 	platformClient := cloudhttp.New(s.Cloud.URL, cloud, p.Log)
 	bounded := boundedCloud{Client: platformClient, timeout: time.Duration(s.Cloud.Timeout)}
+	servers := backend.NewHTTPClient(backends, p.Log)
 	cfg = entry.Config{
 		Self: member.Member{ID: s.Node.ID, Zone: s.Node.Zone, Address: s.Peers.Advertised[0],
 			HTTPAddress: s.Callers.Address, AdminURL: s.Admin.Advertised},
@@ -45,7 +46,7 @@
 		Secret: []byte(secret), Seeds: seeds(s.Peers.Seeds), Network: n,
 		Store:  etcd.New(etcd.Config{Endpoint: s.Store.URL, Timeout: time.Duration(s.Store.Timeout)}, store, p.Metrics),
 		Lister: bounded, Notices: platformClient,
-		Backends: backend.NewHTTPClient(backends, p.Log), Log: p.Log, Registry: p.Metrics,
+		Backends: servers, KV: servers, Log: p.Log, Registry: p.Metrics,
 		Gateway: gateway.Config{MaxBodyBytes: s.Bounds.MaxBodyBytes, BodyTimeout: time.Duration(s.Callers.ReadTimeout)},
 		Dispatch: dispatch.Config{
 			AnswerBytes: int(s.Bounds.AnswerBytesPerRequest), BufferBytes: int(s.Bounds.AnswerBytesTotal),
--- a/internal/standin/site/entry.go
+++ b/internal/standin/site/entry.go
@@ -77,12 +77,13 @@
 	storeClient := e.client(network)
 	cloudClient := e.client(network)
 	cloud := cloudhttp.New(s.cloudURL, cloudClient, log)
+	servers := backend.NewHTTPClient(e.client(network), log)
 	c := entry.Config{
 		Self: self, Secret: []byte(Secret), Seeds: s.seeds(self.ID), Network: network,
 		Store:  etcd.New(etcd.Config{Endpoint: s.storeURL}, storeClient, e.Registry),
 		Lister: cloud, Notices: cloud,
-		Backends: backend.NewHTTPClient(e.client(network), log),
-		Log:      log, Registry: e.Registry,
+		Backends: servers, KV: servers,
+		Log: log, Registry: e.Registry,
 	}
 	if s.options.Tune != nil {
 		s.options.Tune(&c)
