--- a/internal/experiment/site.go
+++ b/internal/experiment/site.go
@@ -70,7 +70,7 @@
 		engines: map[string]*engine{}, results: &results{},
 	}
 	s.cloud = newCloud(s.loop, cell.Scenario, cell.Seed, s.changed)
-	s.planner = newPlanner(s.cloud)
+	s.planner = newPlanner(s.cloud, cell.Site)
 	s.addEntries()
 	s.addFirstServers()
 	s.changed()
@@ -352,6 +352,7 @@
 		s.planner.finished++
 		if !r.outcome.withinTarget() {
 			s.planner.missed++
+			s.planner.refusals += count(r.outcome.refused)
 		}
 	}
 	if r.waiter != nil {
--- a/internal/experiment/workload.go
+++ b/internal/experiment/workload.go
@@ -62,24 +62,26 @@
 
 // Site is one user's workload and engines.
 type Site struct {
-	Name string
-	// sessions makes the sessions of one kind; rate is in sessions a second.
+	Name  string
 	kinds []sessionKind
+	// utilisation is the target utilisation that a run starts from.
+	utilisation float64
 }
 
+// sessionKind makes sessions of one kind at rate sessions a second.
 type sessionKind struct {
 	rate float64
 	make func(g *generator, at time.Duration, organisation int)
 }
 
 // Nilevale audits online shops.
-var Nilevale = Site{Name: "nilevale", kinds: []sessionKind{
+var Nilevale = Site{Name: "nilevale", utilisation: 0.5, kinds: []sessionKind{
 	{rate: 0.9, make: crawlReview}, {rate: 1.2, make: pageRewrites},
 	{rate: 11, make: titleSuggestion}, {rate: 4, make: reportFetch},
 }}
 
 // Kierowca takes drivers through long intakes.
-var Kierowca = Site{Name: "kierowca", kinds: []sessionKind{
+var Kierowca = Site{Name: "kierowca", utilisation: 0.2, kinds: []sessionKind{
 	{rate: 2, make: intake}, {rate: 6, make: statusUpdate},
 }}
 
@@ -217,21 +219,21 @@
 }
 
 // intake is one applicant's conversation: each turn's prompt holds all earlier
-// turns.
+// turns, and all turns have one priority.
 func intake(g *generator, at time.Duration, organisation int) {
 	history := slices.Concat(shared(4, 768), g.fresh(300))
 	context := history[len(history)-1]
 	turns := g.between(8, 18)
 	for turn := range turns {
-		kind, priority, output := "chat", "high", g.between(40, 90)
+		kind, output := "chat", g.between(40, 90)
 		added := g.fresh(g.between(60, 200))
 		if turn%4 == 1 {
-			kind, priority, added = "licence-scan", "normal", g.fresh(g.between(800, 1600))
+			kind, added = "licence-scan", g.fresh(g.between(800, 1600))
 		}
 		if turn == turns-1 {
-			kind, priority, output = "contract-summary", "high", g.between(200, 320)
+			kind, output = "contract-summary", g.between(200, 320)
 		}
-		j := model(kind, priority, at, organisation, output, history, added)
+		j := model(kind, "normal", at, organisation, output, history, added)
 		j.context, j.repeatable = context, kind != "contract-summary"
 		j.after = slices.Concat(j.blocks, g.fresh(output))
 		history = j.after
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // DemandConfig parametrises a DemandEstimator.
 type DemandConfig struct {
@@ -9,6 +12,9 @@
 	RequestsPerAccelerator float64
 	// InitialUtilisation is the first target utilisation; default 0.6.
 	InitialUtilisation float64
+	// SmoothOver is the time constant of the mean load; default 60 s. Bursts
+	// shorter than the start of a VM cannot be met by starting VMs.
+	SmoothOver time.Duration
 	// ShrinkAfter is how long a lower demand must last before it counts;
 	// default 60 s.
 	ShrinkAfter time.Duration
@@ -17,17 +23,19 @@
 const (
 	defaultRequestsPerAccelerator = 20
 	defaultUtilisation            = 0.6
-	defaultShrinkAfter            = time.Minute
-	minUtilisation                = 0.2
+	defaultShrinkAfter            = 20 * time.Second
+	defaultSmoothOver             = time.Minute
+	minUtilisation                = 0.1
 	maxUtilisation                = 1.2
-	// highMiss and lowMiss bound the share of missed requests between which
-	// the target utilisation stays.
-	highMiss = 0.04
-	lowMiss  = 0.02
-	// utilisationDecrease and utilisationIncrease are the steps per sample.
-	utilisationDecrease = 0.95
-	utilisationIncrease = 0.005
-	// minFinished is the least number of requests that a step needs.
+	// missGoal is the share of missed requests that the utilisation is
+	// steered to; it leaves a margin to the 5% of a p95 target.
+	missGoal = 0.025
+	// missMemory is the weight of older samples in the mean share of misses.
+	missMemory = 0.98
+	// maxIncrease and maxDecrease bound the relative step per sample.
+	maxIncrease = 0.003
+	maxDecrease = 0.03
+	// minFinished is the least weight of requests that a step needs.
 	minFinished = 50
 )
 
@@ -38,10 +46,13 @@
 	// Finished counts requests that ended or were refused in the interval, and
 	// Missed those of them outside of the target.
 	Finished, Missed int
+	// Refused counts those of Missed that were refused; the load that they
+	// would have caused is added to Requests.
+	Refused int
 	// ProtectedShare is the share of the demand that must survive a zone.
 	ProtectedShare float64
-	// Changing is true while a zone is being lost or VMs are starting; then
-	// misses say nothing about the utilisation.
+	// Changing is true while a zone is being lost or VMs are starting; the
+	// utilisation is not steered meanwhile.
 	Changing bool
 }
 
@@ -52,9 +63,12 @@
 type DemandEstimator struct {
 	cfg         DemandConfig
 	utilisation float64
-	finished    int
-	missed      int
-	recent      []timedDemand
+	// finished and missed are decayed sums.
+	finished, missed float64
+	recent           []timedDemand
+	// requests is the smoothed load at observed.
+	requests float64
+	observed time.Time
 }
 
 type timedDemand struct {
@@ -70,6 +84,9 @@
 	if cfg.InitialUtilisation <= 0 {
 		cfg.InitialUtilisation = defaultUtilisation
 	}
+	if cfg.SmoothOver <= 0 {
+		cfg.SmoothOver = defaultSmoothOver
+	}
 	if cfg.ShrinkAfter <= 0 {
 		cfg.ShrinkAfter = defaultShrinkAfter
 	}
@@ -82,7 +99,8 @@
 // Observe takes one sample and returns the demand.
 func (e *DemandEstimator) Observe(now time.Time, s Sample) Demand {
 	e.adapt(s)
-	total := s.Requests / e.cfg.RequestsPerAccelerator / e.utilisation
+	e.smooth(now, s.offered())
+	total := e.requests / e.cfg.RequestsPerAccelerator / e.utilisation
 	e.recent = append(e.recent, timedDemand{now, Demand{total, total * s.ProtectedShare}})
 	for now.Sub(e.recent[0].at) > e.cfg.ShrinkAfter {
 		e.recent = e.recent[1:]
@@ -95,22 +113,34 @@
 	return highest
 }
 
-func (e *DemandEstimator) adapt(s Sample) {
-	if s.Changing {
-		e.finished, e.missed = 0, 0
-		return
+// offered is the load with the refused requests, at most maxOffered times the
+// load that ran.
+func (s Sample) offered() float64 {
+	const maxOffered = 4
+	if s.Finished <= s.Refused {
+		return s.Requests
 	}
-	e.finished += s.Finished
-	e.missed += s.Missed
-	if e.finished < minFinished {
-		return
+	return s.Requests * min(maxOffered, float64(s.Finished)/float64(s.Finished-s.Refused))
+}
+
+// smooth updates the exponentially weighted mean of the load.
+func (e *DemandEstimator) smooth(now time.Time, requests float64) {
+	if e.observed.IsZero() {
+		e.requests = requests
 	}
-	share := float64(e.missed) / float64(e.finished)
-	e.finished, e.missed = 0, 0
-	switch {
-	case share > highMiss:
-		e.utilisation = max(minUtilisation, e.utilisation*utilisationDecrease)
-	case share < lowMiss:
-		e.utilisation = min(maxUtilisation, e.utilisation+utilisationIncrease)
+	elapsed := now.Sub(e.observed)
+	e.requests += (requests - e.requests) * -math.Expm1(-elapsed.Seconds()/e.cfg.SmoothOver.Seconds())
+	e.observed = now
+}
+
+// adapt steers the target utilisation by the mean share of misses.
+func (e *DemandEstimator) adapt(s Sample) {
+	e.finished = e.finished*missMemory + float64(s.Finished)
+	e.missed = e.missed*missMemory + float64(s.Missed)
+	if s.Changing || e.finished < minFinished {
+		return
 	}
+	step := maxIncrease * (missGoal - e.missed/e.finished) / missGoal
+	e.utilisation *= 1 + max(-maxDecrease, step)
+	e.utilisation = min(max(e.utilisation, minUtilisation), maxUtilisation)
 }
