Engine stream: scan the usual event without reflection

Cause: of the entry's processor time per streamed token, JSON decoding was the largest part that is not the network (2.3 of 8.5 s in a labelled profile). Change: events in the usual form are scanned; every other form is decoded as before.

--- a/internal/backend/chunk.go
+++ b/internal/backend/chunk.go
@@ -2,7 +2,7 @@
 
 import "encoding/json"
 
-// streamChunk is what the client reads of each event while it streams.
+// streamChunk is what the client decodes of an event that it cannot scan.
 type streamChunk struct {
 	Choices []streamChoice  `json:"choices"`
 	Usage   *chunkUsage     `json:"usage"`
@@ -46,18 +46,6 @@
 	return out
 }
 
-// tokens counts the generated tokens of the chunk: engines send one token for
-// each choice with text.
-func (c *streamChunk) tokens() int {
-	n := 0
-	for i := range c.Choices {
-		if c.Choices[i].generated() {
-			n++
-		}
-	}
-	return n
-}
-
 func (ch *streamChoice) generated() bool {
 	d := &ch.Delta
 	return ch.Text != "" || d.Content != "" || d.ReasoningContent != "" || d.Refusal != "" ||
--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -179,6 +179,7 @@
 	head    request.Head
 	body    io.ReadCloser
 	events  *sseReader
+	facts   chunkFacts // of the last event
 	load    Load
 	hasLoad bool
 
@@ -236,15 +237,15 @@
 		if err := a.checkID(e.id); err != nil {
 			return request.Event{}, err
 		}
-		var chunk streamChunk
-		if err := json.Unmarshal(e.data, &chunk); err != nil {
+		chunk := &a.facts
+		if err := chunk.read(e.data); err != nil {
 			return request.Event{}, a.broken("event %d: %s", a.last, err)
 		}
-		if len(chunk.Error) > 0 {
-			return request.Event{}, a.broken("event %d is an error: %s", a.last, clip(string(chunk.Error)))
+		if len(chunk.problem) > 0 {
+			return request.Event{}, a.broken("event %d is an error: %s", a.last, clip(string(chunk.problem)))
 		}
-		a.observe(&chunk)
-		if len(chunk.Choices) == 0 && chunk.Usage != nil && !a.options.StreamOptions.IncludeUsage {
+		a.observe(chunk)
+		if len(chunk.choices) == 0 && chunk.usage != nil && !a.options.StreamOptions.IncludeUsage {
 			continue
 		}
 		return request.Event{Sequence: a.last, Data: e.data, Tokens: chunk.tokens()}, nil
@@ -263,15 +264,14 @@
 	return nil
 }
 
-func (a *engineAnswer) observe(chunk *streamChunk) {
-	for i := range chunk.Choices {
-		ch := &chunk.Choices[i]
-		a.begun[ch.Index] = true
-		if ch.FinishReason != "" {
-			a.finished[ch.Index] = true
+func (a *engineAnswer) observe(chunk *chunkFacts) {
+	for _, ch := range chunk.choices {
+		a.begun[ch.index] = true
+		if ch.isFinished {
+			a.finished[ch.index] = true
 		}
 	}
-	if u := chunk.Usage; u != nil {
+	if u := chunk.usage; u != nil {
 		a.usage = u.usage()
 	}
 }
--- /dev/null
+++ b/internal/backend/scan.go
@@ -0,0 +1,243 @@
+package backend
+
+// chunkScanner reads the usual form of an event without reflection: an object
+// of known fields with plain values. Its methods return false at everything
+// else, valid or not; the event must then be decoded.
+type chunkScanner struct {
+	data  []byte
+	pos   int
+	facts *chunkFacts
+}
+
+// chunk scans the whole event.
+func (s *chunkScanner) chunk() bool {
+	seen := false
+	ok := s.object(func(name []byte) bool {
+		switch string(name) {
+		case "id", "object", "model", "system_fingerprint":
+			_, ok := s.text()
+			return ok
+		case "created":
+			_, ok := s.number()
+			return ok
+		case "usage":
+			return s.literal("null")
+		case "choices":
+			if seen {
+				return false
+			}
+			seen = true
+			return s.choices()
+		}
+		return false
+	})
+	s.space()
+	return ok && s.pos == len(s.data)
+}
+
+func (s *chunkScanner) choices() bool {
+	if !s.take('[') {
+		return false
+	}
+	if s.take(']') {
+		return true
+	}
+	for {
+		if !s.choice() {
+			return false
+		}
+		if s.take(']') {
+			return true
+		}
+		if !s.take(',') {
+			return false
+		}
+	}
+}
+
+// Fields of a choice, to refuse a repeated one.
+const (
+	fieldIndex = 1 << iota
+	fieldDelta
+	fieldText
+	fieldFinish
+)
+
+func (s *chunkScanner) choice() bool {
+	var ch choiceFacts
+	seen := 0
+	first := func(field int) bool {
+		isFirst := seen&field == 0
+		seen |= field
+		return isFirst
+	}
+	ok := s.object(func(name []byte) bool {
+		switch string(name) {
+		case "index":
+			n, ok := s.number()
+			ch.index = n
+			return ok && first(fieldIndex)
+		case "delta":
+			return first(fieldDelta) && s.delta(&ch)
+		case "text":
+			n, ok := s.text()
+			ch.isGenerated = ch.isGenerated || n > 0
+			return ok && first(fieldText)
+		case "finish_reason":
+			if s.literal("null") {
+				return first(fieldFinish)
+			}
+			n, ok := s.text()
+			ch.isFinished = n > 0
+			return ok && first(fieldFinish)
+		case "logprobs":
+			return s.literal("null")
+		}
+		return false
+	})
+	s.facts.choices = append(s.facts.choices, ch)
+	return ok
+}
+
+func (s *chunkScanner) delta(ch *choiceFacts) bool {
+	hasContent := false
+	return s.object(func(name []byte) bool {
+		switch string(name) {
+		case "role":
+			_, ok := s.text()
+			return ok
+		case "content":
+			if hasContent {
+				return false
+			}
+			hasContent = true
+			n, ok := s.text()
+			ch.isGenerated = ch.isGenerated || n > 0
+			return ok
+		}
+		return false
+	})
+}
+
+// object scans an object and calls field for each name, at its value.
+func (s *chunkScanner) object(field func(name []byte) bool) bool {
+	if !s.take('{') {
+		return false
+	}
+	if s.take('}') {
+		return true
+	}
+	for {
+		s.space()
+		start := s.pos + 1
+		if _, ok := s.text(); !ok {
+			return false
+		}
+		name := s.data[start : s.pos-1]
+		if !s.take(':') || !field(name) {
+			return false
+		}
+		if s.take('}') {
+			return true
+		}
+		if !s.take(',') {
+			return false
+		}
+	}
+}
+
+// text scans a string and returns the length of its encoded content, which is
+// 0 only for the empty string.
+func (s *chunkScanner) text() (length int, ok bool) {
+	if !s.take('"') {
+		return 0, false
+	}
+	for start := s.pos; s.pos < len(s.data); s.pos++ {
+		switch c := s.data[s.pos]; {
+		case c == '"':
+			s.pos++
+			return s.pos - 1 - start, true
+		case c == '\\':
+			if !s.escape() {
+				return 0, false
+			}
+		case c < ' ':
+			return 0, false
+		}
+	}
+	return 0, false
+}
+
+// escape moves to the last byte of an escape.
+func (s *chunkScanner) escape() bool {
+	s.pos++
+	if s.pos >= len(s.data) {
+		return false
+	}
+	switch s.data[s.pos] {
+	case '"', '\\', '/', 'b', 'f', 'n', 'r', 't':
+		return true
+	case 'u':
+		const digits = 4
+		if s.pos+digits >= len(s.data) {
+			return false
+		}
+		for _, c := range s.data[s.pos+1 : s.pos+1+digits] {
+			if !isHex(c) {
+				return false
+			}
+		}
+		s.pos += digits
+		return true
+	}
+	return false
+}
+
+func isHex(c byte) bool {
+	return c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F'
+}
+
+// number scans a whole number of few digits that is not negative.
+func (s *chunkScanner) number() (n int, ok bool) {
+	const maxDigits = 15
+	s.space()
+	start := s.pos
+	for s.pos < len(s.data) && s.data[s.pos] >= '0' && s.data[s.pos] <= '9' {
+		n = 10*n + int(s.data[s.pos]-'0')
+		if s.pos++; s.pos-start > maxDigits {
+			return 0, false
+		}
+	}
+	hasLeadingZero := s.pos-start > 1 && s.data[start] == '0'
+	return n, s.pos > start && !hasLeadingZero
+}
+
+func (s *chunkScanner) literal(word string) bool {
+	s.space()
+	if len(s.data)-s.pos < len(word) || string(s.data[s.pos:s.pos+len(word)]) != word {
+		return false
+	}
+	s.pos += len(word)
+	return true
+}
+
+// take moves past c and the space before it, if c is next.
+func (s *chunkScanner) take(c byte) bool {
+	s.space()
+	if s.pos >= len(s.data) || s.data[s.pos] != c {
+		return false
+	}
+	s.pos++
+	return true
+}
+
+func (s *chunkScanner) space() {
+	for s.pos < len(s.data) {
+		switch s.data[s.pos] {
+		case ' ', '\t', '\r', '\n':
+			s.pos++
+		default:
+			return
+		}
+	}
+}
