--- a/internal/devsite/command.go
+++ b/internal/devsite/command.go
@@ -32,6 +32,7 @@
 		Commands: []*cli.Command{
 			{Name: "run", Usage: "drive the site's workload with reclaims on the way and report", Action: runAction,
 				Flags: append(shared, &cli.DurationFlag{Name: "duration", Usage: "how long requests arrive; default the workload's own"})},
+			{Name: "events", Usage: "print the catalogue of log events", Action: eventsAction},
 			{Name: "serve", Usage: "leave the site up and print calls to try", Action: serveAction, Flags: shared},
 		},
 	}
@@ -82,7 +83,12 @@
 		return err
 	}
 	defer s.Close()
+	urls, err := serveAdmin(ctx, s)
+	if err != nil {
+		return err
+	}
 	printExamples(o.Out, o.Profile, s.Entries())
+	printOperators(o.Out, urls)
 	<-ctx.Done()
 	return nil
 }
