Record: no channel and no copy for each event

Cause: each event of an answer closed and made a channel, also when nothing waited, and each cursor copied the event to the heap. Change: the channel is made by the cursor that waits; a step points at the event in the record. Conclusion: one allocation less per event and waiting reader, two less where the reader is behind.

--- a/internal/request/cursor.go
+++ b/internal/request/cursor.go
@@ -58,13 +58,15 @@
 		c.headSent = true
 		return Step{Head: r.head}, nil, true
 	case c.after < len(r.events):
-		ev := r.events[c.after]
+		// An event does not change once it is appended, and a grown slice
+		// leaves the old one as it was.
+		ev := &r.events[c.after]
 		c.after++
-		return Step{Event: &ev}, nil, true
+		return Step{Event: ev}, nil, true
 	case r.end != nil:
 		return Step{End: r.end}, nil, true
 	case State(r.machine.Current()) == HandedOver:
 		return Step{HandedOver: true}, nil, true
 	}
-	return Step{}, r.changed, false
+	return Step{}, r.changedLocked(), false
 }
--- a/internal/request/record.go
+++ b/internal/request/record.go
@@ -28,7 +28,8 @@
 	maxBytes int
 	end      *End
 	endedAt  time.Time
-	changed  chan struct{}
+	// changed is closed at the next change; nil while nothing waits for it.
+	changed chan struct{}
 }
 
 // NewRecord returns the record of an accepted request whose answer may take
@@ -38,7 +39,6 @@
 		Request:  r,
 		machine:  newMachine(),
 		maxBytes: maxBytes,
-		changed:  make(chan struct{}),
 	}
 }
 
@@ -212,6 +212,16 @@
 
 // broadcastLocked wakes every waiting cursor.
 func (r *Record) broadcastLocked() {
-	close(r.changed)
-	r.changed = make(chan struct{})
+	if r.changed != nil {
+		close(r.changed)
+		r.changed = nil
+	}
+}
+
+// changedLocked returns a channel that is closed at the next change.
+func (r *Record) changedLocked() <-chan struct{} {
+	if r.changed == nil {
+		r.changed = make(chan struct{})
+	}
+	return r.changed
 }
