--- a/internal/entry/wave_test.go
+++ b/internal/entry/wave_test.go
@@ -90,17 +90,12 @@
 			inZone = append(inZone, e)
 		}
 	}
+	elsewhere := s.anyReady()
 	return func(call, attempt int) string {
 		if attempt == 0 {
 			return inZone[call%len(inZone)].URL
 		}
-		entries := s.Entries()
-		for i := range entries {
-			if e := entries[(call+attempt+i)%len(entries)]; e.Node.Ready() == nil {
-				return e.URL
-			}
-		}
-		return entries[0].URL
+		return elsewhere(call, attempt)
 	}
 }
 
