--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -128,8 +128,8 @@
 	for i := range p.candidates {
 		c := &p.candidates[i]
 		cached := p.rememberedUpTo(q, past, c.server, known)
-		if cached == 0 && i == home {
-			cached = int(homeHit * float64(q.PromptTokens))
+		if i == home {
+			cached = max(cached, int(homeHit*float64(q.PromptTokens)))
 		}
 		informed = informed || cached > 0
 		p.cost(q, c, cached)
