--- /dev/null
+++ b/test/fuzz/callers.go
@@ -0,0 +1,276 @@
+package fuzz
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"buckthornpick/internal/gateway"
+	"buckthornpick/internal/request"
+	"buckthornpick/internal/standin/engine"
+	"buckthornpick/internal/standin/plainservice"
+	"buckthornpick/internal/standin/site"
+)
+
+const (
+	organisation = "delta"
+	bearerKey    = "sk-fuzz"
+	modelName    = "audit-1"
+	chatPath     = "/v1/chat/completions"
+	// patience is how long a caller waits for the end of an answer.
+	patience = 40 * time.Second
+	// maxFollows bounds the entries at which a caller looks for the rest of an
+	// answer after it was sent away.
+	maxFollows = 4
+)
+
+// call is a Call with what a caller needs to send it.
+type call struct {
+	Call
+	method, path string
+	header       map[string]string
+	body         []byte
+	isStream     bool
+	key          string
+	// id is the request's ID once a caller has heard it.
+	id string
+}
+
+// newCall makes the next call; the selectors choose its form.
+func (w *world) newCall(form, detail int) *call {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := &call{Call: Call{Number: len(w.calls)}, header: map[string]string{}, method: http.MethodPost}
+	w.calls = append(w.calls, c)
+	switch form % 8 {
+	case 0:
+		c.method, c.path = http.MethodGet, fmt.Sprintf("/services/report/pages/%d", c.Number)
+	case 1, 2:
+		c.path, c.NonRepeatable = fmt.Sprintf("/services/report/exports/%d", c.Number), true
+		c.body = fmt.Appendf(nil, "export %d", c.Number)
+	default:
+		c.chat(form%8, detail)
+	}
+	if form/8%4 != 0 {
+		c.key = fmt.Sprintf("key-%d", c.Number)
+		c.header[gateway.HeaderIdempotencyKey] = c.key
+		c.id = string(request.NewID(organisation, c.key))
+	}
+	if c.Verify == nil {
+		c.Verify = func(answer string) error {
+			uri := strings.TrimPrefix(c.path, "/services/report")
+			return plainservice.VerifyAnswer(c.method, uri, c.body, []byte(answer))
+		}
+	}
+	return c
+}
+
+func (c *call) chat(form, detail int) {
+	c.path = chatPath
+	c.isStream = form != 3
+	c.NonRepeatable = form == 4 || form == 5
+	if c.NonRepeatable {
+		c.header[gateway.HeaderNonRepeatable] = "true"
+	}
+	tokens := 2 + detail%60
+	if detail%7 == 0 {
+		tokens = 400
+	}
+	temperature := 0
+	if detail%3 == 0 {
+		temperature = 1
+	}
+	c.body = fmt.Appendf(nil, `{"model":%q,"stream":%t,"max_tokens":%d,"temperature":%d,"messages":[{"role":"user","content":"shop %d"}]}`,
+		modelName, c.isStream, tokens, temperature, c.Number)
+	prompt := engine.PromptOf(c.body)
+	c.Verify = func(answer string) error { return engine.VerifyText(prompt, answer, tokens) }
+}
+
+// connection is an open submission.
+type connection struct {
+	sub    *Submission
+	call   *call
+	cancel context.CancelFunc
+}
+
+// send sends a call to an entry in the background and follows the answer where
+// it goes.
+func (w *world) send(c *call, e *site.Entry) {
+	w.background(func() { w.follow(w.submit(c, e, nil), c) })
+}
+
+// attach asks an entry for a known request's answer after the given events.
+func (w *world) attach(c *call, e *site.Entry, before []Piece) {
+	w.background(func() { w.follow(w.submit(c, e, before), c) })
+}
+
+// follow attaches at other entries while the caller is sent away.
+func (w *world) follow(s *Submission, c *call) {
+	for i := 0; i < maxFollows && s.leadsOn() && w.idOf(c) != "" && w.ctx.Err() == nil; i++ {
+		e := w.anotherEntry(s.Entry, i)
+		if e == nil {
+			return
+		}
+		s = w.submit(c, e, s.all())
+	}
+}
+
+// leadsOn reports whether the caller looks for the answer elsewhere.
+func (s *Submission) leadsOn() bool { return s.SentAway || (s.Excuse != "" && s.Heard) }
+
+// all returns every event that the caller has by the end of s.
+func (s *Submission) all() []Piece {
+	return append(s.Before[:len(s.Before):len(s.Before)], s.Pieces...)
+}
+
+// submit makes one connection and returns when it has ended. before is nil for
+// a call that is sent, and not nil for an attach.
+func (w *world) submit(c *call, e *site.Entry, before []Piece) *Submission {
+	ctx, cancel := context.WithTimeout(w.ctx, patience)
+	defer cancel()
+	s := &Submission{Call: &c.Call, Entry: e.ID, Began: time.Now(), IsAttach: before != nil,
+		After: len(before), Before: before, IsStream: c.isStream}
+	open := &connection{sub: s, call: c, cancel: cancel}
+	w.opened(open)
+	err := w.exchange(ctx, c, e, s)
+	s.Ended = time.Now()
+	s.Err = err
+	s.HungUp = ctx.Err() != nil && s.Outcome == ""
+	if s.Outcome == "" && !s.HungUp {
+		s.Excuse = w.excuse(e, s)
+	}
+	w.closed(open)
+	return s
+}
+
+func (w *world) exchange(ctx context.Context, c *call, e *site.Entry, s *Submission) error {
+	req, err := http.NewRequestWithContext(ctx, c.method, e.URL+c.path, bytes.NewReader(c.body))
+	if s.IsAttach {
+		req, err = http.NewRequestWithContext(ctx, http.MethodGet, e.URL+"/v1/requests/"+w.idOf(c), nil)
+	}
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+bearerKey)
+	if !s.IsAttach {
+		for name, value := range c.header {
+			req.Header.Set(name, value)
+		}
+	} else if s.After > 0 {
+		req.Header.Set(gateway.HeaderLastEventID, strconv.Itoa(s.After))
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	s.Heard = true
+	w.noteID(c, resp.Header.Get(gateway.HeaderRequestID))
+	if resp.StatusCode == http.StatusSeeOther {
+		s.SentAway = true
+		return nil
+	}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		return s.readStream(resp)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	s.IsStream = false
+	s.Outcome = resp.Header.Get(gateway.HeaderOutcome)
+	s.Body = string(body)
+	if s.Outcome == "completed" && c.path == chatPath {
+		s.Body = messageText(body)
+	}
+	return nil
+}
+
+func (s *Submission) readStream(resp *http.Response) error {
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, 1<<20)
+	sequence, event := 0, ""
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), ": ")
+		switch name {
+		case "id":
+			sequence, _ = strconv.Atoi(value)
+		case "event":
+			event = value
+		case "data":
+			s.noteEvent(sequence, event, value)
+			sequence, event = 0, ""
+		}
+	}
+	if lines.Err() != nil {
+		return lines.Err()
+	}
+	if !s.SentAway {
+		s.Outcome = resp.Trailer.Get(gateway.HeaderOutcome)
+	}
+	return nil
+}
+
+func (s *Submission) noteEvent(sequence int, event, data string) {
+	switch {
+	case event == "reattach":
+		s.SentAway = true
+	case event != "":
+		s.Body = data
+	case data != "[DONE]":
+		s.Pieces = append(s.Pieces, Piece{sequence, deltaText(data)})
+	}
+}
+
+type chatAnswer struct {
+	Choices []struct {
+		Delta, Message struct{ Content string }
+	}
+}
+
+func deltaText(data string) string {
+	var a chatAnswer
+	if json.Unmarshal([]byte(data), &a) != nil || len(a.Choices) == 0 {
+		return ""
+	}
+	return a.Choices[0].Delta.Content
+}
+
+func messageText(body []byte) string {
+	var a chatAnswer
+	if json.Unmarshal(body, &a) != nil || len(a.Choices) == 0 {
+		return ""
+	}
+	return a.Choices[0].Message.Content
+}
+
+// excuse returns why a connection to the entry may have ended without an
+// outcome: it was never accepted, or the entry's process or VM ended.
+func (w *world) excuse(e *site.Entry, s *Submission) string {
+	var op *net.OpError
+	if errors.As(s.Err, &op) && op.Op == "dial" {
+		return "it accepted no connection"
+	}
+	if w.wasKilled(e) {
+		return "its process was killed"
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	stopped, isStopping := w.stopped[e]
+	if !s.Heard && isStopping && s.Began.After(stopped.Add(-acceptTime)) {
+		return "it had stopped accepting"
+	}
+	return ""
+}
+
+// acceptTime is the longest time from a caller's dial to the accept.
+const acceptTime = 10 * time.Millisecond
--- /dev/null
+++ b/test/fuzz/fuzz_test.go
@@ -0,0 +1,120 @@
+package fuzz
+
+import (
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"buckthornpick/internal/standin/site"
+)
+
+const (
+	// fixedSeed and fixedHistories name the histories of CI.
+	fixedSeed      = 1
+	fixedHistories = 150
+	fixedSteps     = 24
+)
+
+// setting reads a number from the environment.
+func setting(t testing.TB, name string, value int) int {
+	text := os.Getenv(name)
+	if text == "" {
+		return value
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return n
+}
+
+// runHistory runs a history in virtual time and returns its violations.
+func runHistory(t *testing.T, seed uint64, s Schedule, o Options) []Violation {
+	var out []Violation
+	synctest.Test(t, func(t *testing.T) {
+		seen, err := Run(seed, s, o)
+		if err != nil {
+			out = []Violation{{"starts", err.Error()}}
+			return
+		}
+		out = Judge(seen)
+	})
+	return out
+}
+
+// fails reports whether one of a few runs of the schedule breaks a promise.
+func fails(t *testing.T, seed uint64, s Schedule, tune site.Tune, promise string) bool {
+	for range 2 {
+		for _, v := range runHistory(t, seed, s, Options{Tune: tune}) {
+			if v.Promise == promise {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// TestHistories runs the histories of FUZZ_HISTORIES seeds from FUZZ_SEED on,
+// with FUZZ_STEPS steps each, and prints the failing ones, shrunk.
+func TestHistories(t *testing.T) {
+	first := setting(t, "FUZZ_SEED", fixedSeed)
+	count := setting(t, "FUZZ_HISTORIES", fixedHistories)
+	steps := setting(t, "FUZZ_STEPS", fixedSteps)
+	shrinks := setting(t, "FUZZ_SHRINK", 60)
+	began := time.Now()
+	var next, failed atomic.Int64
+	var workers sync.WaitGroup
+	for range min(setting(t, "FUZZ_WORKERS", runtime.GOMAXPROCS(0)), count) {
+		workers.Go(func() {
+			for i := int(next.Add(1)) - 1; i < count; i = int(next.Add(1)) - 1 {
+				seed := uint64(first + i)
+				s := ScheduleOf(seed, steps)
+				violations := runHistory(t, seed, s, Options{})
+				if len(violations) == 0 {
+					continue
+				}
+				failed.Add(1)
+				t.Errorf("seed %d: %d violations, the first: %s", seed, len(violations), violations[0])
+				if shrinks > 0 && failed.Load() <= 5 {
+					small := Shrink(s, shrinks, func(s Schedule) bool { return fails(t, seed, s, nil, violations[0].Promise) })
+					t.Logf("seed %d shrunk:\n%s", seed, small)
+				}
+			}
+		})
+	}
+	workers.Wait()
+	took := time.Since(began)
+	t.Logf("%d histories of %d steps in %v: %.1f a second, %d failed", count, steps, took.Round(time.Millisecond),
+		float64(count)/took.Seconds(), failed.Load())
+}
+
+// TestTrace prints one history, of FUZZ_TRACE, without the steps in FUZZ_KEEP's
+// complement.
+func TestTrace(t *testing.T) {
+	if os.Getenv("FUZZ_TRACE") == "" {
+		t.Skip("FUZZ_TRACE names no seed")
+	}
+	seed := uint64(setting(t, "FUZZ_TRACE", 0))
+	s := ScheduleOf(seed, setting(t, "FUZZ_STEPS", fixedSteps))
+	if keep := os.Getenv("FUZZ_KEEP"); keep != "" {
+		var steps []Step
+		for text := range strings.SplitSeq(keep, ",") {
+			i, err := strconv.Atoi(text)
+			if err != nil {
+				t.Fatal(err)
+			}
+			steps = append(steps, s.Steps[i])
+		}
+		s.Steps = steps
+	}
+	t.Log(s)
+	for _, v := range runHistory(t, seed, s, Options{Trace: t.Logf}) {
+		t.Error(v)
+	}
+}
--- /dev/null
+++ b/test/fuzz/oracle.go
@@ -0,0 +1,278 @@
+package fuzz
+
+import (
+	"fmt"
+	"time"
+)
+
+// Call is one logical request of a caller. Its content is its own, so that
+// backend servers' records can be matched to it.
+type Call struct {
+	Number        int
+	NonRepeatable bool
+	// Verify checks a whole answer: the text of a stream, or a body.
+	Verify func(answer string) error
+}
+
+// Piece is one event of a streamed answer.
+type Piece struct {
+	Sequence int
+	Text     string
+}
+
+// Submission is one connection of a caller: a call sent, or an answer attached
+// to.
+type Submission struct {
+	Call         *Call
+	Entry        string
+	IsAttach     bool
+	Began, Ended time.Time
+	// Heard is true if the entry answered anything.
+	Heard bool
+	// Outcome is what the caller was told; empty if the connection ended
+	// without one.
+	Outcome string
+	// SentAway is true if the caller was told to attach at another entry.
+	SentAway bool
+	// HungUp is true if the caller left.
+	HungUp bool
+	// Excuse says why the connection may break, empty if it may not.
+	Excuse string
+	Err    error
+	// IsStream tells the form of the answer; Body is a whole one.
+	IsStream bool
+	Body     string
+	// After is the last event that the caller had before; Before holds it and
+	// those before it.
+	After  int
+	Before []Piece
+	Pieces []Piece
+}
+
+// Execution is one start of a call at a backend server or at the older system.
+type Execution struct {
+	Call   int
+	Server string
+	At     time.Time
+}
+
+// Dispatch is a request sent to a backend server that is under notice.
+// Informed is the time since when the entry could know of the notice: the
+// notice itself, the entry's start, or the end of the last time in which
+// neither the entry nor a node that it reaches could reach the platform.
+type Dispatch struct {
+	Entry, Server string
+	At, Informed  time.Time
+}
+
+// Sighting is the configuration in force at a running node.
+type Sighting struct {
+	Node      string
+	Life      int
+	At        time.Time
+	Revision  int64
+	Operation string
+}
+
+// Acceptance is a change that an operator was told is accepted.
+type Acceptance struct {
+	Revision  int64
+	Operation string
+	At        time.Time
+}
+
+// Missing is a node that did not have an accepted revision within SpreadTime,
+// although it could be reached all the time.
+type Missing struct {
+	Node string
+	Acceptance
+	Has int64
+}
+
+// Limits in the promises.
+const (
+	LeaveTime   = 3 * time.Second
+	SpreadTime  = 4 * time.Second
+	RecoverTime = 30 * time.Second
+)
+
+// Observations are all that the oracle knows of a history.
+type Observations struct {
+	Submissions []*Submission
+	Runs        []Execution
+	Dispatches  []Dispatch
+	Sightings   []Sighting
+	Accepted    []Acceptance
+	Missing     []Missing
+	// Last holds the configuration at each node at the end.
+	Last []Sighting
+	// IsCalm is true if nothing failed without notice.
+	IsCalm bool
+	// Recovered is nil if a repeatable request completed within RecoverTime
+	// of the end of all faults.
+	Recovered error
+}
+
+// Violation is a broken promise.
+type Violation struct{ Promise, Detail string }
+
+func (v Violation) String() string { return v.Promise + ": " + v.Detail }
+
+// Judge returns the promises that were broken.
+func Judge(o *Observations) []Violation {
+	j := &judge{o: o, runs: map[int][]Execution{}, submissions: map[int][]*Submission{}}
+	for _, r := range o.Runs {
+		j.runs[r.Call] = append(j.runs[r.Call], r)
+	}
+	for _, s := range o.Submissions {
+		j.submissions[s.Call.Number] = append(j.submissions[s.Call.Number], s)
+	}
+	for _, s := range o.Submissions {
+		j.answer(s)
+		j.connection(s)
+		j.notRun(s)
+	}
+	j.atMostOnce()
+	j.leaving()
+	j.configuration()
+	if o.Recovered != nil {
+		j.broken("recovers", "%v", o.Recovered)
+	}
+	return j.violations
+}
+
+type judge struct {
+	o           *Observations
+	runs        map[int][]Execution
+	submissions map[int][]*Submission
+	violations  []Violation
+}
+
+func (j *judge) broken(promise, format string, args ...any) {
+	j.violations = append(j.violations, Violation{promise, fmt.Sprintf(format, args...)})
+}
+
+// answer: events have no gap, repeat or mix, and a completed answer is whole
+// and the call's own.
+func (j *judge) answer(s *Submission) {
+	text := ""
+	for _, p := range s.Before {
+		text += p.Text
+	}
+	for i, p := range s.Pieces {
+		if p.Sequence != s.After+i+1 {
+			j.broken("in order", "call %d at %s: event %d follows event %d", s.Call.Number, s.Entry, p.Sequence, s.After+i)
+			return
+		}
+		text += p.Text
+	}
+	if s.Outcome != "completed" {
+		return
+	}
+	if !s.IsStream {
+		text = s.Body
+	}
+	if err := s.Call.Verify(text); err != nil {
+		j.broken("whole and own", "call %d at %s after %d: %v", s.Call.Number, s.Entry, s.After, err)
+	}
+}
+
+// connection: no connection ends without an outcome, unless its process or VM
+// ended; and where nothing failed without notice, nothing is lost.
+func (j *judge) connection(s *Submission) {
+	if s.HungUp || s.SentAway {
+		return
+	}
+	if s.Outcome == "" && s.Excuse == "" {
+		j.broken("answered", "call %d at %s began %v: connection ended without outcome: %v",
+			s.Call.Number, s.Entry, s.Began, s.Err)
+	}
+	if j.o.IsCalm && s.Heard && (s.Outcome == "unknown" || s.Outcome == "failed") {
+		j.broken("survives notice", "call %d at %s is %s: %.300s", s.Call.Number, s.Entry, s.Outcome, s.Body)
+	}
+}
+
+// notRun: no run started before the caller was told "not-run", nor after it
+// unless another submission was open then, came later, or may be on its way.
+func (j *judge) notRun(s *Submission) {
+	if s.Outcome != "not-run" || s.IsAttach {
+		return
+	}
+	for _, r := range j.runs[s.Call.Number] {
+		if !r.At.After(s.Ended) {
+			j.broken("not-run is true", "call %d ran at %s at %v, told not-run by %s at %v",
+				s.Call.Number, r.Server, r.At, s.Entry, s.Ended)
+		} else if !j.mayRunAfter(s) {
+			j.broken("not-run is true", "call %d ran at %s at %v, after not-run by %s at %v",
+				s.Call.Number, r.Server, r.At, s.Entry, s.Ended)
+		}
+	}
+}
+
+func (j *judge) mayRunAfter(s *Submission) bool {
+	for _, other := range j.submissions[s.Call.Number] {
+		if other != s && !other.IsAttach && (other.Ended.After(s.Ended) || !other.Heard) {
+			return true
+		}
+	}
+	return false
+}
+
+// atMostOnce: a non-repeatable call has at most one run.
+func (j *judge) atMostOnce() {
+	for number, runs := range j.runs {
+		subs := j.submissions[number]
+		if len(runs) > 1 && len(subs) > 0 && subs[0].Call.NonRepeatable {
+			j.broken("at most once", "call %d ran %d times: %v", number, len(runs), runs)
+		}
+	}
+}
+
+// leaving: a leaving backend server gets no work later than LeaveTime after an
+// entry could know of its notice.
+func (j *judge) leaving() {
+	for _, d := range j.o.Dispatches {
+		if d.At.Sub(d.Informed) > LeaveTime {
+			j.broken("no work for leaving", "%s dispatched to %s %v after it could know",
+				d.Entry, d.Server, d.At.Sub(d.Informed))
+		}
+	}
+}
+
+// configuration: a node's revision never falls, a revision is one change
+// everywhere, and accepted changes are in force in time and stay.
+func (j *judge) configuration() {
+	type life struct {
+		node string
+		life int
+	}
+	last := map[life]int64{}
+	operations := map[int64]string{}
+	isOne := func(revision int64, operation, where string) {
+		if known, ok := operations[revision]; ok && known != operation {
+			j.broken("configuration is one", "revision %d is %q and, at %s, %q", revision, known, where, operation)
+		}
+		operations[revision] = operation
+	}
+	highest := int64(0)
+	for _, a := range j.o.Accepted {
+		isOne(a.Revision, a.Operation, "operator")
+		highest = max(highest, a.Revision)
+	}
+	for _, s := range append(j.o.Sightings, j.o.Last...) {
+		at := life{s.Node, s.Life}
+		if s.Revision < last[at] {
+			j.broken("configuration never falls", "%s had revision %d, then %d", s.Node, last[at], s.Revision)
+		}
+		last[at] = s.Revision
+		isOne(s.Revision, s.Operation, s.Node)
+	}
+	for _, m := range j.o.Missing {
+		j.broken("configuration in time", "%s has revision %d, %v after %d was accepted", m.Node, m.Has, SpreadTime, m.Revision)
+	}
+	for _, s := range j.o.Last {
+		if s.Revision < highest {
+			j.broken("configuration is kept", "%s ends with revision %d, accepted was %d", s.Node, s.Revision, highest)
+		}
+	}
+}
