--- a/internal/claim/batch.go
+++ b/internal/claim/batch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -113,33 +112,22 @@
 }
 
 // form builds a batch for the current table. Writes whose tenure has ended are
-// refused. The table's revision is read before and after the tenures, so that
-// all belong to the same table.
+// refused. The table's revision is read before the tenures: if the table
+// changes in between, the batch carries the older revision and its guard fails.
 func (l *Ledger) form(writes []*write) *nodeBatch {
-	var held []*write
+	table := l.ownership.TableRevision()
+	var keep []*write
 	for _, w := range writes {
-		if w.state.CompareAndSwap(writeQueued, writeSent) {
-			held = append(held, w)
+		if !w.state.CompareAndSwap(writeQueued, writeSent) {
+			continue // withdrawn
 		}
-	}
-	for {
-		table := l.ownership.TableRevision()
-		var keep, moved []*write
-		for _, w := range held {
-			if since, ok := l.ownership.OwnedSince(w.partition.number); ok && since == w.partition.since {
-				keep = append(keep, w)
-			} else {
-				moved = append(moved, w)
-			}
-		}
-		if l.ownership.TableRevision() != table {
-			continue
-		}
-		for _, w := range moved {
+		if since, ok := l.ownership.OwnedSince(w.partition.number); ok && since == w.partition.since {
+			keep = append(keep, w)
+		} else {
 			l.settle(w, "", fateConflict)
 		}
-		return l.encode(table, keep)
 	}
+	return l.encode(table, keep)
 }
 
 func (l *Ledger) encode(table int64, writes []*write) *nodeBatch {
@@ -225,60 +213,6 @@
 	return fateAmbiguous
 }
 
-const (
-	firstRetry = 20 * time.Millisecond
-	lastRetry  = 2 * time.Second
-)
-
-// resolve finds out the fate of b. While a caller waits it sends b again; the
-// guard on the operation's key makes that harmless. When nobody waits it
-// creates that key empty, which makes every late copy of b fail.
-func (l *Ledger) resolve(ctx context.Context, b *nodeBatch) fate {
-	delay := firstRetry
-	for {
-		select {
-		case <-ctx.Done():
-			return fateAmbiguous
-		case <-time.After(delay/2 + rand.N(delay)):
-		}
-		delay = min(2*delay, lastRetry)
-		if f := l.attempt(ctx, b); f == fateWritten || f == fateConflict {
-			return f
-		}
-	}
-}
-
-// attempt tries once; every result but written and conflict is undecided.
-func (l *Ledger) attempt(ctx context.Context, b *nodeBatch) fate {
-	ctx, cancel := context.WithTimeout(ctx, l.config.WriteTimeout)
-	defer cancel()
-	guards, ops := []kv.Compare{b.guard()}, []kv.Op{kv.Put(b.guard().Key, nil)}
-	waiting := b.waiting()
-	if waiting {
-		guards, ops = l.writer.transaction([]batch{b.batch})
-	}
-	res, err := l.store.Txn(ctx, guards, ops)
-	if err != nil {
-		return fateAmbiguous
-	}
-	if res.Succeeded {
-		if waiting {
-			return fateWritten
-		}
-		return fateConflict
-	}
-	return l.writer.explain(ctx, b.batch, false)
-}
-
-func (b *nodeBatch) waiting() bool {
-	for _, w := range b.writes {
-		if !w.abandoned.Load() {
-			return true
-		}
-	}
-	return false
-}
-
 func (l *Ledger) settleAll(b *nodeBatch, f fate) {
 	l.mu.Lock()
 	for p, key := range b.keys {
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -118,7 +118,7 @@
 }
 
 func noServer(err error) *request.End {
-	end := &request.End{Problem: problemUnavailable, Message: err.Error(),
+	end := &request.End{Problem: problemUnavailable, Message: fault.Text(err),
 		Status: http.StatusServiceUnavailable, RetryAfter: time.Second}
 	var saturated *route.ErrSaturated
 	if errors.As(err, &saturated) {
@@ -130,7 +130,7 @@
 
 // permit asks the quarantine for leave to dispatch.
 func (e *execution) permit(ctx context.Context, a *attempt) (*request.End, bool) {
-	permit, err := e.d.deps.Quarantine.Permit(ctx, e.req.Fingerprint, a.target.ID)
+	permit, err := e.d.deps.Quarantine.Permit(ctx, e.crashOf(a))
 	if err == nil {
 		a.permit = permit
 		return nil, true
@@ -138,11 +138,19 @@
 	if fault.Is(err, fault.Exhausted) {
 		return e.quarantined(err), false
 	}
+	if ctx.Err() == nil {
+		return e.giveUp(request.End{Problem: problemUnavailable, Message: fault.Text(err),
+			Status: http.StatusServiceUnavailable, RetryAfter: time.Second}), false
+	}
 	return e.giveUpOrHandOver(e.interrupted(ctx)), false
 }
 
+func (e *execution) crashOf(a *attempt) Crash {
+	return Crash{Fingerprint: e.req.Fingerprint, Server: a.target.ID, Attempt: a.id}
+}
+
 func (e *execution) quarantined(err error) *request.End {
-	end := request.End{Problem: problemQuarantined, Message: err.Error(), Status: http.StatusUnprocessableEntity}
+	end := request.End{Problem: problemQuarantined, Message: fault.Text(err), Status: http.StatusUnprocessableEntity}
 	if e.mayHaveRun {
 		end.Outcome = request.Failed
 		return &end
@@ -174,8 +182,9 @@
 }
 
 func (e *execution) noteFirst(a *attempt) {
+	a.firstAt = time.Now()
 	if e.firstAt.IsZero() {
-		e.firstAt = time.Now()
+		e.firstAt = a.firstAt
 	}
 	if !a.hasPicker {
 		return
@@ -187,8 +196,12 @@
 
 func (e *execution) noteUsage(a *attempt, answer backend.Answer) {
 	a.usage = answer.Usage()
+	if !a.firstAt.IsZero() {
+		e.d.kv.prefilled(a.usage.ComputedTokens, a.firstAt.Sub(a.sentAt))
+	}
 	e.d.stats.promptTokens.Inc(int64(a.usage.PromptTokens))
 	e.d.stats.cachedTokens.Inc(int64(a.usage.CachedTokens))
+	e.d.stats.computedTokens.Inc(int64(a.usage.ComputedTokens))
 	e.d.stats.completionTokens.Inc(int64(a.usage.CompletionTokens))
 	if load, ok := answer.Load(); ok && a.hasPicker {
 		e.d.deps.Pools.Report(time.Now(), a.service, a.target.ID, load)
--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -17,11 +17,18 @@
 	if e.req.Repeatable || e.req.Minted {
 		return nil, false
 	}
+	if own, ok := e.d.unclaimed.find(e.req.ID); ok {
+		e.mayHaveRun = true
+		return e.followClaim(ctx, own), true
+	}
+	if e.mayHideARun() {
+		return e.unresolved("an earlier owner of this request was lost and may have run it while the store was away"), true
+	}
 	lookupCtx, cancel := context.WithTimeout(ctx, e.d.cfg.ClaimWait)
 	defer cancel()
 	earlier, found, err := e.d.deps.Claims.Lookup(lookupCtx, e.req.ID)
 	if err != nil {
-		return e.unresolved("the claims cannot be read now: " + err.Error()), true
+		return e.unresolved("the claims cannot be read now: " + fault.Text(err)), true
 	}
 	if !found {
 		return nil, false
@@ -68,7 +75,7 @@
 	claimCtx, cancel := context.WithTimeout(ctx, e.d.cfg.ClaimWait)
 	defer cancel()
 	err := e.writeClaim(claimCtx, a)
-	if err == nil {
+	if err == nil || e.runsUnclaimed(a, err) {
 		return nil, true
 	}
 	if loseErr := e.rec.Lose(); loseErr != nil {
@@ -140,7 +147,7 @@
 func (e *execution) notClaimed(err error) *request.End {
 	end := request.End{
 		Problem:    problemUnavailable,
-		Message:    "the at-most-once claim could not be written: " + err.Error(),
+		Message:    "the at-most-once claim could not be written: " + fault.Text(err),
 		Status:     http.StatusServiceUnavailable,
 		RetryAfter: time.Second,
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -35,26 +35,36 @@
 	Incarnation() int64
 	// OwnsPartition reports whether this node owns the partition.
 	OwnsPartition(partition int) bool
+	// LeaseLapsed returns for how long this node's lease in the store may have
+	// lapsed; 0 while it holds.
+	LeaseLapsed() time.Duration
 	// AcquiredDirty reports when the partition came to this node without a
 	// handover from its earlier owner.
 	AcquiredDirty(partition int) (since time.Time, dirty bool)
 }
 
+// Crash names an attempt by its content and backend server.
+type Crash struct {
+	Fingerprint uint64
+	Server      string
+	Attempt     backend.AttemptID
+}
+
 // Quarantine stops requests whose content crashes backend servers.
 type Quarantine interface {
-	// Permit waits until a request with the fingerprint may be dispatched to
-	// the backend server. A quarantined fingerprint is refused with an error
-	// of type fault.Exhausted. The permit must be released.
-	Permit(ctx context.Context, fingerprint uint64, server string) (Permit, error)
-	// Crashed records that the backend server crashed while it ran a request
-	// with the fingerprint, and returns once reachable nodes know.
-	Crashed(ctx context.Context, fingerprint uint64, server string)
+	// Permit waits until the attempt may be dispatched. A quarantined content
+	// is refused with an error of type fault.Exhausted; fault.Unavailable means
+	// that a suspect content may not run now. The permit must be released.
+	Permit(ctx context.Context, c Crash) (Permit, error)
+	// Crashed records that the backend server crashed during the attempt, and
+	// returns once the nodes that can be reached know.
+	Crashed(ctx context.Context, c Crash)
 }
 
 // Permit allows one attempt.
 type Permit interface {
-	// Progress tells that the attempt has delivered an event.
-	Progress(events int)
+	// Answered tells that the attempt gave a whole answer.
+	Answered()
 	// Release ends the attempt.
 	Release()
 }
@@ -79,6 +89,12 @@
 	RecoverWait time.Duration
 	// ClaimWait bounds the writing of a claim. Default 3 s.
 	ClaimWait time.Duration
+	// OwnerModeLimit is how long after the end of its lease a node runs
+	// non-repeatable requests of services with the outage policy "owner"
+	// without a claim. Default 10 min.
+	OwnerModeLimit time.Duration
+	// MaxUnclaimed bounds the requests that run without a claim. Default 4096.
+	MaxUnclaimed int
 	// MaxAttempts bounds the dispatches of one request. Default 5.
 	MaxAttempts int
 	// MigrationMargin is the time before a backend server's end at which a
@@ -94,11 +110,14 @@
 	defaultStartWait       = 3 * time.Second
 	defaultRecoverWait     = 3 * time.Second
 	defaultClaimWait       = 3 * time.Second
+	defaultOwnerModeLimit  = 10 * time.Minute
+	defaultMaxUnclaimed    = 4096
 	defaultMaxAttempts     = 5
 	defaultMigrationMargin = 1500 * time.Millisecond
 )
 
-func (c Config) withDefaults() Config {
+// WithDefaults returns the configuration with defaults for zero fields.
+func (c Config) WithDefaults() Config {
 	setDefault(&c.AnswerBytes, defaultAnswerBytes)
 	setDefault(&c.BufferBytes, defaultBufferBytes)
 	setDefault(&c.Retention, defaultRetention)
@@ -106,6 +125,8 @@
 	setDefault(&c.StartWait, defaultStartWait)
 	setDefault(&c.RecoverWait, defaultRecoverWait)
 	setDefault(&c.ClaimWait, defaultClaimWait)
+	setDefault(&c.OwnerModeLimit, defaultOwnerModeLimit)
+	setDefault(&c.MaxUnclaimed, defaultMaxUnclaimed)
 	setDefault(&c.MaxAttempts, defaultMaxAttempts)
 	setDefault(&c.MigrationMargin, defaultMigrationMargin)
 	return c
@@ -120,11 +141,13 @@
 
 // Deps are the components that a dispatcher uses.
 type Deps struct {
-	Document   func() (*confstore.Snapshot, bool)
-	Pools      *pool.Set
-	Claims     Claims
-	Ownership  Ownership
-	Backends   backend.Client
+	Document  func() (*confstore.Snapshot, bool)
+	Pools     *pool.Set
+	Claims    Claims
+	Ownership Ownership
+	Backends  backend.Client
+	// KV moves KV cache between engines; nil never does.
+	KV         KVMover
 	Admitter   *limit.Admitter
 	Quarantine Quarantine
 	Zone       string
@@ -141,6 +164,9 @@
 	deps  Deps
 	stats stats
 
+	unclaimed *unclaimedSet
+	kv        *kvRates
+
 	base   context.Context
 	cancel context.CancelFunc
 	work   sync.WaitGroup
@@ -156,10 +182,12 @@
 func New(cfg Config, deps Deps) *Dispatcher {
 	base, cancel := context.WithCancel(context.Background())
 	return &Dispatcher{
-		cfg: cfg.withDefaults(), deps: deps, stats: newStats(deps.Registry),
+		cfg: cfg.WithDefaults(), deps: deps, stats: newStats(deps.Registry),
 		base: base, cancel: cancel,
 		records:    map[request.ID]*request.Record{},
 		executions: map[request.ID]*execution{},
+		unclaimed:  newUnclaimedSet(),
+		kv:         newKVRates(),
 	}
 }
 
@@ -168,6 +196,12 @@
 // Run evicts ended requests and reacts to backend servers that leave, until
 // ctx ends. Then running requests are stopped.
 func (d *Dispatcher) Run(ctx context.Context) error {
+	uploads := make(chan struct{})
+	go func() {
+		defer close(uploads)
+		d.uploadClaims(ctx)
+	}()
+	defer func() { <-uploads }()
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/dispatch/execution.go
+++ b/internal/dispatch/execution.go
@@ -28,9 +28,14 @@
 	tried map[string]bool
 	// mayHaveRun is true once a backend server may have run the request.
 	mayHaveRun bool
+	// isCrash tells whether the last attempt's server crashed, as opposed to
+	// being out of reach.
+	isCrash    bool
 	dispatches int
 	startedAt  time.Time
 	firstAt    time.Time
+	// movedFrom is set between two attempts of an answer that moves.
+	movedFrom *movedFrom
 
 	mu sync.Mutex
 	// written is the last claim, with Number 0 before the first.
@@ -53,6 +58,8 @@
 	choice  route.Choice
 	query   route.Query
 	sentAt  time.Time
+	// firstAt is the time of the first event, zero before it.
+	firstAt time.Time
 	// hasPicker is false for the older system, which no picker chose.
 	hasPicker bool
 	permit    Permit
@@ -165,6 +172,7 @@
 			return end, true
 		}
 	}
+	e.bringKV(ctx, a)
 	number, err := e.rec.Dispatch()
 	if err != nil {
 		return e.stateRefused(err), true
@@ -173,6 +181,7 @@
 	err = e.start(ctx, number, a)
 	e.release(a, err == nil)
 	if err == nil {
+		a.permit.Answered()
 		return &request.End{Outcome: request.Completed}, true
 	}
 	return e.afterLoss(ctx, a, err)
@@ -223,9 +232,6 @@
 			isFirst = false
 			e.noteFirst(a)
 		}
-		if a.permit != nil {
-			a.permit.Progress(ev.Sequence)
-		}
 	}
 }
 
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
 	"buckthornpick/internal/backend"
+	"buckthornpick/internal/fault"
 	"buckthornpick/internal/request"
 )
 
@@ -30,7 +32,7 @@
 	case backend.Ran:
 		return e.afterFailure(a, lost)
 	default:
-		return e.afterDisconnect(ctx, a)
+		return e.afterDisconnect(ctx, a, lost)
 	}
 }
 
@@ -51,13 +53,16 @@
 	if ctx.Err() == nil && (isOlder || e.withinBudget(a)) {
 		return nil, false
 	}
-	return e.giveUp(request.End{Problem: problemUnavailable, Message: lost.Error(),
+	return e.giveUp(request.End{Problem: problemUnavailable, Message: lostMessage(lost),
 		Status: http.StatusServiceUnavailable, RetryAfter: max(lost.RetryAfter, time.Second)}), true
 }
 
 // afterFailure follows an attempt that the backend server ended with an error.
 func (e *execution) afterFailure(a *attempt, lost *backend.AttemptError) (*request.End, bool) {
 	e.mayHaveRun = true
+	if end := e.passOn(lost); end != nil {
+		return end, true
+	}
 	isServerError := lost.Status >= http.StatusInternalServerError
 	if isServerError && e.req.Repeatable && e.withinBudget(a) {
 		e.tried[a.target.ID] = true
@@ -67,13 +72,40 @@
 	if isServerError || status == 0 {
 		status = http.StatusBadGateway
 	}
-	return &request.End{Outcome: request.Failed, Problem: problemBackend, Message: lost.Error(), Status: status}, true
+	return &request.End{Outcome: request.Failed, Problem: problemBackend, Message: lostMessage(lost), Status: status}, true
+}
+
+// passOn delivers a plain service's refusal of the call (4xx) as the answer that
+// it is. It returns nil for other failures.
+func (e *execution) passOn(lost *backend.AttemptError) *request.End {
+	isClientError := lost.Status >= http.StatusBadRequest && lost.Status < http.StatusInternalServerError
+	if e.req.Kind != request.Plain || !isClientError {
+		return nil
+	}
+	number, err := e.rec.Dispatch()
+	if err != nil {
+		return e.stateRefused(err)
+	}
+	head := request.Head{Status: lost.Status, Header: http.Header{"Content-Type": {lost.ContentType}}}
+	if err := e.rec.SetHead(number, head); err != nil {
+		return e.stateRefused(err)
+	}
+	if err := e.rec.Append(number, request.Event{Sequence: 1, Data: lost.Body}); err != nil {
+		return e.stateRefused(err)
+	}
+	return &request.End{Outcome: request.Completed}
+}
+
+// lostMessage tells the caller where and why the attempt failed.
+func lostMessage(lost *backend.AttemptError) string {
+	return "backend server " + lost.Target.ID + ": " + fault.Text(lost.Err)
 }
 
 // afterDisconnect follows an attempt that may have run or may still run: first
 // attach to it again, then continue elsewhere if the request is repeatable.
-func (e *execution) afterDisconnect(ctx context.Context, a *attempt) (*request.End, bool) {
+func (e *execution) afterDisconnect(ctx context.Context, a *attempt, lost error) (*request.End, bool) {
 	e.mayHaveRun = true
+	e.isCrash = !isTimeout(lost)
 	if a.target.Class == backend.Engine {
 		end, isDone := e.reattach(ctx, a)
 		if isDone {
@@ -88,7 +120,9 @@
 	if e.isLeaving(a.target.ID) {
 		return e.afterReclaim(a)
 	}
-	e.d.deps.Quarantine.Crashed(ctx, e.req.Fingerprint, a.target.ID)
+	if e.isCrash {
+		e.d.deps.Quarantine.Crashed(ctx, e.crashOf(a))
+	}
 	if e.req.Repeatable && e.withinBudget(a) {
 		return nil, false
 	}
@@ -126,6 +160,7 @@
 		if isDone || end != nil {
 			return end, isDone
 		}
+		e.isCrash = !isTimeout(err)
 		if e.isFinalForResume(err, a.target) {
 			return nil, false
 		}
@@ -159,6 +194,13 @@
 	return nil, false
 }
 
+// isTimeout reports whether the backend server may be well but out of reach.
+// A server that closes or refuses connections has crashed.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // isFinalForResume reports whether resuming again is of no use. A repeatable
 // request does not wait for a server that refuses connections.
 func (e *execution) isFinalForResume(err error, t backend.Target) bool {
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -14,10 +14,13 @@
 	resumes  metrics.Counter
 	moves    metrics.Counter
 	retries  metrics.Counter
+	kvMoves  metrics.Counter
+	kvBytes  metrics.Counter
 	outcomes map[request.Outcome]metrics.Counter
 
 	promptTokens     metrics.Counter
 	cachedTokens     metrics.Counter
+	computedTokens   metrics.Counter
 	completionTokens metrics.Counter
 }
 
@@ -31,7 +34,10 @@
 		retries:          metrics.GetOrRegisterCounter("dispatch_retries_total", r),
 		promptTokens:     metrics.GetOrRegisterCounter("dispatch_prompt_tokens_total", r),
 		cachedTokens:     metrics.GetOrRegisterCounter("dispatch_cached_tokens_total", r),
+		computedTokens:   metrics.GetOrRegisterCounter("dispatch_computed_tokens_total", r),
 		completionTokens: metrics.GetOrRegisterCounter("dispatch_completion_tokens_total", r),
+		kvMoves:          metrics.GetOrRegisterCounter("dispatch_kv_moves_total", r),
+		kvBytes:          metrics.GetOrRegisterCounter("dispatch_kv_moved_bytes_total", r),
 		outcomes:         map[request.Outcome]metrics.Counter{},
 	}
 	for _, o := range []request.Outcome{request.Completed, request.NotRun, request.Failed, request.Unknown} {
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -22,6 +22,7 @@
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/platform"
 	"buckthornpick/internal/pool"
+	"buckthornpick/internal/quarantine"
 	"buckthornpick/internal/spread"
 	"buckthornpick/internal/telemetry"
 )
@@ -40,6 +41,8 @@
 	Lister   platform.Lister
 	Notices  platform.NoticeSource
 	Backends backend.Client
+	// KV moves KV cache between engines; may be nil.
+	KV       dispatch.KVMover
 	Log      *telemetry.Logger
 	Registry metrics.Registry
 
@@ -56,21 +59,22 @@
 
 // Node is one entry node.
 type Node struct {
-	cfg       Config
-	log       *telemetry.Logger
-	own       ownership
-	transport *peer.Transport
-	members   *member.Membership
-	documents *confstore.Store
-	inventory *inventory.Inventory
-	pools     *pool.Set
-	admitter  *limit.Admitter
-	ledger    *claim.Ledger
-	owner     *dispatch.Dispatcher
-	spreader  *spread.Spreader
-	gateway   *gateway.Gateway
-	minter    minter
-	drain     *drainState
+	cfg        Config
+	log        *telemetry.Logger
+	own        ownership
+	transport  *peer.Transport
+	members    *member.Membership
+	documents  *confstore.Store
+	inventory  *inventory.Inventory
+	pools      *pool.Set
+	admitter   *limit.Admitter
+	ledger     *claim.Ledger
+	owner      *dispatch.Dispatcher
+	spreader   *spread.Spreader
+	gateway    *gateway.Gateway
+	quarantine *quarantine.Quarantine
+	minter     minter
+	drain      *drainState
 }
 
 // pollers is the number of members of a zone that read the platform's lists
@@ -84,6 +88,7 @@
 	cfg.Peer.Secret = cfg.Secret
 	n.transport = peer.New(self, cfg.Network, cfg.Log, cfg.Registry, cfg.Peer)
 	cfg.Member.Self = cfg.Self
+	cfg.Member.GapWindow = gapWindow(cfg)
 	n.members = member.New(cfg.Member, cfg.Store, cfg.Log, cfg.Registry)
 	n.own = ownership{Tenure: &claim.Tenure{}, self: cfg.Self.ID, members: n.members}
 	n.documents = confstore.New(confstore.Config{Self: cfg.Self.ID, WatchesStore: n.isPoller}, cfg.Store, cfg.Log, cfg.Registry)
@@ -93,6 +98,8 @@
 	cfg.Limit.Log = cfg.Log
 	n.admitter = limit.NewAdmitter(cfg.Limit)
 	n.ledger = claim.New(cfg.Claim, n.own, cfg.Store, n.transport, cfg.Log, cfg.Registry)
+	n.quarantine = quarantine.New(quarantine.Config{Peers: n.otherNodes, Coordinator: n.trialCoordinator},
+		n.transport, cfg.Log, cfg.Registry)
 	n.owner = dispatch.New(cfg.Dispatch, n.dispatchDeps())
 	n.spreader = n.newSpreader()
 	n.gateway = gateway.New(cfg.Gateway, n, cfg.Log, cfg.Registry)
@@ -100,14 +107,34 @@
 	return n
 }
 
+// gapMargin covers the time from the lapse of a lease to the removal of its
+// holder, and clocks that differ.
+const gapMargin = time.Minute
+
+// gapWindow returns how long a lost owner's requests may still be sent again:
+// it may run them without the store for OwnerModeLimit, and callers may resend
+// them for KeyWindow.
+func gapWindow(cfg Config) time.Duration {
+	d := cfg.Dispatch.WithDefaults()
+	return max(cfg.Member.GapWindow, d.KeyWindow+d.OwnerModeLimit+gapMargin)
+}
+
 func (n *Node) dispatchDeps() dispatch.Deps {
 	return dispatch.Deps{
 		Document: n.documents.Current, Pools: n.pools, Claims: n.ledger, Ownership: n.own,
-		Backends: n.cfg.Backends, Admitter: n.admitter, Quarantine: noQuarantine{},
+		Backends: n.cfg.Backends, KV: n.cfg.KV, Admitter: n.admitter, Quarantine: n.quarantine,
 		Zone: n.cfg.Self.Zone, Log: n.cfg.Log, Registry: n.cfg.Registry,
 	}
 }
 
+// trialPartition is the partition whose owner coordinates trials.
+const trialPartition = 0
+
+func (n *Node) trialCoordinator() (peer.Node, bool) {
+	m, ok := n.members.Table().Owner(trialPartition)
+	return nodeOf(m), ok
+}
+
 // isPoller reports whether this node reads the platform and watches the store
 // for its zone. A node without a table does, so that it can start.
 func (n *Node) isPoller() bool {
@@ -121,7 +148,7 @@
 	for _, duty := range []func(context.Context) error{
 		n.transport.Run, n.members.Run, n.documents.Run, n.inventory.Run,
 		n.ledger.Run, n.owner.Run, n.spreader.Run,
-		n.applyDocuments, n.applyViews, n.applyTables, n.pullFromSeeds,
+		n.applyDocuments, n.applyViews, n.applyTables, n.pullFromSeeds, n.preloadClaims,
 	} {
 		g.Go(func() error { return duty(ctx) })
 	}
@@ -235,15 +262,3 @@
 		n.admitter.SetCapacity(dispatch.OlderSystem, 1, olderSystemCapacity)
 	}
 }
-
-// noQuarantine permits every request.
-type noQuarantine struct{}
-
-type freePermit struct{}
-
-func (noQuarantine) Permit(context.Context, uint64, string) (dispatch.Permit, error) {
-	return freePermit{}, nil
-}
-func (noQuarantine) Crashed(context.Context, uint64, string) {}
-func (freePermit) Progress(int)                              {}
-func (freePermit) Release()                                  {}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -10,7 +10,11 @@
 	// the context spills to the next server of its rendezvous order.
 	loadBound = 2
 	// freeRequests is the load per unit of weight below which no home spills.
-	freeRequests = 8
+	freeRequests = 24
+	// homeHit is the share of a prompt expected to be cached at its context's
+	// home without other knowledge. It is no learned value: learning it lets
+	// an overload end all affinity, and that makes the overload worse.
+	homeHit = 0.9
 	// keepMillis and keepShare are the margin by which another server must be
 	// cheaper before a context moves.
 	keepMillis = 20
@@ -19,6 +23,9 @@
 	// pressureStart of the first-token target.
 	pressureFactor = 4
 	pressureStart  = 0.8
+	// lateTolerance is the factor by which a prediction must exceed the bound
+	// before a request is refused for it.
+	lateTolerance = 0.9
 	// minRetryAfter is the least advice given with ErrSaturated.
 	minRetryAfter = 50 * time.Millisecond
 )
@@ -51,9 +58,23 @@
 	home := p.home(&q)
 	informed := p.weigh(&q, past, home)
 	best, reason := p.choose(&q, past, home, informed)
+	if excess := p.candidates[best].lateness(&q); excess > 0 {
+		return Choice{}, &ErrSaturated{Service: q.Service, RetryAfter: max(minRetryAfter, excess), Late: true}
+	}
 	return p.choice(best, reason), nil
 }
 
+// lateness returns by how much the first token is predicted to exceed
+// q.FirstTokenWithin; 0 if it does not. A server with hardly any work always
+// gets the request, so that a wrong prediction is corrected by observations.
+func (c *candidate) lateness(q *Query) time.Duration {
+	if q.FirstTokenWithin <= 0 || !c.server.model.learned() || c.requests < 2*c.server.weight() {
+		return 0
+	}
+	predicted := time.Duration(c.terms.Latency * float64(time.Millisecond))
+	return max(0, predicted-time.Duration(lateTolerance*float64(q.FirstTokenWithin)))
+}
+
 // collect fills candidates with the servers in state that may get q and
 // reports whether any was left out for being full.
 func (p *Picker) collect(q *Query, state State) (full bool) {
@@ -108,7 +129,7 @@
 		c := &p.candidates[i]
 		cached := p.rememberedUpTo(q, past, c.server, known)
 		if cached == 0 && i == home {
-			cached = int(p.homeHit * float64(q.PromptTokens))
+			cached = int(homeHit * float64(q.PromptTokens))
 		}
 		informed = informed || cached > 0
 		p.cost(q, c, cached)
@@ -133,12 +154,13 @@
 }
 
 // pressureAbove is the cost of a latency near or above its target; both are in
-// milliseconds and a target of 0 is none.
+// milliseconds and a target of 0 is none. It is bounded, because a request that
+// misses the target anyway should stay with its cache.
 func pressureAbove(latency, target float64) float64 {
 	if target <= 0 || latency <= pressureStart*target {
 		return 0
 	}
-	return pressureFactor * (latency - pressureStart*target)
+	return pressureFactor * (min(latency, target) - pressureStart*target)
 }
 
 // remembered returns the prompt tokens that s is known to hold.
