fleet: keep VMs in use unless a drop or exchange is worth it

Cause: each plan was made from nothing, so small changes of demand or price moved VMs between zones and classes, and their caches were lost. Change: Size starts from the current VMs, drops with a reserve of 15%, exchanges for a saving of 25%; a lower demand counts after 2 minutes.

--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -16,14 +16,14 @@
 	// shorter than the start of a VM cannot be met by starting VMs.
 	SmoothOver time.Duration
 	// ShrinkAfter is how long a lower demand must last before it counts;
-	// default 60 s.
+	// default 120 s.
 	ShrinkAfter time.Duration
 }
 
 const (
 	defaultRequestsPerAccelerator = 20
 	defaultUtilisation            = 0.6
-	defaultShrinkAfter            = 20 * time.Second
+	defaultShrinkAfter            = 2 * time.Minute
 	defaultSmoothOver             = time.Minute
 	minUtilisation                = 0.1
 	maxUtilisation                = 1.2
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -60,22 +60,34 @@
 // maxVMs bounds the VMs of one plan.
 const maxVMs = 20000
 
+const (
+	// dropSlack is the share of the demand that must stay as reserve when a VM
+	// in use is dropped.
+	dropSlack = 0.15
+	// exchangeGain is the least saving for which a VM in use is exchanged.
+	exchangeGain = 0.25
+)
+
 // option is one offer with its effective price.
 type option struct {
 	key          OfferKey
 	accelerators float64
 	price        float64
 	// cost is the price with the risk of waves and the cost of change.
-	cost  float64
-	count int
-	limit int
+	cost    float64
+	count   int
+	current int
+	limit   int
 }
 
 // Size returns the cheapest mix found that meets the demand and keeps the
-// protected capacity after the loss of any zone. It starts from nothing, adds
-// the offer with the least cost per useful accelerator until both demands are
-// met, and then drops and exchanges VMs while that is cheaper. Offers in use
-// are slightly preferred, so that a small change of price moves no VM.
+// protected capacity after the loss of any zone. It starts from the current
+// VMs, adds the offer with the least cost per useful accelerator until both
+// demands are met, and then drops and exchanges VMs while that is cheaper.
+//
+// A VM in use carries caches: it is dropped only if dropSlack more than the
+// demand stays covered, and exchanged only if that saves exchangeGain of its
+// cost.
 func Size(in SizeInput) Plan {
 	options := in.options()
 	short := grow(options, in)
@@ -84,8 +96,6 @@
 }
 
 func (in *SizeInput) options() []option {
-	// keepBonus is the discount on VMs that already run.
-	const keepBonus = 0.05
 	options := make([]option, 0, len(in.Offers))
 	for _, o := range in.Offers {
 		key := KeyOf(o)
@@ -93,9 +103,6 @@
 		if o.Reclaimable {
 			cost *= 1 + in.WavesPerHour[o.Zone]*in.RestartHours
 		}
-		if in.Current[key] > 0 {
-			cost *= 1 - keepBonus
-		}
 		limit := maxVMs
 		if in.RefusedUntil[key].After(in.Now) {
 			limit = in.Current[key]
@@ -103,6 +110,7 @@
 		options = append(options, option{
 			key: key, accelerators: float64(max(o.Accelerators, 1)),
 			price: o.PricePerHour, cost: cost, limit: limit,
+			count: in.Current[key], current: in.Current[key],
 		})
 	}
 	slices.SortFunc(options, func(a, b option) int {
@@ -175,14 +183,20 @@
 // offer while this lowers the cost and misses no more.
 func improve(options []option, in SizeInput) {
 	missing := shortfall(options, in)
+	reserved := in
+	reserved.Demand.Total *= 1 + dropSlack
+	reserved.Demand.Protected *= 1 + dropSlack
 	for changed, round := true, 0; changed && round < 100; round++ {
 		changed = false
-		for i := range options {
-			for options[i].count > 0 && tryMove(options, in, i, -1, missing) {
+		for i := len(options) - 1; i >= 0; i-- {
+			for options[i].count > options[i].current && tryMove(options, in, i, -1, missing) {
+				changed = true
+			}
+			for options[i].count > 0 && options[i].count <= options[i].current && tryMove(options, reserved, i, -1, 0) {
 				changed = true
 			}
 			for j := range options {
-				if i != j && options[i].count > 0 && options[j].cost < options[i].cost && tryMove(options, in, i, j, missing) {
+				if options[i].count > 0 && worthExchange(&options[i], &options[j]) && tryMove(options, in, i, j, missing) {
 					changed = true
 				}
 			}
@@ -190,6 +204,14 @@
 	}
 }
 
+// worthExchange reports whether one VM of from should give way to one of to.
+func worthExchange(from, to *option) bool {
+	if from.count > from.current {
+		return to.cost < from.cost
+	}
+	return to.cost < (1-exchangeGain)*from.cost
+}
+
 // tryMove takes one VM of options[from], adds one of options[to] unless to is
 // negative, and undoes both if more is missing than before.
 func tryMove(options []option, in SizeInput, from, to int, missing float64) bool {
--- a/internal/fleet/size_test.go
+++ b/internal/fleet/size_test.go
@@ -47,6 +47,18 @@
 	require.Equal(t, 4, plan.Want[OfferKey{"a", "g1", true}])
 }
 
+func TestSizeKeepsVMsInUseWithinHysteresis(t *testing.T) {
+	inB := OfferKey{"b", "g1", true}
+	size := func(total float64, offers []platform.Offer) Plan {
+		return Size(SizeInput{Now: start, Demand: Demand{Total: total}, Offers: offers, Current: map[OfferKey]int{inB: 8}})
+	}
+	require.Equal(t, 8, size(7.5, testOffers()).Want[inB], "not worth a move")
+	require.Equal(t, 6, size(5.2, testOffers()).Want[inB], "5.98 with the reserve")
+	cheap := testOffers()
+	cheap[0].PricePerHour = 0.5
+	require.Equal(t, 8, size(7.5, cheap).Want[OfferKey{"a", "g1", true}], "half the price is worth a move")
+}
+
 func TestSizeWeighsWaveRisk(t *testing.T) {
 	plan := Size(SizeInput{Now: start, Demand: Demand{Total: 3}, Offers: testOffers(),
 		WavesPerHour: map[string]float64{"a": 2}, RestartHours: 0.2})
