limit: back off more gently on missed targets

Cause: the concurrency limit fell by 15% per window of 16 requests and stayed low through bursts, so that requests were refused that fitted.

--- a/internal/experiment/site.go
+++ b/internal/experiment/site.go
@@ -97,7 +97,7 @@
 	if s.cell.Site.Name == Kierowca.Name {
 		return config.RouteWeights{RecomputedTokenMillis: 0.4, PriceMillis: 5}
 	}
-	return config.RouteWeights{RecomputedTokenMillis: 0.2, PriceMillis: 10}
+	return config.RouteWeights{RecomputedTokenMillis: 0.1, PriceMillis: 10}
 }
 
 func (s *site) addFirstServers() {
--- a/internal/limit/adaptive.go
+++ b/internal/limit/adaptive.go
@@ -12,7 +12,7 @@
 	// missTolerance is the share of misses that a p95 target allows.
 	missTolerance = 0.05
 	// missDecrease is the factor on the limit after a window with many misses.
-	missDecrease = 0.85
+	missDecrease = 0.95
 	// latencyTolerance is how far the latency of a window may be above the
 	// best one before it counts as queueing.
 	latencyTolerance = 1.2
@@ -20,7 +20,7 @@
 	// forgotten.
 	bestDrift = 1.01
 	// floorShare is the least limit as a share of the capacity.
-	floorShare = 0.1
+	floorShare = 0.3
 	// gradientSmoothing is the weight of a window in the gradient limit.
 	gradientSmoothing = 0.3
 )
