Follower: a search for a lost owner outlasts a keep-alive interval

Cause: the error of a lost owner was delivered once; when a keep-alive interval ended the search for the new owner, the next wait found nothing and the stream hung for good. Each wait also began the search's time again. Change: the last step of a lost or handed-over source is returned again, and the search keeps its beginning.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -26,6 +26,10 @@
 	delivered []request.Event
 	wasSent   bool
 	src       source
+	// searching is when the search for the owner began, zero while there is a
+	// source. A search may take several calls of Next, each with a context of
+	// its own.
+	searching time.Time
 }
 
 // Info implements gateway.Answer.
@@ -72,7 +76,9 @@
 // connect finds the request's owner and the answer's source. It tries again
 // while ownership moves.
 func (f *follower) connect(ctx context.Context) error {
-	started := time.Now()
+	if f.searching.IsZero() {
+		f.searching = time.Now()
+	}
 	for {
 		err := f.connectOnce(ctx)
 		if err == nil {
@@ -81,13 +87,13 @@
 		if final := f.finalError(err); final != nil {
 			return final
 		}
-		if f.mayRunHere(started) {
+		if f.mayRunHere(f.searching) {
 			return f.runHere(ctx)
 		}
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if time.Since(started) > ownerWait {
+		if time.Since(f.searching) > ownerWait {
 			return f.ownerUnreachable(err)
 		}
 		pause(ctx, ownerPause)
@@ -128,7 +134,7 @@
 	if f.src != nil {
 		f.src.close()
 	}
-	f.src, f.info = src, info
+	f.src, f.info, f.searching = src, info, time.Time{}
 }
 
 // mayRunHere reports whether this node runs the request although its owner is
--- a/internal/entry/source.go
+++ b/internal/entry/source.go
@@ -29,6 +29,9 @@
 	steps  chan stepOrError
 	cancel context.CancelFunc
 	done   sync.WaitGroup
+	// last is set after an error or a handover, which nothing follows: next
+	// returns it again.
+	last *stepOrError
 }
 
 type stepOrError struct {
@@ -78,8 +81,14 @@
 }
 
 func (s *remoteSource) next(ctx context.Context) (request.Step, error) {
+	if s.last != nil {
+		return s.last.step, s.last.err
+	}
 	select {
 	case v := <-s.steps:
+		if v.err != nil || v.step.HandedOver {
+			s.last = &v
+		}
 		return v.step, v.err
 	case <-ctx.Done():
 		return request.Step{}, ctx.Err()
