--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -33,7 +33,7 @@
 			return a, nil
 		}
 		clear(e.tried)
-		if !e.mayWait(time.Now()) {
+		if !e.mayWait(time.Now()) || isTooLate(err) {
 			return nil, noServer(err)
 		}
 		if !waitForServers(ctx, changed) {
@@ -42,6 +42,22 @@
 	}
 }
 
+// isTooLate reports whether every server would answer later than the target; a
+// wait would make it later still.
+func isTooLate(err error) bool {
+	var saturated *route.ErrSaturated
+	return errors.As(err, &saturated) && saturated.Late
+}
+
+// firstTokenWithin returns the target that a request must be able to meet to
+// be dispatched; 0 once it was dispatched, because then it must be answered.
+func (e *execution) firstTokenWithin(s config.Service) time.Duration {
+	if e.mayHaveRun || len(e.rec.Events()) > 0 {
+		return 0
+	}
+	return time.Duration(s.Target.FirstTokenMillis * float64(time.Millisecond))
+}
+
 // mayWait reports whether the request may wait for a backend server. One that
 // was dispatched before waits until its deadline.
 func (e *execution) mayWait(now time.Time) bool {
@@ -88,7 +104,8 @@
 		Now: now, Service: s.Name, Context: e.req.Context,
 		PromptTokens: e.req.PromptTokens, MaxTokens: e.req.MaxTokens,
 		PrefixHashes: e.plan.prefix, Priority: e.plan.priority, VMClass: e.plan.vmClass,
-		Exclude: func(id string) bool { return e.tried[id] },
+		FirstTokenWithin: e.firstTokenWithin(s),
+		Exclude:          func(id string) bool { return e.tried[id] },
 	}
 	choice, err := picker.Pick(q)
 	if err != nil {
--- a/internal/dispatch/execution.go
+++ b/internal/dispatch/execution.go
@@ -129,7 +129,7 @@
 			Message: "rule " + e.plan.rule + " names no known service"}, false
 	}
 	ticket, err := e.d.deps.Admitter.Admit(ctx, limit.Ask{
-		Organisation: e.req.Organisation, Service: e.plan.admittedAs(),
+		Organisation: e.req.Organisation, Service: e.plan.admittedAs(), Context: e.req.Context,
 		Priority: e.plan.priority, Deadline: e.plan.startBy,
 		Cost: e.req.PromptTokens + e.req.MaxTokens,
 	})
