--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -12,7 +12,8 @@
 )
 
 // resolveClaim looks for a claim of an earlier submission of a non-repeatable
-// request. isResolved is false if the request was never claimed and may run.
+// request. isResolved is false if the request was never claimed and may run; a
+// nil end that is resolved means that another node owns the request now.
 func (e *execution) resolveClaim(ctx context.Context) (end *request.End, isResolved bool) {
 	if e.req.Repeatable || e.req.Minted {
 		return nil, false
@@ -41,6 +42,29 @@
 	return e.followClaim(ctx, earlier), true
 }
 
+// claimPause is the time between tries while the ledger learns of a new table
+// of members.
+const claimPause = 20 * time.Millisecond
+
+// lookupClaim reads the request's claim. A node that has just come to own the
+// partition waits until its ledger knows of it.
+func (e *execution) lookupClaim(ctx context.Context) (claim.Claim, bool, error) {
+	for {
+		c, found, err := e.d.deps.Claims.Lookup(ctx, e.req.ID)
+		if !e.mayTryAgain(ctx, err) {
+			return c, found, err
+		}
+		sleep(ctx, claimPause)
+	}
+}
+
+// mayTryAgain reports whether the ledger refused only because the table of
+// members has changed, while this node still owns the request.
+func (e *execution) mayTryAgain(ctx context.Context, err error) bool {
+	return fault.Is(err, fault.Conflict) && ctx.Err() == nil &&
+		e.d.deps.Ownership.OwnsPartition(e.req.ID.Partition())
+}
+
 // followClaim attaches to the attempt that an earlier owner claimed. The
 // request is never dispatched again.
 func (e *execution) followClaim(ctx context.Context, c claim.Claim) *request.End {
@@ -81,25 +105,47 @@
 	if loseErr := e.rec.Lose(); loseErr != nil {
 		return e.stateRefused(loseErr), false
 	}
-	if fault.Is(err, fault.Conflict) && !e.d.deps.Ownership.OwnsPartition(e.req.ID.Partition()) {
+	if e.isOwnedElsewhere(err) {
 		return nil, false
 	}
 	return e.notClaimed(err), false
 }
 
+// isOwnedElsewhere reports whether the ledger refused because another node has
+// come to own the request; that node knows its claims.
+func (e *execution) isOwnedElsewhere(err error) bool {
+	return fault.Is(err, fault.Conflict) && !e.d.deps.Ownership.OwnsPartition(e.req.ID.Partition())
+}
+
 func (e *execution) writeClaim(ctx context.Context, a *attempt) error {
 	c := e.newClaim(a)
 	write := e.d.deps.Claims.Commit
 	if last := e.lastClaim(); last.Number > 0 && !last.Released {
 		write = e.d.deps.Claims.Amend
 	}
-	err := write(ctx, c)
+	err := e.tryWrite(ctx, c, write)
 	if err == nil || fault.Is(err, fault.Ambiguous) {
 		e.setLastClaim(c)
 	}
 	return err
 }
 
+// tryWrite writes the claim, and again if the table of members changed
+// meanwhile. A refused write is known not to have taken effect.
+func (e *execution) tryWrite(ctx context.Context, c claim.Claim, write func(context.Context, claim.Claim) error) error {
+	for {
+		err := write(ctx, c)
+		if !e.mayTryAgain(ctx, err) {
+			return err
+		}
+		other, found, lookupErr := e.d.deps.Claims.Lookup(ctx, e.req.ID)
+		if lookupErr == nil && found && other.Attempt != e.lastClaim().Attempt {
+			return err
+		}
+		sleep(ctx, claimPause)
+	}
+}
+
 func (e *execution) newClaim(a *attempt) claim.Claim {
 	own := e.d.deps.Ownership
 	return claim.Claim{
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -238,6 +238,7 @@
 	if d.isClosed {
 		return nil, fault.New(fault.Unavailable, "dispatch.submit", "", "node is stopping")
 	}
+	hasEarlier := false
 	if rec, ok := d.records[r.ID]; ok {
 		if rec.Request.Fingerprint != r.Fingerprint {
 			return nil, fault.New(fault.Invalid, "dispatch.submit", "",
@@ -246,15 +247,26 @@
 		if !mayRunAgain(rec) {
 			return rec, nil
 		}
+		hasEarlier = r.Repeatable && mayHaveRun(rec)
 	}
 	rec := request.NewRecord(r, d.cfg.AnswerBytes)
 	if err := rec.Restore(0, nil, delivered); err != nil {
 		return nil, err
 	}
-	d.startLocked(newExecution(d, rec))
+	e := newExecution(d, rec)
+	e.hasEarlier = hasEarlier
+	d.startLocked(e)
 	return rec, nil
 }
 
+// mayHaveRun reports whether a backend server may have run the request of an
+// earlier record, here or at the node that it was handed over to. The claims
+// answer that better for non-repeatable requests.
+func mayHaveRun(rec *request.Record) bool {
+	end, _, ok := rec.Ended()
+	return !ok || end.Outcome != request.NotRun
+}
+
 // mayRunAgain reports whether a submission after the record's end runs anew.
 func mayRunAgain(rec *request.Record) bool {
 	if rec.State() == request.HandedOver {
--- a/internal/dispatch/execution.go
+++ b/internal/dispatch/execution.go
@@ -28,6 +28,9 @@
 	tried map[string]bool
 	// mayHaveRun is true once a backend server may have run the request.
 	mayHaveRun bool
+	// hasEarlier is true if an earlier submission of the request, that may
+	// have run, is known here.
+	hasEarlier bool
 	// isCrash tells whether the last attempt's server crashed, as opposed to
 	// being out of reach.
 	isCrash    bool
@@ -333,7 +336,7 @@
 func (e *execution) notRun(end request.End) *request.End {
 	e.d.deps.Log.Log(EvRefused, "request", e.req.ID, "problem", end.Problem, "reason", end.Message)
 	end.Outcome = request.NotRun
-	if e.mayHaveRun || !e.knowsHistory() {
+	if e.mayHaveRun || e.hasEarlier || !e.knowsHistory() {
 		end.Outcome = request.Unknown
 	}
 	return &end
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -43,6 +43,7 @@
 
 // Next implements gateway.Answer.
 func (f *follower) Next(ctx context.Context) (request.Step, error) {
+	var lost time.Time
 	for {
 		step, err := f.src.next(ctx)
 		if err == nil && !step.HandedOver {
@@ -53,12 +54,26 @@
 			return request.Step{}, ctx.Err()
 		}
 		f.node.log.Log(EvOwnerLost, "request", f.id, "after", f.after, "error", err)
+		if lost.IsZero() {
+			lost = time.Now()
+		} else if !f.mayFollow(ctx, lost) {
+			return request.Step{}, f.ownerUnreachable(errNoOwner)
+		}
 		if err := f.connect(ctx); err != nil {
 			return request.Step{}, err
 		}
 	}
 }
 
+// mayFollow paces the search for the owner of a request that no node keeps. It
+// reports whether the search, begun at lost, may go on.
+func (f *follower) mayFollow(ctx context.Context, lost time.Time) bool {
+	pause(ctx, ownerPause)
+	return time.Since(lost) < ownerWait
+}
+
+var errNoOwner = errors.New("its ownership is moving")
+
 func (f *follower) note(step request.Step) {
 	if step.Event == nil {
 		return
--- a/internal/entry/leave.go
+++ b/internal/entry/leave.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"buckthornpick/internal/dispatch"
+	"buckthornpick/internal/fault"
 	"buckthornpick/internal/inventory"
 	"buckthornpick/internal/member"
 	"buckthornpick/internal/peer"
@@ -172,20 +173,39 @@
 // transferBatch bounds the requests of one message.
 const transferBatch = 64
 
-// handOver sends every request to its new owner.
+// transferRounds bounds the heirs that are tried for one request.
+const transferRounds = 4
+
+// handOver sends every request to its new owner. What an heir cannot be given
+// because it is gone already goes to the next one.
 func (n *Node) handOver(ctx context.Context) {
-	for heir, transfers := range n.byHeir(n.owner.Export()) {
+	gone := map[string]bool{}
+	transfers := n.owner.Export()
+	for round := 0; round < transferRounds && len(transfers) > 0; round++ {
+		transfers = n.transferAll(ctx, transfers, gone)
+	}
+}
+
+// transferAll makes one round. It returns what was not taken and adds the heirs
+// that could not be reached to gone.
+func (n *Node) transferAll(ctx context.Context, transfers []dispatch.Transfer, gone map[string]bool) []dispatch.Transfer {
+	var left []dispatch.Transfer
+	for heir, transfers := range n.byHeir(transfers, gone) {
 		for len(transfers) > 0 {
 			batch := transfers[:min(transferBatch, len(transfers))]
 			transfers = transfers[len(batch):]
-			n.transferTo(ctx, heir, batch)
+			if err := n.transferTo(ctx, heir, batch); fault.Is(err, fault.Unavailable) {
+				gone[heir.ID] = true
+				left = append(left, batch...)
+			}
 		}
 	}
+	return left
 }
 
-func (n *Node) byHeir(transfers []dispatch.Transfer) map[member.Member][]dispatch.Transfer {
+func (n *Node) byHeir(transfers []dispatch.Transfer, gone map[string]bool) map[member.Member][]dispatch.Transfer {
 	out := map[member.Member][]dispatch.Transfer{}
-	heirs := n.heirs()
+	heirs := without(n.heirs(), gone)
 	for _, t := range transfers {
 		if heir, ok := heirs.Owner(t.Request.ID.Partition()); ok {
 			out[heir] = append(out[heir], t)
@@ -211,13 +231,25 @@
 	return member.NewTable(table.Revision, rest, nil)
 }
 
+// without returns the table without the members with the IDs.
+func without(t member.Table, ids map[string]bool) member.Table {
+	var rest []member.Member
+	for _, m := range t.Members {
+		if !ids[m.ID] {
+			rest = append(rest, m)
+		}
+	}
+	return member.NewTable(t.Revision, rest, nil)
+}
+
 const transferTimeout = 2 * time.Second
 
-func (n *Node) transferTo(ctx context.Context, heir member.Member, batch []dispatch.Transfer) {
+func (n *Node) transferTo(ctx context.Context, heir member.Member, batch []dispatch.Transfer) error {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	_, err := peer.Call[transferReply](ctx, n.transport, nodeOf(heir), peer.Transfer, transferMsg{Transfers: batch})
 	if err != nil {
 		n.log.Log(EvTransferFailed, "peer", heir.ID, "requests", len(batch), "error", err)
 	}
+	return err
 }
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -45,9 +45,13 @@
 	return f, nil
 }
 
-// openSubmit brings a request to its owner and returns the answer's source.
+// openSubmit brings a request to its owner and returns the answer's source. A
+// node that has no table yet runs only what no other node can know of.
 func (n *Node) openSubmit(ctx context.Context, r *request.Request, delivered []request.Event, after int) (source, request.Info, error) {
 	owner, ok := n.ownerOf(r.ID.Partition())
+	if !ok && !(r.Minted && r.Repeatable) {
+		return nil, request.Info{}, fault.New(fault.Unavailable, "entry.submit", "", "no table of members yet")
+	}
 	if !ok || owner.ID == n.cfg.Self.ID {
 		return n.submitHere(ctx, r, delivered, after)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/justinas/alice"
@@ -106,13 +107,16 @@
 	return &Gateway{cfg: cfg.withDefaults(), node: node, log: log, stats: newStats(registry)}
 }
 
+// pathRequests is followed by the ID of a request to attach to.
+const pathRequests = "/v1/requests/"
+
 // Handler returns the HTTP handler of the callers' listener.
 func (g *Gateway) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("POST /v1/chat/completions", g.authenticated(g.serveModel(request.Chat)))
 	mux.Handle("POST /v1/completions", g.authenticated(g.serveModel(request.Completion)))
 	mux.Handle("GET /v1/models", g.authenticated(g.serveModels))
-	mux.Handle("GET /v1/requests/{id}", g.authenticated(g.serveAttach))
+	mux.Handle("GET "+pathRequests+"{id}", g.authenticated(g.serveAttach))
 	mux.Handle("/services/{service}/", g.authenticated(g.servePlain))
 	mux.HandleFunc("/", notFound)
 	return alice.New(g.recoverPanic).Then(mux)
@@ -133,19 +137,30 @@
 		doc, ok := g.node.Document()
 		if !ok {
 			writeProblem(w, problem{status: http.StatusServiceUnavailable, kind: typeUnavailable,
-				message: "no configuration yet", outcome: request.NotRun, retryAfter: time.Second})
+				message: "no configuration yet", outcome: refusedOutcome(r), retryAfter: time.Second})
 			return
 		}
 		organisation, ok := g.keys.organisation(doc, r.Header.Get("Authorization"))
 		if !ok {
 			writeProblem(w, problem{status: http.StatusUnauthorized, kind: typeAuthentication,
-				message: "missing or unknown bearer key"})
+				message: "missing or unknown bearer key", outcome: refusedOutcome(r)})
 			return
 		}
 		next(w, r, caller{organisation: organisation, doc: doc})
 	})
 }
 
+// refusedOutcome returns the outcome of a call that is refused by the present
+// configuration before its request is looked for. An earlier submission may
+// have run under another configuration if the call names one.
+func refusedOutcome(r *http.Request) request.Outcome {
+	isAttach := r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, pathRequests)
+	if isAttach || r.Header.Get(HeaderIdempotencyKey) != "" {
+		return request.Unknown
+	}
+	return request.NotRun
+}
+
 func (g *Gateway) recoverPanic(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer func() {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -51,7 +51,7 @@
 		service, ok := serviceOfModel(c.doc, m.Model)
 		if !ok {
 			writeProblem(w, problem{status: http.StatusNotFound, kind: typeNotFound,
-				message: "no service offers model " + quote(m.Model)})
+				message: "no service offers model " + quote(m.Model), outcome: refusedOutcome(r)})
 			return
 		}
 		req := &request.Request{
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -25,7 +25,7 @@
 	})
 	if i < 0 {
 		writeProblem(w, problem{status: http.StatusNotFound, kind: typeNotFound,
-			message: "no plain service " + quote(name)})
+			message: "no plain service " + quote(name), outcome: refusedOutcome(r)})
 		return
 	}
 	body, p := g.readBody(w, r)
--- a/test/fuzz/callers.go
+++ b/test/fuzz/callers.go
@@ -174,6 +174,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	s.Heard = true
+	s.Accepted = resp.Header.Get(gateway.HeaderRequestID) != ""
 	w.noteID(c, resp.Header.Get(gateway.HeaderRequestID))
 	if resp.StatusCode == http.StatusSeeOther {
 		s.SentAway = true
