--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -27,7 +27,10 @@
 	}
 	lookupCtx, cancel := context.WithTimeout(ctx, e.d.cfg.ClaimWait)
 	defer cancel()
-	earlier, found, err := e.d.deps.Claims.Lookup(lookupCtx, e.req.ID)
+	earlier, found, err := e.lookupClaim(lookupCtx)
+	if e.isOwnedElsewhere(err) {
+		return nil, true
+	}
 	if err != nil {
 		return e.unresolved("the claims cannot be read now: " + fault.Text(err)), true
 	}
--- a/test/fuzz/actions.go
+++ b/test/fuzz/actions.go
@@ -91,9 +91,6 @@
 	}
 	before := earlier.sub.all()
 	before = before[:s.C%(len(before)+1)]
-	if before == nil {
-		before = []Piece{}
-	}
 	w.attach(earlier.call, e, before)
 }
 
