Event IDs name the answer, so that two answers are never mixed

Event IDs are now the sequence number and the name of the answer's first attempt; a node that has another answer under the request's ID says answer_lost (409) instead of sending its rest. After: TestAnswerOfALostExecutionIsNotMixedWithANewOne.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -228,11 +228,11 @@
 }
 
 // Submit starts a request, or finds the record of an earlier submission.
-// delivered are events that the caller already has from a lost owner.
+// received is what the caller already has from a lost owner.
 //
 // Errors: fault.Invalid if the ID was used with another content;
 // fault.Unavailable if the node is stopping.
-func (d *Dispatcher) Submit(r *request.Request, delivered []request.Event) (*request.Record, error) {
+func (d *Dispatcher) Submit(r *request.Request, received request.Received) (*request.Record, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.isClosed {
@@ -250,7 +250,7 @@
 		hasEarlier = r.Repeatable && mayHaveRun(rec)
 	}
 	rec := request.NewRecord(r, d.cfg.AnswerBytes)
-	if err := rec.Restore(0, nil, delivered); err != nil {
+	if err := rec.Restore(0, received.Head, received.Events); err != nil {
 		return nil, err
 	}
 	e := newExecution(d, rec)
--- a/internal/dispatch/execution.go
+++ b/internal/dispatch/execution.go
@@ -5,9 +5,12 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"buckthornpick/internal/backend"
 	"buckthornpick/internal/claim"
 	"buckthornpick/internal/fault"
@@ -214,7 +217,9 @@
 // follow copies the answer into the record. A nil error means that it is whole.
 func (e *execution) follow(number int, a *attempt, answer backend.Answer) error {
 	defer func() { _ = answer.Close() }()
-	if err := e.rec.SetHead(number, answer.Head()); err != nil {
+	head := answer.Head()
+	head.Answer = answerName(a.id)
+	if err := e.rec.SetHead(number, head); err != nil {
 		return err
 	}
 	isFirst := true
@@ -238,6 +243,11 @@
 	}
 }
 
+// answerName names the answer that begins with the attempt.
+func answerName(id backend.AttemptID) string {
+	return strconv.FormatUint(xxhash.Sum64String(string(id))>>32, 36)
+}
+
 // interruptible returns the context of one attempt.
 func (e *execution) interruptible(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -21,11 +21,13 @@
 	organisation string
 	info         request.Info
 	after        int
-	// delivered holds the events that came from a peer, so that a new owner
-	// can go on from them if the old one is lost.
-	delivered []request.Event
-	wasSent   bool
-	src       source
+	// answer is the name of the answer of which the caller has events.
+	answer string
+	// received holds what came from a peer, so that a new owner can go on from
+	// it if the old one is lost.
+	received request.Received
+	wasSent  bool
+	src      source
 	// searching is when the search for the owner began, zero while there is a
 	// source. A search may take several calls of Next, each with a context of
 	// its own.
@@ -51,8 +53,7 @@
 	for {
 		step, err := f.src.next(ctx)
 		if err == nil && !step.HandedOver {
-			f.note(step)
-			return step, nil
+			return step, f.note(step)
 		}
 		if ctx.Err() != nil {
 			return request.Step{}, ctx.Err()
@@ -78,16 +79,36 @@
 
 var errNoOwner = errors.New("its ownership is moving")
 
-func (f *follower) note(step request.Step) {
-	if step.Event == nil {
-		return
-	}
-	f.after = step.Event.Sequence
-	if _, isRemote := f.src.(*remoteSource); isRemote && f.req != nil && f.req.Repeatable {
-		f.delivered = append(f.delivered, *step.Event)
+// note remembers what the caller gets. It refuses another answer than that of
+// which the caller has events already.
+func (f *follower) note(step request.Step) error {
+	_, isRemote := f.src.(*remoteSource)
+	keeps := isRemote && f.req != nil && f.req.Repeatable
+	switch {
+	case step.Head != nil:
+		if f.after > 0 && f.answer != "" && step.Head.Answer != f.answer {
+			return errAnswerLost
+		}
+		f.answer = step.Head.Answer
+		if keeps {
+			f.received.Head = step.Head
+		}
+	case step.Event != nil:
+		f.after = step.Event.Sequence
+		if keeps {
+			f.received.Events = append(f.received.Events, *step.Event)
+		}
 	}
+	return nil
 }
 
+// errAnswerLost refuses to mix two answers.
+var errAnswerLost = &gateway.EndError{End: request.End{
+	Outcome: request.Unknown, Problem: "answer_lost", Status: http.StatusConflict,
+	Message: "the answer that you began to receive was lost and the request has run anew; " +
+		"ask again without Last-Event-ID for the whole new answer",
+}}
+
 // connect finds the request's owner and the answer's source. It tries again
 // while ownership moves.
 func (f *follower) connect(ctx context.Context) error {
@@ -122,7 +143,7 @@
 	if f.req == nil {
 		src, info, err = f.node.openAttach(ctx, f.organisation, f.id, f.after)
 	} else {
-		src, info, err = f.node.openSubmit(ctx, f.submission(), f.delivered, f.after)
+		src, info, err = f.node.openSubmit(ctx, f.submission(), f.received, f.after)
 	}
 	if !fault.Is(err, fault.Unavailable) {
 		f.wasSent = true
@@ -158,12 +179,12 @@
 	if f.req == nil || !f.req.Repeatable || time.Since(started) < localFallback {
 		return false
 	}
-	return f.after == len(f.delivered)
+	return f.after == len(f.received.Events)
 }
 
 func (f *follower) runHere(ctx context.Context) error {
 	f.node.log.Log(EvRunsHere, "request", f.id, "after", f.after)
-	rec, err := f.node.owner.Submit(f.submission(), f.delivered)
+	rec, err := f.node.owner.Submit(f.submission(), f.received)
 	if err != nil {
 		return submitError(err)
 	}
--- a/internal/entry/messages.go
+++ b/internal/entry/messages.go
@@ -10,8 +10,8 @@
 	Request *request.Request `msgpack:"r"`
 	// After is the sequence number of the last event that the caller has.
 	After int `msgpack:"a,omitempty"`
-	// Delivered are the events that the ingress has from a lost owner.
-	Delivered []request.Event `msgpack:"d,omitempty"`
+	// Received is what the ingress has from a lost owner.
+	Received request.Received `msgpack:"d"`
 }
 
 // attachMsg opens an Attach stream: the answer of a known request.
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -1,7 +1,10 @@
 package entry_test
 
 import (
+	"bytes"
+	"regexp"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -81,3 +84,46 @@
 		require.Equal(t, 1, s.runs("used"))
 	})
 }
+
+// TestAnswerOfALostExecutionIsNotMixedWithANewOne loses the owner and the
+// record of an answer that a caller has in part, and sends the request again.
+func TestAnswerOfALostExecutionIsNotMixedWithANewOne(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		owner, other := s.Entries()[3], s.Entries()[0]
+		header := map[string]string{"Idempotency-Key": s.keyOwnedBy(owner, "sampled-")}
+		body := []byte(`{"model":"` + testModel + `","stream":true,"max_tokens":20,"temperature":1,` +
+			`"messages":[{"role":"user","content":"check"}]}`)
+		first, err := s.send(owner, "POST", chatPath, header, body)
+		require.NoError(t, err)
+		ids := regexp.MustCompile(`(?m)^id: (\S+)$`).FindAllStringSubmatch(string(first.body), -1)
+		require.Len(t, ids, 21)
+		owner.Kill()
+		time.Sleep(30 * time.Second)
+		header["Last-Event-ID"] = ids[9][1]
+		rest, err := s.send(other, "POST", chatPath, header, body)
+		require.NoError(t, err)
+		require.Equal(t, 409, rest.status, "%s", rest.tail())
+		require.Contains(t, string(rest.body), "answer_lost")
+		delete(header, "Last-Event-ID")
+		whole, err := s.send(other, "POST", chatPath, header, body)
+		require.NoError(t, err)
+		require.NoError(t, engine.VerifyText(engine.PromptOf(body), streamText(t, whole.body), 20))
+	})
+}
+
+func TestAttachFromAnEventGivesTheRest(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		body := chatBody("check the shop", 20, true)
+		first, err := s.send(s.Entries()[0], "POST", chatPath, nil, body)
+		require.NoError(t, err)
+		ids := regexp.MustCompile(`(?m)^id: (\S+)$`).FindAllStringSubmatch(string(first.body), -1)
+		path := "/v1/requests/" + first.header.Get("Buckthornpick-Request-Id")
+		for _, e := range s.Entries() {
+			rest, err := s.send(e, "GET", path, map[string]string{"Last-Event-ID": ids[4][1]}, nil)
+			require.NoError(t, err)
+			_, tail, ok := bytes.Cut(first.body, []byte("id: "+ids[5][1]))
+			require.True(t, ok)
+			require.Equal(t, "id: "+ids[5][1]+string(tail), string(rest.body))
+		}
+	})
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -30,7 +30,7 @@
 		return fault.New(fault.Conflict, "entry.submit", n.cfg.Self.ID, "this node does not own partition %d",
 			m.Request.ID.Partition())
 	}
-	src, info, err := n.submitHere(ctx, m.Request, m.Delivered, m.After)
+	src, info, err := n.submitHere(ctx, m.Request, m.Received, m.After)
 	if err != nil {
 		return remoteSubmitError(err)
 	}
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -27,9 +27,9 @@
 func (n *Node) MintID() request.ID { return n.minter.mint() }
 
 // Submit implements gateway.Node.
-func (n *Node) Submit(ctx context.Context, r *request.Request, after int) (gateway.Answer, error) {
+func (n *Node) Submit(ctx context.Context, r *request.Request, pos request.Position) (gateway.Answer, error) {
 	r.Zone = n.cfg.Self.Zone
-	f := &follower{node: n, req: r, id: r.ID, organisation: r.Organisation, after: after, info: r.Info()}
+	f := &follower{node: n, req: r, id: r.ID, organisation: r.Organisation, after: pos.After, answer: pos.Answer, info: r.Info()}
 	if err := f.connect(ctx); err != nil {
 		return nil, err
 	}
@@ -37,8 +37,8 @@
 }
 
 // Attach implements gateway.Node.
-func (n *Node) Attach(ctx context.Context, organisation string, id request.ID, after int) (gateway.Answer, error) {
-	f := &follower{node: n, id: id, organisation: organisation, after: after}
+func (n *Node) Attach(ctx context.Context, organisation string, id request.ID, pos request.Position) (gateway.Answer, error) {
+	f := &follower{node: n, id: id, organisation: organisation, after: pos.After, answer: pos.Answer}
 	if err := f.connect(ctx); err != nil {
 		return nil, err
 	}
@@ -47,15 +47,15 @@
 
 // openSubmit brings a request to its owner and returns the answer's source. A
 // node that has no table yet runs only what no other node can know of.
-func (n *Node) openSubmit(ctx context.Context, r *request.Request, delivered []request.Event, after int) (source, request.Info, error) {
+func (n *Node) openSubmit(ctx context.Context, r *request.Request, received request.Received, after int) (source, request.Info, error) {
 	owner, ok := n.ownerOf(r.ID.Partition())
 	if !ok && !(r.Minted && r.Repeatable) {
 		return nil, request.Info{}, fault.New(fault.Unavailable, "entry.submit", "", "no table of members yet")
 	}
 	if !ok || owner.ID == n.cfg.Self.ID {
-		return n.submitHere(ctx, r, delivered, after)
+		return n.submitHere(ctx, r, received, after)
 	}
-	return n.openRemote(ctx, owner, peer.Submit, submitMsg{Request: r, After: after, Delivered: delivered})
+	return n.openRemote(ctx, owner, peer.Submit, submitMsg{Request: r, After: after, Received: received})
 }
 
 // ownerOf returns the node that takes requests of the partition: its owner by
@@ -88,13 +88,13 @@
 
 // submitHere starts a request at this node, unless a node that owned it before
 // still has it.
-func (n *Node) submitHere(ctx context.Context, r *request.Request, delivered []request.Event, after int) (source, request.Info, error) {
+func (n *Node) submitHere(ctx context.Context, r *request.Request, received request.Received, after int) (source, request.Info, error) {
 	if _, ok := n.owner.Find(r.ID); !ok && !r.Minted {
 		if s, info, ok := n.openAtEarlierOwner(ctx, r, after); ok {
 			return s, info, nil
 		}
 	}
-	rec, err := n.owner.Submit(r, delivered)
+	rec, err := n.owner.Submit(r, received)
 	if err != nil {
 		return nil, request.Info{}, submitError(err)
 	}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -9,11 +9,11 @@
 )
 
 // writeAnswer delivers an answer in the form that the caller asked for.
-func (g *Gateway) writeAnswer(w http.ResponseWriter, r *http.Request, a Answer, after int) {
+func (g *Gateway) writeAnswer(w http.ResponseWriter, r *http.Request, a Answer) {
 	info := a.Info()
 	w.Header().Set(HeaderRequestID, string(info.ID))
 	if info.Stream {
-		g.writeStream(w, r, a, after)
+		g.writeStream(w, r, a)
 		return
 	}
 	g.writeWhole(w, r, a)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,10 +50,10 @@
 	// MintID returns a fresh request ID in a partition that this node owns.
 	MintID() request.ID
 	// Submit accepts a request, or attaches to it if it is known already, and
-	// delivers its events after sequence number after.
-	Submit(ctx context.Context, r *request.Request, after int) (Answer, error)
+	// delivers its events after the position.
+	Submit(ctx context.Context, r *request.Request, pos request.Position) (Answer, error)
 	// Attach delivers the answer of a known request of the organisation.
-	Attach(ctx context.Context, organisation string, id request.ID, after int) (Answer, error)
+	Attach(ctx context.Context, organisation string, id request.ID, pos request.Position) (Answer, error)
 	// Leaving is closed when callers must attach elsewhere before the VM goes.
 	Leaving() <-chan struct{}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,22 +27,21 @@
 
 // streamWriter writes one answer as server-sent events.
 type streamWriter struct {
-	w       http.ResponseWriter
-	rc      *http.ResponseController
-	id      request.ID
+	w  http.ResponseWriter
+	rc *http.ResponseController
+	id request.ID
+	// suffix follows the sequence number in event IDs.
+	suffix  string
 	started bool
 	buf     bytes.Buffer
 }
 
 // writeStream delivers an answer as server-sent events. The outcome is a
 // trailer and, unless completed, also the last event.
-func (g *Gateway) writeStream(w http.ResponseWriter, r *http.Request, a Answer, after int) {
+func (g *Gateway) writeStream(w http.ResponseWriter, r *http.Request, a Answer) {
 	ctx, cancel := g.untilLeaving(r.Context())
 	defer cancel()
 	s := &streamWriter{w: w, rc: http.NewResponseController(w), id: a.Info().ID}
-	if after > 0 {
-		s.start()
-	}
 	for {
 		step, err := g.nextOrKeepAlive(ctx, a, s)
 		if err != nil {
@@ -53,6 +52,9 @@
 			s.end(*step.End)
 			return
 		}
+		if step.Head != nil && step.Head.Answer != "" {
+			s.suffix = eventIDSeparator + step.Head.Answer
+		}
 		if step.Event == nil {
 			continue
 		}
@@ -122,6 +124,7 @@
 	s.start()
 	s.buf.WriteString("id: ")
 	s.buf.WriteString(strconv.Itoa(ev.Sequence))
+	s.buf.WriteString(s.suffix)
 	s.buf.WriteString("\ndata: ")
 	s.buf.Write(ev.Data)
 	s.buf.WriteString("\n\n")
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,7 +44,7 @@
 		writeProblem(w, invalid("Idempotency-Key exceeds "+strconv.Itoa(maxKeyLength)+" bytes"))
 		return
 	}
-	after, p := lastEventID(r)
+	pos, p := lastEventID(r)
 	if p != nil {
 		writeProblem(w, *p)
 		return
@@ -56,13 +57,13 @@
 	req.AcceptedAt = time.Now()
 	req.Deadline = req.AcceptedAt.Add(g.timeout(s))
 	g.log.Log(EvAccepted, "request", req.ID, "organisation", req.Organisation, "service", req.Service)
-	answer, err := g.node.Submit(r.Context(), req, after)
+	answer, err := g.node.Submit(r.Context(), req, pos)
 	if err != nil {
 		writeNodeError(w, req.ID, err)
 		return
 	}
 	defer answer.Close()
-	g.writeAnswer(w, r, answer, after)
+	g.writeAnswer(w, r, answer)
 }
 
 func (g *Gateway) identify(req *request.Request, organisation, key string) {
@@ -102,33 +103,38 @@
 		writeProblem(w, invalid("request ID must be 32 hexadecimal digits"))
 		return
 	}
-	after, p := lastEventID(r)
+	pos, p := lastEventID(r)
 	if p != nil {
 		writeProblem(w, *p)
 		return
 	}
-	answer, err := g.node.Attach(r.Context(), c.organisation, id, after)
+	answer, err := g.node.Attach(r.Context(), c.organisation, id, pos)
 	if err != nil {
 		writeNodeError(w, id, err)
 		return
 	}
 	defer answer.Close()
-	g.writeAnswer(w, r, answer, after)
+	g.writeAnswer(w, r, answer)
 }
 
-func lastEventID(r *http.Request) (int, *problem) {
+// lastEventID reads how far the caller has the answer. Event IDs are the
+// sequence number, a hyphen and the answer's name; the number alone is accepted.
+func lastEventID(r *http.Request) (request.Position, *problem) {
 	text := r.Header.Get(HeaderLastEventID)
 	if text == "" {
-		return 0, nil
+		return request.Position{}, nil
 	}
-	n, err := strconv.Atoi(text)
+	number, answer, _ := strings.Cut(text, eventIDSeparator)
+	n, err := strconv.Atoi(number)
 	if err != nil || n < 0 {
-		p := invalid("Last-Event-ID must be a whole number, not " + quote(text))
-		return 0, &p
+		p := invalid("Last-Event-ID must be the ID of an event, not " + quote(text))
+		return request.Position{}, &p
 	}
-	return n, nil
+	return request.Position{After: n, Answer: answer}, nil
 }
 
+const eventIDSeparator = "-"
+
 // EndError is an error of Node that is an answer in itself.
 type EndError struct{ End request.End }
 
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -66,8 +66,10 @@
 	started time.Time
 	last    time.Time
 	lastID  int
-	text    strings.Builder
-	isWhole bool
+	// position is the last event's ID as it was received.
+	position string
+	text     strings.Builder
+	isWhole  bool
 }
 
 // Do makes one call and checks its answer.
@@ -144,7 +146,7 @@
 		h.Set(gateway.HeaderPriority, call.Class.Priority)
 	}
 	if p.lastID > 0 {
-		h.Set(gateway.HeaderLastEventID, strconv.Itoa(p.lastID))
+		h.Set(gateway.HeaderLastEventID, p.position)
 	}
 	return req, nil
 }
@@ -167,7 +169,8 @@
 	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxLine))
 	p.result.Outcome = request.Outcome(resp.Header.Get(gateway.HeaderOutcome))
 	p.result.Problem = fmt.Sprintf("%d %s", resp.StatusCode, body)
-	if resp.StatusCode == http.StatusNotFound && p.result.ID != "" {
+	isLost := resp.StatusCode == http.StatusNotFound && p.result.ID != "" || resp.StatusCode == http.StatusConflict
+	if isLost {
 		p.restart()
 		return lostPause, false
 	}
@@ -242,7 +245,7 @@
 	if ev.id != p.lastID+1 {
 		return fmt.Errorf("%w: %d after %d", errSequence, ev.id, p.lastID)
 	}
-	p.lastID = ev.id
+	p.lastID, p.position = ev.id, ev.lastEventID
 	p.event(time.Now())
 	p.text.WriteString(chunkText(ev.data))
 	return nil
--- a/internal/load/events.go
+++ b/internal/load/events.go
@@ -9,9 +9,11 @@
 
 // event is one server-sent event.
 type event struct {
-	id   int
-	name string
-	data []byte
+	// id is the sequence number of lastEventID.
+	id          int
+	lastEventID string
+	name        string
+	data        []byte
 }
 
 // eventReader reads server-sent events.
@@ -41,7 +43,9 @@
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
 	case "id":
-		e.id, _ = strconv.Atoi(string(value))
+		e.lastEventID = string(value)
+		number, _, _ := bytes.Cut(value, []byte("-"))
+		e.id, _ = strconv.Atoi(string(number))
 	case "event":
 		e.name = string(value)
 	case "data":
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -121,6 +121,9 @@
 
 // Head is the status line and headers of an answer.
 type Head struct {
+	// Answer names the answer: it changes when a request runs anew, and stays
+	// when the answer is resumed, moved or continued.
+	Answer string      `msgpack:"a,omitempty"`
 	Status int         `msgpack:"s"`
 	Header http.Header `msgpack:"h,omitempty"`
 }
@@ -154,3 +157,17 @@
 func (r *Request) Info() Info {
 	return Info{ID: r.ID, Kind: r.Kind, Stream: r.Stream}
 }
+
+// Position is how far a caller has received an answer.
+type Position struct {
+	// After is the sequence number of the last event received, 0 for none.
+	After int
+	// Answer is Head.Answer of that event's answer; empty if not known.
+	Answer string
+}
+
+// Received is what an ingress has of an answer whose owner was lost.
+type Received struct {
+	Head   *Head   `msgpack:"h,omitempty"`
+	Events []Event `msgpack:"e,omitempty"`
+}
--- a/test/fuzz/callers.go
+++ b/test/fuzz/callers.go
@@ -166,7 +166,7 @@
 			req.Header.Set(name, value)
 		}
 	} else if s.After > 0 {
-		req.Header.Set(gateway.HeaderLastEventID, strconv.Itoa(s.After))
+		req.Header.Set(gateway.HeaderLastEventID, s.Before[len(s.Before)-1].ID)
 	}
 	resp, err := w.client.Do(req)
 	if err != nil {
@@ -199,17 +199,17 @@
 func (s *Submission) readStream(resp *http.Response) error {
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, 1<<20)
-	sequence, event := 0, ""
+	id, event := "", ""
 	for lines.Scan() {
 		name, value, _ := strings.Cut(lines.Text(), ": ")
 		switch name {
 		case "id":
-			sequence, _ = strconv.Atoi(value)
+			id = value
 		case "event":
 			event = value
 		case "data":
-			s.noteEvent(sequence, event, value)
-			sequence, event = 0, ""
+			s.noteEvent(id, event, value)
+			id, event = "", ""
 		}
 	}
 	if lines.Err() != nil {
@@ -221,14 +221,16 @@
 	return nil
 }
 
-func (s *Submission) noteEvent(sequence int, event, data string) {
+func (s *Submission) noteEvent(id, event, data string) {
 	switch {
 	case event == "reattach":
 		s.SentAway = true
 	case event != "":
 		s.Body = data
 	case data != "[DONE]":
-		s.Pieces = append(s.Pieces, Piece{sequence, deltaText(data)})
+		number, _, _ := strings.Cut(id, "-")
+		sequence, _ := strconv.Atoi(number)
+		s.Pieces = append(s.Pieces, Piece{Sequence: sequence, ID: id, Text: deltaText(data)})
 	}
 }
 
--- a/test/fuzz/oracle.go
+++ b/test/fuzz/oracle.go
@@ -17,6 +17,8 @@
 // Piece is one event of a streamed answer.
 type Piece struct {
 	Sequence int
+	// ID is the event's ID as the caller received it.
+	ID string
 	Text     string
 }
 
