fleet, limit: steer to 3.5% misses; shed later

Cause: sizing kept more VMs than the target needs after admission improved; context shedding began in bursts that need none.

--- a/internal/experiment/workload.go
+++ b/internal/experiment/workload.go
@@ -75,7 +75,7 @@
 }
 
 // Nilevale audits online shops.
-var Nilevale = Site{Name: "nilevale", utilisation: 0.5, kinds: []sessionKind{
+var Nilevale = Site{Name: "nilevale", utilisation: 0.7, kinds: []sessionKind{
 	{rate: 0.9, make: crawlReview}, {rate: 1.2, make: pageRewrites},
 	{rate: 11, make: titleSuggestion}, {rate: 4, make: reportFetch},
 }}
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -29,11 +29,11 @@
 	maxUtilisation                = 1.2
 	// missGoal is the share of missed requests that the utilisation is
 	// steered to; it leaves a margin to the 5% of a p95 target.
-	missGoal = 0.025
+	missGoal = 0.035
 	// missMemory is the weight of older samples in the mean share of misses.
 	missMemory = 0.98
 	// maxIncrease and maxDecrease bound the relative step per sample.
-	maxIncrease = 0.003
+	maxIncrease = 0.006
 	maxDecrease = 0.03
 	// minFinished is the least weight of requests that a step needs.
 	minFinished = 50
--- a/internal/limit/shed.go
+++ b/internal/limit/shed.go
@@ -8,7 +8,7 @@
 	shedSamples = 32
 	// shedStart and shedEnd are the shares of late or refused requests above
 	// and below which the shed share rises and falls.
-	shedStart = 0.2
+	shedStart = 0.3
 	shedEnd   = 0.04
 	// shedGain is the part of the excess by which the share rises.
 	shedGain = 0.5
