route: fewer copies per decision

Cause: the decision copied each candidate's terms and took a logarithm per server. Decisions do not change.

--- a/internal/route/hash.go
+++ b/internal/route/hash.go
@@ -20,8 +20,13 @@
 // key the node with the highest score is its home, and a node's share of the
 // keys is proportional to its weight.
 func rendezvous(key, node uint64, weight float64) float64 {
-	u := (float64(mix(key^node)>>11) + 0.5) / (1 << 53)
-	return -weight / math.Log(u)
+	return -weight / math.Log(unit(key, node))
+}
+
+// unit hashes key and node to a number between 0 and 1. Among nodes of equal
+// weight it orders like rendezvous.
+func unit(key, node uint64) float64 {
+	return (float64(mix(key^node)>>11) + 0.5) / (1 << 53)
 }
 
 // subset returns the size servers with the highest scores for the entry self,
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -78,20 +78,14 @@
 	s.changes = append(s.changes[:0], s.changes[covered:]...)
 }
 
-// requests returns the corrected number of requests at the server: the report
-// plus own changes since it was measured, and never fewer than the own ones.
-func (s *serverState) requests(now time.Time) float64 {
+// load returns the corrected number of requests at the server and how many of
+// them wait: the report plus own changes since it was measured, and never fewer
+// than the own requests.
+func (s *serverState) load(now time.Time) (requests, waiting float64) {
 	if !s.fresh(now) {
-		return float64(s.own)
+		return float64(s.own), 0
 	}
-	return float64(max(s.own, s.report.Running+s.report.Waiting+s.deltaSum))
-}
-
-func (s *serverState) waiting(now time.Time) float64 {
-	if !s.fresh(now) {
-		return 0
-	}
-	return float64(s.report.Waiting)
+	return float64(max(s.own, s.report.Running+s.report.Waiting+s.deltaSum)), float64(s.report.Waiting)
 }
 
 func (s *serverState) fresh(now time.Time) bool {
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -1,9 +1,6 @@
 package route
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// loadBound is how far above the mean load a context's home may be before
@@ -34,6 +31,7 @@
 type candidate struct {
 	server   *serverState
 	requests float64
+	waiting  float64
 	terms    CandidateTerms
 	features features
 }
@@ -90,11 +88,24 @@
 			full = true
 			continue
 		}
-		p.candidates = append(p.candidates, candidate{server: s, requests: s.requests(q.Now)})
+		c := p.nextCandidate()
+		c.server = s
+		c.requests, c.waiting = s.load(q.Now)
 	}
 	return full
 }
 
+// nextCandidate adds a candidate without clearing what an earlier decision left
+// in it; collect and cost set every field.
+func (p *Picker) nextCandidate() *candidate {
+	if n := len(p.candidates); n < cap(p.candidates) {
+		p.candidates = p.candidates[:n+1]
+	} else {
+		p.candidates = append(p.candidates, candidate{})
+	}
+	return &p.candidates[len(p.candidates)-1]
+}
+
 // home returns the candidate that every entry expects to hold the context: the
 // first in rendezvous order whose load is within the bound. It is -1 without a
 // context or if all are above the bound.
@@ -102,10 +113,13 @@
 	if q.Context == 0 {
 		return -1
 	}
-	requests, weight := 1.0, 0.0
+	requests, weight, first := 1.0, 0.0, p.candidates[0].server.weight()
+	equal := true
 	for i := range p.candidates {
+		w := p.candidates[i].server.weight()
 		requests += p.candidates[i].requests
-		weight += p.candidates[i].server.weight()
+		weight += w
+		equal = equal && w == first
 	}
 	bound := max(freeRequests, loadBound*requests/weight)
 	best, bestScore := -1, 0.0
@@ -114,7 +128,11 @@
 		if c.requests > bound*c.server.weight() {
 			continue
 		}
-		if score := rendezvous(q.Context, c.server.hash, c.server.weight()); best < 0 || score > bestScore {
+		score := unit(q.Context, c.server.hash)
+		if !equal {
+			score = rendezvous(q.Context, c.server.hash, c.server.weight())
+		}
+		if best < 0 || score > bestScore {
 			best, bestScore = i, score
 		}
 	}
@@ -141,16 +159,15 @@
 func (p *Picker) cost(q *Query, c *candidate, cached int) {
 	s := c.server
 	uncached := float64(q.PromptTokens - cached)
-	c.features = makeFeatures(uncached, s.backlog(q.Now), c.requests/s.weight(), s.waiting(q.Now)/s.weight())
+	c.features = makeFeatures(uncached, s.backlog(q.Now), c.requests/s.weight(), c.waiting/s.weight())
 	latency := s.model.predict(&c.features) * s.slowness
 	pressure := pressureAbove(latency, p.cfg.Target.FirstTokenMillis)
-	recompute := uncached * p.cfg.Weights.RecomputedTokenMillis
-	price := s.Price / s.weight() * p.cfg.Weights.PriceMillis
-	c.terms = CandidateTerms{
-		ID: s.ID, Latency: latency, Pressure: pressure, Recompute: recompute, Price: price,
-		Total:        latency + pressure + recompute + price,
-		CachedTokens: cached, Requests: c.requests,
-	}
+	t := &c.terms
+	t.Latency, t.Pressure = latency, pressure
+	t.Recompute = uncached * p.cfg.Weights.RecomputedTokenMillis
+	t.Price = s.Price / s.weight() * p.cfg.Weights.PriceMillis
+	t.Total = t.Latency + t.Pressure + t.Recompute + t.Price
+	t.CachedTokens, t.Requests = cached, c.requests
 }
 
 // pressureAbove is the cost of a latency near or above its target; both are in
@@ -242,37 +259,3 @@
 	}
 	return best
 }
-
-// choice returns the decision for candidate best with the cheapest terms.
-func (p *Picker) choice(best int, reason string) Choice {
-	c := &p.candidates[best]
-	terms := make([]CandidateTerms, 0, min(MaxTerms, len(p.candidates)))
-	for i := range p.candidates {
-		terms = insertTerms(terms, &p.candidates[i].terms)
-	}
-	if !slices.ContainsFunc(terms, func(t CandidateTerms) bool { return t.ID == c.server.ID }) {
-		terms[len(terms)-1] = c.terms
-	}
-	return Choice{
-		Server: c.server.Server, Reason: reason, Terms: terms,
-		ExpectedCachedTokens: c.terms.CachedTokens,
-		PredictedFirstToken:  time.Duration(c.terms.Latency * float64(time.Millisecond)),
-		features:             c.features,
-		learned:              c.server.model.learned(),
-	}
-}
-
-// insertTerms keeps terms ordered by cost and within its capacity.
-func insertTerms(terms []CandidateTerms, t *CandidateTerms) []CandidateTerms {
-	if len(terms) < cap(terms) {
-		terms = append(terms, *t)
-	} else if t.Total >= terms[len(terms)-1].Total {
-		return terms
-	}
-	i := len(terms) - 1
-	for ; i > 0 && terms[i-1].Total > t.Total; i-- {
-		terms[i] = terms[i-1]
-	}
-	terms[i] = *t
-	return terms
-}
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -191,7 +191,8 @@
 	}
 	sum := 0.0
 	for _, s := range p.usable {
-		sum += s.requests(now)
+		requests, _ := s.load(now)
+		sum += requests
 	}
 	return sum / float64(len(p.usable)*p.cfg.MaxConcurrentPerServer)
 }
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -110,15 +110,19 @@
 func TestReportIsCorrectedByOwnDispatches(t *testing.T) {
 	p := newTestPicker("entry", 1)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	requests := func(now time.Time) float64 {
+		n, _ := p.servers["engine-0000"].load(now)
+		return n
+	}
 	p.Dispatched(at(0), "engine-0000", Query{})
 	p.Dispatched(at(200), "engine-0000", Query{})
 	p.Report(at(300), "engine-0000", backend.Load{Running: 5, MeasuredAt: at(100)})
-	require.Equal(t, 6.0, p.servers["engine-0000"].requests(at(300)), "one dispatch came after the measurement")
+	require.Equal(t, 6.0, requests(at(300)), "one dispatch came after the measurement")
 	p.Report(at(350), "engine-0000", backend.Load{Running: 50, MeasuredAt: at(50)})
-	require.Equal(t, 6.0, p.servers["engine-0000"].requests(at(350)), "an older report changes nothing")
+	require.Equal(t, 6.0, requests(at(350)), "an older report changes nothing")
 	p.Finished(at(400), "engine-0000", Query{}, backend.Usage{}, true)
-	require.Equal(t, 5.0, p.servers["engine-0000"].requests(at(400)))
-	require.Equal(t, 1.0, p.servers["engine-0000"].requests(at(0).Add(staleReport*2)), "a stale report is ignored")
+	require.Equal(t, 5.0, requests(at(400)))
+	require.Equal(t, 1.0, requests(at(0).Add(staleReport*2)), "a stale report is ignored")
 }
 
 func TestGapVoidsEventsAndKeepsOwnKnowledge(t *testing.T) {
