--- a/internal/fleet/size_test.go
+++ b/internal/fleet/size_test.go
@@ -109,3 +109,13 @@
 		}
 	})
 }
+
+func BenchmarkSize(b *testing.B) {
+	current := map[OfferKey]int{{"a", "g1", true}: 7, {"b", "g1", true}: 6, {"c", "g1", true}: 5}
+	for b.Loop() {
+		plan := Size(SizeInput{Now: start, Demand: Demand{Total: 22, Protected: 13}, Offers: testOffers(), Current: current})
+		if plan.Short {
+			b.Fatal("short")
+		}
+	}
+}
