--- a/test/fuzz/callers.go
+++ b/test/fuzz/callers.go
@@ -127,9 +127,9 @@
 // leadsOn reports whether the caller looks for the answer elsewhere.
 func (s *Submission) leadsOn() bool { return s.SentAway || (s.Excuse != "" && s.Heard) }
 
-// all returns every event that the caller has by the end of s.
+// all returns every event that the caller has by the end of s; never nil.
 func (s *Submission) all() []Piece {
-	return append(s.Before[:len(s.Before):len(s.Before)], s.Pieces...)
+	return append(append([]Piece{}, s.Before...), s.Pieces...)
 }
 
 // submit makes one connection and returns when it has ended. before is nil for
--- a/test/fuzz/fuzz_test.go
+++ b/test/fuzz/fuzz_test.go
@@ -135,5 +135,7 @@
 	if os.Getenv("FUZZ_LOG") == "" {
 		return nil
 	}
-	return func(node, zone string) *telemetry.Logger { return telemetry.NewLogger(os.Stdout, slog.LevelDebug, node, zone) }
+	return func(node, zone string) *telemetry.Logger {
+		return telemetry.NewLogger(os.Stdout, slog.LevelDebug, node, zone)
+	}
 }
