--- /dev/null
+++ b/internal/slopes/claims.go
@@ -0,0 +1,210 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"buckthornpick/internal/backend"
+	"buckthornpick/internal/claim"
+	"buckthornpick/internal/kv"
+	"buckthornpick/internal/kv/etcd"
+	"buckthornpick/internal/netx"
+	"buckthornpick/internal/peer"
+	"buckthornpick/internal/request"
+	"buckthornpick/internal/standin/memnet"
+	"buckthornpick/internal/standin/site"
+	"buckthornpick/internal/telemetry"
+
+	kvstandin "buckthornpick/internal/standin/kv"
+)
+
+const (
+	claimNodes  = 10
+	claimPeriod = 3 * time.Second
+	// startPause lets the ledgers start.
+	startPause = 200 * time.Millisecond
+	claimTable  = "slopes/table"
+	claimPrefix = "claims/"
+)
+
+var claimRates = []int{50, 200, 400, 1200}
+
+// measureClaims measures the claims of one zone of ten nodes against claims a
+// second.
+func measureClaims(ctx context.Context, _ Options, out *Results) error {
+	for _, rate := range claimRates {
+		if err := measureClaimsAt(ctx, rate, out); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func measureClaimsAt(ctx context.Context, rate int, out *Results) error {
+	z, err := newClaimZone(ctx)
+	if err != nil {
+		return err
+	}
+	defer z.stop()
+	pause(ctx, startPause)
+	if err := z.warmUp(ctx); err != nil {
+		return err
+	}
+	before, memory, began := z.store.Calls()["txn"], liveBytes(), time.Now()
+	committed, err := z.run(ctx, rate)
+	if err != nil {
+		return err
+	}
+	seconds := time.Since(began).Seconds()
+	add := func(quantity, unit string, y float64) {
+		out.Add("claims", quantity, unit, "claims/s in a zone", math.Round(float64(committed)/seconds), y)
+	}
+	add("claims: store transactions, one zone", "calls/s", float64(z.store.Calls()["txn"]-before)/seconds)
+	stored, err := z.storedBytes(ctx)
+	if err != nil {
+		return err
+	}
+	add("claims: bytes in the store per claim", "B", stored/float64(committed+request.Partitions))
+	add("claims: memory per claim, store stand-in included", "B", (liveBytes()-memory)/float64(committed))
+	return nil
+}
+
+// claimZone is the claim ledgers of one zone; partitions are shared out evenly.
+type claimZone struct {
+	store   *kvstandin.Server
+	client  kv.Store
+	ledgers []*claim.Ledger
+	sent    int
+	cancel  context.CancelFunc
+	work    sync.WaitGroup
+}
+
+func newClaimZone(ctx context.Context) (*claimZone, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	z := &claimZone{store: kvstandin.New(1), cancel: cancel}
+	network := memnet.New(1)
+	listener, err := network.Host("store", "").Listen("store:8080")
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	server := &http.Server{Handler: z.store, ReadHeaderTimeout: time.Minute}
+	z.work.Go(func() { _ = server.Serve(listener) })
+	z.work.Go(func() { _ = z.store.Run(ctx) })
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	z.client = storeClient(network.Host("probe", ""))
+	written, err := z.client.Txn(ctx, nil, []kv.Op{kv.Put(claimTable, []byte("table"))})
+	if err != nil {
+		z.stop()
+		return nil, err
+	}
+	z.startLedgers(ctx, network, written.Revision)
+	return z, nil
+}
+
+func storeClient(n netx.Network) kv.Store {
+	client := netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: 64})
+	return etcd.New(etcd.Config{Endpoint: "http://store:8080"}, client, metrics.NewRegistry())
+}
+
+func (z *claimZone) startLedgers(ctx context.Context, network *memnet.Network, table int64) {
+	writer := peer.Node{ID: "entry-0", Zone: "a", Address: "entry-0" + peerPort}
+	for i := range claimNodes {
+		id := fmt.Sprintf("entry-%d", i)
+		host := network.Host(id, "a")
+		t := peer.New(peer.Node{ID: id, Zone: "a", Address: id + peerPort}, host, telemetry.Discard(),
+			metrics.NewRegistry(), peer.Options{Secret: []byte(site.Secret)})
+		own := &claimOwnership{Tenure: &claim.Tenure{}, writer: writer}
+		own.Observe(table, 0, func(p int) bool { return p%claimNodes == i })
+		l := claim.New(claim.Config{}, own, storeClient(host), t, telemetry.Discard(), metrics.NewRegistry())
+		z.ledgers = append(z.ledgers, l)
+		z.work.Go(func() { _ = t.Run(ctx) })
+		z.work.Go(func() { _ = l.Run(ctx) })
+	}
+}
+
+func (z *claimZone) stop() {
+	z.cancel()
+	z.work.Wait()
+}
+
+// warmUp commits one claim of each partition, so that every one is loaded.
+func (z *claimZone) warmUp(ctx context.Context) error {
+	for z.sent < request.Partitions {
+		if _, err := z.commit(ctx, z.sent); err != nil {
+			return err
+		}
+		z.sent++
+	}
+	return nil
+}
+
+// run commits claims at the rate; it returns how many were committed.
+func (z *claimZone) run(ctx context.Context, rate int) (int, error) {
+	var wg sync.WaitGroup
+	var committed atomic.Int64
+	var failure atomic.Pointer[error]
+	first, began := z.sent, time.Now()
+	for time.Since(began) < claimPeriod && ctx.Err() == nil {
+		for due := first + int(time.Since(began).Seconds()*float64(rate)); z.sent < due; z.sent++ {
+			number := z.sent
+			wg.Go(func() {
+				n, err := z.commit(ctx, number)
+				committed.Add(int64(n))
+				if err != nil {
+					failure.Store(&err)
+				}
+			})
+		}
+		pause(ctx, time.Millisecond)
+	}
+	wg.Wait()
+	if err := failure.Load(); err != nil {
+		return int(committed.Load()), *err
+	}
+	return int(committed.Load()), nil
+}
+
+// commit claims request number at its partition's owner.
+func (z *claimZone) commit(ctx context.Context, number int) (int, error) {
+	// Partitions and numbers meet in the ID's first four digits.
+	id := request.ID(fmt.Sprintf("%04x%028x", number%request.Partitions, number))
+	owner := id.Partition() % claimNodes
+	err := z.ledgers[owner].Commit(ctx, claim.Claim{
+		Request: id, Organisation: "organisation-1", Service: "report", Owner: fmt.Sprintf("entry-%d", owner),
+		Incarnation: 1, Target: backend.Target{ID: "server-a-00001", Address: "10.0.0.1:8000"},
+		Attempt: backend.AttemptID(id), Number: 1, Fingerprint: uint64(number),
+	})
+	if err != nil {
+		return 0, err
+	}
+	return 1, nil
+}
+
+func (z *claimZone) storedBytes(ctx context.Context) (float64, error) {
+	snapshot, err := z.client.List(ctx, claimPrefix)
+	sum := 0
+	for _, e := range snapshot.Entries {
+		sum += len(e.Key) + len(e.Value)
+	}
+	return float64(sum), err
+}
+
+// claimOwnership implements claim.Ownership for a table that does not change.
+type claimOwnership struct {
+	*claim.Tenure
+	writer peer.Node
+}
+
+// TableKey implements claim.Ownership.
+func (o *claimOwnership) TableKey() string { return claimTable }
+
+// Writer implements claim.Ownership.
+func (o *claimOwnership) Writer() (peer.Node, bool) { return o.writer, true }
--- /dev/null
+++ b/internal/slopes/document.go
@@ -0,0 +1,41 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// documentSizes are numbers of organisations, each with one rule.
+var documentSizes = []int{5, 50, 200}
+
+// measureDocument measures a change against the document's encoded size.
+func measureDocument(ctx context.Context, _ Options, out *Results) error {
+	for _, n := range documentSizes {
+		if err := measureDocumentAt(ctx, n, out); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func measureDocumentAt(ctx context.Context, organisations int, out *Results) error {
+	doc := document(organisations)
+	value, err := msgpack.Marshal(doc)
+	if err != nil {
+		return err
+	}
+	r, err := newRig(ctx, serverNodes, smallSite, doc)
+	if err != nil {
+		return err
+	}
+	defer r.site.Close()
+	pause(ctx, settle)
+	rest := r.during(func() { pause(ctx, idle/4) })
+	size := float64(len(value))
+	out.Add("document", "organisations and rules of the document", "number", "encoded document bytes", size, float64(organisations))
+	return r.measureChanges(ctx, rest, func(quantity, unit string, y float64) {
+		out.Add("document", fmt.Sprint(quantity, ", by size"), unit, "encoded document bytes", size, y)
+	})
+}
--- /dev/null
+++ b/internal/slopes/probe.go
@@ -0,0 +1,67 @@
+package slopes
+
+import (
+	"runtime"
+	"syscall"
+	"time"
+)
+
+// probe is the state of the process and of a site at one time.
+type probe struct {
+	at       time.Time
+	cpu      time.Duration
+	calls    map[string]int64
+	readings map[string]reading
+}
+
+func (r *rig) probe() probe {
+	return probe{at: time.Now(), cpu: processorTime(), calls: r.site.Store.Calls(), readings: r.meter.readings(entryPrefix)}
+}
+
+// usage is what happened between two probes.
+type usage struct {
+	seconds float64
+	cpu     time.Duration
+	calls   map[string]float64
+	total   reading
+	// busiest holds, for each kind, the bytes of the node with the most.
+	busiest reading
+}
+
+func (p probe) until(q probe) usage {
+	u := usage{seconds: q.at.Sub(p.at).Seconds(), cpu: q.cpu - p.cpu, calls: map[string]float64{}}
+	for kind, n := range q.calls {
+		u.calls[kind] = float64(n - p.calls[kind])
+	}
+	for host, now := range q.readings {
+		then := p.readings[host]
+		d := reading{now.peer - then.peer, now.store - then.store, now.cloud - then.cloud}
+		u.total = reading{u.total.peer + d.peer, u.total.store + d.store, u.total.cloud + d.cloud}
+		u.busiest = reading{max(u.busiest.peer, d.peer), max(u.busiest.store, d.store), max(u.busiest.cloud, d.cloud)}
+	}
+	return u
+}
+
+// writes returns the store's calls that count as writes.
+func (u usage) writes() float64 {
+	return u.calls["txn"] + u.calls["put"] + u.calls["deleterange"] + u.calls["grant"] +
+		u.calls["revoke"] + u.calls["keepalive"]
+}
+
+// processorTime returns the user and system time of the process.
+func processorTime() time.Duration {
+	var r syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
+		return 0
+	}
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
+}
+
+// liveBytes returns the heap and stacks in use after a collection.
+func liveBytes() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
--- /dev/null
+++ b/internal/slopes/rig.go
@@ -0,0 +1,132 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/platform"
+	"buckthornpick/internal/standin/cloud"
+	"buckthornpick/internal/standin/site"
+)
+
+const (
+	entryPrefix = "entry-"
+	zones       = 3
+	// readyWait bounds the wait for a state of the site.
+	readyWait = 60 * time.Second
+	readyPoll = 2 * time.Millisecond
+)
+
+// rig is a site of real entry nodes whose backend servers are entries of the
+// VM list only.
+type rig struct {
+	meter   *meter
+	site    *site.Site
+	doc     *config.Document
+	servers []string
+}
+
+func zoneName(i int) string { return string(rune('a' + i%zones)) }
+
+// newRig starts nodes before a list of servers and waits until each node has
+// all members and the document.
+func newRig(ctx context.Context, nodes, servers int, doc *config.Document) (*rig, error) {
+	r := &rig{meter: newMeter(1), doc: doc}
+	s, err := site.Start(site.Options{Seed: 1, Fabric: r.meter, Cloud: cloud.Settings{ListLag: time.Millisecond}})
+	if err != nil {
+		return nil, err
+	}
+	r.site = s
+	for i := range servers {
+		r.addServer(i)
+	}
+	if err := r.startEntries(ctx, nodes); err != nil {
+		s.Close()
+		return nil, err
+	}
+	if err := r.propose(ctx); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *rig) addServer(i int) {
+	id := fmt.Sprintf("server-%s-%05d", zoneName(i), i)
+	r.servers = append(r.servers, id)
+	r.site.Cloud.Add(platform.VM{
+		ID: id, Zone: zoneName(i), Class: "accelerator-4", Service: "chat", State: platform.VMLive,
+		Address: fmt.Sprintf("10.%d.%d.%d:8000", i/65536, i/256%256, i%256), Reclaimable: i%2 == 0,
+		PricePerHour: 4.25, Accelerators: 4,
+	})
+}
+
+func (r *rig) startEntries(ctx context.Context, n int) error {
+	for i := range n {
+		if _, err := r.site.StartEntry(zoneName(i)); err != nil {
+			return err
+		}
+	}
+	return r.awaitMembers(ctx, len(r.site.Entries()))
+}
+
+func (r *rig) awaitMembers(ctx context.Context, n int) error {
+	return r.await(ctx, "members", func(e *site.Entry) bool { return len(e.Node.Members().Table().Members) == n })
+}
+
+// await waits until each entry satisfies is.
+func (r *rig) await(ctx context.Context, step string, is func(*site.Entry) bool) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	for _, e := range r.site.Entries() {
+		for !is(e) {
+			if !pause(ctx, readyPoll) {
+				return fault.New(fault.Unavailable, "slopes.await", e.ID, "%s: not reached in time", step)
+			}
+		}
+	}
+	return nil
+}
+
+// propose changes the document and waits until it is in force everywhere.
+func (r *rig) propose(ctx context.Context) error {
+	next := *r.doc
+	revision, err := r.site.Propose(ctx, r.site.Entries()[0], &next, r.doc.Revision,
+		fmt.Sprintf("change-%d", r.doc.Revision+1))
+	if err != nil {
+		return err
+	}
+	r.doc.Revision = revision
+	return r.await(ctx, "document", func(e *site.Entry) bool {
+		current, ok := e.Node.Documents().Current()
+		return ok && current.Revision >= revision
+	})
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// document returns a document with the number of organisations, each with its
+// key and one rule.
+func document(organisations int) *config.Document {
+	doc := &config.Document{Services: []config.Service{{Name: "chat", Kind: config.ModelService, Models: []string{"chat-1"}}}}
+	for i := range organisations {
+		name := fmt.Sprintf("organisation-%04d", i)
+		doc.Organisations = append(doc.Organisations, config.Organisation{Name: name,
+			KeyHashes: []string{site.KeyHash(name)}, RequestsPerSecond: 50, MaxConcurrent: 200})
+		doc.Rules = append(doc.Rules, config.Rule{Name: name, When: config.When{Organisations: []string{name}},
+			Then: config.Then{Service: "chat"}})
+	}
+	return doc
+}
--- /dev/null
+++ b/internal/slopes/servers.go
@@ -0,0 +1,91 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"buckthornpick/internal/backend"
+	"buckthornpick/internal/route"
+)
+
+const (
+	smallSite     = 13
+	smallDocument = 5
+	serverNodes   = 12
+	reclaims      = 3
+	reclaimPause  = 1500 * time.Millisecond
+	reclaimNotice = time.Minute
+)
+
+// measureServers measures VM events against the number of backend servers.
+func measureServers(ctx context.Context, o Options, out *Results) error {
+	for _, n := range o.Servers {
+		if err := measureServersAt(ctx, n, out); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func measureServersAt(ctx context.Context, n int, out *Results) error {
+	add := func(quantity, unit string, y float64) {
+		out.Add("servers", quantity, unit, "servers", float64(n), y)
+	}
+	before := liveBytes()
+	r, err := newRig(ctx, serverNodes, n, document(smallDocument))
+	if err != nil {
+		return err
+	}
+	defer r.site.Close()
+	pause(ctx, settle)
+	rest := r.during(func() { pause(ctx, idle/2) })
+	add("idle: bytes with the cloud API, busiest node", "B/s", rest.busiest.cloud/rest.seconds)
+	add("idle: processor time per node, stand-ins included", "share of a core", rest.cpu.Seconds()/serverNodes/rest.seconds)
+	add("memory per node, stand-ins included", "B", (liveBytes()-before)/serverNodes)
+	used := r.during(func() {
+		for i := range reclaims {
+			r.site.Cloud.Reclaim(r.servers[2*i], reclaimNotice)
+			pause(ctx, reclaimPause)
+		}
+	})
+	add("VM under notice: bytes to peers per event and node", "B", used.above(rest)/serverNodes/reclaims)
+	return nil
+}
+
+const picks = 2000
+
+// measurePicker measures one routing decision against the number of servers.
+func measurePicker(_ context.Context, o Options, out *Results) error {
+	for _, n := range o.Servers {
+		now := time.Now()
+		before := liveBytes()
+		p := route.NewPicker(route.Config{Self: "entry-1", Zone: "a"})
+		p.SetServers(now, routeServers(n))
+		memory := liveBytes() - before
+		began := processorTime()
+		for i := range picks {
+			query := route.Query{Now: now, Service: "chat", Context: uint64(i) + 1, PromptTokens: 500, MaxTokens: 300}
+			choice, err := p.Pick(query)
+			if err != nil {
+				return err
+			}
+			p.Dispatched(now, choice.Server.ID, query)
+			p.Finished(now, choice.Server.ID, query, backend.Usage{}, true)
+		}
+		spent := processorTime() - began
+		x := float64(n)
+		out.Add("picker", "choice, start and end of a request: processor time", "µs", "servers", x, float64(spent.Microseconds())/picks)
+		out.Add("picker", "memory of a picker's servers", "B", "servers", x, memory)
+	}
+	return nil
+}
+
+func routeServers(n int) []route.Server {
+	out := make([]route.Server, 0, n)
+	for i := range n {
+		out = append(out, route.Server{ID: fmt.Sprintf("server-%05d", i), Zone: zoneName(i), Class: "accelerator-4",
+			Address: "10.0.0.1:8000", Price: 4.25, Accelerators: 4, State: route.Live})
+	}
+	return out
+}
