dispatch: an engine that falls silent is left

An attempt that gets nothing for 10 s is now attached to again, within 2 s; an engine that is merely slow answers that and is waited for, a silent one is left. Ruled out: a crash mark for silence, which would quarantine requests that happened to run on a cut-off VM. After: TestEngineThatFallsSilentIsLeft, TestSlowEngineIsWaitedFor.

--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -80,7 +80,7 @@
 		return e.stateRefused(err)
 	}
 	e.setCurrent(a)
-	err = e.resumeOnce(ctx, number, a)
+	_, err = e.resumeOnce(ctx, number, a)
 	if err == nil {
 		return &request.End{Outcome: request.Completed}
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -87,6 +87,12 @@
 	// RecoverWait bounds the attempts to attach to a lost attempt again.
 	// Default 3 s.
 	RecoverWait time.Duration
+	// StallTimeout is how long an engine may send nothing before the owner
+	// attaches again. Default 10 s.
+	StallTimeout time.Duration
+	// ResumeTimeout bounds the wait for the head of a resumed answer. Default
+	// 2 s.
+	ResumeTimeout time.Duration
 	// ClaimWait bounds the writing of a claim. Default 3 s.
 	ClaimWait time.Duration
 	// OwnerModeLimit is how long after the end of its lease a node runs
@@ -109,6 +115,8 @@
 	defaultKeyWindow       = 10 * time.Minute
 	defaultStartWait       = 3 * time.Second
 	defaultRecoverWait     = 3 * time.Second
+	defaultStallTimeout    = 10 * time.Second
+	defaultResumeTimeout   = 2 * time.Second
 	defaultClaimWait       = 3 * time.Second
 	defaultOwnerModeLimit  = 10 * time.Minute
 	defaultMaxUnclaimed    = 4096
@@ -124,6 +132,8 @@
 	setDefault(&c.KeyWindow, defaultKeyWindow)
 	setDefault(&c.StartWait, defaultStartWait)
 	setDefault(&c.RecoverWait, defaultRecoverWait)
+	setDefault(&c.StallTimeout, defaultStallTimeout)
+	setDefault(&c.ResumeTimeout, defaultResumeTimeout)
 	setDefault(&c.ClaimWait, defaultClaimWait)
 	setDefault(&c.OwnerModeLimit, defaultOwnerModeLimit)
 	setDefault(&c.MaxUnclaimed, defaultMaxUnclaimed)
--- a/internal/dispatch/execution.go
+++ b/internal/dispatch/execution.go
@@ -76,6 +76,7 @@
 var (
 	errServerLeaving = errors.New("backend server is leaving")
 	errHandedOver    = errors.New("request was handed over")
+	errStalled       = errors.New("backend server has sent nothing for too long")
 )
 
 func newExecution(d *Dispatcher, rec *request.Record) *execution {
@@ -198,11 +199,13 @@
 	attemptCtx, cancel := e.interruptible(ctx)
 	defer cancel()
 	e.d.watchDeadline(e, a.target.ID)
+	stall := e.watchStall(a, e.d.cfg.StallTimeout)
+	defer stall.stop()
 	answer, err := e.d.deps.Backends.Start(attemptCtx, a.target, e.plan.sent, a.id, e.continuation())
 	if err != nil {
 		return causeOr(attemptCtx, err)
 	}
-	return causeOr(attemptCtx, e.follow(number, a, answer))
+	return causeOr(attemptCtx, e.follow(number, a, answer, stall))
 }
 
 // continuation returns the answer so far, nil at the beginning.
@@ -215,8 +218,9 @@
 }
 
 // follow copies the answer into the record. A nil error means that it is whole.
-func (e *execution) follow(number int, a *attempt, answer backend.Answer) error {
+func (e *execution) follow(number int, a *attempt, answer backend.Answer, stall *stallTimer) error {
 	defer func() { _ = answer.Close() }()
+	stall.reset(e.d.cfg.StallTimeout)
 	head := answer.Head()
 	head.Answer = answerName(a.id)
 	if err := e.rec.SetHead(number, head); err != nil {
@@ -236,6 +240,7 @@
 			e.d.deps.Log.Log(EvLateAnswer, "request", e.req.ID, "attempt", a.id, "error", err)
 			return err
 		}
+		stall.reset(e.d.cfg.StallTimeout)
 		if isFirst {
 			isFirst = false
 			e.noteFirst(a)
@@ -295,7 +300,7 @@
 		return nil
 	}
 	cause := context.Cause(ctx)
-	if errors.Is(cause, errServerLeaving) || errors.Is(cause, errHandedOver) {
+	if errors.Is(cause, errServerLeaving) || errors.Is(cause, errHandedOver) || errors.Is(cause, errStalled) {
 		return cause
 	}
 	return err
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -152,7 +152,7 @@
 			return e.stateRefused(err), true
 		}
 		before := len(e.rec.Events())
-		err = e.resumeOnce(ctx, number, a)
+		isAttached, err := e.resumeOnce(ctx, number, a)
 		if err == nil {
 			return &request.End{Outcome: request.Completed}, true
 		}
@@ -164,7 +164,7 @@
 		if e.isFinalForResume(err, a.target) {
 			return nil, false
 		}
-		if len(e.rec.Events()) > before {
+		if isAttached || len(e.rec.Events()) > before {
 			giveUpAt = time.Now().Add(e.d.cfg.RecoverWait)
 			pause = firstResumePause
 		}
@@ -198,7 +198,7 @@
 // A server that closes or refuses connections has crashed.
 func isTimeout(err error) bool {
 	var netErr net.Error
-	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout()
+	return errors.Is(err, errStalled) || errors.Is(err, context.DeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout()
 }
 
 // isFinalForResume reports whether resuming again is of no use. A repeatable
@@ -217,18 +217,21 @@
 }
 
 // resumeOnce attaches to the attempt and follows it from the last event.
-func (e *execution) resumeOnce(ctx context.Context, number int, a *attempt) error {
+// isAttached is true if the server knew the attempt.
+func (e *execution) resumeOnce(ctx context.Context, number int, a *attempt) (isAttached bool, err error) {
 	attemptCtx, cancel := e.interruptible(ctx)
 	defer cancel()
 	e.d.watchDeadline(e, a.target.ID)
+	stall := e.watchStall(a, e.d.cfg.ResumeTimeout)
+	defer stall.stop()
 	answer, err := e.d.deps.Backends.Resume(attemptCtx, a.target, e.req, a.id, len(e.rec.Events()))
 	if err != nil {
-		return causeOr(attemptCtx, err)
+		return false, causeOr(attemptCtx, err)
 	}
 	e.d.stats.resumes.Inc(1)
 	e.d.deps.Log.Log(EvResumed, "request", e.req.ID, "attempt", a.id, "server", a.target.ID,
 		"after", len(e.rec.Events()))
-	return causeOr(attemptCtx, e.follow(number, a, answer))
+	return true, causeOr(attemptCtx, e.follow(number, a, answer, stall))
 }
 
 // continueAdopted goes on with a request that another node has handed over.
@@ -240,7 +243,7 @@
 	if err != nil {
 		return e.stateRefused(err)
 	}
-	err = e.resumeOnce(ctx, number, &a)
+	_, err = e.resumeOnce(ctx, number, &a)
 	if err == nil {
 		return &request.End{Outcome: request.Completed}
 	}
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -296,3 +296,50 @@
 	require.Less(t, computed[true], 2200, "one prompt of about 2,000 tokens, computed once")
 	require.Greater(t, computed[false], 4000, "the same prompt, computed at both engines")
 }
+
+// TestEngineThatFallsSilentIsLeft pauses an engine's VM in the middle of an
+// answer, so that its connections stay open and carry nothing.
+func TestEngineThatFallsSilentIsLeft(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		body := chatBody("check the shop", 200, true)
+		answer := s.sendLater(s.Entries()[0], chatPath, nil, body)
+		time.Sleep(700 * time.Millisecond)
+		s.network.PauseHost(s.busyEngine().ID)
+		sentAt := time.Now()
+		got := <-answer
+		require.NoError(t, got.err)
+		require.Equal(t, "completed", got.reply.outcome(), "%s", got.reply.tail())
+		require.NoError(t, engine.VerifyText(engine.PromptOf(body), streamText(t, got.reply.body), 200))
+		require.Less(t, time.Since(sentAt), 30*time.Second)
+		require.Zero(t, s.counter("quarantine_crashes_total"), "a silent server has not crashed")
+	})
+}
+
+func TestSlowEngineIsWaitedFor(t *testing.T) {
+	slow := func(o *site.Options) { o.Servers[0].Zones = []string{"a"} }
+	withSite(t, slow, func(s *testSite) {
+		for _, sv := range s.Servers() {
+			if sv.Engine != nil {
+				sv.Engine.SetFaults(engine.Faults{Stall: true})
+			}
+		}
+		header := map[string]string{"Idempotency-Key": "slow", "Buckthornpick-Non-Repeatable": "true"}
+		body := chatBody("rewrite the page", 20, true)
+		answer := s.sendLater(s.Entries()[0], chatPath, header, body)
+		time.Sleep(45 * time.Second)
+		s.busyOrWaitingEngine().SetFaults(engine.Faults{})
+		got := <-answer
+		require.NoError(t, got.err)
+		require.Equal(t, "completed", got.reply.outcome(), "%s", got.reply.tail())
+		require.Equal(t, 1, s.runs("slow"))
+	})
+}
+
+func (s *testSite) busyOrWaitingEngine() *engine.Server {
+	for _, sv := range s.Servers() {
+		if sv.Engine != nil {
+			return sv.Engine
+		}
+	}
+	return nil
+}
--- a/internal/slopes/claims.go
+++ b/internal/slopes/claims.go
@@ -29,7 +29,7 @@
 	claimNodes  = 10
 	claimPeriod = 3 * time.Second
 	// startPause lets the ledgers start.
-	startPause = 200 * time.Millisecond
+	startPause  = 200 * time.Millisecond
 	claimTable  = "slopes/table"
 	claimPrefix = "claims/"
 )
