limit: the shed share falls without traffic too

Cause: a window ended only after 32 requests, so a service that sheds nearly all of its traffic kept shedding, and Retry-After assumed windows of one second. Change: a window ends after 10 s at most, long windows give back more, Retry-After counts whole windows of the last length, a rise needs 8 requests.

--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -306,8 +306,8 @@
 	overload(b, start, true, 4)
 	both, onlyB := 0, 0
 	for context := uint64(1); context <= 1000; context++ {
-		shedA, after := a.refuses(context)
-		shedB, _ := b.refuses(context)
+		shedA, after := a.refuses(start.Add(5*shedWindow), context)
+		shedB, _ := b.refuses(start.Add(5*shedWindow), context)
 		if shedA {
 			require.True(t, shedB, "a deeper overload sheds more contexts, not others")
 			require.Positive(t, after)
@@ -318,8 +318,27 @@
 	}
 	require.InDelta(t, 1000*a.share, both, 60)
 	require.Positive(t, onlyB)
-	shed, _ := a.refuses(0)
+	shed, _ := a.refuses(start.Add(5*shedWindow), 0)
 	require.False(t, shed, "a request without a context has none to keep whole")
 	overload(a, start.Add(time.Hour), false, 40)
 	require.Zero(t, a.share)
 }
+
+func TestShedContextGetsInAfterItsRetryAfterWithoutOtherTraffic(t *testing.T) {
+	s := &shedder{share: maxShed, windowStart: start}
+	context := uint64(1)
+	for position(context) < 0.1 || position(context) > 0.5 {
+		context++
+	}
+	now := start.Add(shedWindow)
+	shed, after := s.refuses(now, context)
+	require.True(t, shed)
+	for range 50 {
+		now = now.Add(after)
+		if shed, after = s.refuses(now, context); !shed {
+			break
+		}
+	}
+	require.False(t, shed)
+	require.Less(t, now.Sub(start), 5*time.Minute)
+}
--- a/internal/limit/scheduler.go
+++ b/internal/limit/scheduler.go
@@ -157,7 +157,7 @@
 	if sv.limit.capacity < 1 {
 		return &Rejected{NoCapacity, noCapacityRetryAfter}
 	}
-	if shed, after := sv.shed.refuses(w.ask.Context); shed {
+	if shed, after := sv.shed.refuses(now, w.ask.Context); shed {
 		return &Rejected{Overload, min(max(after, minRetryAfter), maxRetryAfter)}
 	}
 	queue := sv.queues[w.level]
--- a/internal/limit/shed.go
+++ b/internal/limit/shed.go
@@ -1,11 +1,19 @@
 package limit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// shedWindow and shedSamples are the least size of a window.
 	shedWindow  = time.Second
 	shedSamples = 32
+	// maxShedWindow ends a window with fewer samples, so that the share falls
+	// also while hardly any request gets through.
+	maxShedWindow = 10 * time.Second
+	// minShedSamples is the least size of a window after which the share rises.
+	minShedSamples = 8
 	// shedStart and shedEnd are the shares of late or refused requests above
 	// and below which the shed share rises and falls.
 	shedStart = 0.3
@@ -27,8 +35,10 @@
 	share float64
 
 	windowStart time.Time
-	samples     int
-	bad         int
+	// window is the length of the last window.
+	window  time.Duration
+	samples int
+	bad     int
 }
 
 // observe takes the fate of one request that was not shed; bad is true if it
@@ -41,30 +51,40 @@
 	if bad {
 		s.bad++
 	}
-	if s.samples < shedSamples || now.Sub(s.windowStart) < shedWindow {
+	s.settle(now)
+}
+
+// settle ends the window if it is long enough and adapts the share.
+func (s *shedder) settle(now time.Time) {
+	elapsed := now.Sub(s.windowStart)
+	full := s.samples >= shedSamples && elapsed >= shedWindow
+	if !full && elapsed < maxShedWindow {
 		return
 	}
-	share := float64(s.bad) / float64(s.samples)
+	late := float64(s.bad) / float64(max(1, s.samples))
 	switch {
-	case share > shedStart:
-		s.share = min(maxShed, s.share+shedGain*(share-shedStart)*(1-s.share))
-	case share < shedEnd:
-		s.share = max(0, s.share-shedFall)
+	case late > shedStart && s.samples >= minShedSamples:
+		s.share = min(maxShed, s.share+shedGain*(late-shedStart)*(1-s.share))
+	case late < shedEnd:
+		s.share = max(0, s.share-shedFall*max(1, float64(elapsed/maxShedWindow)))
 	}
+	s.window = min(elapsed, maxShedWindow)
 	s.windowStart, s.samples, s.bad = now, 0, 0
 }
 
 // refuses reports whether a context is shed, and the time after which it will
 // not be if the overload ends now.
-func (s *shedder) refuses(context uint64) (bool, time.Duration) {
+func (s *shedder) refuses(now time.Time, context uint64) (bool, time.Duration) {
 	if context == 0 || s.share <= 0 {
 		return false, 0
 	}
+	s.settle(now)
 	excess := s.share - position(context)
 	if excess <= 0 {
 		return false, 0
 	}
-	return true, time.Duration(excess / shedFall * float64(shedWindow))
+	windows := math.Ceil(excess / shedFall)
+	return true, time.Duration(windows) * max(shedWindow, s.window)
 }
 
 // position spreads contexts evenly over 0 to 1.
