experiment: Kierowca's sizing starts from a lower utilisation

Cause: Kierowca weighs recomputed tokens more than cost, and its caches bound it. Change: its runs start from a target utilisation of 0.15 instead of 0.2.

--- a/internal/experiment/workload.go
+++ b/internal/experiment/workload.go
@@ -81,7 +81,7 @@
 }}
 
 // Kierowca takes drivers through long intakes.
-var Kierowca = Site{Name: "kierowca", utilisation: 0.2, kinds: []sessionKind{
+var Kierowca = Site{Name: "kierowca", utilisation: 0.15, kinds: []sessionKind{
 	{rate: 2, make: intake}, {rate: 6, make: statusUpdate},
 }}
 
