--- /dev/null
+++ b/test/fuzz/breaks_test.go
@@ -0,0 +1,284 @@
+package fuzz
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"buckthornpick/internal/backend"
+	"buckthornpick/internal/entry"
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/kv"
+	"buckthornpick/internal/platform"
+	"buckthornpick/internal/request"
+	"buckthornpick/internal/standin/site"
+)
+
+// breakage is a deliberate break of the system and the promises by which the
+// oracle must find it.
+type breakage struct {
+	name     string
+	promises []string
+	options  func() Options
+}
+
+// tuned returns options that change each entry's configuration.
+func tuned(tune site.Tune) func() Options {
+	return func() Options { return Options{Tune: tune} }
+}
+
+func storeBreak(txn func(next kv.Store, ctx context.Context, guards []kv.Compare, ops []kv.Op) (kv.TxnResult, error)) func() Options {
+	return tuned(func(c *entry.Config) { c.Store = &brokenStore{Store: c.Store, txn: txn} })
+}
+
+func backendBreak(b brokenClient) func() Options {
+	return tuned(func(c *entry.Config) {
+		own := b
+		own.Client = c.Backends
+		c.Backends = &own
+	})
+}
+
+func crossAnswers() Options {
+	return backendBreak(brokenClient{crossed: &previousRequest{}})()
+}
+
+const (
+	claimPrefix = "claims/"
+	documentKey = "bp/config/current"
+)
+
+var breakages = []breakage{
+	{"claims are not written", []string{"at most once"}, storeBreak(withoutClaims)},
+	{"guards of claims dropped", []string{"at most once"}, storeBreak(withoutGuards(claimPrefix))},
+	{"guard of the document dropped", []string{"configuration is one", "configuration is kept", "configuration never falls"}, storeBreak(withoutGuards(documentKey))},
+	{"failed writes count as written", []string{"at most once", "configuration is one", "configuration is kept", "configuration in time"}, storeBreak(failedAsWritten)},
+	{"truncated answer passed as complete", []string{"whole and own"}, backendBreak(brokenClient{hidesTruncation: true})},
+	{"resume offset ignored", []string{"whole and own"}, backendBreak(brokenClient{ignoresOffset: true})},
+	{"lost event hidden", []string{"whole and own"}, backendBreak(brokenClient{losesEvents: true})},
+	{"repeated event renumbered", []string{"whole and own"}, backendBreak(brokenClient{renumbers: true})},
+	{"another request's answer", []string{"whole and own"}, crossAnswers},
+	{"continuation not sent", []string{"whole and own", "at most once"}, backendBreak(brokenClient{forgetsContinuation: true})},
+	{"not sent said of sent attempts", []string{"not-run is true", "at most once"}, backendBreak(brokenClient{deniesSending: true})},
+	{"cancel believed but not made", []string{"at most once"}, backendBreak(brokenClient{skipsCancel: true})},
+	{"leaving servers look live", []string{"no work for leaving"}, tuned(hideNotices)},
+	{"planned stop cuts connections", []string{"answered"}, func() Options {
+		return Options{Stop: func(e *site.Entry) { go e.Kill() }}
+	}},
+}
+
+const biteHistories = 150
+
+// TestOracleBites breaks the system on purpose; the oracle must find each break
+// and must not find the same in the unbroken system.
+func TestOracleBites(t *testing.T) {
+	steps := setting(t, "FUZZ_STEPS", fixedSteps)
+	shrinks := setting(t, "FUZZ_BREAK_SHRINK", 0)
+	for _, b := range breakages {
+		t.Run(b.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(1); seed <= biteHistories; seed++ {
+				s := ScheduleOf(seed, steps)
+				v, ok := b.found(t, seed, s)
+				if !ok {
+					continue
+				}
+				if shrinks > 0 {
+					s = Shrink(s, shrinks, func(s Schedule) bool { _, ok := b.found(t, seed, s); return ok })
+				}
+				t.Logf("caught by seed %d, %d of %d steps: %.200s", seed, len(s.Steps), steps, v)
+				return
+			}
+			t.Errorf("not caught in %d histories", biteHistories)
+		})
+	}
+}
+
+// found reports whether the break is found in the history, and not without it.
+func (b breakage) found(t *testing.T, seed uint64, s Schedule) (Violation, bool) {
+	for _, v := range runHistory(t, seed, s, b.options()) {
+		if slices.Contains(b.promises, v.Promise) && !fails(t, seed, s, nil, v.Promise) {
+			return v, true
+		}
+	}
+	return Violation{}, false
+}
+
+// brokenStore breaks transactions.
+type brokenStore struct {
+	kv.Store
+	txn func(next kv.Store, ctx context.Context, guards []kv.Compare, ops []kv.Op) (kv.TxnResult, error)
+}
+
+// Txn implements kv.Store.
+func (s *brokenStore) Txn(ctx context.Context, guards []kv.Compare, ops []kv.Op) (kv.TxnResult, error) {
+	return s.txn(s.Store, ctx, guards, ops)
+}
+
+func withoutClaims(next kv.Store, ctx context.Context, guards []kv.Compare, ops []kv.Op) (kv.TxnResult, error) {
+	kept := slices.DeleteFunc(slices.Clone(ops), func(o kv.Op) bool { return strings.HasPrefix(o.Key, claimPrefix) })
+	if len(kept) == 0 {
+		return kv.TxnResult{Succeeded: true, Revision: 1}, nil
+	}
+	return next.Txn(ctx, guards, kept)
+}
+
+func withoutGuards(prefix string) func(kv.Store, context.Context, []kv.Compare, []kv.Op) (kv.TxnResult, error) {
+	return func(next kv.Store, ctx context.Context, guards []kv.Compare, ops []kv.Op) (kv.TxnResult, error) {
+		if slices.ContainsFunc(ops, func(o kv.Op) bool { return strings.HasPrefix(o.Key, prefix) }) {
+			guards = nil
+		}
+		return next.Txn(ctx, guards, ops)
+	}
+}
+
+func failedAsWritten(next kv.Store, ctx context.Context, guards []kv.Compare, ops []kv.Op) (kv.TxnResult, error) {
+	result, err := next.Txn(ctx, guards, ops)
+	if err != nil && (fault.Is(err, fault.Unavailable) || fault.Is(err, fault.Ambiguous)) {
+		return kv.TxnResult{Succeeded: true, Revision: 1}, nil
+	}
+	return result, err
+}
+
+// brokenClient breaks the client of backend servers.
+type brokenClient struct {
+	backend.Client
+	hidesTruncation, ignoresOffset, losesEvents, renumbers bool
+	forgetsContinuation, deniesSending, skipsCancel        bool
+	// crossed is set to send other requests in the place of the entry's own.
+	crossed *previousRequest
+}
+
+type previousRequest struct {
+	mu sync.Mutex
+	r  *request.Request
+}
+
+// swap returns the last request of the same service and keeps r.
+func (p *previousRequest) swap(r *request.Request) *request.Request {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	last := p.r
+	p.r = r
+	if last == nil || last.Kind != r.Kind || last.Stream != r.Stream {
+		return r
+	}
+	return last
+}
+
+// Start implements backend.Client.
+func (c *brokenClient) Start(ctx context.Context, t backend.Target, r *request.Request, id backend.AttemptID, from *backend.Continuation) (backend.Answer, error) {
+	after := 0
+	if from != nil {
+		after = len(from.Events)
+	}
+	if c.forgetsContinuation {
+		from = nil
+	}
+	if c.crossed != nil {
+		r = c.crossed.swap(r)
+	}
+	a, err := c.Client.Start(ctx, t, r, id, from)
+	return c.answer(a, after), c.denied(err)
+}
+
+// Resume implements backend.Client.
+func (c *brokenClient) Resume(ctx context.Context, t backend.Target, r *request.Request, id backend.AttemptID, after int) (backend.Answer, error) {
+	from := after
+	if c.ignoresOffset {
+		from = 0
+	}
+	a, err := c.Client.Resume(ctx, t, r, id, from)
+	return c.answer(a, after), c.denied(err)
+}
+
+// Cancel implements backend.Client.
+func (c *brokenClient) Cancel(ctx context.Context, t backend.Target, id backend.AttemptID) error {
+	if c.skipsCancel {
+		return nil
+	}
+	return c.Client.Cancel(ctx, t, id)
+}
+
+func (c *brokenClient) answer(a backend.Answer, after int) backend.Answer {
+	if a == nil {
+		return nil
+	}
+	return &brokenAnswer{Answer: a, by: c, sequence: after}
+}
+
+// denied claims that a request whose fate is unknown was never sent.
+func (c *brokenClient) denied(err error) error {
+	var attempt *backend.AttemptError
+	if !c.deniesSending || !errors.As(err, &attempt) || attempt.Reached != backend.MayHaveRun {
+		return err
+	}
+	again := *attempt
+	again.Reached = backend.NotSent
+	return &again
+}
+
+type brokenAnswer struct {
+	backend.Answer
+	by       *brokenClient
+	sequence int
+	last     *request.Event
+}
+
+const lostEvent = 5
+
+// Next implements backend.Answer.
+func (a *brokenAnswer) Next() (request.Event, error) {
+	ev, err := a.Answer.Next()
+	if err != nil {
+		if a.by.hidesTruncation {
+			return ev, io.EOF
+		}
+		return ev, a.by.denied(err)
+	}
+	if a.by.losesEvents && ev.Sequence == lostEvent {
+		if ev, err = a.Answer.Next(); err != nil {
+			return ev, err
+		}
+	}
+	if a.by.renumbers && a.last != nil && a.last.Sequence == lostEvent {
+		ev.Data, ev.Tokens = a.last.Data, a.last.Tokens
+	}
+	a.sequence++
+	if a.by.losesEvents || a.by.ignoresOffset || a.by.forgetsContinuation {
+		ev.Sequence = a.sequence
+	}
+	a.last = &ev
+	return ev, nil
+}
+
+// hideNotices makes an entry blind to reclaims.
+func hideNotices(c *entry.Config) {
+	c.Notices = noNotices{}
+	c.Lister = liveLister{c.Lister}
+}
+
+type noNotices struct{}
+
+// Notices implements platform.NoticeSource.
+func (noNotices) Notices(ctx context.Context, _ int64) ([]platform.Notice, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+type liveLister struct{ platform.Lister }
+
+// ListVMs implements platform.Lister.
+func (l liveLister) ListVMs(ctx context.Context) ([]platform.VM, error) {
+	vms, err := l.Lister.ListVMs(ctx)
+	for i := range vms {
+		if vms[i].State == platform.VMLeaving {
+			vms[i].State = platform.VMLive
+		}
+	}
+	return vms, err
+}
--- a/test/fuzz/fuzz_test.go
+++ b/test/fuzz/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"os"
+	"regexp"
 	"runtime"
 	"strconv"
 	"strings"
@@ -69,6 +70,7 @@
 	count := setting(t, "FUZZ_HISTORIES", fixedHistories)
 	steps := setting(t, "FUZZ_STEPS", fixedSteps)
 	shrinks := setting(t, "FUZZ_SHRINK", 60)
+	known := knownReds(t)
 	began := time.Now()
 	var next, failed atomic.Int64
 	var workers sync.WaitGroup
@@ -81,6 +83,10 @@
 				if len(violations) == 0 {
 					continue
 				}
+				if known[knownRed{seed, steps}] {
+					t.Logf("KNOWN RED seed %d: %s", seed, violations[0])
+					continue
+				}
 				failed.Add(1)
 				t.Errorf("seed %d: %d violations, the first: %s", seed, len(violations), violations[0])
 				if shrinks > 0 && failed.Load() <= 5 {
@@ -139,3 +145,30 @@
 		return telemetry.NewLogger(os.Stdout, slog.LevelDebug, node, zone)
 	}
 }
+
+// knownRed is a history that is listed in KNOWN-RED.txt.
+type knownRed struct {
+	seed  uint64
+	steps int
+}
+
+var knownRedLine = regexp.MustCompile(`FUZZ_SEED=(\d+) FUZZ_STEPS=(\d+)`)
+
+// knownReds reads the histories that are known to fail, which CI prints and
+// passes over.
+func knownReds(t *testing.T) map[knownRed]bool {
+	out := map[knownRed]bool{}
+	text, err := os.ReadFile("../../KNOWN-RED.txt")
+	if os.IsNotExist(err) {
+		return out
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range knownRedLine.FindAllSubmatch(text, -1) {
+		seed, _ := strconv.ParseUint(string(m[1]), 10, 64)
+		steps, _ := strconv.Atoi(string(m[2]))
+		out[knownRed{seed, steps}] = true
+	}
+	return out
+}
