--- a/internal/standin/memnet/faults.go
+++ b/internal/standin/memnet/faults.go
@@ -81,7 +81,10 @@
 	for c := range n.conns {
 		if c.host == h || c.peer == h {
 			c.reset(h)
-			delete(n.conns, c)
+			// A stalled end must still learn of the reset when the path opens.
+			if n.open(c.host, c.peer) {
+				delete(n.conns, c)
+			}
 		}
 	}
 }
--- a/internal/standin/memnet/memnet_test.go
+++ b/internal/standin/memnet/memnet_test.go
@@ -151,3 +151,16 @@
 type zeros struct{}
 
 func (zeros) Read(b []byte) (int, error) { clear(b); return len(b), nil }
+
+func TestPausedHostLearnsOfAResetWhenItResumes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(1)
+		near, _ := connect(t, n)
+		n.PauseHost("a")
+		n.KillHost("b")
+		n.ResumeHost("a")
+		near.SetReadDeadline(time.Now().Add(time.Second))
+		_, err := near.Read(make([]byte, 1))
+		require.ErrorIs(t, err, syscall.ECONNRESET)
+	})
+}
--- a/test/fuzz/callers.go
+++ b/test/fuzz/callers.go
@@ -272,6 +272,9 @@
 	if !s.Heard && isStopping && s.Began.After(stopped.Add(-acceptTime)) {
 		return "it had stopped accepting"
 	}
+	if !s.Heard && isStopping && !w.faults.hostUntil[e.ID].Before(s.Began) {
+		return "the call had not arrived when it stopped"
+	}
 	return ""
 }
 
--- a/test/fuzz/faults.go
+++ b/test/fuzz/faults.go
@@ -16,11 +16,14 @@
 	// unreached is the last time at which the entry did not reach the cloud
 	// API, storeUnreached the same for the store.
 	unreached, storeUnreached map[*site.Entry]time.Time
+	// hostUntil is the last time at which the host was cut or paused.
+	hostUntil map[string]time.Time
 }
 
 func newFaults() faults {
 	return faults{
 		zones: map[[2]string]bool{}, hosts: map[string]bool{},
+		hostUntil: map[string]time.Time{},
 		unreached: map[*site.Entry]time.Time{}, storeUnreached: map[*site.Entry]time.Time{},
 	}
 }
@@ -42,6 +45,9 @@
 
 func (w *world) noteReachLocked(entries []*site.Entry) {
 	now := time.Now()
+	for id := range w.faults.hosts {
+		w.faults.hostUntil[id] = now
+	}
 	for _, e := range entries {
 		isOpen := w.faults.reachesPlatform(e, entries)
 		if !isOpen || w.faults.cloudOutage {
