--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -23,7 +23,8 @@
 // choose waits for a backend server that may get the request. Without one, the
 // end says why; a nil end means that the request was handed over meanwhile.
 func (e *execution) choose(ctx context.Context) (*attempt, *request.End) {
-	if e.plan.older != nil {
+	// The older system cannot go on from an answer that has begun.
+	if e.plan.older != nil && len(e.rec.Events()) == 0 {
 		return e.newAttempt(attempt{service: e.plan.services[0].Name, target: *e.plan.older}), nil
 	}
 	for {
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -30,11 +30,12 @@
 // Export returns the state of every request here, for handing over. Requests
 // that were not dispatched are stopped first, so that only the new owner runs
 // them. Requests at backend servers that cannot resume stay here until they
-// end.
-func (d *Dispatcher) Export() []Transfer {
+// end, unless isLast: then those that may run again go on at the new owner from
+// their last event.
+func (d *Dispatcher) Export(isLast bool) []Transfer {
 	var out []Transfer
 	for _, e := range d.runningExecutions() {
-		if t, ok := e.export(); ok {
+		if t, ok := e.export(isLast); ok {
 			out = append(out, t)
 		}
 	}
@@ -55,16 +56,19 @@
 }
 
 // export returns the request's state. ok is false if it must stay here.
-func (e *execution) export() (Transfer, bool) {
+func (e *execution) export(isLast bool) (Transfer, bool) {
 	state := e.rec.State()
 	if state == request.Accepted {
 		e.interruptRequest(errHandedOver)
 		return Transfer{Request: resubmitted(e.req), Claim: e.exportedClaim()}, true
 	}
 	a := e.currentAttempt()
-	if state != request.Running || a.target.Class != backend.Engine {
+	if state != request.Running {
 		return Transfer{}, false
 	}
+	if a.target.Class != backend.Engine {
+		return e.exportStopped(isLast)
+	}
 	e.mu.Lock()
 	e.isObserver = true
 	e.mu.Unlock()
@@ -75,6 +79,16 @@
 	}, true
 }
 
+// exportStopped ends a repeatable request here, so that no event follows those
+// that are exported, and returns it for a new attempt.
+func (e *execution) exportStopped(isLast bool) (Transfer, bool) {
+	if !isLast || !e.req.Repeatable || e.rec.HandOver() != nil {
+		return Transfer{}, false
+	}
+	e.interruptRequest(errHandedOver)
+	return Transfer{Request: resubmitted(e.req), Number: e.rec.Attempt(), Head: e.rec.Head(), Events: e.rec.Events()}, true
+}
+
 func (e *execution) exportedClaim() *claim.Claim {
 	c := e.lastClaim()
 	if c.Number == 0 {
--- a/internal/entry/leave.go
+++ b/internal/entry/leave.go
@@ -128,7 +128,7 @@
 	defer cancel()
 	n.leaveTable(ctx, cfg)
 	n.awaitNoRequests(ctx)
-	n.handOver(ctx)
+	n.handOver(ctx, true)
 	n.log.Log(EvDrained, "running", n.owner.Running())
 }
 
@@ -144,12 +144,12 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	n.leaveTable(ctx, cfg)
-	n.handOver(ctx)
+	n.handOver(ctx, false)
 	redirectAt, stop := context.WithDeadline(ctx, deadline.Add(-cfg.RedirectMargin))
 	defer stop()
 	n.awaitNoRequests(redirectAt)
 	n.drain.sendCallersAway()
-	n.handOver(ctx)
+	n.handOver(ctx, true)
 	n.log.Log(EvDrained, "running", n.owner.Running())
 }
 
@@ -177,10 +177,11 @@
 const transferRounds = 4
 
 // handOver sends every request to its new owner. What an heir cannot be given
-// because it is gone already goes to the next one.
-func (n *Node) handOver(ctx context.Context) {
+// because it is gone already goes to the next one. isLast is true if this node
+// runs nothing afterwards.
+func (n *Node) handOver(ctx context.Context, isLast bool) {
 	gone := map[string]bool{}
-	transfers := n.owner.Export()
+	transfers := n.owner.Export(isLast)
 	for round := 0; round < transferRounds && len(transfers) > 0; round++ {
 		transfers = n.transferAll(ctx, transfers, gone)
 	}
