--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -203,7 +203,7 @@
 	switch {
 	case f.req != nil && isRemoteInvalid:
 		return submitError(fault.New(fault.Invalid, "entry.submit", remote.Peer, "%s", remote.Message))
-	case f.req == nil && fault.Is(err, fault.Invalid):
+	case f.req == nil && fault.Is(err, fault.Invalid) && time.Since(f.searching) >= attachWait:
 		return &gateway.EndError{End: request.End{Outcome: request.Unknown, Problem: "not_found_error",
 			Message: "no such request: it ended too long ago, or its owner was lost; send it again with its Idempotency-Key",
 			Status:  http.StatusNotFound}}
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -18,6 +18,9 @@
 	ownerWait = 15 * time.Second
 	// ownerPause is the time between two tries.
 	ownerPause = 100 * time.Millisecond
+	// attachWait is how long a request that is not found is looked for, while
+	// the table of members may be on its way.
+	attachWait = 500 * time.Millisecond
 	// localFallback is how long a repeatable request waits for an unreachable
 	// owner before this node runs it.
 	localFallback = time.Second
--- /dev/null
+++ b/internal/entry/truth_test.go
@@ -0,0 +1,138 @@
+package entry_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/entry"
+	"buckthornpick/internal/gateway"
+	"buckthornpick/internal/standin/engine"
+	"buckthornpick/internal/standin/oldersystem"
+	"buckthornpick/internal/standin/plainservice"
+	"buckthornpick/internal/standin/site"
+)
+
+// These tests hold what the fuzz has found.
+
+func TestEntryWithoutConfigurationDoesNotSayNotRunOfAKnownKey(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		header := map[string]string{gateway.HeaderIdempotencyKey: "again"}
+		body := chatBody("check the shop", 5, false)
+		first, err := s.send(s.Entries()[0], "POST", chatPath, header, body)
+		require.NoError(t, err)
+		require.Equal(t, "completed", first.outcome())
+		attach := "/v1/requests/" + first.header.Get(gateway.HeaderRequestID)
+		require.Equal(t, "unknown", s.sendToFresh("POST", chatPath, header, body))
+		require.Equal(t, "unknown", s.sendToFresh("GET", attach, nil, nil))
+		require.Equal(t, "not-run", s.sendToFresh("POST", chatPath, nil, body))
+	})
+}
+
+// sendToFresh sends a call to an entry that has no configuration yet, and
+// returns the outcome.
+func (s *testSite) sendToFresh(method, path string, header map[string]string, body []byte) string {
+	fresh, err := s.StartEntry("a")
+	require.NoError(s.t, err)
+	require.Error(s.t, fresh.Node.Ready())
+	r, err := s.send(fresh, method, path, header, body)
+	require.NoError(s.t, err)
+	require.Equal(s.t, 503, r.status)
+	return r.outcome()
+}
+
+func TestResendThatIsRefusedAfterALostAnswerIsUnknown(t *testing.T) {
+	oneAttempt := func(o *site.Options) {
+		o.Tune = func(c *entry.Config) { c.Dispatch.MaxAttempts = 1 }
+	}
+	withSite(t, oneAttempt, func(s *testSite) {
+		header := map[string]string{gateway.HeaderIdempotencyKey: "lost"}
+		s.setPlainFaults(plainservice.Faults{LoseAnswer: true})
+		lost, err := s.send(s.Entries()[0], "GET", "/services/report/pages/1", header, nil)
+		require.NoError(t, err)
+		require.Equal(t, "unknown", lost.outcome(), "%s", lost.tail())
+		s.setPlainFaults(plainservice.Faults{Refuse: true})
+		refused, err := s.send(s.Entries()[0], "GET", "/services/report/pages/1", header, nil)
+		require.NoError(t, err)
+		require.Equal(t, "unknown", refused.outcome(), "%s", refused.tail())
+	})
+}
+
+func (s *testSite) setPlainFaults(f plainservice.Faults) {
+	for _, sv := range s.Servers() {
+		if sv.Plain != nil {
+			sv.Plain.SetFaults(f)
+		}
+	}
+}
+
+func TestAnswerIsHandedToTheNextHeirIfTheFirstIsGone(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		entries := s.Entries()
+		header := map[string]string{gateway.HeaderIdempotencyKey: "export", gateway.HeaderNonRepeatable: "true"}
+		first, err := s.send(entries[0], "POST", exportPath, header, []byte("x"))
+		require.NoError(t, err)
+		require.Equal(t, "completed", first.outcome())
+		for _, e := range entries[1:] {
+			e.Stop()
+		}
+		for _, e := range entries[1:] {
+			<-e.Done()
+		}
+		again, err := s.send(entries[0], "POST", exportPath, header, []byte("x"))
+		require.NoError(t, err)
+		require.Equal(t, "completed", again.outcome(), "%s", again.tail())
+		require.Equal(t, first.body, again.body)
+	})
+}
+
+func TestEntryThatHasJustStartedAsksForClaimsOfItsPartitions(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		header := map[string]string{gateway.HeaderNonRepeatable: "true"}
+		for i := range 20 {
+			fresh, err := s.StartEntry("a")
+			require.NoError(t, err)
+			for fresh.Node.Ready() != nil {
+				time.Sleep(time.Millisecond)
+			}
+			header[gateway.HeaderIdempotencyKey] = string(rune('a' + i))
+			r, err := s.send(fresh, "POST", exportPath, header, []byte("x"))
+			require.NoError(t, err)
+			require.Equal(t, "completed", r.outcome(), "%s", r.tail())
+			fresh.Kill()
+		}
+	})
+}
+
+func withOlderSystem(o *site.Options) {
+	o.Document = testDocument()
+	o.Document.OlderSystem = &config.OlderSystem{}
+	o.Older = &oldersystem.Settings{Models: []string{testModel}}
+}
+
+func TestRepeatableAnswerOfTheOlderSystemSurvivesTheEntrysReclaim(t *testing.T) {
+	withSite(t, withOlderSystem, func(s *testSite) {
+		document := testDocument()
+		document.OlderSystem = &config.OlderSystem{Address: "older:8080"}
+		document.Rules[0].Then.OlderSystemShare = 1
+		_, err := s.Propose(context.Background(), s.Entries()[0], document, 1, "older")
+		require.NoError(t, err)
+		time.Sleep(5 * time.Second)
+		e := s.Entries()[0]
+		body := chatBody("check the shop", 400, true)
+		answer := s.sendLater(e, chatPath, nil, body)
+		time.Sleep(300 * time.Millisecond)
+		s.Cloud.Reclaim(e.ID, 5*time.Second)
+		got := <-answer
+		require.NoError(t, got.err)
+		require.Contains(t, string(got.reply.body), "event: reattach")
+		path := "/v1/requests/" + got.reply.header.Get(gateway.HeaderRequestID)
+		rest, err := s.send(s.Entries()[3], "GET", path, nil, nil)
+		require.NoError(t, err)
+		require.Equal(t, "completed", rest.outcome(), "%s", rest.tail())
+		require.NoError(t, engine.VerifyText(engine.PromptOf(body), streamText(t, rest.body), 400))
+	})
+}
