peer, spread, inventory: idle pings, announcements and deltas

Change: connections without streams are pinged after 15 s of silence instead of 1 s, and count from the opening of a stream on. Larger values are announced by their version and pulled once. The VM list goes as the changes since the peer's version, with a checksum and the whole list as the way back; notices are a topic of their own, so they still reach a node that has the later list, and no longer make versions of the list.

--- a/internal/entry/topics.go
+++ b/internal/entry/topics.go
@@ -20,6 +20,7 @@
 	topicDocument  = "document"
 	topicTable     = "table"
 	topicInventory = "inventory"
+	topicNotices   = "notices"
 	topicMarks     = "marks"
 )
 
@@ -29,6 +30,7 @@
 	s := spread.New(cfg, n.transport, n.cfg.Log, n.cfg.Registry)
 	s.Add(topicDocument, documentTopic{n.documents})
 	s.Add(topicTable, tableTopic{n.members})
+	s.Add(topicNotices, noticesTopic{n.inventory})
 	s.Add(topicInventory, inventoryTopic{n.inventory})
 	s.Add(topicMarks, quarantine.Topic{Quarantine: n.quarantine})
 	return s
@@ -76,7 +78,8 @@
 	}
 }
 
-// documentTopic spreads the operators' document.
+// documentTopic spreads the operators' document. It implements
+// spread.PullTopic.
 type documentTopic struct{ store *confstore.Store }
 
 // Version implements spread.Topic.
@@ -97,6 +100,12 @@
 	return value, s.Revision, err
 }
 
+// EncodeSince implements spread.PullTopic.
+func (t documentTopic) EncodeSince(int64) ([]byte, error) {
+	value, _, err := t.Encode()
+	return value, err
+}
+
 // Observe implements spread.Topic.
 func (t documentTopic) Observe(value []byte) (bool, error) {
 	var doc config.Document
@@ -106,7 +115,7 @@
 	return t.store.Observe(&doc), nil
 }
 
-// tableTopic spreads the table of members.
+// tableTopic spreads the table of members. It implements spread.PullTopic.
 type tableTopic struct{ members *member.Membership }
 
 // Version implements spread.Topic.
@@ -119,6 +128,12 @@
 	return value, table.Revision, err
 }
 
+// EncodeSince implements spread.PullTopic.
+func (t tableTopic) EncodeSince(int64) ([]byte, error) {
+	value, _, err := t.Encode()
+	return value, err
+}
+
 // Observe implements spread.Topic.
 func (t tableTopic) Observe(value []byte) (bool, error) {
 	var table member.Table
@@ -128,21 +143,56 @@
 	return t.members.Observe(table), nil
 }
 
-// inventoryTopic spreads the view of the site.
+// inventoryTopic spreads the VM list, as the changes since the version that a
+// peer has. It implements spread.PullTopic.
 type inventoryTopic struct{ inventory *inventory.Inventory }
 
 // Version implements spread.Topic.
-func (t inventoryTopic) Version() int64 { return t.inventory.View().Version }
+func (t inventoryTopic) Version() int64 { return t.inventory.ListVersion() }
 
 // Encode implements spread.Topic.
 func (t inventoryTopic) Encode() ([]byte, int64, error) {
-	view := t.inventory.View()
-	value, err := msgpack.Marshal(view)
-	return value, view.Version, err
+	version := t.Version()
+	value, err := t.EncodeSince(0)
+	return value, version, err
+}
+
+// EncodeSince implements spread.PullTopic.
+func (t inventoryTopic) EncodeSince(version int64) ([]byte, error) {
+	return msgpack.Marshal(t.inventory.ChangesSince(version))
 }
 
 // Observe implements spread.Topic.
 func (t inventoryTopic) Observe(value []byte) (bool, error) {
+	var c inventory.Changes
+	if err := msgpack.Unmarshal(value, &c); err != nil {
+		return false, err
+	}
+	return t.inventory.ObserveChanges(&c), nil
+}
+
+// noticesTopic spreads the reclaim notices apart from the list, since a node
+// may have the later list and the earlier notices.
+type noticesTopic struct{ inventory *inventory.Inventory }
+
+// Version implements spread.Topic.
+func (t noticesTopic) Version() int64 { return t.inventory.View().LastNotice }
+
+// Encode implements spread.Topic.
+func (t noticesTopic) Encode() ([]byte, int64, error) {
+	view := t.inventory.View()
+	value, err := msgpack.Marshal(inventory.View{Deadlines: view.Deadlines, LastNotice: view.LastNotice})
+	return value, view.LastNotice, err
+}
+
+// EncodeSince implements spread.PullTopic.
+func (t noticesTopic) EncodeSince(int64) ([]byte, error) {
+	value, _, err := t.Encode()
+	return value, err
+}
+
+// Observe implements spread.Topic.
+func (t noticesTopic) Observe(value []byte) (bool, error) {
 	var view inventory.View
 	if err := msgpack.Unmarshal(value, &view); err != nil {
 		return false, err
--- /dev/null
+++ b/internal/inventory/changes_test.go
@@ -0,0 +1,103 @@
+package inventory
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"buckthornpick/internal/platform"
+	"buckthornpick/internal/telemetry"
+)
+
+func newTestInventory() *Inventory { return New(Config{}, nil, nil, telemetry.Discard()) }
+
+func testVM(i, life int) platform.VM {
+	return platform.VM{ID: fmt.Sprintf("vm-%d", i), Zone: "a", Service: "audit", State: platform.VMLive,
+		Address: fmt.Sprintf("10.0.0.%d:%d", i, 8000+life)}
+}
+
+// pull does what the spreading of the two topics does.
+func pull(t *testing.T, to, from *Inventory) {
+	t.Helper()
+	view := from.View()
+	to.Observe(&View{Deadlines: view.Deadlines, LastNotice: view.LastNotice})
+	to.ObserveChanges(from.ChangesSince(to.ListVersion()))
+}
+
+// TestChangesGiveTheSameList changes the list and the notices at random at one
+// node; the others pull from random nodes at random times. In the end all are
+// the same, and no notice that a node knew is ever missing there later.
+func TestChangesGiveTheSameList(t *testing.T) {
+	for seed := range uint64(8) {
+		synctest.Test(t, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 0))
+			nodes := []*Inventory{newTestInventory(), newTestInventory(), newTestInventory()}
+			vms, sequence := map[int]platform.VM{}, int64(0)
+			for round := range 300 {
+				time.Sleep(10 * time.Millisecond)
+				switch i := rng.IntN(20); rng.IntN(4) {
+				case 0:
+					vms[i] = testVM(i, round)
+				case 1:
+					delete(vms, i)
+				case 2:
+					sequence++
+					nodes[0].applyNotices([]platform.Notice{{Sequence: sequence, VM: fmt.Sprintf("vm-%d", i),
+						Deadline: time.Now().Add(time.Hour)}})
+				}
+				var list []platform.VM
+				for _, vm := range vms {
+					list = append(list, vm)
+				}
+				nodes[0].applyList(list)
+				to, known := nodes[1+rng.IntN(2)], 0
+				known = len(to.View().Deadlines)
+				pull(t, to, nodes[rng.IntN(3)])
+				require.GreaterOrEqual(t, len(to.View().Deadlines), known)
+			}
+			for _, n := range nodes[1:] {
+				pull(t, n, nodes[0])
+				require.Equal(t, nodes[0].View().VMs, n.View().VMs)
+				require.Equal(t, nodes[0].View().Deadlines, n.View().Deadlines)
+			}
+		})
+	}
+}
+
+func TestDeltaHoldsOnlyWhatChanged(t *testing.T) {
+	a, b := newTestInventory(), newTestInventory()
+	list := []platform.VM{testVM(1, 0), testVM(2, 0), testVM(3, 0)}
+	a.applyList(list)
+	pull(t, b, a)
+	a.applyList([]platform.VM{list[0], testVM(2, 1)})
+	delta := a.ChangesSince(b.ListVersion())
+	require.Equal(t, []platform.VM{testVM(2, 1)}, delta.VMs)
+	require.Equal(t, []string{"vm-3"}, delta.Removed)
+	require.Len(t, a.ChangesSince(17).VMs, 2, "the whole list for a version never seen")
+}
+
+func TestDeltaThatDoesNotFitLeadsToTheWholeList(t *testing.T) {
+	a, b := newTestInventory(), newTestInventory()
+	a.applyList([]platform.VM{testVM(1, 0)})
+	pull(t, b, a)
+	a.applyList([]platform.VM{testVM(1, 0), testVM(2, 0)})
+	delta := a.ChangesSince(b.ListVersion())
+
+	other := *delta
+	other.Since = 17
+	require.False(t, b.ObserveChanges(&other), "from another version")
+	require.NotZero(t, b.ListVersion())
+
+	damaged := *delta
+	damaged.VMs = nil
+	require.False(t, b.ObserveChanges(&damaged))
+	require.Zero(t, b.ListVersion(), "asks for the whole list")
+	require.Len(t, b.View().VMs, 1, "and keeps what it has")
+	pull(t, b, a)
+	require.Equal(t, a.View().VMs, b.View().VMs)
+	require.Equal(t, a.View().Version, b.ListVersion())
+}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -19,8 +19,10 @@
 // View is the site as one node knows it. A View is never changed after it was
 // published.
 type View struct {
-	// Version rises with every change of content seen by a poller: it is the
-	// poller's clock in microseconds, so views of several pollers are ordered.
+	// Version rises with every change of the list seen by a poller: it is the
+	// poller's clock in microseconds, so lists of several pollers are ordered.
+	// Notices do not change it: all pollers hear of one at the same time, and
+	// each would make a version that the others have not seen.
 	Version int64 `msgpack:"v"`
 	// VMs by ID, with notices applied: a VM under notice is leaving.
 	VMs map[string]platform.VM `msgpack:"m"`
@@ -81,6 +83,10 @@
 	mu          sync.Mutex
 	view        *View
 	subscribers map[chan *View]struct{}
+	// steps are the latest changes of the list, oldest first.
+	steps []step
+	// needsList is set after a delta that did not fit.
+	needsList bool
 }
 
 // New returns an inventory that polls lister and notices.
@@ -142,6 +148,7 @@
 	}
 	if other.Version > i.view.Version {
 		next.VMs = other.VMs
+		i.needsList = false
 	}
 	maps.Copy(next.Deadlines, other.Deadlines)
 	i.publishLocked(next)
@@ -213,7 +220,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	next := &View{
-		Version: max(time.Now().UnixMicro(), i.view.Version+1), VMs: i.view.VMs,
+		Version: i.view.Version, VMs: i.view.VMs,
 		Deadlines: maps.Clone(i.view.Deadlines), LastNotice: i.view.LastNotice,
 	}
 	for _, n := range notices {
@@ -229,6 +236,7 @@
 func (i *Inventory) publishLocked(v *View) {
 	i.dropOldDeadlines(v)
 	markLeaving(v)
+	i.recordLocked(v)
 	i.view = v
 	for ch := range i.subscribers {
 		select {
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -33,6 +33,9 @@
 
 	lastRead atomic.Int64 // unix nanoseconds
 	lastUse  atomic.Int64 // unix nanoseconds of the last open or notify
+	// busySince is when the connection last went from no streams to some, in
+	// unix nanoseconds.
+	busySince atomic.Int64
 
 	mu       sync.Mutex
 	err      error
@@ -152,6 +155,7 @@
 	full := c.incoming >= c.t.options.MaxStreams
 	_, duplicate := c.streams[id]
 	if !full && !duplicate && !c.closed {
+		c.noteBusy()
 		c.streams[id] = s
 		c.incoming++
 	}
@@ -204,11 +208,19 @@
 	}
 	s := newStream(c, c.nextID, kind, true)
 	c.nextID += 2
+	c.noteBusy()
 	c.streams[s.id] = s
 	c.lastUse.Store(time.Now().UnixNano())
 	return s, nil
 }
 
+// noteBusy is called under mu before a stream is added.
+func (c *conn) noteBusy() {
+	if len(c.streams) == 0 {
+		c.busySince.Store(time.Now().UnixNano())
+	}
+}
+
 func (c *conn) remove(s *Stream) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/peer/keepalive.go
+++ b/internal/peer/keepalive.go
@@ -30,17 +30,37 @@
 	}
 }
 
+// checkSilence pings after the connection's interval and fails the connection
+// when no frame has come for PingTimeout after that.
 func (c *conn) checkSilence() {
-	silence := time.Since(time.Unix(0, c.lastRead.Load()))
-	if silence >= c.t.options.PingInterval+c.t.options.PingTimeout {
+	silence := c.silence(time.Now())
+	interval := c.pingInterval()
+	if silence >= interval+c.t.options.PingTimeout {
 		c.fail(fault.New(fault.Unavailable, "peer.ping", c.remote.ID, "no frame for %s", silence))
 		return
 	}
-	if silence >= c.t.options.PingInterval {
+	if silence >= interval {
 		c.control(rawFrame(framePing, 0))
 	}
 }
 
+// pingInterval is IdlePingInterval while the connection has no streams, so
+// that a full mesh of idle connections costs little.
+func (c *conn) pingInterval() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.streams) == 0 {
+		return c.t.options.IdlePingInterval
+	}
+	return c.t.options.PingInterval
+}
+
+// silence is the time since the last frame, or since streams were opened on an
+// idle connection: until then no answer was due within PingInterval.
+func (c *conn) silence(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, max(c.lastRead.Load(), c.busySince.Load())))
+}
+
 // drain stops new streams; with onlyIdle, only if there are none now.
 func (c *conn) drain(onlyIdle bool) {
 	c.mu.Lock()
@@ -93,8 +113,7 @@
 		return false
 	default:
 	}
-	limit := c.t.options.PingInterval + c.t.options.PingTimeout
-	return now.Sub(time.Unix(0, c.lastRead.Load())) < limit
+	return c.silence(now) < c.pingInterval()+c.t.options.PingTimeout
 }
 
 // open reports whether streams can be opened.
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -20,6 +20,9 @@
 	QueueFrames int
 	// PingInterval is the silence after which a ping is sent; default 1 s.
 	PingInterval time.Duration
+	// IdlePingInterval is the silence after which a connection without streams
+	// is pinged; default 15 s, and never below PingInterval.
+	IdlePingInterval time.Duration
 	// PingTimeout is how long after a ping some frame must arrive; default 3 s.
 	PingTimeout time.Duration
 	// DialTimeout bounds dialling and the handshake; default 3 s.
@@ -29,14 +32,15 @@
 }
 
 const (
-	defaultMaxFrameBytes = 8 << 20
-	defaultWindow        = 64
-	defaultMaxStreams    = 16384
-	defaultQueueFrames   = 1024
-	defaultPingInterval  = time.Second
-	defaultPingTimeout   = 3 * time.Second
-	defaultDialTimeout   = 3 * time.Second
-	defaultIdleTimeout   = 5 * time.Minute
+	defaultMaxFrameBytes    = 8 << 20
+	defaultWindow           = 64
+	defaultMaxStreams       = 16384
+	defaultQueueFrames      = 1024
+	defaultPingInterval     = time.Second
+	defaultIdlePingInterval = 15 * time.Second
+	defaultPingTimeout      = 3 * time.Second
+	defaultDialTimeout      = 3 * time.Second
+	defaultIdleTimeout      = 5 * time.Minute
 )
 
 func (o Options) withDefaults() Options {
@@ -45,6 +49,8 @@
 	setDefault(&o.MaxStreams, defaultMaxStreams)
 	setDefault(&o.QueueFrames, defaultQueueFrames)
 	setDefault(&o.PingInterval, defaultPingInterval)
+	setDefault(&o.IdlePingInterval, defaultIdlePingInterval)
+	o.IdlePingInterval = max(o.IdlePingInterval, o.PingInterval)
 	setDefault(&o.PingTimeout, defaultPingTimeout)
 	setDefault(&o.DialTimeout, defaultDialTimeout)
 	setDefault(&o.IdleTimeout, defaultIdleTimeout)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -266,6 +266,34 @@
 	})
 }
 
+// TestStreamOnIdleConnection opens a stream on a connection that was silent for
+// longer than a busy one may be: the peer gets its time to answer, and a silent
+// peer is found as fast as on a busy connection.
+func TestStreamOnIdleConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, a, _ := pair(testOptions())
+		start(t, a)
+		mute := newTransport(Node{ID: "m", Address: "m:1"}, n, testOptions())
+		l, err := n.Listen("m:1")
+		require.NoError(t, err)
+		go func() {
+			if nc, err := l.Accept(); err == nil {
+				_, _ = mute.welcome(nc)
+				_, _ = io.Copy(io.Discard, nc)
+			}
+		}()
+		require.NoError(t, a.Notify(mute.self, Gossip, 1))
+		time.Sleep(defaultIdlePingInterval - defaultPingInterval)
+		alive, _ := a.Reachable("m")
+		require.True(t, alive, "no answer was due yet")
+		began := time.Now()
+		_, err = Call[string](t.Context(), a, mute.self, Submit, "x")
+		require.True(t, fault.Is(err, fault.Ambiguous), "%v", err)
+		require.GreaterOrEqual(t, time.Since(began), defaultPingTimeout)
+		require.LessOrEqual(t, time.Since(began), 2*(defaultPingInterval+defaultPingTimeout))
+	})
+}
+
 func TestNotify(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, a, b := pair(testOptions())
--- a/internal/slopes/claims.go
+++ b/internal/slopes/claims.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
 
 	"buckthornpick/internal/backend"
 	"buckthornpick/internal/claim"
@@ -30,6 +31,8 @@
 	claimPeriod = 3 * time.Second
 	// startPause lets the ledgers start.
 	startPause = 200 * time.Millisecond
+	// warmUpLimit bounds the claims under way before the measurement.
+	warmUpLimit = 256
 	claimTable  = "slopes/table"
 	claimPrefix = "claims/"
 )
@@ -137,13 +140,16 @@
 
 // warmUp commits one claim of each partition, so that every one is loaded.
 func (z *claimZone) warmUp(ctx context.Context) error {
-	for z.sent < request.Partitions {
-		if _, err := z.commit(ctx, z.sent); err != nil {
+	var g errgroup.Group
+	g.SetLimit(warmUpLimit)
+	for ; z.sent < request.Partitions; z.sent++ {
+		number := z.sent
+		g.Go(func() error {
+			_, err := z.commit(ctx, number)
 			return err
-		}
-		z.sent++
+		})
 	}
-	return nil
+	return g.Wait()
 }
 
 // run commits claims at the rate; it returns how many were committed.
--- a/internal/slopes/mesh.go
+++ b/internal/slopes/mesh.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,26 +18,45 @@
 // largestMesh bounds the nodes of a full mesh in one process.
 const largestMesh = 100
 
-// measureMesh measures the keepalive of a full mesh of idle connections.
+// meshWindow covers a ping of every idle connection.
+const meshWindow = 16 * time.Second
+
+// measureMesh measures the keepalive of full meshes of idle connections.
 func measureMesh(ctx context.Context, o Options, out *Results) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	meters := map[int]*meter{}
 	for _, n := range o.Nodes {
 		if n > largestMesh {
 			continue
 		}
-		if err := measureMeshAt(ctx, n, out); err != nil {
+		before := liveBytes()
+		m, err := startMesh(ctx, &wg, n)
+		if err != nil {
 			return err
 		}
+		meters[n] = m
+		out.Add("mesh", "full mesh of idle connections: memory per node, network included", "B", "nodes",
+			float64(n), (liveBytes()-before)/float64(n))
+	}
+	was, began := map[int]float64{}, time.Now()
+	for n, m := range meters {
+		was[n] = sumPeer(m)
+	}
+	pause(ctx, meshWindow)
+	seconds := time.Since(began).Seconds()
+	for _, n := range slices.Sorted(maps.Keys(meters)) {
+		out.Add("mesh", "full mesh of idle connections: bytes to peers per node", "B/s", "nodes",
+			float64(n), (sumPeer(meters[n])-was[n])/float64(n)/seconds)
 	}
 	return nil
 }
 
-func measureMeshAt(ctx context.Context, n int, out *Results) error {
-	ctx, cancel := context.WithCancel(ctx)
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	defer cancel()
+// startMesh starts n transports and connects each with each.
+func startMesh(ctx context.Context, wg *sync.WaitGroup, n int) (*meter, error) {
 	m := newMeter(1)
-	before := liveBytes()
 	var nodes []peer.Node
 	var transports []*peer.Transport
 	for i := range n {
@@ -51,18 +72,12 @@
 	for i, t := range transports {
 		for _, to := range nodes[i+1:] {
 			if err := t.Notify(to, peer.Gossip, "hello"); err != nil {
-				return err
+				return nil, err
 			}
 		}
 	}
 	pause(ctx, settle)
-	was, cpu, began := sumPeer(m), processorTime(), time.Now()
-	pause(ctx, idle)
-	seconds, x := time.Since(began).Seconds(), float64(n)
-	out.Add("mesh", "full mesh of idle connections: bytes to peers per node", "B/s", "nodes", x, (sumPeer(m)-was)/x/seconds)
-	out.Add("mesh", "full mesh of idle connections: processor time per node", "share of a core", "nodes", x, (processorTime()-cpu).Seconds()/x/seconds)
-	out.Add("mesh", "full mesh of idle connections: memory per node, network included", "B", "nodes", x, (liveBytes()-before)/x)
-	return nil
+	return m, nil
 }
 
 func sumPeer(m *meter) float64 {
--- a/internal/slopes/servers.go
+++ b/internal/slopes/servers.go
@@ -15,6 +15,9 @@
 	serverNodes   = 12
 	reclaims      = 3
 	reclaimPause  = 1500 * time.Millisecond
+	starts        = 3
+	// startsPause covers a read of the VM list.
+	startsPause   = 1500 * time.Millisecond
 	reclaimNotice = time.Minute
 )
 
@@ -50,6 +53,13 @@
 		}
 	})
 	add("VM under notice: bytes to peers per event and node", "B", used.above(rest)/serverNodes/reclaims)
+	used = r.during(func() {
+		for i := range starts {
+			r.addServer(n + i)
+			pause(ctx, startsPause)
+		}
+	})
+	add("VM new in the list: bytes to peers per event and node", "B", used.above(rest)/serverNodes/starts)
 	return nil
 }
 
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -1,11 +1,13 @@
 // Package spread passes small versioned values (the document, the table of
 // members, the view of the site) from node to node.
 //
-// A node that learns a newer version pushes it to a few random peers at once,
-// and each of them does the same; the number of nodes reached grows by the
-// fanout with every step. Once per interval a node also compares versions with
-// one random peer, so that a node that missed every push catches up. Traffic
-// per node is constant in the number of nodes.
+// A node that learns a newer version tells a few random peers at once, and
+// each of them does the same; the number of nodes reached grows by the fanout
+// with every step. A small value is pushed. Of a larger one of a PullTopic only
+// the version is announced, and a peer that lacks it pulls it once, as a delta
+// if the topic has one. Once per interval a node also compares versions
+// with one random peer, so that a node that missed everything catches up.
+// Traffic per node is constant in the number of nodes.
 package spread
 
 import (
@@ -15,6 +17,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
 
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/telemetry"
@@ -30,6 +33,17 @@
 	Observe(value []byte) (isNews bool, err error)
 }
 
+// PullTopic is a topic whose version determines its value, so that a node
+// that has the version lacks nothing. Only the versions of its larger values
+// are announced.
+type PullTopic interface {
+	Topic
+	// EncodeSince returns what leads from the version, 0 for none, to the
+	// present one: the whole value or a delta that Observe takes at a node of
+	// that version.
+	EncodeSince(version int64) (value []byte, err error)
+}
+
 // Config holds peers and intervals.
 type Config struct {
 	// Fanout is the number of peers a new version is pushed to. Default 4.
@@ -44,6 +58,8 @@
 	defaultFanout   = 4
 	defaultInterval = time.Second
 	callTimeout     = 2 * time.Second
+	// pushBytes is the largest value that is pushed and not announced.
+	pushBytes = 512
 )
 
 // Spreader passes topics on. Topics are added before Run.
@@ -60,6 +76,8 @@
 	wake   chan struct{}
 	// received holds pushes that wait to be taken in.
 	received chan receivedPush
+	// announced holds announcements that wait for their pull.
+	announced chan receivedPush
 
 	mu     sync.Mutex
 	pushes map[string]int64
@@ -74,15 +92,18 @@
 	push push
 }
 
-// push carries a value to a peer.
+// push carries a value to a peer, or announces its version if Value is empty.
 type push struct {
-	Topic string `msgpack:"t"`
-	Value []byte `msgpack:"v"`
+	Topic   string `msgpack:"t"`
+	Value   []byte `msgpack:"v,omitempty"`
+	Version int64  `msgpack:"n,omitempty"`
 }
 
 // digest tells the versions that a node has.
 type digest struct {
 	Versions map[string]int64 `msgpack:"v"`
+	// Only asks for this topic alone; empty asks for all.
+	Only string `msgpack:"o,omitempty"`
 }
 
 // update answers a digest with the values that are newer.
@@ -108,8 +129,8 @@
 		bytes:    metrics.GetOrRegisterCounter("spread_sent_bytes_total", registry),
 		topics:   map[string]Topic{},
 		wake:     make(chan struct{}, 1),
-		received: make(chan receivedPush, maxReceived),
-		pushes:   map[string]int64{},
+		received: make(chan receivedPush, maxReceived), announced: make(chan receivedPush, maxReceived),
+		pushes: map[string]int64{},
 	}
 	transport.HandleNotify(peer.Gossip, s.receivePush)
 	transport.Handle(peer.GossipCompare, s.answerDigest)
@@ -130,8 +151,15 @@
 	}
 }
 
-// Run pushes new versions and compares with peers until ctx ends.
+// Run tells new versions and compares with peers until ctx ends.
 func (s *Spreader) Run(ctx context.Context) error {
+	var g errgroup.Group
+	g.Go(func() error { return s.pullAnnounced(ctx) })
+	g.Go(func() error { return s.tell(ctx) })
+	return g.Wait()
+}
+
+func (s *Spreader) tell(ctx context.Context) error {
 	timer := time.NewTimer(s.nextInterval())
 	defer timer.Stop()
 	for {
@@ -157,22 +185,35 @@
 		if v := t.Version(); !s.claimPush(name, v) {
 			continue
 		}
-		value, _, err := t.Encode()
+		value, version, err := t.Encode()
 		if err != nil {
 			s.log.Log(EvEncodeFailed, "topic", name, "error", err)
 			continue
 		}
-		for _, p := range s.randomPeers(s.cfg.Fanout) {
-			if err := s.transport.Notify(p, peer.Gossip, push{Topic: name, Value: value}); err != nil {
-				s.log.Log(EvPushFailed, "topic", name, "peer", p.ID, "error", err)
-				continue
-			}
-			s.pushed.Inc(1)
-			s.bytes.Inc(int64(len(value)))
+		p := s.newPush(name, value, version)
+		for _, to := range s.randomPeers(s.cfg.Fanout) {
+			s.send(to, p)
 		}
 	}
 }
 
+// newPush holds the value, or its version if it is to be pulled.
+func (s *Spreader) newPush(name string, value []byte, version int64) push {
+	if _, isPulled := s.topics[name].(PullTopic); isPulled && len(value) > pushBytes {
+		return push{Topic: name, Version: version}
+	}
+	return push{Topic: name, Value: value}
+}
+
+func (s *Spreader) send(to peer.Node, p push) {
+	if err := s.transport.Notify(to, peer.Gossip, p); err != nil {
+		s.log.Log(EvPushFailed, "topic", p.Topic, "peer", to.ID, "error", err)
+		return
+	}
+	s.pushed.Inc(1)
+	s.bytes.Inc(int64(len(p.Value)))
+}
+
 // claimPush reports whether version has not been pushed yet, and marks it.
 func (s *Spreader) claimPush(name string, version int64) bool {
 	s.mu.Lock()
@@ -190,8 +231,12 @@
 		s.log.Log(EvBadValue, "peer", from.ID, "error", err)
 		return
 	}
+	queue := s.received
+	if len(p.Value) == 0 {
+		queue = s.announced
+	}
 	select {
-	case s.received <- receivedPush{from: from, push: p}:
+	case queue <- receivedPush{from: from, push: p}:
 	default:
 		s.log.Log(EvPushDropped, "peer", from.ID, "topic", p.Topic)
 	}
@@ -212,62 +257,6 @@
 	}
 }
 
-// compareWithOne exchanges versions with a random peer and takes what is newer.
-func (s *Spreader) compareWithOne(ctx context.Context) {
-	for _, p := range s.randomPeers(1) {
-		s.CompareWith(ctx, p)
-	}
-}
-
-// CompareWith exchanges versions with one peer and takes what is newer.
-func (s *Spreader) CompareWith(ctx context.Context, p peer.Node) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	answer, err := peer.Call[update](ctx, s.transport, p, peer.GossipCompare, digest{Versions: s.versions()})
-	if err != nil {
-		s.log.Log(EvCompareFailed, "peer", p.ID, "error", err)
-		return
-	}
-	s.pulled.Inc(1)
-	for name, value := range answer.Values {
-		s.observe(p, name, value)
-	}
-	s.pushOlder(p, answer.Versions)
-}
-
-// pushOlder sends a peer the topics of which it has an older version.
-func (s *Spreader) pushOlder(p peer.Node, theirs map[string]int64) {
-	for _, name := range s.names {
-		t := s.topics[name]
-		if t.Version() <= theirs[name] {
-			continue
-		}
-		value, _, err := t.Encode()
-		if err != nil {
-			continue
-		}
-		if s.transport.Notify(p, peer.Gossip, push{Topic: name, Value: value}) == nil {
-			s.bytes.Inc(int64(len(value)))
-		}
-	}
-}
-
-func (s *Spreader) answerDigest(ctx context.Context, _ peer.Node, st *peer.Stream) error {
-	var d digest
-	if err := st.First(&d); err != nil {
-		return err
-	}
-	answer := update{Values: map[string][]byte{}, Versions: s.versions()}
-	for _, name := range s.names {
-		value, version, err := s.topics[name].Encode()
-		if err == nil && version > d.Versions[name] {
-			answer.Values[name] = value
-			s.bytes.Inc(int64(len(value)))
-		}
-	}
-	return st.Send(ctx, answer)
-}
-
 func (s *Spreader) versions() map[string]int64 {
 	out := make(map[string]int64, len(s.names))
 	for _, name := range s.names {
--- /dev/null
+++ b/internal/spread/spread_test.go
@@ -0,0 +1,132 @@
+package spread
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"buckthornpick/internal/peer"
+	"buckthornpick/internal/standin/memnet"
+	"buckthornpick/internal/telemetry"
+)
+
+// testTopic is a version and a filler; it counts what it took.
+type testTopic struct {
+	filler int
+
+	mu       sync.Mutex
+	version  int64
+	observed int
+}
+
+func (t *testTopic) Version() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
+func (t *testTopic) Encode() ([]byte, int64, error) {
+	v := t.Version()
+	return append(binary.BigEndian.AppendUint64(nil, uint64(v)), bytes.Repeat([]byte{7}, t.filler)...), v, nil
+}
+
+func (t *testTopic) Observe(value []byte) (bool, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observed++
+	v := int64(binary.BigEndian.Uint64(value))
+	isNews := v > t.version
+	t.version = max(t.version, v)
+	return isNews, nil
+}
+
+func (t *testTopic) set(v int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.version = v
+}
+
+func (t *testTopic) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.observed
+}
+
+type pulledTopic struct{ *testTopic }
+
+func (t pulledTopic) EncodeSince(int64) ([]byte, error) {
+	value, _, err := t.Encode()
+	return value, err
+}
+
+// runNodes runs spreaders with one topic each and calls f.
+func runNodes(t *testing.T, n int, topic func() (Topic, *testTopic), f func([]*Spreader, []*testTopic)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		defer cancel()
+		network := memnet.New(1)
+		var nodes []peer.Node
+		for i := range n {
+			id := fmt.Sprintf("n%d", i)
+			nodes = append(nodes, peer.Node{ID: id, Zone: "a", Address: id + ":1"})
+		}
+		var spreaders []*Spreader
+		var topics []*testTopic
+		for i, self := range nodes {
+			transport := peer.New(self, network.Host(self.ID, "a"), telemetry.Discard(), metrics.NewRegistry(),
+				peer.Options{Secret: []byte("secret")})
+			others := append(append([]peer.Node(nil), nodes[:i]...), nodes[i+1:]...)
+			s := New(Config{Peers: func() []peer.Node { return append([]peer.Node(nil), others...) }},
+				transport, telemetry.Discard(), metrics.NewRegistry())
+			added, counted := topic()
+			s.Add("topic", added)
+			spreaders, topics = append(spreaders, s), append(topics, counted)
+			wg.Go(func() { _ = transport.Run(ctx) })
+			wg.Go(func() { _ = s.Run(ctx) })
+		}
+		time.Sleep(5 * time.Second)
+		f(spreaders, topics)
+	})
+}
+
+func TestLargeValueIsPulledOnce(t *testing.T) {
+	topic := func() (Topic, *testTopic) {
+		c := &testTopic{filler: 10 * pushBytes}
+		return pulledTopic{c}, c
+	}
+	runNodes(t, 12, topic, func(s []*Spreader, topics []*testTopic) {
+		topics[0].set(1)
+		s[0].Changed()
+		time.Sleep(5 * time.Second)
+		for i, c := range topics {
+			require.EqualValues(t, 1, c.Version(), "node %d", i)
+			require.LessOrEqual(t, c.count(), 2, "a comparison may cross the pull")
+		}
+	})
+}
+
+// TestTopicThatIsNotPulledIsPushed covers values that a node may lack although
+// it has the version, as a union has.
+func TestTopicThatIsNotPulledIsPushed(t *testing.T) {
+	topic := func() (Topic, *testTopic) {
+		c := &testTopic{filler: 10 * pushBytes}
+		return c, c
+	}
+	runNodes(t, 2, topic, func(s []*Spreader, topics []*testTopic) {
+		topics[0].set(1)
+		topics[1].set(1)
+		s[0].Changed()
+		time.Sleep(time.Second / 2)
+		require.NotZero(t, topics[1].count())
+	})
+}
