--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -33,7 +33,7 @@
 			return a, nil
 		}
 		clear(e.tried)
-		if !e.mayWait(time.Now()) {
+		if !e.mayWait(time.Now()) || isTooLate(err) {
 			return nil, noServer(err)
 		}
 		if !waitForServers(ctx, changed) {
@@ -42,6 +42,22 @@
 	}
 }
 
+// isTooLate reports whether every server would answer later than the target; a
+// wait would make it later still.
+func isTooLate(err error) bool {
+	var saturated *route.ErrSaturated
+	return errors.As(err, &saturated) && saturated.Late
+}
+
+// firstTokenWithin returns the target that a request must be able to meet to
+// be dispatched; 0 once it was dispatched, because then it must be answered.
+func (e *execution) firstTokenWithin(s config.Service) time.Duration {
+	if e.mayHaveRun || len(e.rec.Events()) > 0 {
+		return 0
+	}
+	return time.Duration(s.Target.FirstTokenMillis * float64(time.Millisecond))
+}
+
 // mayWait reports whether the request may wait for a backend server. One that
 // was dispatched before waits until its deadline.
 func (e *execution) mayWait(now time.Time) bool {
@@ -88,7 +104,8 @@
 		Now: now, Service: s.Name, Context: e.req.Context,
 		PromptTokens: e.req.PromptTokens, MaxTokens: e.req.MaxTokens,
 		PrefixHashes: e.plan.prefix, Priority: e.plan.priority, VMClass: e.plan.vmClass,
-		Exclude: func(id string) bool { return e.tried[id] },
+		FirstTokenWithin: e.firstTokenWithin(s),
+		Exclude:          func(id string) bool { return e.tried[id] },
 	}
 	choice, err := picker.Pick(q)
 	if err != nil {
@@ -118,7 +135,7 @@
 }
 
 func noServer(err error) *request.End {
-	end := &request.End{Problem: problemUnavailable, Message: err.Error(),
+	end := &request.End{Problem: problemUnavailable, Message: fault.Text(err),
 		Status: http.StatusServiceUnavailable, RetryAfter: time.Second}
 	var saturated *route.ErrSaturated
 	if errors.As(err, &saturated) {
@@ -139,7 +156,7 @@
 		return e.quarantined(err), false
 	}
 	if ctx.Err() == nil {
-		return e.giveUp(request.End{Problem: problemUnavailable, Message: err.Error(),
+		return e.giveUp(request.End{Problem: problemUnavailable, Message: fault.Text(err),
 			Status: http.StatusServiceUnavailable, RetryAfter: time.Second}), false
 	}
 	return e.giveUpOrHandOver(e.interrupted(ctx)), false
@@ -150,7 +167,7 @@
 }
 
 func (e *execution) quarantined(err error) *request.End {
-	end := request.End{Problem: problemQuarantined, Message: err.Error(), Status: http.StatusUnprocessableEntity}
+	end := request.End{Problem: problemQuarantined, Message: fault.Text(err), Status: http.StatusUnprocessableEntity}
 	if e.mayHaveRun {
 		end.Outcome = request.Failed
 		return &end
@@ -182,8 +199,9 @@
 }
 
 func (e *execution) noteFirst(a *attempt) {
+	a.firstAt = time.Now()
 	if e.firstAt.IsZero() {
-		e.firstAt = time.Now()
+		e.firstAt = a.firstAt
 	}
 	if !a.hasPicker {
 		return
@@ -195,6 +213,9 @@
 
 func (e *execution) noteUsage(a *attempt, answer backend.Answer) {
 	a.usage = answer.Usage()
+	if !a.firstAt.IsZero() {
+		e.d.kv.prefilled(a.usage.ComputedTokens, a.firstAt.Sub(a.sentAt))
+	}
 	e.d.stats.promptTokens.Inc(int64(a.usage.PromptTokens))
 	e.d.stats.cachedTokens.Inc(int64(a.usage.CachedTokens))
 	e.d.stats.computedTokens.Inc(int64(a.usage.ComputedTokens))
--- a/internal/dispatch/execution.go
+++ b/internal/dispatch/execution.go
@@ -5,9 +5,12 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"buckthornpick/internal/backend"
 	"buckthornpick/internal/claim"
 	"buckthornpick/internal/fault"
@@ -28,12 +31,17 @@
 	tried map[string]bool
 	// mayHaveRun is true once a backend server may have run the request.
 	mayHaveRun bool
+	// hasEarlier is true if an earlier submission of the request, that may
+	// have run, is known here.
+	hasEarlier bool
 	// isCrash tells whether the last attempt's server crashed, as opposed to
 	// being out of reach.
 	isCrash    bool
 	dispatches int
 	startedAt  time.Time
 	firstAt    time.Time
+	// movedFrom is set between two attempts of an answer that moves.
+	movedFrom *movedFrom
 
 	mu sync.Mutex
 	// written is the last claim, with Number 0 before the first.
@@ -56,6 +64,8 @@
 	choice  route.Choice
 	query   route.Query
 	sentAt  time.Time
+	// firstAt is the time of the first event, zero before it.
+	firstAt time.Time
 	// hasPicker is false for the older system, which no picker chose.
 	hasPicker bool
 	permit    Permit
@@ -66,6 +76,7 @@
 var (
 	errServerLeaving = errors.New("backend server is leaving")
 	errHandedOver    = errors.New("request was handed over")
+	errStalled       = errors.New("backend server has sent nothing for too long")
 )
 
 func newExecution(d *Dispatcher, rec *request.Record) *execution {
@@ -125,7 +136,7 @@
 			Message: "rule " + e.plan.rule + " names no known service"}, false
 	}
 	ticket, err := e.d.deps.Admitter.Admit(ctx, limit.Ask{
-		Organisation: e.req.Organisation, Service: e.plan.admittedAs(),
+		Organisation: e.req.Organisation, Service: e.plan.admittedAs(), Context: e.req.Context,
 		Priority: e.plan.priority, Deadline: e.plan.startBy,
 		Cost: e.req.PromptTokens + e.req.MaxTokens,
 	})
@@ -168,6 +179,7 @@
 			return end, true
 		}
 	}
+	e.bringKV(ctx, a)
 	number, err := e.rec.Dispatch()
 	if err != nil {
 		return e.stateRefused(err), true
@@ -187,11 +199,13 @@
 	attemptCtx, cancel := e.interruptible(ctx)
 	defer cancel()
 	e.d.watchDeadline(e, a.target.ID)
+	stall := e.watchStall(a, e.d.cfg.StallTimeout)
+	defer stall.stop()
 	answer, err := e.d.deps.Backends.Start(attemptCtx, a.target, e.plan.sent, a.id, e.continuation())
 	if err != nil {
 		return causeOr(attemptCtx, err)
 	}
-	return causeOr(attemptCtx, e.follow(number, a, answer))
+	return causeOr(attemptCtx, e.follow(number, a, answer, stall))
 }
 
 // continuation returns the answer so far, nil at the beginning.
@@ -204,9 +218,12 @@
 }
 
 // follow copies the answer into the record. A nil error means that it is whole.
-func (e *execution) follow(number int, a *attempt, answer backend.Answer) error {
+func (e *execution) follow(number int, a *attempt, answer backend.Answer, stall *stallTimer) error {
 	defer func() { _ = answer.Close() }()
-	if err := e.rec.SetHead(number, answer.Head()); err != nil {
+	stall.reset(e.d.cfg.StallTimeout)
+	head := answer.Head()
+	head.Answer = answerName(a.id)
+	if err := e.rec.SetHead(number, head); err != nil {
 		return err
 	}
 	isFirst := true
@@ -223,6 +240,7 @@
 			e.d.deps.Log.Log(EvLateAnswer, "request", e.req.ID, "attempt", a.id, "error", err)
 			return err
 		}
+		stall.reset(e.d.cfg.StallTimeout)
 		if isFirst {
 			isFirst = false
 			e.noteFirst(a)
@@ -230,6 +248,11 @@
 	}
 }
 
+// answerName names the answer that begins with the attempt.
+func answerName(id backend.AttemptID) string {
+	return strconv.FormatUint(xxhash.Sum64String(string(id))>>32, 36)
+}
+
 // interruptible returns the context of one attempt.
 func (e *execution) interruptible(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -277,7 +300,7 @@
 		return nil
 	}
 	cause := context.Cause(ctx)
-	if errors.Is(cause, errServerLeaving) || errors.Is(cause, errHandedOver) {
+	if errors.Is(cause, errServerLeaving) || errors.Is(cause, errHandedOver) || errors.Is(cause, errStalled) {
 		return cause
 	}
 	return err
@@ -328,7 +351,7 @@
 func (e *execution) notRun(end request.End) *request.End {
 	e.d.deps.Log.Log(EvRefused, "request", e.req.ID, "problem", end.Problem, "reason", end.Message)
 	end.Outcome = request.NotRun
-	if e.mayHaveRun || !e.knowsHistory() {
+	if e.mayHaveRun || e.hasEarlier || !e.knowsHistory() {
 		end.Outcome = request.Unknown
 	}
 	return &end
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"buckthornpick/internal/backend"
+	"buckthornpick/internal/fault"
 	"buckthornpick/internal/request"
 )
 
@@ -26,22 +27,21 @@
 
 // streamWriter writes one answer as server-sent events.
 type streamWriter struct {
-	w       http.ResponseWriter
-	rc      *http.ResponseController
-	id      request.ID
+	w  http.ResponseWriter
+	rc *http.ResponseController
+	id request.ID
+	// suffix follows the sequence number in event IDs.
+	suffix  string
 	started bool
 	buf     bytes.Buffer
 }
 
 // writeStream delivers an answer as server-sent events. The outcome is a
 // trailer and, unless completed, also the last event.
-func (g *Gateway) writeStream(w http.ResponseWriter, r *http.Request, a Answer, after int) {
+func (g *Gateway) writeStream(w http.ResponseWriter, r *http.Request, a Answer) {
 	ctx, cancel := g.untilLeaving(r.Context())
 	defer cancel()
 	s := &streamWriter{w: w, rc: http.NewResponseController(w), id: a.Info().ID}
-	if after > 0 {
-		s.start()
-	}
 	for {
 		step, err := g.nextOrKeepAlive(ctx, a, s)
 		if err != nil {
@@ -52,6 +52,9 @@
 			s.end(*step.End)
 			return
 		}
+		if step.Head != nil && step.Head.Answer != "" {
+			s.suffix = eventIDSeparator + step.Head.Answer
+		}
 		if step.Event == nil {
 			continue
 		}
@@ -99,7 +102,7 @@
 			s.end(end.End)
 			return
 		}
-		s.end(request.End{Outcome: request.Unknown, Problem: typeInternal, Message: err.Error(),
+		s.end(request.End{Outcome: request.Unknown, Problem: typeInternal, Message: fault.Text(err),
 			Status: http.StatusBadGateway, RetryAfter: time.Second})
 	}
 }
@@ -121,6 +124,7 @@
 	s.start()
 	s.buf.WriteString("id: ")
 	s.buf.WriteString(strconv.Itoa(ev.Sequence))
+	s.buf.WriteString(s.suffix)
 	s.buf.WriteString("\ndata: ")
 	s.buf.Write(ev.Data)
 	s.buf.WriteString("\n\n")
@@ -187,7 +191,7 @@
 	head, body, err := wholeBody(info.Kind, c)
 	if err != nil {
 		writeProblem(w, problem{status: http.StatusBadGateway, kind: typeInternal, id: info.ID,
-			message: "answer could not be assembled: " + err.Error(), outcome: request.Unknown})
+			message: "answer could not be assembled: " + fault.Text(err), outcome: request.Unknown})
 		return
 	}
 	h := w.Header()
