--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -127,3 +127,18 @@
 		}
 	})
 }
+
+// TestCallerThatHangsUpMidStreamGetsTheRestElsewhere reads some events, closes
+// the connection, and attaches at another entry while the answer still grows.
+func TestCallerThatHangsUpMidStreamGetsTheRestElsewhere(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		body := chatBody("check the shop", 150, true)
+		id, events := s.readSome(s.Entries()[1], body, 40)
+		last := regexp.MustCompile(`id: (\S+)`).FindAllStringSubmatch(events, -1)[39][1]
+		rest, err := s.send(s.Entries()[4], "GET", "/v1/requests/"+id, map[string]string{"Last-Event-ID": last}, nil)
+		require.NoError(t, err)
+		require.Equal(t, "completed", rest.outcome(), "%s", rest.tail())
+		text := streamText(t, []byte(events)) + streamText(t, rest.body)
+		require.NoError(t, engine.VerifyText(engine.PromptOf(body), text, 150))
+	})
+}
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -1,12 +1,14 @@
 package entry_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -201,3 +203,23 @@
 	require.NoError(s.t, err)
 	return r
 }
+
+// readSome reads n events of a streamed answer and hangs up.
+func (s *testSite) readSome(e *site.Entry, body []byte, n int) (id, events string) {
+	ctx, hangUp := context.WithCancel(context.Background())
+	defer hangUp()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.URL+"/v1/chat/completions", bytes.NewReader(body))
+	require.NoError(s.t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := s.client.Do(req)
+	require.NoError(s.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	lines := bufio.NewReader(resp.Body)
+	var text strings.Builder
+	for range 3 * n { // an event is two lines and an empty one
+		line, err := lines.ReadString('\n')
+		require.NoError(s.t, err)
+		text.WriteString(line)
+	}
+	return resp.Header.Get("Buckthornpick-Request-Id"), text.String()
+}
