--- a/internal/entry/truth_test.go
+++ b/internal/entry/truth_test.go
@@ -10,6 +10,8 @@
 	"buckthornpick/internal/config"
 	"buckthornpick/internal/entry"
 	"buckthornpick/internal/gateway"
+	"buckthornpick/internal/member"
+	"buckthornpick/internal/request"
 	"buckthornpick/internal/standin/engine"
 	"buckthornpick/internal/standin/oldersystem"
 	"buckthornpick/internal/standin/plainservice"
@@ -72,23 +74,44 @@
 func TestAnswerIsHandedToTheNextHeirIfTheFirstIsGone(t *testing.T) {
 	withSite(t, nil, func(s *testSite) {
 		entries := s.Entries()
-		header := map[string]string{gateway.HeaderIdempotencyKey: "export", gateway.HeaderNonRepeatable: "true"}
-		first, err := s.send(entries[0], "POST", exportPath, header, []byte("x"))
+		owner := entries[2]
+		key := s.keyOwnedBy(owner, "export-")
+		header := map[string]string{gateway.HeaderIdempotencyKey: key}
+		first, err := s.send(owner, "POST", exportPath, header, []byte("x"))
 		require.NoError(t, err)
 		require.Equal(t, "completed", first.outcome())
-		for _, e := range entries[1:] {
-			e.Stop()
-		}
-		for _, e := range entries[1:] {
-			<-e.Done()
+		heir := s.heirOf(owner, key)
+		heir.Kill()
+		owner.Stop()
+		<-owner.Done()
+		var other *site.Entry
+		for _, e := range entries {
+			if e != owner && e != heir {
+				other = e
+			}
 		}
-		again, err := s.send(entries[0], "POST", exportPath, header, []byte("x"))
+		again, err := s.send(other, "POST", exportPath, header, []byte("x"))
 		require.NoError(t, err)
 		require.Equal(t, "completed", again.outcome(), "%s", again.tail())
 		require.Equal(t, first.body, again.body)
 	})
 }
 
+// heirOf returns the entry that owns the key's request when its owner is gone.
+func (s *testSite) heirOf(owner *site.Entry, key string) *site.Entry {
+	var rest []member.Member
+	for _, m := range owner.Node.Members().Table().Members {
+		if m.ID != owner.ID {
+			rest = append(rest, m)
+		}
+	}
+	m, ok := member.NewTable(1, rest, nil).Owner(request.NewID("delta", key).Partition())
+	require.True(s.t, ok)
+	heir, ok := s.Entry(m.ID)
+	require.True(s.t, ok)
+	return heir
+}
+
 func TestEntryThatHasJustStartedAsksForClaimsOfItsPartitions(t *testing.T) {
 	withSite(t, nil, func(s *testSite) {
 		header := map[string]string{gateway.HeaderNonRepeatable: "true"}
