--- a/test/fuzz/fuzz_test.go
+++ b/test/fuzz/fuzz_test.go
@@ -64,7 +64,8 @@
 }
 
 // TestHistories runs the histories of FUZZ_HISTORIES seeds from FUZZ_SEED on,
-// with FUZZ_STEPS steps each, and prints the failing ones, shrunk.
+// with FUZZ_STEPS steps each, and prints the failing ones, shrunk. FUZZ_SECONDS
+// bounds the real time, FUZZ_WORKERS the histories that run together.
 func TestHistories(t *testing.T) {
 	first := setting(t, "FUZZ_SEED", fixedSeed)
 	count := setting(t, "FUZZ_HISTORIES", fixedHistories)
@@ -72,11 +73,16 @@
 	shrinks := setting(t, "FUZZ_SHRINK", 60)
 	known := knownReds(t)
 	began := time.Now()
-	var next, failed atomic.Int64
+	limit := time.Duration(setting(t, "FUZZ_SECONDS", 0)) * time.Second
+	var next, ran, failed atomic.Int64
 	var workers sync.WaitGroup
 	for range min(setting(t, "FUZZ_WORKERS", runtime.GOMAXPROCS(0)), count) {
 		workers.Go(func() {
 			for i := int(next.Add(1)) - 1; i < count; i = int(next.Add(1)) - 1 {
+				if limit > 0 && time.Since(began) > limit {
+					return
+				}
+				ran.Add(1)
 				seed := uint64(first + i)
 				s := ScheduleOf(seed, steps)
 				violations := runHistory(t, seed, s, Options{})
@@ -98,8 +104,8 @@
 	}
 	workers.Wait()
 	took := time.Since(began)
-	t.Logf("%d histories of %d steps in %v: %.1f a second, %d failed", count, steps, took.Round(time.Millisecond),
-		float64(count)/took.Seconds(), failed.Load())
+	t.Logf("%d histories of %d steps in %v: %.1f a second, %d failed", ran.Load(), steps, took.Round(time.Millisecond),
+		float64(ran.Load())/took.Seconds(), failed.Load())
 }
 
 // keep returns the numbers of the steps, for FUZZ_KEEP.
