entry: nodes under notice leave the table in one change

After a failure the node leaves by itself as before. The table of heirs is kept until table, notices or drain change.

--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -22,4 +22,6 @@
 		"The node could not remove itself from the table; others remove it when its lease lapses.")
 	EvTransferFailed = telemetry.Register(1256, "transfer-failed", slog.LevelWarn,
 		"Requests could not be handed over to their new owner; the next one is tried.")
+	EvDepartFailed = telemetry.Register(1257, "depart-failed", slog.LevelInfo,
+		"Another node could not take this node out of the table; the node does it itself.")
 )
--- a/internal/entry/leave.go
+++ b/internal/entry/leave.go
@@ -156,6 +156,7 @@
 func (n *Node) leaveTable(ctx context.Context, cfg DrainConfig) {
 	ctx, cancel := context.WithTimeout(ctx, cfg.LeaveWait)
 	defer cancel()
+	n.askToDepart(ctx)
 	if err := n.members.Leave(ctx); err != nil {
 		n.log.Log(EvLeaveFailed, "error", err)
 	}
@@ -214,23 +215,6 @@
 	return out
 }
 
-// heirs returns the table without members that are leaving, this node among
-// them if it drains.
-func (n *Node) heirs() member.Table {
-	table := n.members.Table()
-	deadlines := n.inventory.View().Deadlines
-	isDraining := n.drain.isDraining()
-	var rest []member.Member
-	for _, m := range table.Members {
-		_, isLeaving := deadlines[m.ID]
-		isLeaving = isLeaving || (isDraining && m.ID == n.cfg.Self.ID)
-		if !isLeaving {
-			rest = append(rest, m)
-		}
-	}
-	return member.NewTable(table.Revision, rest, nil)
-}
-
 // without returns the table without the members with the IDs.
 func without(t member.Table, ids map[string]bool) member.Table {
 	var rest []member.Member
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -75,6 +75,8 @@
 	quarantine *quarantine.Quarantine
 	minter     minter
 	drain      *drainState
+	departures *departures
+	heirsCache heirsCache
 }
 
 // pollers is the number of members of a zone that read the platform's lists
@@ -90,6 +92,7 @@
 	cfg.Member.Self = cfg.Self
 	cfg.Member.GapWindow = gapWindow(cfg)
 	n.members = member.New(cfg.Member, cfg.Store, cfg.Log, cfg.Registry)
+	n.departures = newDepartures(n.members)
 	n.own = ownership{Tenure: &claim.Tenure{}, self: cfg.Self.ID, members: n.members}
 	n.documents = confstore.New(confstore.Config{Self: cfg.Self.ID, WatchesStore: n.isPoller}, cfg.Store, cfg.Log, cfg.Registry)
 	cfg.Inventory.IsPoller = n.isPoller
@@ -147,7 +150,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	for _, duty := range []func(context.Context) error{
 		n.transport.Run, n.members.Run, n.documents.Run, n.inventory.Run,
-		n.ledger.Run, n.owner.Run, n.spreader.Run,
+		n.ledger.Run, n.owner.Run, n.spreader.Run, n.departures.Run,
 		n.applyDocuments, n.applyViews, n.applyTables, n.pullFromSeeds, n.preloadClaims,
 	} {
 		g.Go(func() error { return duty(ctx) })
--- a/internal/member/leave.go
+++ b/internal/member/leave.go
@@ -44,6 +44,21 @@
 	return t.without(self.ID), nil, true, nil
 }
 
+// RemoveLeaving takes members that have asked for it out of the table in one
+// change, without gaps: each is alive and can be asked for its requests. Only
+// the incarnations given are taken out.
+func (m *Membership) RemoveLeaving(ctx context.Context, leaving []Member) error {
+	return m.change(ctx, func(t Table) (Table, []kv.Compare, bool, error) {
+		next, changed := t, false
+		for _, l := range leaving {
+			if now, ok := t.Find(l.ID); ok && now.Incarnation == l.Incarnation {
+				next, changed = next.without(l.ID), true
+			}
+		}
+		return next, nil, changed, nil
+	})
+}
+
 // retry repeats f until it succeeds or ctx ends.
 func (m *Membership) retry(ctx context.Context, f func() error) error {
 	for wait := joinBackoff; ; wait = min(2*wait, maxJoinBackoff) {
--- a/internal/slopes/nodes.go
+++ b/internal/slopes/nodes.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"sync"
+	"slices"
 	"time"
 
+	"buckthornpick/internal/member"
 	"buckthornpick/internal/standin/site"
 )
 
@@ -113,30 +114,26 @@
 	return nil
 }
 
-// measureLeaves lets the nodes of one zone leave the table at once.
+// measureLeaves takes the VMs of one zone back and waits until its nodes are
+// out of the table everywhere else.
 func (r *rig) measureLeaves(ctx context.Context, add addFunc) error {
-	var leaving []*site.Entry
-	for _, e := range r.site.Entries() {
-		if e.Zone == zoneName(0) {
-			leaving = append(leaving, e)
-		}
-	}
+	var err error
 	began := time.Now()
-	errs := make([]error, len(leaving))
 	used := r.during(func() {
-		var wg sync.WaitGroup
-		for i, e := range leaving {
-			wg.Go(func() { errs[i] = e.Node.Members().Leave(ctx) })
-		}
-		wg.Wait()
+		r.site.Cloud.ReclaimZone(zoneName(0), reclaimNotice)
+		err = r.await(ctx, "zone left", func(e *site.Entry) bool { return e.Zone == zoneName(0) || hasLeft(e, zoneName(0)) })
 	})
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
+	if err != nil {
+		return err
 	}
-	add("a zone leaves the table at once: time", "s", time.Since(began).Seconds())
-	add("a zone leaves the table at once: store writes", "calls", used.writes())
-	add("a zone leaves the table at once: store reads", "calls", used.calls["range"])
+	nodes := float64(len(r.site.Entries()))
+	add("notice for a zone: until out of the table everywhere", "s", time.Since(began).Seconds())
+	add("notice for a zone: store writes", "calls", used.writes())
+	add("notice for a zone: store reads", "calls", used.calls["range"])
+	add("notice for a zone: bytes to peers per node", "B", used.total.peer/nodes)
 	return nil
 }
+
+func hasLeft(e *site.Entry, zone string) bool {
+	return !slices.ContainsFunc(e.Node.Members().Table().Members, func(m member.Member) bool { return m.Zone == zone })
+}
