cloudhttp: an unchanged VM list is not sent again

Change: the client sends the list's entity tag and takes 304; a platform without entity tags is read as before.

--- a/internal/platform/cloudhttp/client.go
+++ b/internal/platform/cloudhttp/client.go
@@ -6,11 +6,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"buckthornpick/internal/fault"
@@ -35,6 +37,11 @@
 	// NoticeWait is how long one call of Notices waits, in whole
 	// milliseconds; default DefaultNoticeWait. Set it before the first call.
 	NoticeWait time.Duration
+
+	// mu guards the last VM list and its entity tag.
+	mu  sync.Mutex
+	tag string
+	vms []platform.VM
 }
 
 var (
@@ -48,13 +55,27 @@
 	return &Client{base: strings.TrimSuffix(base, "/"), http: httpClient, log: log, NoticeWait: DefaultNoticeWait}
 }
 
-// ListVMs implements platform.Lister.
+// ListVMs implements platform.Lister. The list must not be changed. If the
+// platform gives it an entity tag, an unchanged list is not sent again.
 func (c *Client) ListVMs(ctx context.Context) ([]platform.VM, error) {
 	var list struct {
 		VMs []platform.VM `json:"vms"`
 	}
-	err := c.call(ctx, call{step: "cloud.list", method: http.MethodGet, path: "/v1/vms", answer: &list})
-	return list.VMs, err
+	c.mu.Lock()
+	last, tag := c.vms, c.tag
+	c.mu.Unlock()
+	k := call{step: "cloud.list", method: http.MethodGet, path: "/v1/vms", answer: &list, tag: tag, newTag: new(string)}
+	err := c.call(ctx, k)
+	if errors.Is(err, errNotModified) {
+		return last, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.vms, c.tag = list.VMs, *k.newTag
+	return list.VMs, nil
 }
 
 // Notices implements platform.NoticeSource. It returns no notice and no error
@@ -114,11 +135,19 @@
 	answer any // nil ignores it
 	// writes is true if the call may take effect though its answer is lost.
 	writes bool
+	// tag is the entity tag of the answer that the client has, empty for none;
+	// the call is then errNotModified if it is still the answer.
+	tag string
+	// newTag takes the answer's entity tag; nil ignores it.
+	newTag *string
 }
 
+// errNotModified says that the answer is the one that the client has.
+var errNotModified = errors.New("not modified")
+
 func (c *Client) call(ctx context.Context, k call) error {
 	err := c.send(ctx, k)
-	if err != nil && ctx.Err() == nil {
+	if err != nil && !errors.Is(err, errNotModified) && ctx.Err() == nil {
 		c.log.Log(EvCallFailed, "step", k.step, "peer", c.base, "error", err)
 	}
 	return err
@@ -138,6 +167,9 @@
 	if err != nil {
 		return c.lost(k, err)
 	}
+	if resp.StatusCode == http.StatusNotModified && k.tag != "" {
+		return errNotModified
+	}
 	if resp.StatusCode >= 300 {
 		return c.statusError(k, resp.StatusCode, data)
 	}
@@ -150,12 +182,19 @@
 	if err := json.Unmarshal(data, k.answer); err != nil {
 		return fault.Wrap(err, fault.Protocol, k.step, c.base, "answer")
 	}
+	if k.newTag != nil {
+		*k.newTag = resp.Header.Get("ETag")
+	}
 	return nil
 }
 
 func (c *Client) newRequest(ctx context.Context, k call) (*http.Request, error) {
 	if k.body == nil {
-		return http.NewRequestWithContext(ctx, k.method, c.base+k.path, nil)
+		req, err := http.NewRequestWithContext(ctx, k.method, c.base+k.path, nil)
+		if err == nil && k.tag != "" {
+			req.Header.Set("If-None-Match", k.tag)
+		}
+		return req, err
 	}
 	data, err := json.Marshal(k.body)
 	if err != nil {
--- a/internal/platform/cloudhttp/client_test.go
+++ b/internal/platform/cloudhttp/client_test.go
@@ -96,3 +96,29 @@
 	_, err := New(srv.URL, srv.Client(), telemetry.Discard()).ListVMs(t.Context())
 	require.True(t, fault.Is(err, fault.Protocol), "%v", err)
 }
+
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	s := cloud.New(cloud.Settings{ListLag: time.Nanosecond})
+	var statuses []int
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		s.ServeHTTP(recorder, r)
+		statuses = append(statuses, recorder.Code)
+		for name, values := range recorder.Header() {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(recorder.Code)
+		_, _ = w.Write(recorder.Body.Bytes())
+	}))
+	defer srv.Close()
+	c := New(srv.URL, srv.Client(), telemetry.Discard())
+	for _, id := range []string{"vm-1", "", "vm-2", ""} {
+		if id != "" {
+			s.Add(platform.VM{ID: id, Zone: "a", State: platform.VMLive})
+		}
+		vms, err := c.ListVMs(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, s.VMs(), vms)
+	}
+	require.Equal(t, []int{http.StatusOK, http.StatusNotModified, http.StatusOK, http.StatusNotModified}, statuses)
+}
--- a/internal/standin/cloud/cloud.go
+++ b/internal/standin/cloud/cloud.go
@@ -6,7 +6,8 @@
 //   - POST /v1/vms with a VMSpec starts a VM and returns it. The same
 //     operationId returns the same VM. A refused start is 503 with the error
 //     type "capacity"; an operationId that was used for another spec is 409.
-//   - GET /v1/vms returns {"vms": [...]} as of Settings.ListLag ago.
+//   - GET /v1/vms returns {"vms": [...]} as of Settings.ListLag ago, with an
+//     ETag; with that tag in If-None-Match it is 304 while the list is the same.
 //   - DELETE /v1/vms/{id} stops a VM; an unknown or stopped VM is no error.
 //   - GET /v1/notices?after=n&wait=ms returns {"notices": [...]} with a
 //     sequence above n, and waits for one for up to ms milliseconds.
--- a/internal/standin/cloud/http.go
+++ b/internal/standin/cloud/http.go
@@ -4,10 +4,13 @@
 	"cmp"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"buckthornpick/internal/platform"
 )
 
@@ -73,8 +76,8 @@
 	writeJSON(w, http.StatusOK, list)
 }
 
-// serveList returns the list as it was Settings.ListLag ago.
-func (s *Server) serveList(w http.ResponseWriter, _ *http.Request) {
+// serveList returns the list as it was Settings.ListLag ago, with an entity tag.
+func (s *Server) serveList(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	now := time.Now()
 	s.forget(now)
@@ -83,7 +86,19 @@
 		list.VMs = s.history[0].vms
 	}
 	s.mu.Unlock()
-	writeJSON(w, http.StatusOK, list)
+	data, err := json.Marshal(list)
+	if err != nil {
+		writeProblem(w, http.StatusInternalServerError, "internal", err.Error())
+		return
+	}
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(data), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data)
 }
 
 var (
