--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -64,7 +64,8 @@
   "node": {"id": "", "zone": "a"},
   "peers": {"advertised": ["nohost"], "secret": "s", "secretFile": "f"},
   "admin": {"tls": {"certFile": "c"}},
-  "lease": {"ttl": "2s"}
+  "lease": {"ttl": "2s"},
+  "bounds": {"claimRetention": "15m"}
 }`))
 	var ps Problems
 	require.ErrorAs(t, err, &ps)
@@ -74,6 +75,6 @@
 	}
 	require.Equal(t, map[string]int{
 		"node.id": 2, "peers.advertised": 3, "peers.secret": 3, "admin.tls": 4,
-		"store.url": 1, "cloud.url": 1, "lease.renewInterval": 5,
+		"store.url": 1, "cloud.url": 1, "lease.renewInterval": 5, "bounds.claimRetention": 6,
 	}, lines)
 }
--- a/internal/config/settings_entry.go
+++ b/internal/config/settings_entry.go
@@ -96,6 +96,10 @@
 	// KeyWindow is the time for which ended requests and their answers are
 	// kept for resending callers; default "10m".
 	KeyWindow Duration `json:"keyWindow"`
+	// ClaimRetention is the time for which the claims of non-repeatable
+	// requests are kept in the store; a caller who sends a key again after it
+	// may have the request run again. At least twice KeyWindow; default "24h".
+	ClaimRetention Duration `json:"claimRetention"`
 }
 
 const (
@@ -104,6 +108,9 @@
 
 	// renewalsPerTTL is the least number of renewals in one TTL.
 	renewalsPerTTL = 3
+	// keyWindowsPerRetention is the least number of key windows for which
+	// claims are kept.
+	keyWindowsPerRetention = 2
 )
 
 // SetDefaults fills in the documented defaults.
@@ -125,7 +132,8 @@
 		MaxBodyBytes: 4 * mib, MaxHeaderBytes: 64 * kib,
 		AnswerBytesPerRequest: 8 * mib, AnswerBytesTotal: 128 * mib,
 		MaxConnections: 10_000, MaxRequests: 4096,
-		KeyWindow: Duration(10 * time.Minute),
+		KeyWindow:      Duration(10 * time.Minute),
+		ClaimRetention: Duration(24 * time.Hour),
 	}
 	s.Log.Level = defaultLogLevel
 }
@@ -190,4 +198,7 @@
 	atLeast(ps, "bounds.maxConnections", int64(b.MaxConnections), 1)
 	atLeast(ps, "bounds.maxRequests", int64(b.MaxRequests), 1)
 	positive(ps, "bounds.keyWindow", b.KeyWindow)
+	if b.ClaimRetention < keyWindowsPerRetention*b.KeyWindow {
+		ps.add("bounds.claimRetention", "", "expected at least twice bounds.keyWindow (%v), got %v", b.KeyWindow, b.ClaimRetention)
+	}
 }
--- a/internal/entryd/provision.go
+++ b/internal/entryd/provision.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"buckthornpick/internal/backend"
+	"buckthornpick/internal/claim"
 	"buckthornpick/internal/cli"
 	"buckthornpick/internal/config"
 	"buckthornpick/internal/dispatch"
@@ -52,6 +53,7 @@
 			AnswerBytes: int(s.Bounds.AnswerBytesPerRequest), BufferBytes: int(s.Bounds.AnswerBytesTotal),
 			KeyWindow: time.Duration(s.Bounds.KeyWindow),
 		},
+		Claim:  claim.Config{Retention: time.Duration(s.Bounds.ClaimRetention)},
 		Member: member.Config{LeaseTTL: time.Duration(s.Lease.TTL)},
 		Drain:  entry.DrainConfig{Grace: time.Duration(s.Drain.Grace)},
 	}
