Gateway: one idle context for many waits of a stream

Cause: each wait for a token made a context with a timer; 0.7 of 8.5 s of the entry's processor time in a labelled profile, and most of its allocations.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -32,6 +32,7 @@
 	id      request.ID
 	started bool
 	buf     bytes.Buffer
+	idle    idleWait
 }
 
 // writeStream delivers an answer as server-sent events. The outcome is a
@@ -39,7 +40,8 @@
 func (g *Gateway) writeStream(w http.ResponseWriter, r *http.Request, a Answer, after int) {
 	ctx, cancel := g.untilLeaving(r.Context())
 	defer cancel()
-	s := &streamWriter{w: w, rc: http.NewResponseController(w), id: a.Info().ID}
+	s := &streamWriter{w: w, rc: http.NewResponseController(w), id: a.Info().ID, idle: idleWait{interval: g.cfg.KeepAlive}}
+	defer s.idle.end()
 	if after > 0 {
 		s.start()
 	}
@@ -69,20 +71,23 @@
 
 // nextOrKeepAlive waits for the next step and keeps an idle connection alive.
 func (g *Gateway) nextOrKeepAlive(ctx context.Context, a Answer, s *streamWriter) (request.Step, error) {
+	if a.Ready() {
+		return a.Next(ctx)
+	}
+	since := time.Now()
 	for {
-		if a.Ready() {
-			return a.Next(ctx)
-		}
-		waitCtx, cancel := context.WithTimeout(ctx, g.cfg.KeepAlive)
-		step, err := a.Next(waitCtx)
-		cancel()
+		step, err := a.Next(s.idle.begin(ctx, since))
 		if err == nil || ctx.Err() != nil || !errors.Is(err, context.DeadlineExceeded) {
 			return step, err
 		}
+		if time.Since(since) < g.cfg.KeepAlive {
+			continue
+		}
 		if s.started {
 			_, _ = s.w.Write(keepAliveEvent)
 			_ = s.rc.Flush()
 		}
+		since = time.Now()
 	}
 }
 
