--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -59,7 +59,7 @@
 			at:      []time.Duration{20 * time.Second, 24 * time.Second, 60 * time.Second, 61 * time.Second},
 			steps:   []request.Step{event(1), event(2), event(3), {End: &request.End{Outcome: request.Completed}}},
 		}
-		g.writeStream(w, httptest.NewRequest(http.MethodGet, "/", nil), a, 0)
+		g.writeStream(w, httptest.NewRequest(http.MethodGet, "/", nil), a)
 		require.Equal(t, []time.Duration{39 * time.Second, 54 * time.Second}, w.comments)
 	})
 }
