Bounds that were settings only: connections, requests, kept answers, frames

- bounds.maxConnections limits the callers' listener, bounds.maxRequests the requests that have not ended (more are not-run at once, after their claims were looked up).
- Ended requests are kept for bounds.keyWindow, as its description says (2 min before), without body and headers, which were kept but not counted.
- Handovers go in messages of at most 1 MiB or one request; the largest frame fits the largest body with the largest answer (8 MiB did not).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -76,7 +76,9 @@
 	// BufferBytes bounds the answers of ended requests kept for callers that
 	// attach. Default 64 MiB.
 	BufferBytes int
-	// Retention is how long an ended request is kept. Default 2 min.
+	// MaxRequests bounds the requests that have not ended. Default 4096.
+	MaxRequests int
+	// Retention is how long an ended request is kept. Default 10 min.
 	Retention time.Duration
 	// KeyWindow is how long a lost owner's requests may be sent again.
 	// Default 10 min.
@@ -111,7 +113,8 @@
 const (
 	defaultAnswerBytes     = 8 << 20
 	defaultBufferBytes     = 64 << 20
-	defaultRetention       = 2 * time.Minute
+	defaultMaxRequests     = 4096
+	defaultRetention       = 10 * time.Minute
 	defaultKeyWindow       = 10 * time.Minute
 	defaultStartWait       = 3 * time.Second
 	defaultRecoverWait     = 3 * time.Second
@@ -128,6 +131,7 @@
 func (c Config) WithDefaults() Config {
 	setDefault(&c.AnswerBytes, defaultAnswerBytes)
 	setDefault(&c.BufferBytes, defaultBufferBytes)
+	setDefault(&c.MaxRequests, defaultMaxRequests)
 	setDefault(&c.Retention, defaultRetention)
 	setDefault(&c.KeyWindow, defaultKeyWindow)
 	setDefault(&c.StartWait, defaultStartWait)
@@ -263,8 +267,9 @@
 	if err := rec.Restore(0, received.Head, received.Events); err != nil {
 		return nil, err
 	}
-	e := newExecution(d, rec)
+	e := newExecution(d, rec, r)
 	e.hasEarlier = hasEarlier
+	e.isSurplus = len(d.executions) >= d.cfg.MaxRequests
 	d.startLocked(e)
 	return rec, nil
 }
--- a/internal/dispatch/execution.go
+++ b/internal/dispatch/execution.go
@@ -34,6 +34,8 @@
 	// hasEarlier is true if an earlier submission of the request, that may
 	// have run, is known here.
 	hasEarlier bool
+	// isSurplus is true if the node runs its maximum of requests already.
+	isSurplus bool
 	// isCrash tells whether the last attempt's server crashed, as opposed to
 	// being out of reach.
 	isCrash    bool
@@ -79,8 +81,8 @@
 	errStalled       = errors.New("backend server has sent nothing for too long")
 )
 
-func newExecution(d *Dispatcher, rec *request.Record) *execution {
-	return &execution{d: d, rec: rec, req: rec.Request, tried: map[string]bool{}}
+func newExecution(d *Dispatcher, rec *request.Record, r *request.Request) *execution {
+	return &execution{d: d, rec: rec, req: r, tried: map[string]bool{}}
 }
 
 // main runs the request to its end and records the end.
@@ -105,6 +107,10 @@
 	if end, isResolved := e.resolveClaim(ctx); isResolved {
 		return end
 	}
+	if e.isSurplus {
+		return e.notRun(request.End{Problem: problemOverloaded, Message: "too many requests are running",
+			Status: http.StatusServiceUnavailable, RetryAfter: time.Second})
+	}
 	plan, refusal := e.d.decide(e.req, time.Now())
 	if refusal != nil {
 		return e.notRun(*refusal)
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -27,6 +27,15 @@
 	End *request.End `msgpack:"d,omitempty"`
 }
 
+// Size returns about the number of bytes of the transfer on its way.
+func (t Transfer) Size() int {
+	size := len(t.Request.Body)
+	for _, ev := range t.Events {
+		size += len(ev.Data)
+	}
+	return size
+}
+
 // Export returns the state of every request here, for handing over. Requests
 // that were not dispatched are stopped first, so that only the new owner runs
 // them. Requests at backend servers that cannot resume stay here until they
@@ -124,7 +133,7 @@
 	if t.End != nil {
 		return d.adoptEndedLocked(rec, *t.End)
 	}
-	e := newExecution(d, rec)
+	e := newExecution(d, rec, t.Request)
 	if t.Claim != nil {
 		e.written = *t.Claim
 	}
--- a/internal/entry/leave.go
+++ b/internal/entry/leave.go
@@ -171,8 +171,11 @@
 	}
 }
 
-// transferBatch bounds the requests of one message.
-const transferBatch = 64
+// Bounds of one message of transfers.
+const (
+	transferBatch = 64
+	transferBytes = 1 << 20
+)
 
 // transferRounds bounds the heirs that are tried for one request.
 const transferRounds = 4
@@ -194,7 +197,7 @@
 	var left []dispatch.Transfer
 	for heir, transfers := range n.byHeir(transfers, gone) {
 		for len(transfers) > 0 {
-			batch := transfers[:min(transferBatch, len(transfers))]
+			batch := nextBatch(transfers)
 			transfers = transfers[len(batch):]
 			if err := n.transferTo(ctx, heir, batch); fault.Is(err, fault.Unavailable) {
 				gone[heir.ID] = true
@@ -205,6 +208,19 @@
 	return left
 }
 
+// nextBatch returns the first transfers that fit into one message, at least
+// one.
+func nextBatch(transfers []dispatch.Transfer) []dispatch.Transfer {
+	size := 0
+	for i, t := range transfers {
+		size += t.Size()
+		if i > 0 && (i == transferBatch || size > transferBytes) {
+			return transfers[:i]
+		}
+	}
+	return transfers
+}
+
 func (n *Node) byHeir(transfers []dispatch.Transfer, gone map[string]bool) map[member.Member][]dispatch.Transfer {
 	out := map[member.Member][]dispatch.Transfer{}
 	heirs := without(n.heirs(), gone)
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -88,6 +88,7 @@
 	n := &Node{cfg: cfg, log: cfg.Log, drain: newDrainState()}
 	self := nodeOf(cfg.Self)
 	cfg.Peer.Secret = cfg.Secret
+	cfg.Peer.MaxFrameBytes = max(cfg.Peer.MaxFrameBytes, maxFrame(cfg))
 	n.transport = peer.New(self, cfg.Network, cfg.Log, cfg.Registry, cfg.Peer)
 	cfg.Member.Self = cfg.Self
 	cfg.Member.GapWindow = gapWindow(cfg)
@@ -110,6 +111,15 @@
 	return n
 }
 
+// frameMargin is the room for everything in a message but body and answer.
+const frameMargin = 1 << 20
+
+// maxFrame returns the size of the largest message: the transfer of a request
+// of the largest body with the largest answer.
+func maxFrame(cfg Config) int {
+	return int(cfg.Gateway.WithDefaults().MaxBodyBytes) + cfg.Dispatch.WithDefaults().AnswerBytes + frameMargin
+}
+
 // gapMargin covers the time from the lapse of a lease to the removal of its
 // holder, and clocks that differ.
 const gapMargin = time.Minute
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -41,7 +41,7 @@
 	}
 	defer cleanup()
 	node := entry.New(cfg)
-	listener, err := listen(network, s.Callers.Address, s.Callers.TLS, p.Log)
+	listener, err := listen(network, s, p.Log)
 	if err != nil {
 		return err
 	}
@@ -80,15 +80,16 @@
 	}
 }
 
-func listen(n netx.Network, address string, files config.TLSSettings, log *telemetry.Logger) (net.Listener, error) {
-	tlsConfig, err := cli.ServerTLS(files, log)
+func listen(n netx.Network, s config.EntrySettings, log *telemetry.Logger) (net.Listener, error) {
+	tlsConfig, err := cli.ServerTLS(s.Callers.TLS, log)
 	if err != nil {
 		return nil, err
 	}
-	l, err := n.Listen(address)
+	l, err := n.Listen(s.Callers.Address)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Unavailable, "callers.listen", address, "cannot listen")
+		return nil, fault.Wrap(err, fault.Unavailable, "callers.listen", s.Callers.Address, "cannot listen")
 	}
+	l = netx.LimitListener(l, s.Bounds.MaxConnections)
 	log.Log(cli.EvListening, "listener", "callers", "address", l.Addr().String(), "tls", tlsConfig != nil)
 	if tlsConfig != nil {
 		return tls.NewListener(l, tlsConfig), nil
--- a/internal/entryd/provision.go
+++ b/internal/entryd/provision.go
@@ -51,7 +51,8 @@
 		Gateway: gateway.Config{MaxBodyBytes: s.Bounds.MaxBodyBytes, BodyTimeout: time.Duration(s.Callers.ReadTimeout)},
 		Dispatch: dispatch.Config{
 			AnswerBytes: int(s.Bounds.AnswerBytesPerRequest), BufferBytes: int(s.Bounds.AnswerBytesTotal),
-			KeyWindow: time.Duration(s.Bounds.KeyWindow),
+			KeyWindow: time.Duration(s.Bounds.KeyWindow), Retention: time.Duration(s.Bounds.KeyWindow),
+			MaxRequests: s.Bounds.MaxRequests,
 		},
 		Claim:  claim.Config{Retention: time.Duration(s.Bounds.ClaimRetention)},
 		Member: member.Config{LeaseTTL: time.Duration(s.Lease.TTL)},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,7 +77,8 @@
 	defaultRequestTimeout = 10 * time.Minute
 )
 
-func (c Config) withDefaults() Config {
+// WithDefaults returns the configuration with defaults for zero fields.
+func (c Config) WithDefaults() Config {
 	if c.MaxBodyBytes == 0 {
 		c.MaxBodyBytes = defaultMaxBodyBytes
 	}
@@ -104,7 +105,7 @@
 
 // New returns a gateway in front of node.
 func New(cfg Config, node Node, log *telemetry.Logger, registry metrics.Registry) *Gateway {
-	return &Gateway{cfg: cfg.withDefaults(), node: node, log: log, stats: newStats(registry)}
+	return &Gateway{cfg: cfg.WithDefaults(), node: node, log: log, stats: newStats(registry)}
 }
 
 // pathRequests is followed by the ID of a request to attach to.
--- /dev/null
+++ b/internal/netx/limit_test.go
@@ -0,0 +1,60 @@
+package netx
+
+import (
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+)
+
+// pipeListener accepts one end of a pipe at a time.
+type pipeListener struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	c, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (l *pipeListener) Close() error {
+	close(l.conns)
+	return nil
+}
+
+func TestLimitListener(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner := &pipeListener{conns: make(chan net.Conn, 3)}
+		for range 3 {
+			c, _ := net.Pipe()
+			inner.conns <- c
+		}
+		l := LimitListener(inner, 2)
+		var open []net.Conn
+		ended := make(chan error, 1)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					ended <- err
+					return
+				}
+				open = append(open, c)
+			}
+		}()
+		synctest.Wait()
+		require.Len(t, open, 2)
+		require.NoError(t, open[0].Close())
+		require.NoError(t, open[0].Close(), "closing twice gives one place free")
+		synctest.Wait()
+		require.Len(t, open, 3)
+		require.NoError(t, l.Close())
+		require.True(t, errors.Is(<-ended, net.ErrClosed))
+	})
+}
--- a/internal/request/record.go
+++ b/internal/request/record.go
@@ -16,7 +16,8 @@
 //   - events are appended only by the current attempt;
 //   - once end is set, nothing changes any more.
 type Record struct {
-	// Request is immutable.
+	// Request is immutable. Its body and headers are left out, because records
+	// are kept for longer than they are needed.
 	Request *Request
 
 	mu       sync.Mutex
@@ -36,7 +37,7 @@
 // up to maxBytes.
 func NewRecord(r *Request, maxBytes int) *Record {
 	return &Record{
-		Request:  r,
+		Request:  r.withoutBody(),
 		machine:  newMachine(),
 		maxBytes: maxBytes,
 	}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -153,6 +153,13 @@
 	Stream bool `msgpack:"st"`
 }
 
+// withoutBody returns a copy without body and headers.
+func (r *Request) withoutBody() *Request {
+	slim := *r
+	slim.Body, slim.Header = nil, nil
+	return &slim
+}
+
 // Info returns the request's Info.
 func (r *Request) Info() Info {
 	return Info{ID: r.ID, Kind: r.Kind, Stream: r.Stream}
