--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -75,6 +75,8 @@
 	quarantine *quarantine.Quarantine
 	minter     minter
 	drain      *drainState
+
+	provisionedAt time.Time
 }
 
 // pollers is the number of members of a zone that read the platform's lists
@@ -83,7 +85,7 @@
 
 // New provisions a node; it does nothing until Run.
 func New(cfg Config) *Node {
-	n := &Node{cfg: cfg, log: cfg.Log, drain: newDrainState()}
+	n := &Node{cfg: cfg, log: cfg.Log, drain: newDrainState(), provisionedAt: time.Now()}
 	self := nodeOf(cfg.Self)
 	cfg.Peer.Secret = cfg.Secret
 	n.transport = peer.New(self, cfg.Network, cfg.Log, cfg.Registry, cfg.Peer)
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -183,11 +183,17 @@
 }
 
 // earlierOwners returns the other nodes that owned the partition by this table
-// or earlier ones, latest first, without those known to be unreachable.
+// or earlier ones, latest first, without those known to be unreachable. A node
+// that has not seen the earlier tables adds the one that would own the
+// partition without it.
 func (n *Node) earlierOwners(partition int) []peer.Node {
+	tables := append([]member.Table{n.members.Table()}, n.members.Previous()...)
+	if time.Since(n.provisionedAt) < newcomerTime {
+		tables = append(tables, without(n.members.Table(), map[string]bool{n.cfg.Self.ID: true}))
+	}
 	var out []peer.Node
 	seen := map[string]bool{n.cfg.Self.ID: true}
-	for _, table := range append([]member.Table{n.members.Table()}, n.members.Previous()...) {
+	for _, table := range tables {
 		m, ok := table.Owner(partition)
 		if !ok || seen[m.ID] {
 			continue
@@ -200,6 +206,10 @@
 	return out
 }
 
+// newcomerTime is how long a node counts as one that has not seen every table
+// of which answers are still kept.
+const newcomerTime = 10 * time.Minute
+
 // remoteEnd returns the answer that a peer's handler gave as an error.
 func remoteEnd(err error) (*gateway.EndError, bool) {
 	var end *gateway.EndError
