--- a/test/fuzz/actions.go
+++ b/test/fuzz/actions.go
@@ -100,7 +100,7 @@
 	case actReclaimServer:
 		w.reclaimServer(s)
 	case actReclaimEntry:
-		if e, ok := pick(w.staying(), s.A); ok && (!w.seen.IsCalm || len(w.staying()) > 1) {
+		if e, ok := pick(w.staying(), s.A); ok && (!w.seen.IsCalm || w.servesWithout(e)) {
 			w.reclaim(e.ID, w.notice(s))
 		}
 	case actReclaimZone:
@@ -156,7 +156,7 @@
 	if w.seen.IsCalm {
 		stay := 0
 		for _, e := range w.staying() {
-			if e.Zone != zone {
+			if e.Zone != zone && e.Node.Ready() == nil && w.isMember(e) {
 				stay++
 			}
 		}
@@ -233,6 +233,26 @@
 	return out
 }
 
+// servesWithout reports whether another entry that stays is a ready member.
+func (w *world) servesWithout(not *site.Entry) bool {
+	for _, e := range w.staying() {
+		if e != not && e.Node.Ready() == nil && w.isMember(e) {
+			return true
+		}
+	}
+	return false
+}
+
+// isMember reports whether every running entry has the entry in its table.
+func (w *world) isMember(e *site.Entry) bool {
+	for _, other := range w.site.Entries() {
+		if _, ok := other.Node.Members().Table().Find(e.ID); !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // liveServers returns the servers that run and are not under notice, in the
 // order of their IDs.
 func (w *world) liveServers() []*site.Server {
@@ -346,7 +366,7 @@
 func (w *world) takeProcess(s Step) {
 	switch s.Do {
 	case actStop:
-		if e, ok := pick(w.staying(), s.A); ok && (!w.seen.IsCalm || len(w.staying()) > 1) {
+		if e, ok := pick(w.staying(), s.A); ok && (!w.seen.IsCalm || w.servesWithout(e)) {
 			w.stop(e)
 		}
 	case actKillEntry:
