entry: a planned stop hands its running requests over at once

Change: a planned stop exports running requests right after leaving, as a reclaim does, and follows them to their end as an observer.

--- a/internal/entry/leave.go
+++ b/internal/entry/leave.go
@@ -127,6 +127,7 @@
 	ctx, cancel := context.WithTimeout(ctx, cfg.Grace)
 	defer cancel()
 	n.leaveTable(ctx, cfg)
+	n.handOver(ctx, false)
 	n.awaitNoRequests(ctx)
 	n.handOver(ctx, true)
 	n.log.Log(EvDrained, "running", n.owner.Running())
