--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -77,6 +77,8 @@
 	drain      *drainState
 	departures *departures
 	heirsCache heirsCache
+
+	provisionedAt time.Time
 }
 
 // pollers is the number of members of a zone that read the platform's lists
@@ -85,7 +87,7 @@
 
 // New provisions a node; it does nothing until Run.
 func New(cfg Config) *Node {
-	n := &Node{cfg: cfg, log: cfg.Log, drain: newDrainState()}
+	n := &Node{cfg: cfg, log: cfg.Log, drain: newDrainState(), provisionedAt: time.Now()}
 	self := nodeOf(cfg.Self)
 	cfg.Peer.Secret = cfg.Secret
 	cfg.Peer.MaxFrameBytes = max(cfg.Peer.MaxFrameBytes, maxFrame(cfg))
