--- a/internal/slopes/claims.go
+++ b/internal/slopes/claims.go
@@ -19,7 +19,6 @@
 	"buckthornpick/internal/netx"
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/request"
-	"buckthornpick/internal/standin/memnet"
 	"buckthornpick/internal/standin/site"
 	"buckthornpick/internal/telemetry"
 
@@ -60,7 +59,7 @@
 	if err := z.warmUp(ctx); err != nil {
 		return err
 	}
-	before, memory, began := z.store.Calls()["txn"], liveBytes(), time.Now()
+	before, sent, memory, began := z.store.Calls()["txn"], sumPeer(z.meter), liveBytes(), time.Now()
 	committed, err := z.run(ctx, rate)
 	if err != nil {
 		return err
@@ -69,6 +68,7 @@
 	add := func(quantity, unit string, y float64) {
 		out.Add("claims", quantity, unit, "claims/s in a zone", math.Round(float64(committed)/seconds), y)
 	}
+	add("claims: bytes to peers per claim", "B", (sumPeer(z.meter)-sent)/float64(committed))
 	add("claims: store transactions, one zone", "calls/s", float64(z.store.Calls()["txn"]-before)/seconds)
 	stored, err := z.storedBytes(ctx)
 	if err != nil {
@@ -81,6 +81,7 @@
 
 // claimZone is the claim ledgers of one zone; partitions are shared out evenly.
 type claimZone struct {
+	meter   *meter
 	store   *kvstandin.Server
 	client  kv.Store
 	ledgers []*claim.Ledger
@@ -91,8 +92,8 @@
 
 func newClaimZone(ctx context.Context) (*claimZone, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	z := &claimZone{store: kvstandin.New(1), cancel: cancel}
-	network := memnet.New(1)
+	z := &claimZone{meter: newMeter(1), store: kvstandin.New(1), cancel: cancel}
+	network := z.meter
 	listener, err := network.Host("store", "").Listen("store:8080")
 	if err != nil {
 		cancel()
@@ -108,7 +109,7 @@
 		z.stop()
 		return nil, err
 	}
-	z.startLedgers(ctx, network, written.Revision)
+	z.startLedgers(ctx, written.Revision)
 	return z, nil
 }
 
@@ -117,11 +118,11 @@
 	return etcd.New(etcd.Config{Endpoint: "http://store:8080"}, client, metrics.NewRegistry())
 }
 
-func (z *claimZone) startLedgers(ctx context.Context, network *memnet.Network, table int64) {
+func (z *claimZone) startLedgers(ctx context.Context, table int64) {
 	writer := peer.Node{ID: "entry-0", Zone: "a", Address: "entry-0" + peerPort}
 	for i := range claimNodes {
 		id := fmt.Sprintf("entry-%d", i)
-		host := network.Host(id, "a")
+		host := z.meter.Host(id, "a")
 		t := peer.New(peer.Node{ID: id, Zone: "a", Address: id + peerPort}, host, telemetry.Discard(),
 			metrics.NewRegistry(), peer.Options{Secret: []byte(site.Secret)})
 		own := &claimOwnership{Tenure: &claim.Tenure{}, writer: writer}
