Zones that are cut off: dial bounds, doubling suspicion, tests

Connections to backend servers are opened within 1 s; a server that cannot be reached is suspect for 5 s, doubled up to 60 s each time it fails again, until it answers. Tests: inside a zone cut off from everything a chat is served with and without a key, an export is not-run or unknown as it must be, and runs once after healing; nodes that start during an outage take document and table from peers; five changes accepted at five entries are each in force everywhere within 4 s.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -201,6 +201,7 @@
 
 func (e *execution) noteFirst(a *attempt) {
 	a.firstAt = time.Now()
+	e.d.deps.Pools.Trust(a.firstAt, a.target.ID)
 	if e.firstAt.IsZero() {
 		e.firstAt = a.firstAt
 	}
--- /dev/null
+++ b/internal/entry/cut_test.go
@@ -0,0 +1,73 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"buckthornpick/internal/standin/site"
+)
+
+// cutOff cuts a zone off from the other zones and from the platform.
+func (s *testSite) cutOff(zone string) {
+	for _, other := range []string{"a", "b", "c", ""} {
+		if other != zone {
+			s.network.CutZones(zone, other)
+		}
+	}
+}
+
+// insideZone returns the site as a caller inside the zone sees it.
+func (s *testSite) insideZone(zone string) (*testSite, func()) {
+	inside := *s
+	inside.client = s.clientIn(zone)
+	return &inside, inside.client.CloseIdleConnections
+}
+
+func (s *testSite) entryIn(zone string) *site.Entry {
+	for _, e := range s.Entries() {
+		if e.Zone == zone {
+			return e
+		}
+	}
+	s.t.Fatalf("no entry in zone %s", zone)
+	return nil
+}
+
+// TestZoneThatIsCutOffServesWhatItCan sends requests inside a zone that is cut
+// off, and again outside after the cut has healed.
+func TestZoneThatIsCutOffServesWhatItCan(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		owner, e := s.entryIn("a"), s.entryIn("c")
+		chatKey := map[string]string{"Idempotency-Key": s.keyOwnedBy(owner, "chat-")}
+		exportKey := map[string]string{"Idempotency-Key": s.keyOwnedBy(owner, "export-")}
+		s.cutOff("c")
+		inside, closeClient := s.insideZone("c")
+		defer closeClient()
+		for name, c := range map[string]struct {
+			path    string
+			header  map[string]string
+			body    []byte
+			outcome string
+			within  time.Duration
+		}{
+			"a chat without a key":                  {chatPath, nil, chatBody("check", 10, false), "completed", 8 * time.Second},
+			"a chat whose owner is out of reach":    {chatPath, chatKey, chatBody("check", 10, false), "completed", 12 * time.Second},
+			"an export without a key":               {exportPath, nil, []byte("x"), "not-run", 8 * time.Second},
+			"an export whose owner is out of reach": {exportPath, exportKey, []byte("x"), "unknown", 20 * time.Second},
+		} {
+			began := time.Now()
+			r, err := inside.send(e, "POST", c.path, c.header, c.body)
+			require.NoError(t, err, name)
+			require.Equal(t, c.outcome, r.outcome(), "%s: %s", name, r.tail())
+			require.Less(t, time.Since(began), c.within, name)
+		}
+		s.network.HealAll()
+		time.Sleep(20 * time.Second)
+		r, err := s.send(owner, "POST", exportPath, exportKey, []byte("x"))
+		require.NoError(t, err)
+		require.Equal(t, "completed", r.outcome(), "%s", r.tail())
+		require.Equal(t, 1, s.runs(exportKey["Idempotency-Key"]))
+	})
+}
--- a/internal/entry/outage_test.go
+++ b/internal/entry/outage_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -51,10 +52,11 @@
 		require.Equal(t, "c", owner.Zone)
 		key := s.keyOwnedBy(owner, "export-")
 		header := map[string]string{"Idempotency-Key": key}
-		s.network.CutZones("c", "")
-		s.network.CutZones("c", "b")
-		s.network.CutZones("c", "a")
-		inside := s.sendFromZone("c", owner, header)
+		s.cutOff("c")
+		inZone, closeClient := s.insideZone("c")
+		defer closeClient()
+		inside, err := inZone.send(owner, "POST", exportPath, header, []byte("x"))
+		require.NoError(t, err)
 		require.Equal(t, "completed", inside.outcome(), "%s", inside.tail())
 		time.Sleep(30 * time.Second) // the others remove zone c's members
 		outside, err := s.send(s.Entries()[0], "POST", exportPath, header, []byte("x"))
@@ -68,3 +70,48 @@
 		require.Equal(t, 1, s.runs(key))
 	})
 }
+
+// TestNodeThatStartsDuringAnOutageTakesTheDocumentFromItsPeers replaces every
+// entry, one after the other, while the store is away.
+func TestNodeThatStartsDuringAnOutageTakesTheDocumentFromItsPeers(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		s.Store.Faults.SetOutage(true)
+		for _, old := range s.Entries() {
+			e, err := s.StartEntry(old.Zone)
+			require.NoError(t, err)
+			s.eventually("the new entry is ready", func() bool { return e.Node.Ready() == nil })
+			old.Kill()
+			snapshot, ok := e.Node.Documents().Current()
+			require.True(t, ok)
+			require.Equal(t, int64(1), snapshot.Revision)
+			r, err := s.send(e, "POST", chatPath, nil, chatBody("check the shop", 10, false))
+			require.NoError(t, err)
+			require.Equal(t, "completed", r.outcome(), "%s", r.tail())
+		}
+	})
+}
+
+// TestConfigurationIsInForceEverywhereWithinFourSeconds accepts changes at
+// several entries.
+func TestConfigurationIsInForceEverywhereWithinFourSeconds(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		for i := range int64(5) {
+			doc := testDocument()
+			doc.Rules[0].Then.Priority = []string{"high", "low"}[i%2]
+			accepting := s.Entries()[int(i)]
+			_, err := s.Propose(s.t.Context(), accepting, doc, i+1, "change "+strconv.FormatInt(i, 10))
+			require.NoError(t, err)
+			accepted := time.Now()
+			for _, e := range s.Entries() {
+				for {
+					snapshot, _ := e.Node.Documents().Current()
+					if snapshot.Revision >= i+2 {
+						break
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+			}
+			require.Less(t, time.Since(accepted), 4*time.Second)
+		}
+	})
+}
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -193,15 +193,9 @@
 	return text.String()
 }
 
-// sendFromZone sends an export as a caller inside a zone.
-func (s *testSite) sendFromZone(zone string, e *site.Entry, header map[string]string) reply {
-	client := netx.HTTPClient(s.network.Host("caller-"+zone, zone), netx.HTTPOptions{})
-	defer client.CloseIdleConnections()
-	inside := *s
-	inside.client = client
-	r, err := inside.send(e, "POST", "/services/report/exports", header, []byte("x"))
-	require.NoError(s.t, err)
-	return r
+// clientIn returns the HTTP client of a caller inside a zone.
+func (s *testSite) clientIn(zone string) *http.Client {
+	return netx.HTTPClient(s.network.Host("caller-"+zone, zone), netx.HTTPOptions{})
 }
 
 // readSome reads n events of a streamed answer and hangs up.
--- a/internal/entryd/provision.go
+++ b/internal/entryd/provision.go
@@ -23,6 +23,8 @@
 const (
 	// backendIdleConns bounds kept connections to one backend server.
 	backendIdleConns = 64
+	// backendDialTimeout bounds the opening of a connection to a backend server.
+	backendDialTimeout = time.Second
 	// platformIdleConns bounds kept connections to a service of the platform.
 	platformIdleConns = 8
 )
@@ -36,7 +38,7 @@
 	}
 	store := netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: platformIdleConns})
 	cloud := netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: platformIdleConns})
-	backends := netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: backendIdleConns})
+	backends := netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: backendIdleConns, DialTimeout: backendDialTimeout})
 	platformClient := cloudhttp.New(s.Cloud.URL, cloud, p.Log)
 	bounded := boundedCloud{Client: platformClient, timeout: time.Duration(s.Cloud.Timeout)}
 	servers := backend.NewHTTPClient(backends, p.Log)
--- a/internal/netx/http.go
+++ b/internal/netx/http.go
@@ -12,6 +12,7 @@
 	defaultMaxIdle        = 1024
 	defaultMaxIdlePerHost = 16
 	defaultIdleTimeout    = 30 * time.Second
+	defaultDialTimeout    = 2 * time.Second
 )
 
 // HTTPOptions tune a client made by HTTPClient.
@@ -22,6 +23,8 @@
 	MaxIdlePerHost int
 	// MaxConnsPerHost bounds all connections to one address; 0 is unbounded.
 	MaxConnsPerHost int
+	// DialTimeout bounds the opening of a connection; default 2 s.
+	DialTimeout time.Duration
 	// IdleTimeout closes connections that carried nothing; default 30 s.
 	IdleTimeout time.Duration
 }
@@ -39,8 +42,13 @@
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = defaultIdleTimeout
 	}
+	if o.DialTimeout == 0 {
+		o.DialTimeout = defaultDialTimeout
+	}
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, o.DialTimeout)
+			defer cancel()
 			return n.Dial(ctx, address)
 		},
 		MaxIdleConns:        o.MaxIdle,
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -23,7 +23,7 @@
 	mu       sync.RWMutex
 	services map[string]*service
 	view     *inventory.View
-	suspects map[string]time.Time
+	suspects map[string]suspicion
 	changed  chan struct{}
 }
 
@@ -33,9 +33,19 @@
 	servers []route.Server
 }
 
-// suspectPeriod is how long a backend server that dropped a connection gets
-// new work only if no other is left.
-const suspectPeriod = 5 * time.Second
+// suspicion is held against a backend server that could not be reached: until
+// it ends, the server gets new work only if no other is left.
+type suspicion struct {
+	until  time.Time
+	period time.Duration
+}
+
+// A suspicion doubles each time the server fails again, so that servers behind a
+// cut are seldom tried.
+const (
+	firstSuspicion = 5 * time.Second
+	maxSuspicion   = time.Minute
+)
 
 // New returns a set for the entry node self in zone.
 func New(self, zone string) *Set {
@@ -43,7 +53,7 @@
 		self: self, zone: zone,
 		services: map[string]*service{},
 		view:     &inventory.View{},
-		suspects: map[string]time.Time{},
+		suspects: map[string]suspicion{},
 		changed:  make(chan struct{}),
 	}
 }
@@ -78,20 +88,43 @@
 func (s *Set) Suspect(now time.Time, id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.suspects[id] = now.Add(suspectPeriod)
+	held := s.suspects[id]
+	if now.Before(held.until) {
+		return
+	}
+	held.period = min(max(2*held.period, firstSuspicion), maxSuspicion)
+	held.until = now.Add(held.period)
+	s.suspects[id] = held
+	s.refreshLocked(now)
+}
+
+// Trust ends what is held against a backend server that has answered.
+func (s *Set) Trust(now time.Time, id string) {
+	s.mu.RLock()
+	_, isHeld := s.suspects[id]
+	s.mu.RUnlock()
+	if !isHeld {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.suspects, id)
 	s.refreshLocked(now)
 }
 
-// Refresh lets marks that have run out lapse.
+// refreshInterval is the longest time between two calls of Refresh.
+const refreshInterval = time.Second
+
+// Refresh gives servers whose suspicion has ended back to the pickers.
 func (s *Set) Refresh(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	lapsed := false
-	for id, until := range s.suspects {
-		if now.After(until) {
+	for id, held := range s.suspects {
+		if now.Sub(held.until) > maxSuspicion {
 			delete(s.suspects, id)
-			lapsed = true
 		}
+		lapsed = lapsed || (now.After(held.until) && now.Sub(held.until) < refreshInterval)
 	}
 	if lapsed {
 		s.refreshLocked(now)
@@ -202,7 +235,7 @@
 	if vm.State == platform.VMLeaving {
 		return route.Leaving
 	}
-	if until, ok := s.suspects[vm.ID]; ok && now.Before(until) {
+	if held, ok := s.suspects[vm.ID]; ok && now.Before(held.until) {
 		return route.Suspect
 	}
 	return route.Live
--- a/internal/standin/site/entry.go
+++ b/internal/standin/site/entry.go
@@ -92,7 +92,7 @@
 }
 
 func (e *Entry) client(n netx.Network) *http.Client {
-	c := netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: 64})
+	c := netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: 64, DialTimeout: time.Second})
 	e.clients = append(e.clients, c)
 	return c
 }
