--- a/internal/netx/limit_test.go
+++ b/internal/netx/limit_test.go
@@ -36,7 +36,7 @@
 			inner.conns <- c
 		}
 		l := LimitListener(inner, 2)
-		var open []net.Conn
+		accepted := make(chan net.Conn, 3)
 		ended := make(chan error, 1)
 		go func() {
 			for {
@@ -45,15 +45,16 @@
 					ended <- err
 					return
 				}
-				open = append(open, c)
+				accepted <- c
 			}
 		}()
 		synctest.Wait()
-		require.Len(t, open, 2)
-		require.NoError(t, open[0].Close())
-		require.NoError(t, open[0].Close(), "closing twice gives one place free")
+		require.Len(t, accepted, 2)
+		first := <-accepted
+		require.NoError(t, first.Close())
+		require.NoError(t, first.Close(), "closing twice gives one place free")
 		synctest.Wait()
-		require.Len(t, open, 3)
+		require.Len(t, accepted, 2)
 		require.NoError(t, l.Close())
 		require.True(t, errors.Is(<-ended, net.ErrClosed))
 	})
