entry: look for a record further back than this node's own tables

Nodes asked for a record now ask their own earlier owners in turn, twice at most, and a node that has just started considers who would own the partition without it by each table that it knows.

--- a/internal/entry/heirs.go
+++ b/internal/entry/heirs.go
@@ -42,3 +42,28 @@
 	}
 	return member.NewTable(table.Revision, rest, nil)
 }
+
+// withoutCache keeps tables without one member, because each computes its owners
+// once.
+type withoutCache struct {
+	mu     sync.Mutex
+	tables map[int64]member.Table
+}
+
+// maxWithout bounds the tables kept; a membership shows no more at a time.
+const maxWithout = 16
+
+// of returns the table without the member.
+func (c *withoutCache) of(t member.Table, id string) member.Table {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if kept, ok := c.tables[t.Revision]; ok {
+		return kept
+	}
+	if c.tables == nil || len(c.tables) >= maxWithout {
+		c.tables = map[int64]member.Table{}
+	}
+	made := without(t, map[string]bool{id: true})
+	c.tables[t.Revision] = made
+	return made
+}
--- a/internal/entry/messages.go
+++ b/internal/entry/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"buckthornpick/internal/dispatch"
+	"buckthornpick/internal/peer"
 	"buckthornpick/internal/request"
 )
 
@@ -32,14 +33,17 @@
 	HandedOver bool            `msgpack:"o,omitempty"`
 }
 
-// locateMsg asks whether a node has the record of a request.
+// locateMsg asks which node has the record of a request.
 type locateMsg struct {
 	ID request.ID `msgpack:"i"`
+	// Hops is how often the question may be passed on.
+	Hops int `msgpack:"h,omitempty"`
 }
 
 // locateReply answers a locateMsg.
 type locateReply struct {
-	Found bool `msgpack:"f"`
+	Found bool      `msgpack:"f"`
+	At    peer.Node `msgpack:"a"`
 }
 
 // transferMsg hands requests over to their new owner.
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -74,9 +74,11 @@
 	gateway    *gateway.Gateway
 	quarantine *quarantine.Quarantine
 	minter     minter
-	drain      *drainState
-	departures *departures
-	heirsCache heirsCache
+	// tablesWithoutSelf serves a node that has just started.
+	tablesWithoutSelf withoutCache
+	drain             *drainState
+	departures        *departures
+	heirsCache        heirsCache
 
 	provisionedAt time.Time
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -13,7 +13,7 @@
 func (n *Node) handlePeers() {
 	n.transport.Handle(peer.Submit, n.serveSubmit)
 	n.transport.Handle(peer.Attach, n.serveAttach)
-	n.transport.Handle(peer.Locate, n.serveLocate)
+	n.transport.Handle(peer.Locate, peer.HandleCall(n.serveLocate))
 	n.transport.Handle(peer.Transfer, n.serveTransfer)
 	n.transport.Handle(peer.Depart, peer.HandleCall(n.departures.serve))
 }
@@ -66,15 +66,6 @@
 	return n.relay(ctx, s, src, info)
 }
 
-func (n *Node) serveLocate(ctx context.Context, _ peer.Node, s *peer.Stream) error {
-	var m locateMsg
-	if err := s.First(&m); err != nil {
-		return err
-	}
-	_, found := n.owner.Find(m.ID)
-	return s.Send(ctx, locateReply{Found: found})
-}
-
 // relayBatch bounds the events of one message.
 const relayBatch = 32
 
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -8,7 +8,6 @@
 
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/gateway"
-	"buckthornpick/internal/member"
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/request"
 )
@@ -93,7 +92,7 @@
 // still has it.
 func (n *Node) submitHere(ctx context.Context, r *request.Request, received request.Received, after int) (source, request.Info, error) {
 	if _, ok := n.owner.Find(r.ID); !ok && !r.Minted {
-		if s, info, ok := n.openAtEarlierOwner(ctx, r, after); ok {
+		if s, info, ok := n.openAtEarlierOwner(ctx, attachMsg{Organisation: r.Organisation, ID: r.ID, After: after}); ok {
 			return s, info, nil
 		}
 	}
@@ -123,11 +122,8 @@
 	if ok && owner.ID != n.cfg.Self.ID {
 		return n.openRemote(ctx, owner, peer.Attach, m)
 	}
-	m.IsLocal = true
-	for _, earlier := range n.earlierOwners(id.Partition()) {
-		if s, info, err := n.openRemote(ctx, earlier, peer.Attach, m); err == nil {
-			return s, info, nil
-		}
+	if s, info, ok := n.openAtEarlierOwner(ctx, m); ok {
+		return s, info, nil
 	}
 	return nil, request.Info{}, fault.New(fault.Invalid, "entry.attach", "", "no such request")
 }
@@ -158,58 +154,6 @@
 	return newRemoteSource(ctx, stream), *m.Info, nil
 }
 
-const locateTimeout = 500 * time.Millisecond
-
-// openAtEarlierOwner follows a request that an earlier owner of its partition
-// still has.
-func (n *Node) openAtEarlierOwner(ctx context.Context, r *request.Request, after int) (source, request.Info, bool) {
-	for _, earlier := range n.earlierOwners(r.ID.Partition()) {
-		if !n.isLocatedAt(ctx, earlier, r.ID) {
-			continue
-		}
-		m := attachMsg{Organisation: r.Organisation, ID: r.ID, After: after, IsLocal: true}
-		if s, info, err := n.openRemote(ctx, earlier, peer.Attach, m); err == nil {
-			return s, info, true
-		}
-	}
-	return nil, request.Info{}, false
-}
-
-func (n *Node) isLocatedAt(ctx context.Context, at peer.Node, id request.ID) bool {
-	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
-	defer cancel()
-	reply, err := peer.Call[locateReply](ctx, n.transport, at, peer.Locate, locateMsg{ID: id})
-	return err == nil && reply.Found
-}
-
-// earlierOwners returns the other nodes that owned the partition by this table
-// or earlier ones, latest first, without those known to be unreachable. A node
-// that has not seen the earlier tables adds the one that would own the
-// partition without it.
-func (n *Node) earlierOwners(partition int) []peer.Node {
-	tables := append([]member.Table{n.members.Table()}, n.members.Previous()...)
-	if time.Since(n.provisionedAt) < newcomerTime {
-		tables = append(tables, without(n.members.Table(), map[string]bool{n.cfg.Self.ID: true}))
-	}
-	var out []peer.Node
-	seen := map[string]bool{n.cfg.Self.ID: true}
-	for _, table := range tables {
-		m, ok := table.Owner(partition)
-		if !ok || seen[m.ID] {
-			continue
-		}
-		seen[m.ID] = true
-		if isAlive, isKnown := n.transport.Reachable(m.ID); isAlive || !isKnown {
-			out = append(out, nodeOf(m))
-		}
-	}
-	return out
-}
-
-// newcomerTime is how long a node counts as one that has not seen every table
-// of which answers are still kept.
-const newcomerTime = 10 * time.Minute
-
 // remoteEnd returns the answer that a peer's handler gave as an error.
 func remoteEnd(err error) (*gateway.EndError, bool) {
 	var end *gateway.EndError
