entry: a leaving node waits for requests whose owner is being looked for

Change: the drain counts searches as running requests; a newcomer asks up to three nodes that may have owned the partition before.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -50,6 +50,11 @@
 // Next implements gateway.Answer.
 func (f *follower) Next(ctx context.Context) (request.Step, error) {
 	var lost time.Time
+	defer func() {
+		if !lost.IsZero() {
+			f.node.searches.Add(-1)
+		}
+	}()
 	for {
 		step, err := f.src.next(ctx)
 		if err == nil && !step.HandedOver {
@@ -61,6 +66,7 @@
 		f.node.log.Log(EvOwnerLost, "request", f.id, "after", f.after, "error", err)
 		if lost.IsZero() {
 			lost = time.Now()
+			f.node.searches.Add(1)
 		} else if !f.mayFollow(ctx, lost) {
 			return request.Step{}, f.ownerUnreachable(errNoOwner)
 		}
@@ -112,6 +118,8 @@
 // connect finds the request's owner and the answer's source. It tries again
 // while ownership moves.
 func (f *follower) connect(ctx context.Context) error {
+	f.node.searches.Add(1)
+	defer f.node.searches.Add(-1)
 	if f.searching.IsZero() {
 		f.searching = time.Now()
 	}
--- a/internal/entry/leave.go
+++ b/internal/entry/leave.go
@@ -166,8 +166,10 @@
 
 const drainPoll = 50 * time.Millisecond
 
+// awaitNoRequests waits until no request runs here and none of a caller's
+// looks for its owner: before an owner has it, the caller can't attach to it.
 func (n *Node) awaitNoRequests(ctx context.Context) {
-	for n.owner.Running() > 0 && ctx.Err() == nil {
+	for (n.owner.Running() > 0 || n.searches.Load() > 0) && ctx.Err() == nil {
 		pause(ctx, drainPoll)
 	}
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -79,6 +80,8 @@
 	heirsCache heirsCache
 
 	provisionedAt time.Time
+	// searches counts the callers' requests whose owner is being looked for.
+	searches atomic.Int64
 }
 
 // pollers is the number of members of a zone that read the platform's lists
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -184,12 +184,12 @@
 
 // earlierOwners returns the other nodes that owned the partition by this table
 // or earlier ones, latest first, without those known to be unreachable. A node
-// that has not seen the earlier tables adds the one that would own the
-// partition without it.
+// that has not seen the earlier tables adds those that would own the partition
+// without it.
 func (n *Node) earlierOwners(partition int) []peer.Node {
 	tables := append([]member.Table{n.members.Table()}, n.members.Previous()...)
 	if time.Since(n.provisionedAt) < newcomerTime {
-		tables = append(tables, without(n.members.Table(), map[string]bool{n.cfg.Self.ID: true}))
+		tables = append(tables, n.tablesBeforeJoining(partition)...)
 	}
 	var out []peer.Node
 	seen := map[string]bool{n.cfg.Self.ID: true}
@@ -206,6 +206,26 @@
 	return out
 }
 
+// tablesBeforeJoining returns the tables that there may have been before this
+// node and a few others joined.
+func (n *Node) tablesBeforeJoining(partition int) []member.Table {
+	var tables []member.Table
+	joined := map[string]bool{n.cfg.Self.ID: true}
+	for range maxJoinedTogether {
+		table := without(n.members.Table(), joined)
+		owner, ok := table.Owner(partition)
+		if !ok {
+			break
+		}
+		tables = append(tables, table)
+		joined[owner.ID] = true
+	}
+	return tables
+}
+
+// maxJoinedTogether bounds the nodes that a newcomer asks.
+const maxJoinedTogether = 3
+
 // newcomerTime is how long a node counts as one that has not seen every table
 // of which answers are still kept.
 const newcomerTime = 10 * time.Minute
