--- a/test/fuzz/actions.go
+++ b/test/fuzz/actions.go
@@ -5,8 +5,6 @@
 
 	"buckthornpick/internal/platform"
 	"buckthornpick/internal/standin/cloud"
-	"buckthornpick/internal/standin/engine"
-	"buckthornpick/internal/standin/plainservice"
 	"buckthornpick/internal/standin/site"
 )
 
@@ -280,89 +278,6 @@
 	return sv.Plain.Crashed()
 }
 
-func (w *world) takeStore(s Step) {
-	f := w.site.Store.Faults
-	if s.Do != actStoreHeal {
-		w.change(func(f *faults) { f.storeBad = true })
-	}
-	switch s.Do {
-	case actStoreOutage:
-		f.SetOutage(true)
-	case actStoreLapse:
-		f.LapseInOutage(true)
-		f.SetOutage(true)
-	case actStoreSlow:
-		f.SetDelay(time.Duration(50+s.A%3000) * time.Millisecond)
-	case actStoreLose:
-		f.LoseAnswers(float64(1+s.A%5) / 6)
-	case actStoreLate:
-		f.DelayNextWrites(1+s.A%6, time.Duration(100+s.B%8000)*time.Millisecond)
-	case actStoreHeal:
-		w.healStore()
-	}
-}
-
-func (w *world) healStore() {
-	f := w.site.Store.Faults
-	f.SetOutage(false)
-	f.LapseInOutage(false)
-	f.SetDelay(0)
-	f.LoseAnswers(0)
-	f.LoseNextAnswers(0)
-	f.DelayNextWrites(0, 0)
-	w.change(func(f *faults) { f.storeBad = false })
-}
-
-func (w *world) takeNetwork(s Step) {
-	zone, _ := pick(w.zones, s.A)
-	other, _ := pick(w.zones, s.A+1+s.B%(len(w.zones)-1))
-	switch s.Do {
-	case actCutZones:
-		w.cutZones(zone, other)
-	case actCutPlatform:
-		w.cutZones(zone, platformZone)
-	case actIsolate:
-		w.cutZones(zone, platformZone)
-		for _, z := range w.zones {
-			if z != zone {
-				w.cutZones(zone, z)
-			}
-		}
-	case actCutEntry, actPauseEntry:
-		e, ok := pick(w.site.Entries(), s.A)
-		if !ok {
-			return
-		}
-		w.change(func(f *faults) { f.hosts[e.ID] = true })
-		if s.Do == actCutEntry {
-			w.network.CutHost(e.ID)
-		} else {
-			w.network.PauseHost(e.ID)
-		}
-	case actHealNetwork:
-		w.healNetwork()
-	}
-}
-
-func (w *world) cutZones(a, b string) {
-	w.change(func(f *faults) { f.zones[[2]string{a, b}] = true })
-	w.network.CutZones(a, b)
-}
-
-func (w *world) healNetwork() {
-	w.network.HealAll()
-	w.mu.Lock()
-	hosts := w.faults.hosts
-	w.mu.Unlock()
-	for id := range hosts {
-		w.network.ResumeHost(id)
-	}
-	w.change(func(f *faults) {
-		clear(f.zones)
-		f.hosts = map[string]bool{}
-	})
-}
-
 func (w *world) takeProcess(s Step) {
 	switch s.Do {
 	case actStop:
@@ -436,75 +351,3 @@
 		w.trace("  restart entry: %v", err)
 	}
 }
-
-func (w *world) takeServer(s Step) {
-	if s.Do == actRestartServer {
-		w.restartServers()
-		return
-	}
-	if s.Do == actServersHeal {
-		w.healServers()
-		return
-	}
-	sv, ok := pick(w.liveServers(), s.A)
-	if !ok {
-		return
-	}
-	w.trace("  %s at %s", s.Do, sv.ID)
-	switch s.Do {
-	case actCrashServer:
-		w.crash(sv)
-	case actKillServer:
-		w.mu.Lock()
-		w.dead[sv] = true
-		w.mu.Unlock()
-		sv.Kill()
-	case actRepeatEvents:
-		w.mu.Lock()
-		w.repeats += 1 + s.B%3
-		w.mu.Unlock()
-	default:
-		setServerFault(sv, s)
-	}
-}
-
-func (w *world) crash(sv *site.Server) {
-	if sv.Engine != nil {
-		sv.Engine.Crash()
-		return
-	}
-	sv.Plain.Crash()
-}
-
-func setServerFault(sv *site.Server, s Step) {
-	var e engine.Faults
-	var p plainservice.Faults
-	switch s.Do {
-	case actTruncate:
-		e.TruncateAfter, p.Truncate = 1+s.B%20, true
-	case actLoseAnswers:
-		e.LoseAnswer, p.LoseAnswer = true, true
-	case actRefuse:
-		e.Refuse, p.Refuse = true, true
-	case actStall:
-		e.Stall, p.Slowdown = true, 100
-	}
-	if sv.Engine != nil {
-		sv.Engine.SetFaults(e)
-	} else {
-		sv.Plain.SetFaults(p)
-	}
-}
-
-func (w *world) healServers() {
-	for _, sv := range w.site.Servers() {
-		if sv.Engine != nil {
-			sv.Engine.SetFaults(engine.Faults{})
-		} else {
-			sv.Plain.SetFaults(plainservice.Faults{})
-		}
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.repeats = 0
-}
