--- a/internal/entry/locate.go
+++ b/internal/entry/locate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"buckthornpick/internal/member"
@@ -61,14 +62,12 @@
 
 // earlierOwners returns the other nodes that owned the partition by this table
 // or earlier ones, latest first, without those known to be unreachable. A node
-// that has not seen the tables before its own start adds those that would own
-// the partition without it.
+// that has not seen the earlier tables adds those that would own the partition
+// without it.
 func (n *Node) earlierOwners(partition int) []peer.Node {
 	tables := append([]member.Table{n.members.Table()}, n.members.Previous()...)
 	if time.Since(n.provisionedAt) < newcomerTime {
-		for _, table := range tables {
-			tables = append(tables, n.tablesWithoutSelf.of(table, n.cfg.Self.ID))
-		}
+		tables = append(tables, n.tablesBeforeJoining(partition)...)
 	}
 	var out []peer.Node
 	seen := map[string]bool{n.cfg.Self.ID: true}
@@ -85,6 +84,33 @@
 	return out
 }
 
-// newcomerTime is how long a node counts as one that has not seen every table
-// of which answers are still kept.
-const newcomerTime = 10 * time.Minute
+const (
+	// maxJoinedTogether bounds the nodes that a newcomer asks.
+	maxJoinedTogether = 3
+	// newcomerTime is how long a node counts as one that has not seen every
+	// table of which answers are still kept.
+	newcomerTime = 10 * time.Minute
+)
+
+// tablesBeforeJoining returns the tables that there may have been before this
+// node and a few others joined. They are good for the one partition.
+func (n *Node) tablesBeforeJoining(partition int) []member.Table {
+	var tables []member.Table
+	rest := n.members.Table().Members
+	joined := n.cfg.Self.ID
+	for range maxJoinedTogether {
+		rest = membersWithout(rest, joined)
+		table := member.Table{Members: rest}
+		owner, ok := table.Owner(partition)
+		if !ok {
+			break
+		}
+		tables = append(tables, table)
+		joined = owner.ID
+	}
+	return tables
+}
+
+func membersWithout(members []member.Member, id string) []member.Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m member.Member) bool { return m.ID == id })
+}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -74,13 +75,13 @@
 	gateway    *gateway.Gateway
 	quarantine *quarantine.Quarantine
 	minter     minter
-	// tablesWithoutSelf serves a node that has just started.
-	tablesWithoutSelf withoutCache
-	drain             *drainState
-	departures        *departures
-	heirsCache        heirsCache
+	drain      *drainState
+	departures *departures
+	heirsCache heirsCache
 
 	provisionedAt time.Time
+	// searches counts the callers' requests whose owner is being looked for.
+	searches atomic.Int64
 }
 
 // pollers is the number of members of a zone that read the platform's lists
