Logs of a process no longer hold up those who log

Cause: a log line was written to the standard error stream in the goroutine of the request; a slow reader of the log would have held up every routing decision. Lines that wait are written at the end of the process, also after a second signal.

--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -76,7 +76,8 @@
 		_, _ = fmt.Fprintf(c.Root().Writer, "%s: settings are good\n", c.String("config"))
 		return nil
 	}
-	log := telemetry.NewLogger(c.Root().ErrWriter, level, node.ID, node.Zone)
+	log, stopLog := startLog(c.Root().ErrWriter, level, node)
+	defer stopLog()
 	return d.run(ctx, settings, &Process{Log: log, Metrics: metrics.NewRegistry(), Stdout: c.Root().Writer})
 }
 
--- a/internal/cli/signal.go
+++ b/internal/cli/signal.go
@@ -37,6 +37,7 @@
 		select {
 		case s := <-signals:
 			log.Log(EvKilled, "signal", s.String())
+			log.Flush()
 			exit(ExitFailure)
 		case <-stopped:
 		}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -54,7 +54,10 @@
 }
 
 // Logger writes catalogued events.
-type Logger struct{ base *slog.Logger }
+type Logger struct {
+	base  *slog.Logger
+	flush func()
+}
 
 // NewLogger returns a logger that writes JSON lines to w. Each line carries
 // the node and its availability zone.
@@ -66,6 +69,16 @@
 // Discard returns a logger that writes nothing.
 func Discard() *Logger { return &Logger{base: slog.New(slog.DiscardHandler)} }
 
+// WithFlush returns a logger whose Flush calls flush.
+func (l *Logger) WithFlush(flush func()) *Logger { return &Logger{base: l.base, flush: flush} }
+
+// Flush waits until lines that an AsyncWriter holds are written.
+func (l *Logger) Flush() {
+	if l.flush != nil {
+		l.flush()
+	}
+}
+
 // Log writes one event with its attributes (slog key-value pairs).
 func (l *Logger) Log(e Event, args ...any) {
 	ctx := context.Background()
