--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -23,7 +23,8 @@
 // choose waits for a backend server that may get the request. Without one, the
 // end says why; a nil end means that the request was handed over meanwhile.
 func (e *execution) choose(ctx context.Context) (*attempt, *request.End) {
-	if e.plan.older != nil {
+	// The older system cannot go on from an answer that has begun.
+	if e.plan.older != nil && len(e.rec.Events()) == 0 {
 		return e.newAttempt(attempt{service: e.plan.services[0].Name, target: *e.plan.older}), nil
 	}
 	for {
@@ -33,7 +34,7 @@
 			return a, nil
 		}
 		clear(e.tried)
-		if !e.mayWait(time.Now()) {
+		if !e.mayWait(time.Now()) || isTooLate(err) {
 			return nil, noServer(err)
 		}
 		if !waitForServers(ctx, changed) {
@@ -42,6 +43,22 @@
 	}
 }
 
+// isTooLate reports whether every server would answer later than the target; a
+// wait would make it later still.
+func isTooLate(err error) bool {
+	var saturated *route.ErrSaturated
+	return errors.As(err, &saturated) && saturated.Late
+}
+
+// firstTokenWithin returns the target that a request must be able to meet to
+// be dispatched; 0 once it was dispatched, because then it must be answered.
+func (e *execution) firstTokenWithin(s config.Service) time.Duration {
+	if e.mayHaveRun || len(e.rec.Events()) > 0 {
+		return 0
+	}
+	return time.Duration(s.Target.FirstTokenMillis * float64(time.Millisecond))
+}
+
 // mayWait reports whether the request may wait for a backend server. One that
 // was dispatched before waits until its deadline.
 func (e *execution) mayWait(now time.Time) bool {
@@ -88,7 +105,8 @@
 		Now: now, Service: s.Name, Context: e.req.Context,
 		PromptTokens: e.req.PromptTokens, MaxTokens: e.req.MaxTokens,
 		PrefixHashes: e.plan.prefix, Priority: e.plan.priority, VMClass: e.plan.vmClass,
-		Exclude: func(id string) bool { return e.tried[id] },
+		FirstTokenWithin: e.firstTokenWithin(s),
+		Exclude:          func(id string) bool { return e.tried[id] },
 	}
 	choice, err := picker.Pick(q)
 	if err != nil {
@@ -182,8 +200,9 @@
 }
 
 func (e *execution) noteFirst(a *attempt) {
+	a.firstAt = time.Now()
 	if e.firstAt.IsZero() {
-		e.firstAt = time.Now()
+		e.firstAt = a.firstAt
 	}
 	if !a.hasPicker {
 		return
@@ -195,6 +214,9 @@
 
 func (e *execution) noteUsage(a *attempt, answer backend.Answer) {
 	a.usage = answer.Usage()
+	if !a.firstAt.IsZero() {
+		e.d.kv.prefilled(a.usage.ComputedTokens, a.firstAt.Sub(a.sentAt))
+	}
 	e.d.stats.promptTokens.Inc(int64(a.usage.PromptTokens))
 	e.d.stats.cachedTokens.Inc(int64(a.usage.CachedTokens))
 	e.d.stats.computedTokens.Inc(int64(a.usage.ComputedTokens))
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -87,6 +87,12 @@
 	// RecoverWait bounds the attempts to attach to a lost attempt again.
 	// Default 3 s.
 	RecoverWait time.Duration
+	// StallTimeout is how long an engine may send nothing before the owner
+	// attaches again. Default 10 s.
+	StallTimeout time.Duration
+	// ResumeTimeout bounds the wait for the head of a resumed answer. Default
+	// 2 s.
+	ResumeTimeout time.Duration
 	// ClaimWait bounds the writing of a claim. Default 3 s.
 	ClaimWait time.Duration
 	// OwnerModeLimit is how long after the end of its lease a node runs
@@ -109,6 +115,8 @@
 	defaultKeyWindow       = 10 * time.Minute
 	defaultStartWait       = 3 * time.Second
 	defaultRecoverWait     = 3 * time.Second
+	defaultStallTimeout    = 10 * time.Second
+	defaultResumeTimeout   = 2 * time.Second
 	defaultClaimWait       = 3 * time.Second
 	defaultOwnerModeLimit  = 10 * time.Minute
 	defaultMaxUnclaimed    = 4096
@@ -124,6 +132,8 @@
 	setDefault(&c.KeyWindow, defaultKeyWindow)
 	setDefault(&c.StartWait, defaultStartWait)
 	setDefault(&c.RecoverWait, defaultRecoverWait)
+	setDefault(&c.StallTimeout, defaultStallTimeout)
+	setDefault(&c.ResumeTimeout, defaultResumeTimeout)
 	setDefault(&c.ClaimWait, defaultClaimWait)
 	setDefault(&c.OwnerModeLimit, defaultOwnerModeLimit)
 	setDefault(&c.MaxUnclaimed, defaultMaxUnclaimed)
@@ -141,11 +151,13 @@
 
 // Deps are the components that a dispatcher uses.
 type Deps struct {
-	Document   func() (*confstore.Snapshot, bool)
-	Pools      *pool.Set
-	Claims     Claims
-	Ownership  Ownership
-	Backends   backend.Client
+	Document  func() (*confstore.Snapshot, bool)
+	Pools     *pool.Set
+	Claims    Claims
+	Ownership Ownership
+	Backends  backend.Client
+	// KV moves KV cache between engines; nil never does.
+	KV         KVMover
 	Admitter   *limit.Admitter
 	Quarantine Quarantine
 	Zone       string
@@ -163,6 +175,7 @@
 	stats stats
 
 	unclaimed *unclaimedSet
+	kv        *kvRates
 
 	base   context.Context
 	cancel context.CancelFunc
@@ -184,6 +197,7 @@
 		records:    map[request.ID]*request.Record{},
 		executions: map[request.ID]*execution{},
 		unclaimed:  newUnclaimedSet(),
+		kv:         newKVRates(),
 	}
 }
 
@@ -224,16 +238,17 @@
 }
 
 // Submit starts a request, or finds the record of an earlier submission.
-// delivered are events that the caller already has from a lost owner.
+// received is what the caller already has from a lost owner.
 //
 // Errors: fault.Invalid if the ID was used with another content;
 // fault.Unavailable if the node is stopping.
-func (d *Dispatcher) Submit(r *request.Request, delivered []request.Event) (*request.Record, error) {
+func (d *Dispatcher) Submit(r *request.Request, received request.Received) (*request.Record, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.isClosed {
 		return nil, fault.New(fault.Unavailable, "dispatch.submit", "", "node is stopping")
 	}
+	hasEarlier := false
 	if rec, ok := d.records[r.ID]; ok {
 		if rec.Request.Fingerprint != r.Fingerprint {
 			return nil, fault.New(fault.Invalid, "dispatch.submit", "",
@@ -242,15 +257,26 @@
 		if !mayRunAgain(rec) {
 			return rec, nil
 		}
+		hasEarlier = r.Repeatable && mayHaveRun(rec)
 	}
 	rec := request.NewRecord(r, d.cfg.AnswerBytes)
-	if err := rec.Restore(0, nil, delivered); err != nil {
+	if err := rec.Restore(0, received.Head, received.Events); err != nil {
 		return nil, err
 	}
-	d.startLocked(newExecution(d, rec))
+	e := newExecution(d, rec)
+	e.hasEarlier = hasEarlier
+	d.startLocked(e)
 	return rec, nil
 }
 
+// mayHaveRun reports whether a backend server may have run the request of an
+// earlier record, here or at the node that it was handed over to. The claims
+// answer that better for non-repeatable requests.
+func mayHaveRun(rec *request.Record) bool {
+	end, _, ok := rec.Ended()
+	return !ok || end.Outcome != request.NotRun
+}
+
 // mayRunAgain reports whether a submission after the record's end runs anew.
 func mayRunAgain(rec *request.Record) bool {
 	if rec.State() == request.HandedOver {
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -55,7 +55,7 @@
 	step := request.Step{Event: &request.Event{Sequence: 100, Data: make([]byte, 180), Tokens: 1}}
 	b.ReportAllocs()
 	for b.Loop() {
-		g.writeStream(discard{http.Header{}}, r, &tickingAnswer{step: step, count: events}, 0)
+		g.writeStream(discard{http.Header{}}, r, &tickingAnswer{step: step, count: events})
 	}
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/events, "ns/event")
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,9 +27,11 @@
 
 // streamWriter writes one answer as server-sent events.
 type streamWriter struct {
-	w       http.ResponseWriter
-	rc      *http.ResponseController
-	id      request.ID
+	w  http.ResponseWriter
+	rc *http.ResponseController
+	id request.ID
+	// suffix follows the sequence number in event IDs.
+	suffix  string
 	started bool
 	buf     bytes.Buffer
 	idle    idleWait
@@ -37,14 +39,11 @@
 
 // writeStream delivers an answer as server-sent events. The outcome is a
 // trailer and, unless completed, also the last event.
-func (g *Gateway) writeStream(w http.ResponseWriter, r *http.Request, a Answer, after int) {
+func (g *Gateway) writeStream(w http.ResponseWriter, r *http.Request, a Answer) {
 	ctx, cancel := g.untilLeaving(r.Context())
 	defer cancel()
 	s := &streamWriter{w: w, rc: http.NewResponseController(w), id: a.Info().ID, idle: idleWait{interval: g.cfg.KeepAlive}}
 	defer s.idle.end()
-	if after > 0 {
-		s.start()
-	}
 	for {
 		step, err := g.nextOrKeepAlive(ctx, a, s)
 		if err != nil {
@@ -55,6 +54,9 @@
 			s.end(*step.End)
 			return
 		}
+		if step.Head != nil && step.Head.Answer != "" {
+			s.suffix = eventIDSeparator + step.Head.Answer
+		}
 		if step.Event == nil {
 			continue
 		}
@@ -127,6 +129,7 @@
 	s.start()
 	s.buf.WriteString("id: ")
 	s.buf.WriteString(strconv.Itoa(ev.Sequence))
+	s.buf.WriteString(s.suffix)
 	s.buf.WriteString("\ndata: ")
 	s.buf.Write(ev.Data)
 	s.buf.WriteString("\n\n")
--- /dev/null
+++ b/internal/slopes/mesh.go
@@ -0,0 +1,89 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"buckthornpick/internal/peer"
+	"buckthornpick/internal/standin/site"
+	"buckthornpick/internal/telemetry"
+)
+
+// largestMesh bounds the nodes of a full mesh in one process.
+const largestMesh = 100
+
+// meshWindow covers a ping of every idle connection.
+const meshWindow = 16 * time.Second
+
+// measureMesh measures the keepalive of full meshes of idle connections.
+func measureMesh(ctx context.Context, o Options, out *Results) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	meters := map[int]*meter{}
+	for _, n := range o.Nodes {
+		if n > largestMesh {
+			continue
+		}
+		before := liveBytes()
+		m, err := startMesh(ctx, &wg, n)
+		if err != nil {
+			return err
+		}
+		meters[n] = m
+		out.Add("mesh", "full mesh of idle connections: memory per node, network included", "B", "nodes",
+			float64(n), (liveBytes()-before)/float64(n))
+	}
+	was, began := map[int]float64{}, time.Now()
+	for n, m := range meters {
+		was[n] = sumPeer(m)
+	}
+	pause(ctx, meshWindow)
+	seconds := time.Since(began).Seconds()
+	for _, n := range slices.Sorted(maps.Keys(meters)) {
+		out.Add("mesh", "full mesh of idle connections: bytes to peers per node", "B/s", "nodes",
+			float64(n), (sumPeer(meters[n])-was[n])/float64(n)/seconds)
+	}
+	return nil
+}
+
+// startMesh starts n transports and connects each with each.
+func startMesh(ctx context.Context, wg *sync.WaitGroup, n int) (*meter, error) {
+	m := newMeter(1)
+	var nodes []peer.Node
+	var transports []*peer.Transport
+	for i := range n {
+		id := fmt.Sprintf("entry-%d", i)
+		self := peer.Node{ID: id, Zone: zoneName(i), Address: id + peerPort}
+		t := peer.New(self, m.Host(id, self.Zone), telemetry.Discard(), metrics.NewRegistry(),
+			peer.Options{Secret: []byte(site.Secret)})
+		t.HandleNotify(peer.Gossip, func(peer.Node, func(any) error) {})
+		wg.Go(func() { _ = t.Run(ctx) })
+		nodes, transports = append(nodes, self), append(transports, t)
+	}
+	pause(ctx, settle/10)
+	for i, t := range transports {
+		for _, to := range nodes[i+1:] {
+			if err := t.Notify(to, peer.Gossip, "hello"); err != nil {
+				return nil, err
+			}
+		}
+	}
+	pause(ctx, settle)
+	return m, nil
+}
+
+func sumPeer(m *meter) float64 {
+	sum := 0.0
+	for _, r := range m.readings(entryPrefix) {
+		sum += r.peer
+	}
+	return sum
+}
