Logger: number the event without cloning the handler

Cause: each line cloned its handler to add the event's number. Change: the number is the line's first attribute; the line's text is the same.

--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -85,5 +85,5 @@
 	if !l.base.Enabled(ctx, e.Level) {
 		return
 	}
-	l.base.With("event", e.Number).Log(ctx, e.Level, e.Name, args...)
+	l.base.Log(ctx, e.Level, e.Name, append([]any{slog.Int("event", e.Number)}, args...)...)
 }
