Planner: leases per zone, starts, drains and model orders

Nothing started or stopped VMs or told engines what to load. A planner now runs beside every entry; one per zone acts, by a lease of the store whose create revision fences its orders. Starts are recorded before the platform is asked, drains are marked for the entries before a VM is stopped, and orders wait out the last holder's acts where engines check no token. The entries of a zone report their load in one key, written by their lowest-ranked member, which also reads the drains.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -146,7 +146,7 @@
 	for _, duty := range []func(context.Context) error{
 		n.transport.Run, n.members.Run, n.documents.Run, n.inventory.Run,
 		n.ledger.Run, n.owner.Run, n.spreader.Run,
-		n.applyDocuments, n.applyViews, n.applyTables, n.pullFromSeeds, n.preloadClaims,
+		n.applyDocuments, n.applyViews, n.applyTables, n.pullFromSeeds, n.preloadClaims, n.reportDemand,
 	} {
 		g.Go(func() error { return duty(ctx) })
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -15,6 +15,7 @@
 	n.transport.Handle(peer.Attach, n.serveAttach)
 	n.transport.Handle(peer.Locate, n.serveLocate)
 	n.transport.Handle(peer.Transfer, n.serveTransfer)
+	n.transport.Handle(peer.DemandPull, peer.HandleCall(n.serveDemand))
 }
 
 // serveSubmit takes a request that this node owns.
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -26,6 +26,9 @@
 	VMs map[string]platform.VM `msgpack:"m"`
 	// Deadlines of the VMs under notice.
 	Deadlines map[string]time.Time `msgpack:"d"`
+	// Draining VMs are to be stopped by the planner and count as leaving,
+	// without a deadline.
+	Draining map[string]bool `msgpack:"g,omitempty"`
 	// LastNotice is the sequence number of the last notice seen.
 	LastNotice int64 `msgpack:"n"`
 }
@@ -139,9 +142,10 @@
 		LastNotice: max(other.LastNotice, i.view.LastNotice),
 		VMs:        i.view.VMs,
 		Deadlines:  maps.Clone(i.view.Deadlines),
+		Draining:   i.view.Draining,
 	}
 	if other.Version > i.view.Version {
-		next.VMs = other.VMs
+		next.VMs, next.Draining = other.VMs, other.Draining
 	}
 	maps.Copy(next.Deadlines, other.Deadlines)
 	i.publishLocked(next)
@@ -196,7 +200,8 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	next := &View{VMs: byID, Deadlines: maps.Clone(i.view.Deadlines), LastNotice: i.view.LastNotice}
+	next := &View{VMs: byID, Deadlines: maps.Clone(i.view.Deadlines),
+		Draining: i.view.Draining, LastNotice: i.view.LastNotice}
 	markLeaving(next)
 	if maps.Equal(next.VMs, i.view.VMs) {
 		return
@@ -214,7 +219,7 @@
 	defer i.mu.Unlock()
 	next := &View{
 		Version: max(time.Now().UnixMicro(), i.view.Version+1), VMs: i.view.VMs,
-		Deadlines: maps.Clone(i.view.Deadlines), LastNotice: i.view.LastNotice,
+		Deadlines: maps.Clone(i.view.Deadlines), Draining: i.view.Draining, LastNotice: i.view.LastNotice,
 	}
 	for _, n := range notices {
 		next.Deadlines[n.VM] = n.Deadline
@@ -244,9 +249,16 @@
 	maps.DeleteFunc(v.Deadlines, func(_ string, deadline time.Time) bool { return deadline.Before(oldest) })
 }
 
-// markLeaving copies the VMs and marks those under notice as leaving.
+// markLeaving copies the VMs and marks those under notice or draining as
+// leaving.
 func markLeaving(v *View) {
 	vms := maps.Clone(v.VMs)
+	for id := range v.Draining {
+		if vm, ok := vms[id]; ok && vm.State == platform.VMLive {
+			vm.State = platform.VMLeaving
+			vms[id] = vm
+		}
+	}
 	for id := range v.Deadlines {
 		vm, ok := vms[id]
 		if ok && vm.State != platform.VMTerminated {
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -44,6 +44,8 @@
 	TrialBegin Kind = 17
 	// TrialEnd gives that leave back.
 	TrialEnd Kind = 18
+	// DemandPull asks a member of the zone for its load by service.
+	DemandPull Kind = 19
 )
 
 var kindNames = map[Kind]string{
@@ -52,7 +54,7 @@
 	Cancel: "cancel", ConfigAnnounce: "config-announce", InventoryPull: "inventory-pull",
 	InventoryAnnounce: "inventory-announce", TableAnnounce: "table-announce", TablePull: "table-pull",
 	GossipCompare: "gossip-compare", CrashMark: "crash-mark", CrashClear: "crash-clear",
-	TrialBegin: "trial-begin", TrialEnd: "trial-end",
+	TrialBegin: "trial-begin", TrialEnd: "trial-end", DemandPull: "demand-pull",
 }
 
 // String returns the kind's name, or its number if it has none.
--- /dev/null
+++ b/internal/planner/config.go
@@ -0,0 +1,109 @@
+package planner
+
+import (
+	"time"
+
+	"buckthornpick/internal/fleet"
+)
+
+// Config parametrises a planner. Zero fields take their defaults.
+type Config struct {
+	// ID names the planner; Zone is the zone that it may act for.
+	ID, Zone string
+	// LeaseTTL is the time after the last renewal at which the store frees the
+	// zone; default 10 s, whole seconds.
+	LeaseTTL time.Duration
+	// DriftMargin is taken off the lease for clock drift; default LeaseTTL/10.
+	DriftMargin time.Duration
+	// StandbyInterval is the mean time between looks at a lease that another
+	// planner holds; default 5 s.
+	StandbyInterval time.Duration
+	// Interval is the time between rounds of planning; default 2 s. A reclaim
+	// notice starts one at once.
+	Interval time.Duration
+	// ActTimeout bounds one start, stop or order; default 5 s.
+	ActTimeout time.Duration
+	// SettleTime is how long a new holder leaves engines alone that do not
+	// check tokens; default ActTimeout and 2 s for what is on the network.
+	SettleTime time.Duration
+
+	// Demand parametrises the estimators.
+	Demand fleet.DemandConfig
+	// ProtectedShare of the demand must survive the loss of a zone; default 0.6.
+	ProtectedShare float64
+	// MinCapacity is kept for each service, in accelerators (VMs for plain
+	// services); default 2. One of them survives the loss of a zone.
+	MinCapacity float64
+	// WavesPerHour and RestartHours price the risk of reclaimable VMs; default
+	// one wave an hour and 0.02 h.
+	WavesPerHour float64
+	RestartHours float64
+
+	// MaxStarts bounds the starts of a zone that are not listed yet; default 32.
+	MaxStarts int
+	// RefusalBackoff is the first wait after a refused start; it doubles up to
+	// MaxRefusalBackoff. Defaults 10 s and 5 min.
+	RefusalBackoff    time.Duration
+	MaxRefusalBackoff time.Duration
+	// ReclaimBackoff is how long after a reclaim's deadline the zone's offer of
+	// that class is not asked for; default 1 min.
+	ReclaimBackoff time.Duration
+	// HoldTime is how long a VM must be unneeded before it drains, and another
+	// offer cheaper before VMs move to it; default 1 min.
+	HoldTime time.Duration
+	// DrainSettle is the time for all entries to learn of a drain; default 5 s.
+	DrainSettle time.Duration
+	// MaxDrain is the time after which a VM that is still busy is stopped;
+	// default 15 min, above the longest request.
+	MaxDrain time.Duration
+
+	// MaxLoads bounds the loads of a zone in progress, LoadsPerSecond their
+	// rate; defaults 4 and 2. They keep the weight store within its limit.
+	MaxLoads       int
+	LoadsPerSecond float64
+	// RecheckInterval is the time between reads of an engine's models when
+	// nothing is missing; default 1 min.
+	RecheckInterval time.Duration
+}
+
+const (
+	// operationTimeout ends the wait for a started VM to be listed.
+	operationTimeout = 5 * time.Minute
+	// demandAge is the age at which a zone's demand no longer counts.
+	demandAge = 30 * time.Second
+	// networkMargin is the default time for an order to get off the network.
+	networkMargin = 2 * time.Second
+	// parallelCalls bounds calls to the platform or to engines at one time.
+	parallelCalls = 8
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.LeaseTTL, 10*time.Second)
+	setDefault(&c.DriftMargin, c.LeaseTTL/10)
+	setDefault(&c.StandbyInterval, 5*time.Second)
+	setDefault(&c.Interval, 2*time.Second)
+	setDefault(&c.ActTimeout, 5*time.Second)
+	setDefault(&c.SettleTime, c.ActTimeout+networkMargin)
+	setDefault(&c.ProtectedShare, 0.6)
+	setDefault(&c.MinCapacity, 2)
+	setDefault(&c.WavesPerHour, 1)
+	setDefault(&c.RestartHours, 0.02)
+	setDefault(&c.MaxStarts, 32)
+	setDefault(&c.RefusalBackoff, 10*time.Second)
+	setDefault(&c.MaxRefusalBackoff, 5*time.Minute)
+	setDefault(&c.ReclaimBackoff, time.Minute)
+	setDefault(&c.HoldTime, time.Minute)
+	setDefault(&c.DrainSettle, 5*time.Second)
+	setDefault(&c.MaxDrain, 15*time.Minute)
+	setDefault(&c.MaxLoads, 4)
+	setDefault(&c.LoadsPerSecond, 2)
+	setDefault(&c.RecheckInterval, time.Minute)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/planner/decide.go
@@ -0,0 +1,319 @@
+package planner
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/fleet"
+	"buckthornpick/internal/platform"
+)
+
+// supply is the present fleet of one service over all zones.
+type supply struct {
+	// coming counts live VMs and those that start, by offer.
+	coming map[fleet.OfferKey]int
+	// live counts live VMs only.
+	live map[fleet.OfferKey]int
+}
+
+// supplyOf counts the VMs of a service that are not leaving or draining, and
+// the starts that are not listed yet.
+func (p *Planner) supplyOf(s *site, service string) supply {
+	out := supply{coming: map[fleet.OfferKey]int{}, live: map[fleet.OfferKey]int{}}
+	draining := map[string]bool{}
+	for _, state := range p.states(s) {
+		for _, d := range state.Draining {
+			draining[d.VM] = true
+		}
+		for _, o := range state.Operations {
+			_, listed := s.vms[o.VM]
+			_, noticed := s.deadlines[o.VM]
+			if o.Spec.Service == service && !listed && !noticed {
+				out.coming[o.Key()]++
+			}
+		}
+	}
+	for _, vm := range s.vms {
+		if vm.Service != service || draining[vm.ID] {
+			continue
+		}
+		switch vm.State {
+		case platform.VMLive:
+			out.live[keyOf(vm)]++
+			out.coming[keyOf(vm)]++
+		case platform.VMStarting:
+			out.coming[keyOf(vm)]++
+		}
+	}
+	return out
+}
+
+func keyOf(vm platform.VM) fleet.OfferKey {
+	return fleet.OfferKey{Zone: vm.Zone, Class: vm.Class, Reclaimable: vm.Reclaimable}
+}
+
+// offersFor returns the offers that can serve the service, in zones where
+// somebody can take them up.
+func offersFor(s *site, service *config.Service, present map[fleet.OfferKey]int) []platform.Offer {
+	var out []platform.Offer
+	for _, o := range s.offers {
+		if (o.Accelerators > 0) == isModel(service) && (s.acting[o.Zone] || present[fleet.KeyOf(o)] > 0) {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// demandOf returns the service's demand; ok is false if nothing is known yet.
+// While no entry reports, the last demand stands.
+func (p *Planner) demandOf(s *site, service string) (fleet.Demand, bool) {
+	if !s.hasDemand {
+		d, ok := p.demands[service]
+		return d, ok
+	}
+	e, ok := p.estimators[service]
+	if !ok {
+		e = fleet.NewDemandEstimator(p.cfg.Demand)
+		p.estimators[service] = e
+	}
+	d := e.Observe(s.now, fleet.Sample{Requests: s.demand[service], ProtectedShare: p.cfg.ProtectedShare})
+	d.Total = max(d.Total, p.cfg.MinCapacity)
+	d.Protected = max(d.Protected, 1)
+	p.demands[service] = d
+	return d, true
+}
+
+// blocked returns the offers that are not to be asked for: those that refused,
+// those whose VMs were just taken back, and those without a planner.
+func (p *Planner) blocked(s *site) map[fleet.OfferKey]time.Time {
+	out := map[fleet.OfferKey]time.Time{}
+	add := func(key fleet.OfferKey, until time.Time) {
+		if until.After(out[key]) {
+			out[key] = until
+		}
+	}
+	for zone, state := range p.states(s) {
+		for _, r := range state.Refused {
+			add(fleet.OfferKey{Zone: zone, Class: r.Class, Reclaimable: r.Reclaimable}, r.Until)
+		}
+	}
+	for id, deadline := range s.deadlines {
+		if vm, ok := s.vms[id]; ok {
+			add(keyOf(vm), deadline.Add(p.cfg.ReclaimBackoff))
+		}
+	}
+	for _, o := range s.offers {
+		if !s.acting[o.Zone] {
+			add(fleet.KeyOf(o), s.now.Add(p.cfg.Interval))
+		}
+	}
+	return out
+}
+
+// decide compares the wanted fleet of a service with the present one and
+// changes the own state towards it.
+func (p *Planner) decide(ctx context.Context, s *site, service *config.Service) {
+	demand, ok := p.demandOf(s, service.Name)
+	if !ok {
+		return
+	}
+	have := p.supplyOf(s, service.Name)
+	offers := offersFor(s, service, have.coming)
+	if len(offers) == 0 {
+		return
+	}
+	risk := map[string]float64{}
+	for _, o := range offers {
+		risk[o.Zone] = p.cfg.WavesPerHour
+	}
+	plan := fleet.Size(fleet.SizeInput{
+		Now: s.now, Demand: demand, Offers: offers, Current: have.coming, RefusedUntil: p.blocked(s),
+		WavesPerHour: risk, RestartHours: p.cfg.RestartHours,
+	})
+	missing := shortfall(offers, have.coming, demand)
+	for _, o := range offers {
+		if o.Zone != p.cfg.Zone {
+			continue
+		}
+		c := comparison{service: service.Name, offer: o, key: fleet.KeyOf(o), have: have, offers: offers,
+			demand: demand, missing: missing, difference: plan.Want[fleet.KeyOf(o)] - have.coming[fleet.KeyOf(o)]}
+		p.report(c)
+		p.grow(s, c)
+		p.shrink(ctx, s, c)
+	}
+}
+
+// comparison is the difference between plan and fleet at one offer of the own
+// zone.
+type comparison struct {
+	service string
+	offer   platform.Offer
+	key     fleet.OfferKey
+	have    supply
+	offers  []platform.Offer
+	demand  fleet.Demand
+	// missing is the capacity short of the demand, in accelerators.
+	missing float64
+	// difference is wanted less present VMs.
+	difference int
+}
+
+func (c comparison) reason() string {
+	switch {
+	case c.missing > 0:
+		return "capacity is short of the demand"
+	case c.difference > 0:
+		return "this offer is cheaper"
+	default:
+		return "not needed, or dearer than another offer"
+	}
+}
+
+// report logs a difference when it changes.
+func (p *Planner) report(c comparison) {
+	id := change{service: c.service, key: c.key}
+	if p.reported[id] == c.difference {
+		return
+	}
+	p.reported[id] = c.difference
+	if c.difference == 0 {
+		return
+	}
+	p.log.Log(EvPlanned, "service", c.service, "class", c.key.Class, "reclaimable", c.key.Reclaimable,
+		"present", c.have.coming[c.key], "wanted", c.have.coming[c.key]+c.difference, "price", c.offer.PricePerHour,
+		"demand", c.demand.Total, "protected", c.demand.Protected, "missing", c.missing, "reason", c.reason())
+}
+
+// held reports whether the difference has lasted for HoldTime.
+func (p *Planner) held(s *site, id change, on bool) bool {
+	if !on {
+		delete(p.since, id)
+		return false
+	}
+	since, ok := p.since[id]
+	if !ok {
+		p.since[id] = s.now
+		return false
+	}
+	return s.now.Sub(since) >= p.cfg.HoldTime
+}
+
+// grow takes drains back and records new starts: at once if capacity is short,
+// a few at a time and after HoldTime if it is only cheaper.
+func (p *Planner) grow(s *site, c comparison) {
+	held := p.held(s, change{c.service, c.key, true}, c.difference > 0)
+	if c.difference <= 0 {
+		return
+	}
+	n := c.difference
+	switch {
+	case c.missing > 0:
+		n = min(n, int(math.Ceil(c.missing/units(c.offer))))
+	case held:
+		n = min(n, exchangeStep(c.have.coming))
+	default:
+		return
+	}
+	n = p.cancelDrains(s, c, n)
+	for range min(n, p.cfg.MaxStarts-len(s.own.Operations)) {
+		p.counter++
+		id := fmt.Sprintf("%s-%d-%d", p.cfg.Zone, p.token, p.counter)
+		s.own.Operations = append(s.own.Operations, fleet.Operation{Since: s.now, Spec: platform.VMSpec{
+			OperationID: id, Zone: c.key.Zone, Class: c.key.Class, Reclaimable: c.key.Reclaimable, Service: c.service,
+		}})
+		p.unasked[id] = true
+		p.log.Log(EvStarting, "operation", id, "service", c.service, "class", c.key.Class, "reason", c.reason())
+	}
+}
+
+// exchangeStep is how many VMs move to a cheaper offer at a time.
+func exchangeStep(present map[fleet.OfferKey]int) int {
+	const share = 10
+	all := 0
+	for _, n := range present {
+		all += n
+	}
+	return max(1, all/share)
+}
+
+// cancelDrains takes back up to n drains of the offer and returns how many VMs
+// are still wanted.
+func (p *Planner) cancelDrains(s *site, c comparison, n int) int {
+	s.own.Draining = slices.DeleteFunc(s.own.Draining, func(d fleet.Drain) bool {
+		vm := s.vms[d.VM]
+		if n == 0 || d.StopAsked || vm.Service != c.service || keyOf(vm) != c.key {
+			return false
+		}
+		n--
+		p.log.Log(EvDrainCancelled, "vm", d.VM, "reason", c.reason())
+		return true
+	})
+	return n
+}
+
+// shrink marks VMs that the plan has not wanted for HoldTime as draining, if
+// the live ones that are left meet the demand. Zones take turns, so that two do
+// not give up the same spare capacity.
+func (p *Planner) shrink(ctx context.Context, s *site, c comparison) {
+	if !p.held(s, change{c.service, c.key, false}, c.difference < 0) || !p.isTurn(s) {
+		return
+	}
+	live := maps.Clone(c.have.live)
+	for range min(-c.difference, exchangeStep(c.have.coming)) {
+		live[c.key]--
+		if live[c.key] < 0 || shortfall(c.offers, live, c.demand) > 0 {
+			return
+		}
+		id, ok := p.idlest(ctx, s, c)
+		if !ok {
+			return
+		}
+		s.own.Draining = append(s.own.Draining, fleet.Drain{VM: id, Since: s.now})
+		p.log.Log(EvDrain, "vm", id, "service", c.service, "class", c.key.Class, "reason", c.reason())
+	}
+}
+
+// turnRounds is the length of a zone's turn in rounds.
+const turnRounds = 3
+
+// isTurn reports whether the own zone may mark drains now. Clocks that differ
+// cost at worst a drain that is taken back.
+func (p *Planner) isTurn(s *site) bool {
+	var zones []string
+	for zone := range s.acting {
+		zones = append(zones, zone)
+	}
+	slices.Sort(zones)
+	if len(zones) == 0 {
+		return false
+	}
+	turn := s.now.UnixNano() / int64(turnRounds*p.cfg.Interval) % int64(len(zones))
+	return zones[turn] == p.cfg.Zone
+}
+
+// units is the capacity of one VM of an offer.
+func units(o platform.Offer) float64 { return float64(max(o.Accelerators, 1)) }
+
+// shortfall returns the capacity that count lacks for the demand, with all
+// zones up and without the largest one.
+func shortfall(offers []platform.Offer, count map[fleet.OfferKey]int, demand fleet.Demand) float64 {
+	zones := map[string]float64{}
+	total, largest := 0.0, 0.0
+	for _, o := range offers {
+		n := float64(count[fleet.KeyOf(o)]) * units(o)
+		total += n
+		zones[o.Zone] += n
+		largest = max(largest, zones[o.Zone])
+	}
+	const rounding = 1e-9
+	missing := max(demand.Total-total, demand.Protected-(total-largest))
+	if missing <= rounding {
+		return 0
+	}
+	return missing
+}
--- /dev/null
+++ b/internal/planner/engine.go
@@ -0,0 +1,92 @@
+package planner
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"buckthornpick/internal/backend"
+	"buckthornpick/internal/fault"
+)
+
+// Actions of orders.
+const (
+	loadModel   = "load_model"
+	loadAdapter = "load_adapter"
+)
+
+// order is the body of POST /v1/orders.
+type order struct {
+	FencingNumber int64  `json:"fencingNumber"`
+	Action        string `json:"action"`
+	Model         string `json:"model,omitempty"`
+	Version       string `json:"version,omitempty"`
+}
+
+const maxAnswerBytes = 1 << 20
+
+// readLoad reads a server's load report.
+func (p *Planner) readLoad(ctx context.Context, address string) (backend.Load, error) {
+	var load backend.Load
+	err := p.call(ctx, "planner.load", http.MethodGet, address, "/metrics/load", nil, &load)
+	return load, err
+}
+
+// readModels reads the names of the models that an engine has loaded.
+func (p *Planner) readModels(ctx context.Context, address string) (map[string]bool, error) {
+	var list struct {
+		Data []struct {
+			ID string `json:"id"`
+		} `json:"data"`
+	}
+	if err := p.call(ctx, "planner.models", http.MethodGet, address, "/v1/models", nil, &list); err != nil {
+		return nil, err
+	}
+	out := make(map[string]bool, len(list.Data))
+	for _, m := range list.Data {
+		out[m.ID] = true
+	}
+	return out, nil
+}
+
+// sendOrder sends an order; fault.Conflict means that the engine has seen a
+// higher token.
+func (p *Planner) sendOrder(ctx context.Context, address string, o order) error {
+	return p.call(ctx, "planner.order", http.MethodPost, address, "/v1/orders", o, nil)
+}
+
+func (p *Planner) call(ctx context.Context, step, method, address, path string, body, answer any) error {
+	var data []byte
+	if body != nil {
+		var err error
+		if data, err = json.Marshal(body); err != nil {
+			return fault.Wrap(err, fault.Invalid, step, address, "encode")
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(data))
+	if err != nil {
+		return fault.Wrap(err, fault.Invalid, step, address, "request")
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := p.deps.Engines.Do(req)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, step, address, "no answer")
+	}
+	defer resp.Body.Close()
+	data, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	switch {
+	case err != nil:
+		return fault.Wrap(err, fault.Unavailable, step, address, "no whole answer")
+	case resp.StatusCode == http.StatusConflict:
+		return fault.New(fault.Conflict, step, address, "a higher fencing number was seen")
+	case resp.StatusCode >= http.StatusMultipleChoices:
+		return fault.New(fault.Unavailable, step, address, "status %d", resp.StatusCode)
+	case answer == nil:
+		return nil
+	}
+	return fault.Wrap(json.Unmarshal(data, answer), fault.Protocol, step, address, "answer")
+}
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,234 @@
+package planner
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/confstore"
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/fleet"
+	"buckthornpick/internal/kv"
+	"buckthornpick/internal/platform"
+	"buckthornpick/internal/telemetry"
+)
+
+// Deps are what a planner works with.
+type Deps struct {
+	Store   kv.Store
+	Cloud   platform.Cloud
+	Lister  platform.Lister
+	Notices platform.NoticeSource
+	// Engines calls engines and plain services.
+	Engines  *http.Client
+	Log      *telemetry.Logger
+	Registry metrics.Registry
+}
+
+// Planner plans for one zone while it holds the zone's lease.
+type Planner struct {
+	cfg       Config
+	deps      Deps
+	log       *telemetry.Logger
+	lease     *Lease
+	documents *confstore.Store
+	notices   notices
+	wake      chan struct{} // capacity 1: plan now
+
+	// The fields below belong to the goroutine of plan.
+	token      int64
+	estimators map[string]*fleet.DemandEstimator
+	demands    map[string]fleet.Demand
+	// since holds how long a difference of an offer has lasted.
+	since    map[change]time.Time
+	counter  int
+	unasked  map[string]bool
+	engines  map[string]*engineState
+	loads    *rate.Limiter
+	reported map[change]int
+}
+
+// change names a difference between plan and fleet that waits for HoldTime.
+type change struct {
+	service string
+	key     fleet.OfferKey
+	grow    bool
+}
+
+// notices holds the reclaim notices seen.
+type notices struct {
+	mu        sync.Mutex
+	last      int64
+	deadlines map[string]time.Time
+}
+
+// New returns a planner that does nothing until Run.
+func New(cfg Config, deps Deps) *Planner {
+	cfg = cfg.withDefaults()
+	p := &Planner{cfg: cfg, deps: deps, log: deps.Log, wake: make(chan struct{}, 1)}
+	p.lease = newLease(cfg, deps.Store, deps.Log)
+	p.notices.deadlines = map[string]time.Time{}
+	p.documents = confstore.New(confstore.Config{Self: cfg.ID, WatchesStore: p.Acting}, deps.Store, deps.Log, deps.Registry)
+	p.forget()
+	return p
+}
+
+// Acting reports whether this planner holds the zone's lease now.
+func (p *Planner) Acting() bool {
+	_, _, err := p.lease.Check()
+	return err == nil
+}
+
+// Run campaigns for the zone and plans for it until ctx ends. At a planned
+// stop it gives the zone up after its last act.
+func (p *Planner) Run(ctx context.Context) error {
+	var g errgroup.Group
+	for _, duty := range []func(context.Context) error{p.lease.run, p.documents.Run, p.followNotices, p.plan} {
+		g.Go(func() error { return duty(ctx) })
+	}
+	err := g.Wait()
+	p.lease.release(ctx)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// forget drops what an earlier time as the holder has left in memory.
+func (p *Planner) forget() {
+	p.estimators = map[string]*fleet.DemandEstimator{}
+	p.demands = map[string]fleet.Demand{}
+	p.since = map[change]time.Time{}
+	p.reported = map[change]int{}
+	p.unasked = map[string]bool{}
+	p.engines = map[string]*engineState{}
+	p.loads = rate.NewLimiter(rate.Limit(p.cfg.LoadsPerSecond), 1)
+	p.counter = 0
+}
+
+// plan runs rounds until ctx ends.
+func (p *Planner) plan(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := p.round(ctx); err != nil && ctx.Err() == nil {
+			p.count("planner_rounds_failed_total")
+			p.log.Log(EvCycleFailed, "error", err)
+		}
+		wait := time.NewTimer(p.cfg.Interval)
+		select {
+		case <-ctx.Done():
+		case <-p.wake:
+		case <-wait.C:
+		}
+		wait.Stop()
+	}
+	return nil
+}
+
+// round is one look at the site and what follows from it. Every act checks the
+// lease again.
+func (p *Planner) round(ctx context.Context) error {
+	token, _, err := p.lease.Check()
+	p.gauge("planner_acting", err == nil)
+	if err != nil {
+		return nil // another planner acts
+	}
+	if p.token != token {
+		p.forget()
+		p.token = token
+	}
+	snapshot, ok := p.documents.Current()
+	if !ok {
+		return nil
+	}
+	s, err := p.look(ctx, snapshot.Document)
+	if err != nil {
+		return err
+	}
+	p.tidy(s)
+	for i := range snapshot.Document.Services {
+		p.decide(ctx, s, &snapshot.Document.Services[i])
+	}
+	if err := p.save(ctx, s); err != nil {
+		return err
+	}
+	if err := p.start(ctx, s); err != nil {
+		return err
+	}
+	if err := p.stop(ctx, s); err != nil {
+		return err
+	}
+	return p.place(ctx, s)
+}
+
+// followNotices reads reclaim notices while this planner acts.
+func (p *Planner) followNotices(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if !p.Acting() {
+			sleep(ctx, p.cfg.Interval/2)
+			continue
+		}
+		p.notices.mu.Lock()
+		last := p.notices.last
+		p.notices.mu.Unlock()
+		list, err := p.deps.Notices.Notices(ctx, last)
+		if err != nil {
+			sleep(ctx, p.cfg.Interval/2)
+			continue
+		}
+		if len(list) > 0 {
+			p.takeNotices(list)
+		}
+	}
+	return nil
+}
+
+func (p *Planner) takeNotices(list []platform.Notice) {
+	p.notices.mu.Lock()
+	for _, n := range list {
+		p.notices.deadlines[n.VM] = n.Deadline
+		p.notices.last = max(p.notices.last, n.Sequence)
+	}
+	p.notices.mu.Unlock()
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// act checks the lease at the last step before an act and bounds the act by
+// the lease's end.
+func (p *Planner) act(ctx context.Context, f func(ctx context.Context, token int64) error) error {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.ActTimeout)
+	defer cancel()
+	token, until, err := p.lease.Check()
+	if err != nil {
+		return err
+	}
+	if token != p.token {
+		return fault.New(fault.Conflict, "planner.act", p.cfg.Zone, "the lease was lost since the round began")
+	}
+	ctx, end := context.WithDeadline(ctx, until)
+	defer end()
+	return f(ctx, token)
+}
+
+func (p *Planner) count(name string) {
+	metrics.GetOrRegisterCounter(name, p.deps.Registry).Inc(1)
+}
+
+func (p *Planner) gauge(name string, on bool) {
+	value := int64(0)
+	if on {
+		value = 1
+	}
+	metrics.GetOrRegisterGauge(name, p.deps.Registry).Update(value)
+}
+
+// isModel reports whether the service needs accelerators.
+func isModel(s *config.Service) bool { return s.Kind == config.ModelService }
--- /dev/null
+++ b/internal/planner/rig_test.go
@@ -0,0 +1,309 @@
+package planner_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/confstore"
+	"buckthornpick/internal/fleet"
+	"buckthornpick/internal/kv"
+	"buckthornpick/internal/kv/etcd"
+	"buckthornpick/internal/netx"
+	"buckthornpick/internal/planner"
+	"buckthornpick/internal/platform"
+	"buckthornpick/internal/platform/cloudhttp"
+	"buckthornpick/internal/standin/cloud"
+	"buckthornpick/internal/standin/engine"
+	storesim "buckthornpick/internal/standin/kv"
+	"buckthornpick/internal/standin/memnet"
+	"buckthornpick/internal/telemetry"
+)
+
+const service = "audit"
+
+// hold stands for the minute of the defaults; the bubbles are kept short.
+const hold = 10 * time.Second
+
+// arrival is one order as an engine took or refused it.
+type arrival struct {
+	engine string
+	token  int64
+	taken  bool
+}
+
+// rig is a platform with three zones, engines and planners, in virtual time.
+type rig struct {
+	t       *testing.T
+	network *memnet.Network
+	store   *storesim.Server
+	cloud   *cloud.Server
+	client  kv.Store
+	ctx     context.Context
+	work    sync.WaitGroup
+	closers []func()
+	checks  bool
+	models  []string
+
+	mu         sync.Mutex
+	engines    map[string]*engine.Server
+	arrivals   []arrival
+	orderDelay time.Duration // of the first holder's orders on their way
+	firstToken int64
+	asked      map[string]int
+	demand     map[string]float64
+}
+
+// withRig runs f with the models that the service has; engines start with none
+// of them.
+func withRig(t *testing.T, checks bool, models []string, f func(r *rig)) {
+	withLaggingRig(t, 0, checks, models, f)
+}
+
+// withLaggingRig is withRig with a VM list that lags; 0 is the default.
+func withLaggingRig(t *testing.T, lag time.Duration, checks bool, models []string, f func(r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		r := &rig{t: t, ctx: ctx, network: memnet.New(1), store: storesim.New(1), checks: checks, models: models,
+			engines: map[string]*engine.Server{}, asked: map[string]int{}, demand: map[string]float64{}}
+		var offers []platform.Offer
+		for i, zone := range []string{"a", "b", "c"} {
+			offers = append(offers, platform.Offer{Zone: zone, Class: "gpu", Reclaimable: true,
+				PricePerHour: 1 + 0.01*float64(i), Accelerators: 1})
+		}
+		r.cloud = cloud.New(cloud.Settings{Offers: offers, OnLive: r.startEngine, ListLag: lag})
+		defer r.close(cancel)
+		r.run(r.store.Run)
+		r.run(r.cloud.Run)
+		r.serve("store", "platform", r.store)
+		r.serve("cloud", "platform", http.HandlerFunc(r.countStarts))
+		http := netx.HTTPClient(r.network.Host("test", "platform"), netx.HTTPOptions{})
+		r.closers = append(r.closers, http.CloseIdleConnections)
+		r.client = etcd.New(etcd.Config{Endpoint: "http://store:80"}, http, metrics.NewRegistry())
+		r.configure()
+		r.run(r.reportDemand)
+		f(r)
+	})
+}
+
+// close ends everything that runs, also after a failure.
+func (r *rig) close(cancel func()) {
+	cancel()
+	r.mu.Lock()
+	closers := r.closers
+	r.mu.Unlock()
+	for _, c := range closers {
+		c()
+	}
+	r.work.Wait()
+}
+
+func (r *rig) run(f func(context.Context) error) { r.work.Go(func() { _ = f(r.ctx) }) }
+
+func (r *rig) serve(host, zone string, h http.Handler) string {
+	l, err := r.network.Host(host, zone).Listen(host + ":80")
+	require.NoError(r.t, err)
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	r.work.Go(func() { _ = server.Serve(l) })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closers = append(r.closers, func() { _ = server.Close() })
+	return host + ":80"
+}
+
+func (r *rig) configure() {
+	doc := &config.Document{
+		Services: []config.Service{{Name: service, Kind: config.ModelService, Models: r.models, ChecksFencing: r.checks}},
+		Rules: []config.Rule{{Name: "all", When: config.When{Services: []string{service}},
+			Then: config.Then{Service: service}}},
+	}
+	documents := confstore.New(confstore.Config{Self: "test"}, r.client, telemetry.Discard(), nil)
+	_, err := documents.Propose(r.ctx, confstore.Change{Document: doc, OperationID: "first"})
+	require.NoError(r.t, err)
+}
+
+// countStarts counts the starts asked for by zone.
+func (r *rig) countStarts(w http.ResponseWriter, req *http.Request) {
+	if req.Method == http.MethodPost {
+		body, _ := io.ReadAll(req.Body)
+		var spec platform.VMSpec
+		_ = json.Unmarshal(body, &spec)
+		r.mu.Lock()
+		r.asked[spec.Zone]++
+		r.mu.Unlock()
+		req.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	r.cloud.ServeHTTP(w, req)
+}
+
+func (r *rig) askedIn(zone string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asked[zone]
+}
+
+func (r *rig) startEngine(vm platform.VM) string {
+	e := engine.New(engine.Settings{ID: vm.ID, Models: []string{"base"}, ChecksFencing: r.checks})
+	r.run(e.Run)
+	r.mu.Lock()
+	r.engines[vm.ID] = e
+	r.mu.Unlock()
+	return r.serve(vm.ID, "engines", http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == "/v1/orders" {
+			r.deliver(w, req, e)
+			return
+		}
+		e.ServeHTTP(w, req)
+	}))
+}
+
+// deliver hands an order to the engine after the delay, also if its sender has
+// gone.
+func (r *rig) deliver(w http.ResponseWriter, req *http.Request, e *engine.Server) {
+	body, _ := io.ReadAll(req.Body)
+	var o engine.Order
+	_ = json.Unmarshal(body, &o)
+	r.mu.Lock()
+	if r.firstToken == 0 {
+		r.firstToken = o.FencingNumber
+	}
+	delay := r.orderDelay
+	if o.FencingNumber != r.firstToken {
+		delay = 0
+	}
+	r.mu.Unlock()
+	time.Sleep(delay)
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	status := &recorder{ResponseWriter: w}
+	e.ServeHTTP(status, req)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals = append(r.arrivals, arrival{req.Host, o.FencingNumber, status.code == http.StatusNoContent})
+}
+
+type recorder struct {
+	http.ResponseWriter
+	code int
+}
+
+func (w *recorder) WriteHeader(code int) {
+	w.code = code
+	w.ResponseWriter.WriteHeader(code)
+}
+
+func (r *rig) setOrderDelay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.orderDelay = d
+}
+
+func (r *rig) orders() []arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]arrival{}, r.arrivals...)
+}
+
+// setDemand tells the load that the entries of zone a report.
+func (r *rig) setDemand(requests float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.demand[service] = requests
+}
+
+func (r *rig) reportDemand(ctx context.Context) error {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		value, err := json.Marshal(fleet.ZoneDemand{At: time.Now(), Requests: r.demand})
+		r.mu.Unlock()
+		if err == nil {
+			_, err = r.client.Txn(ctx, nil, []kv.Op{kv.Put(fleet.DemandPrefix+"a", value)})
+		}
+		_ = err // sent again in the next round
+		select {
+		case <-ctx.Done():
+		case <-time.After(2 * time.Second):
+		}
+	}
+	return nil
+}
+
+// planner starts a planner on a host of the network zone "host-<id>" and
+// returns a function that kills it.
+func (r *rig) planner(id, zone string, tune func(*planner.Config)) (kill func()) {
+	client := netx.HTTPClient(r.network.Host(id, "host-"+id), netx.HTTPOptions{})
+	cfg := planner.Config{ID: id, Zone: zone, StandbyInterval: 200 * time.Millisecond,
+		HoldTime: hold, ReclaimBackoff: hold,
+		Demand: fleet.DemandConfig{RequestsPerAccelerator: 10, InitialUtilisation: 1, ShrinkAfter: hold}}
+	if tune != nil {
+		tune(&cfg)
+	}
+	log := telemetry.Discard()
+	api := cloudhttp.New("http://cloud:80", client, log)
+	api.NoticeWait = time.Second
+	p := planner.New(cfg, planner.Deps{
+		Store: etcd.New(etcd.Config{Endpoint: "http://store:80"}, client, metrics.NewRegistry()),
+		Cloud: api, Lister: api, Notices: api, Engines: client, Log: log, Registry: metrics.NewRegistry(),
+	})
+	ctx, cancel := context.WithCancel(r.ctx)
+	done := make(chan struct{})
+	r.work.Go(func() {
+		defer close(done)
+		_ = p.Run(ctx)
+		client.CloseIdleConnections()
+	})
+	return func() {
+		r.network.KillHost(id)
+		cancel()
+		<-done
+	}
+}
+
+// planners starts one planner in each zone.
+func (r *rig) planners(tune func(*planner.Config)) {
+	for _, zone := range []string{"a", "b", "c"} {
+		r.planner("p-"+zone, zone, tune)
+	}
+}
+
+// live counts the live VMs by zone.
+func (r *rig) live() map[string]int {
+	out := map[string]int{}
+	for _, vm := range r.cloud.VMs() {
+		if vm.State == platform.VMLive {
+			out[vm.Zone]++
+		}
+	}
+	return out
+}
+
+func (r *rig) liveCount() int {
+	n := 0
+	for _, count := range r.live() {
+		n += count
+	}
+	return n
+}
+
+// await returns the time until ok holds, and fails the test if it takes longer
+// than limit.
+func (r *rig) await(limit time.Duration, what string, ok func() bool) time.Duration {
+	r.t.Helper()
+	began := time.Now()
+	for !ok() {
+		if time.Since(began) > limit {
+			r.t.Fatalf("not within %s: %s; live %v, asked %v", limit, what, r.live(), r.asked)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return time.Since(began)
+}
--- /dev/null
+++ b/internal/planner/stop.go
@@ -0,0 +1,99 @@
+package planner
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"golang.org/x/sync/errgroup"
+
+	"buckthornpick/internal/backend"
+	"buckthornpick/internal/fleet"
+	"buckthornpick/internal/platform"
+)
+
+// maxCandidates bounds the VMs whose load is read to choose one to drain.
+const maxCandidates = 64
+
+// idlest returns the VM of an offer whose server keeps the fewest contexts, by
+// the used share of its cache; then the one with the fewest requests.
+func (p *Planner) idlest(ctx context.Context, s *site, c comparison) (id string, ok bool) {
+	var candidates []platform.VM
+	for _, vm := range s.vms {
+		isDraining := slices.ContainsFunc(s.own.Draining, func(d fleet.Drain) bool { return d.VM == vm.ID })
+		if vm.Service == c.service && keyOf(vm) == c.key && vm.State == platform.VMLive && !isDraining {
+			candidates = append(candidates, vm)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b platform.VM) int { return cmp.Compare(a.ID, b.ID) })
+	candidates = candidates[:min(len(candidates), maxCandidates)]
+	loads := p.readLoads(ctx, candidates)
+	best := -1
+	for i := range candidates {
+		if loads[i] != nil && (best < 0 || compareLoads(loads[i], loads[best]) < 0) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return "", false
+	}
+	return candidates[best].ID, true
+}
+
+func compareLoads(a, b *backend.Load) int {
+	return cmp.Or(cmp.Compare(a.CacheUsed, b.CacheUsed), cmp.Compare(a.Running+a.Waiting, b.Running+b.Waiting))
+}
+
+// readLoads reads the load reports of servers; nil stands for no answer.
+func (p *Planner) readLoads(ctx context.Context, vms []platform.VM) []*backend.Load {
+	out := make([]*backend.Load, len(vms))
+	var g errgroup.Group
+	g.SetLimit(parallelCalls)
+	for i, vm := range vms {
+		g.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, p.cfg.ActTimeout)
+			defer cancel()
+			if load, err := p.readLoad(ctx, vm.Address); err == nil {
+				out[i] = &load
+			}
+			return nil
+		})
+	}
+	_ = g.Wait() // the functions return no error
+	return out
+}
+
+// stop asks the platform to stop drained VMs that are idle. That a stop may
+// have been asked for is recorded first, so that no later holder gives the VM
+// work again.
+func (p *Planner) stop(ctx context.Context, s *site) error {
+	var due []platform.VM
+	for _, d := range s.own.Draining {
+		if d.StopAsked || s.now.Sub(d.Since) >= p.cfg.DrainSettle {
+			due = append(due, s.vms[d.VM])
+		}
+	}
+	loads := p.readLoads(ctx, due)
+	var idle []string
+	for i, vm := range due {
+		d := &s.own.Draining[slices.IndexFunc(s.own.Draining, func(d fleet.Drain) bool { return d.VM == vm.ID })]
+		isIdle := loads[i] != nil && loads[i].Running+loads[i].Waiting == 0
+		if isIdle || d.StopAsked || s.now.Sub(d.Since) >= p.cfg.MaxDrain {
+			d.StopAsked = true
+			idle = append(idle, vm.ID)
+		}
+	}
+	if err := p.save(ctx, s); err != nil {
+		return err
+	}
+	for _, id := range idle {
+		p.log.Log(EvStopping, "vm", id)
+		err := p.act(ctx, func(ctx context.Context, _ int64) error { return p.deps.Cloud.StopVM(ctx, id) })
+		if err != nil {
+			p.log.Log(EvStopFailed, "vm", id, "error", err)
+			continue
+		}
+		p.count("planner_stops_total")
+	}
+	return nil
+}
--- a/internal/standin/site/entry.go
+++ b/internal/standin/site/entry.go
@@ -66,6 +66,9 @@
 	s.Cloud.Add(platform.VM{ID: id, Zone: zone, Class: "entry", Reclaimable: true})
 	s.addEntry(e)
 	e.run(p)
+	if s.options.Planners {
+		s.startPlanner(e, network)
+	}
 	return e, nil
 }
 
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -13,6 +13,7 @@
 
 	"buckthornpick/internal/config"
 	"buckthornpick/internal/netx"
+	"buckthornpick/internal/planner"
 	"buckthornpick/internal/platform"
 	"buckthornpick/internal/standin/cloud"
 	"buckthornpick/internal/standin/engine"
@@ -62,6 +63,11 @@
 	Log func(node, zone string) *telemetry.Logger
 	// Tune changes an entry's configuration before it starts; may be nil.
 	Tune Tune
+	// Planners runs a planner beside each entry; default false.
+	Planners bool
+	// TunePlanner changes a planner's configuration before it starts; may be
+	// nil.
+	TunePlanner func(*planner.Config)
 }
 
 // Site is a running site. It is safe for concurrent use.
