--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"buckthornpick/internal/backend"
+	"buckthornpick/internal/fault"
 	"buckthornpick/internal/request"
 )
 
@@ -52,13 +53,16 @@
 	if ctx.Err() == nil && (isOlder || e.withinBudget(a)) {
 		return nil, false
 	}
-	return e.giveUp(request.End{Problem: problemUnavailable, Message: lost.Error(),
+	return e.giveUp(request.End{Problem: problemUnavailable, Message: lostMessage(lost),
 		Status: http.StatusServiceUnavailable, RetryAfter: max(lost.RetryAfter, time.Second)}), true
 }
 
 // afterFailure follows an attempt that the backend server ended with an error.
 func (e *execution) afterFailure(a *attempt, lost *backend.AttemptError) (*request.End, bool) {
 	e.mayHaveRun = true
+	if end := e.passOn(lost); end != nil {
+		return end, true
+	}
 	isServerError := lost.Status >= http.StatusInternalServerError
 	if isServerError && e.req.Repeatable && e.withinBudget(a) {
 		e.tried[a.target.ID] = true
@@ -68,7 +72,33 @@
 	if isServerError || status == 0 {
 		status = http.StatusBadGateway
 	}
-	return &request.End{Outcome: request.Failed, Problem: problemBackend, Message: lost.Error(), Status: status}, true
+	return &request.End{Outcome: request.Failed, Problem: problemBackend, Message: lostMessage(lost), Status: status}, true
+}
+
+// passOn delivers a plain service's refusal of the call (4xx) as the answer that
+// it is. It returns nil for other failures.
+func (e *execution) passOn(lost *backend.AttemptError) *request.End {
+	isClientError := lost.Status >= http.StatusBadRequest && lost.Status < http.StatusInternalServerError
+	if e.req.Kind != request.Plain || !isClientError {
+		return nil
+	}
+	number, err := e.rec.Dispatch()
+	if err != nil {
+		return e.stateRefused(err)
+	}
+	head := request.Head{Status: lost.Status, Header: http.Header{"Content-Type": {lost.ContentType}}}
+	if err := e.rec.SetHead(number, head); err != nil {
+		return e.stateRefused(err)
+	}
+	if err := e.rec.Append(number, request.Event{Sequence: 1, Data: lost.Body}); err != nil {
+		return e.stateRefused(err)
+	}
+	return &request.End{Outcome: request.Completed}
+}
+
+// lostMessage tells the caller where and why the attempt failed.
+func lostMessage(lost *backend.AttemptError) string {
+	return "backend server " + lost.Target.ID + ": " + fault.Text(lost.Err)
 }
 
 // afterDisconnect follows an attempt that may have run or may still run: first
@@ -122,7 +152,7 @@
 			return e.stateRefused(err), true
 		}
 		before := len(e.rec.Events())
-		err = e.resumeOnce(ctx, number, a)
+		isAttached, err := e.resumeOnce(ctx, number, a)
 		if err == nil {
 			return &request.End{Outcome: request.Completed}, true
 		}
@@ -134,7 +164,7 @@
 		if e.isFinalForResume(err, a.target) {
 			return nil, false
 		}
-		if len(e.rec.Events()) > before {
+		if isAttached || len(e.rec.Events()) > before {
 			giveUpAt = time.Now().Add(e.d.cfg.RecoverWait)
 			pause = firstResumePause
 		}
@@ -168,7 +198,7 @@
 // A server that closes or refuses connections has crashed.
 func isTimeout(err error) bool {
 	var netErr net.Error
-	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout()
+	return errors.Is(err, errStalled) || errors.Is(err, context.DeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout()
 }
 
 // isFinalForResume reports whether resuming again is of no use. A repeatable
@@ -187,18 +217,21 @@
 }
 
 // resumeOnce attaches to the attempt and follows it from the last event.
-func (e *execution) resumeOnce(ctx context.Context, number int, a *attempt) error {
+// isAttached is true if the server knew the attempt.
+func (e *execution) resumeOnce(ctx context.Context, number int, a *attempt) (isAttached bool, err error) {
 	attemptCtx, cancel := e.interruptible(ctx)
 	defer cancel()
 	e.d.watchDeadline(e, a.target.ID)
+	stall := e.watchStall(a, e.d.cfg.ResumeTimeout)
+	defer stall.stop()
 	answer, err := e.d.deps.Backends.Resume(attemptCtx, a.target, e.req, a.id, len(e.rec.Events()))
 	if err != nil {
-		return causeOr(attemptCtx, err)
+		return false, causeOr(attemptCtx, err)
 	}
 	e.d.stats.resumes.Inc(1)
 	e.d.deps.Log.Log(EvResumed, "request", e.req.ID, "attempt", a.id, "server", a.target.ID,
 		"after", len(e.rec.Events()))
-	return causeOr(attemptCtx, e.follow(number, a, answer))
+	return true, causeOr(attemptCtx, e.follow(number, a, answer, stall))
 }
 
 // continueAdopted goes on with a request that another node has handed over.
@@ -210,7 +243,7 @@
 	if err != nil {
 		return e.stateRefused(err)
 	}
-	err = e.resumeOnce(ctx, number, &a)
+	_, err = e.resumeOnce(ctx, number, &a)
 	if err == nil {
 		return &request.End{Outcome: request.Completed}
 	}
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/sync/errgroup"
 
 	"buckthornpick/internal/fleet"
@@ -119,22 +121,94 @@
 	return err
 }
 
-// followDrains reads which VMs the planners drain; peers pass them on with the
-// view of the site. Without the store the last ones stand.
+// drains are the VMs that the planners drain. The version is the store's
+// revision of the last change that was read.
+//
+// Lock order: mu before the pools' own.
+type drains struct {
+	mu      sync.Mutex
+	version int64
+	ids     []string
+}
+
+// drainsMsg is what nodes pass on of drains.
+type drainsMsg struct {
+	Version int64    `msgpack:"v"`
+	IDs     []string `msgpack:"i"`
+}
+
+// followDrains reads which VMs the planners drain; peers pass them on. Without
+// the store the last ones stand.
 func (n *Node) followDrains(ctx context.Context) {
 	states, err := n.cfg.Store.List(ctx, fleet.StatePrefix)
 	if err != nil {
 		return
 	}
-	draining := map[string]bool{}
+	var m drainsMsg
 	for _, e := range states.Entries {
 		var state fleet.ZoneState
 		if json.Unmarshal(e.Value, &state) != nil {
 			return
 		}
+		m.Version = max(m.Version, e.ModRevision)
 		for _, d := range state.Draining {
-			draining[d.VM] = true
+			m.IDs = append(m.IDs, d.VM)
 		}
 	}
-	n.inventory.SetDraining(draining)
+	if n.observeDrains(m) {
+		n.spreader.Changed()
+	}
+}
+
+// observeDrains puts later drains in force and reports whether they are.
+func (n *Node) observeDrains(m drainsMsg) bool {
+	if !n.takeDrains(m) {
+		return false
+	}
+	if doc, ok := n.Document(); ok {
+		n.applyCapacity(doc)
+	}
+	return true
+}
+
+func (n *Node) takeDrains(m drainsMsg) bool {
+	n.drains.mu.Lock()
+	defer n.drains.mu.Unlock()
+	if m.Version <= n.drains.version {
+		return false
+	}
+	differs := !slices.Equal(m.IDs, n.drains.ids)
+	n.drains.version, n.drains.ids = m.Version, m.IDs
+	if differs {
+		n.pools.SetDraining(time.Now(), m.IDs)
+	}
+	return true
+}
+
+// drainsTopic spreads the drains.
+type drainsTopic struct{ node *Node }
+
+// Version implements spread.Topic.
+func (t drainsTopic) Version() int64 {
+	t.node.drains.mu.Lock()
+	defer t.node.drains.mu.Unlock()
+	return t.node.drains.version
+}
+
+// Encode implements spread.Topic.
+func (t drainsTopic) Encode() ([]byte, int64, error) {
+	t.node.drains.mu.Lock()
+	defer t.node.drains.mu.Unlock()
+	m := drainsMsg{Version: t.node.drains.version, IDs: t.node.drains.ids}
+	value, err := msgpack.Marshal(m)
+	return value, m.Version, err
+}
+
+// Observe implements spread.Topic.
+func (t drainsTopic) Observe(value []byte) (bool, error) {
+	var m drainsMsg
+	if err := msgpack.Unmarshal(value, &m); err != nil {
+		return false, err
+	}
+	return t.node.observeDrains(m), nil
 }
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"buckthornpick/internal/entry"
 	"buckthornpick/internal/request"
 	"buckthornpick/internal/standin/engine"
 	"buckthornpick/internal/standin/site"
@@ -269,3 +271,75 @@
 		require.Equal(t, 1, s.runs(key))
 	})
 }
+
+// TestReclaimedEngineMovesItsKVCache compares the tokens computed for a long
+// prompt that moves with and without its KV cache.
+func TestReclaimedEngineMovesItsKVCache(t *testing.T) {
+	computed := map[bool]int{}
+	for _, movesKV := range []bool{false, true} {
+		tune := func(o *site.Options) {
+			if !movesKV {
+				o.Tune = func(c *entry.Config) { c.KV = nil }
+			}
+		}
+		withSite(t, tune, func(s *testSite) {
+			body := chatBody(strings.Repeat("shop page ", 1000), 600, true)
+			answer := s.sendLater(s.Entries()[0], chatPath, nil, body)
+			time.Sleep(700 * time.Millisecond)
+			s.Cloud.Reclaim(s.busyEngine().ID, 4*time.Second)
+			got := <-answer
+			require.NoError(t, got.err)
+			require.NoError(t, engine.VerifyText(engine.PromptOf(body), streamText(t, got.reply.body), 600))
+			computed[movesKV] = s.computed()
+		})
+	}
+	require.Less(t, computed[true], 2200, "one prompt of about 2,000 tokens, computed once")
+	require.Greater(t, computed[false], 4000, "the same prompt, computed at both engines")
+}
+
+// TestEngineThatFallsSilentIsLeft pauses an engine's VM in the middle of an
+// answer, so that its connections stay open and carry nothing.
+func TestEngineThatFallsSilentIsLeft(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		body := chatBody("check the shop", 200, true)
+		answer := s.sendLater(s.Entries()[0], chatPath, nil, body)
+		time.Sleep(700 * time.Millisecond)
+		s.network.PauseHost(s.busyEngine().ID)
+		sentAt := time.Now()
+		got := <-answer
+		require.NoError(t, got.err)
+		require.Equal(t, "completed", got.reply.outcome(), "%s", got.reply.tail())
+		require.NoError(t, engine.VerifyText(engine.PromptOf(body), streamText(t, got.reply.body), 200))
+		require.Less(t, time.Since(sentAt), 30*time.Second)
+		require.Zero(t, s.counter("quarantine_crashes_total"), "a silent server has not crashed")
+	})
+}
+
+func TestSlowEngineIsWaitedFor(t *testing.T) {
+	slow := func(o *site.Options) { o.Servers[0].Zones = []string{"a"} }
+	withSite(t, slow, func(s *testSite) {
+		for _, sv := range s.Servers() {
+			if sv.Engine != nil {
+				sv.Engine.SetFaults(engine.Faults{Stall: true})
+			}
+		}
+		header := map[string]string{"Idempotency-Key": "slow", "Buckthornpick-Non-Repeatable": "true"}
+		body := chatBody("rewrite the page", 20, true)
+		answer := s.sendLater(s.Entries()[0], chatPath, header, body)
+		time.Sleep(45 * time.Second)
+		s.busyOrWaitingEngine().SetFaults(engine.Faults{})
+		got := <-answer
+		require.NoError(t, got.err)
+		require.Equal(t, "completed", got.reply.outcome(), "%s", got.reply.tail())
+		require.Equal(t, 1, s.runs("slow"))
+	})
+}
+
+func (s *testSite) busyOrWaitingEngine() *engine.Server {
+	for _, sv := range s.Servers() {
+		if sv.Engine != nil {
+			return sv.Engine
+		}
+	}
+	return nil
+}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -21,11 +21,17 @@
 	organisation string
 	info         request.Info
 	after        int
-	// delivered holds the events that came from a peer, so that a new owner
-	// can go on from them if the old one is lost.
-	delivered []request.Event
-	wasSent   bool
-	src       source
+	// answer is the name of the answer of which the caller has events.
+	answer string
+	// received holds what came from a peer, so that a new owner can go on from
+	// it if the old one is lost.
+	received request.Received
+	wasSent  bool
+	src      source
+	// searching is when the search for the owner began, zero while there is a
+	// source. A search may take several calls of Next, each with a context of
+	// its own.
+	searching time.Time
 }
 
 // Info implements gateway.Answer.
@@ -43,36 +49,72 @@
 
 // Next implements gateway.Answer.
 func (f *follower) Next(ctx context.Context) (request.Step, error) {
+	var lost time.Time
 	for {
 		step, err := f.src.next(ctx)
 		if err == nil && !step.HandedOver {
-			f.note(step)
-			return step, nil
+			return step, f.note(step)
 		}
 		if ctx.Err() != nil {
 			return request.Step{}, ctx.Err()
 		}
 		f.node.log.Log(EvOwnerLost, "request", f.id, "after", f.after, "error", err)
+		if lost.IsZero() {
+			lost = time.Now()
+		} else if !f.mayFollow(ctx, lost) {
+			return request.Step{}, f.ownerUnreachable(errNoOwner)
+		}
 		if err := f.connect(ctx); err != nil {
 			return request.Step{}, err
 		}
 	}
 }
 
-func (f *follower) note(step request.Step) {
-	if step.Event == nil {
-		return
-	}
-	f.after = step.Event.Sequence
-	if _, isRemote := f.src.(*remoteSource); isRemote && f.req != nil && f.req.Repeatable {
-		f.delivered = append(f.delivered, *step.Event)
+// mayFollow paces the search for the owner of a request that no node keeps. It
+// reports whether the search, begun at lost, may go on.
+func (f *follower) mayFollow(ctx context.Context, lost time.Time) bool {
+	pause(ctx, ownerPause)
+	return time.Since(lost) < ownerWait
+}
+
+var errNoOwner = errors.New("its ownership is moving")
+
+// note remembers what the caller gets. It refuses another answer than that of
+// which the caller has events already.
+func (f *follower) note(step request.Step) error {
+	_, isRemote := f.src.(*remoteSource)
+	keeps := isRemote && f.req != nil && f.req.Repeatable
+	switch {
+	case step.Head != nil:
+		if f.after > 0 && f.answer != "" && step.Head.Answer != f.answer {
+			return errAnswerLost
+		}
+		f.answer = step.Head.Answer
+		if keeps {
+			f.received.Head = step.Head
+		}
+	case step.Event != nil:
+		f.after = step.Event.Sequence
+		if keeps {
+			f.received.Events = append(f.received.Events, *step.Event)
+		}
 	}
+	return nil
 }
 
+// errAnswerLost refuses to mix two answers.
+var errAnswerLost = &gateway.EndError{End: request.End{
+	Outcome: request.Unknown, Problem: "answer_lost", Status: http.StatusConflict,
+	Message: "the answer that you began to receive was lost and the request has run anew; " +
+		"ask again without Last-Event-ID for the whole new answer",
+}}
+
 // connect finds the request's owner and the answer's source. It tries again
 // while ownership moves.
 func (f *follower) connect(ctx context.Context) error {
-	started := time.Now()
+	if f.searching.IsZero() {
+		f.searching = time.Now()
+	}
 	for {
 		err := f.connectOnce(ctx)
 		if err == nil {
@@ -81,13 +123,13 @@
 		if final := f.finalError(err); final != nil {
 			return final
 		}
-		if f.mayRunHere(started) {
+		if f.mayRunHere(f.searching) {
 			return f.runHere(ctx)
 		}
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if time.Since(started) > ownerWait {
+		if time.Since(f.searching) > ownerWait {
 			return f.ownerUnreachable(err)
 		}
 		pause(ctx, ownerPause)
@@ -101,7 +143,7 @@
 	if f.req == nil {
 		src, info, err = f.node.openAttach(ctx, f.organisation, f.id, f.after)
 	} else {
-		src, info, err = f.node.openSubmit(ctx, f.submission(), f.delivered, f.after)
+		src, info, err = f.node.openSubmit(ctx, f.submission(), f.received, f.after)
 	}
 	if !fault.Is(err, fault.Unavailable) {
 		f.wasSent = true
@@ -128,7 +170,7 @@
 	if f.src != nil {
 		f.src.close()
 	}
-	f.src, f.info = src, info
+	f.src, f.info, f.searching = src, info, time.Time{}
 }
 
 // mayRunHere reports whether this node runs the request although its owner is
@@ -137,12 +179,12 @@
 	if f.req == nil || !f.req.Repeatable || time.Since(started) < localFallback {
 		return false
 	}
-	return f.after == len(f.delivered)
+	return f.after == len(f.received.Events)
 }
 
 func (f *follower) runHere(ctx context.Context) error {
 	f.node.log.Log(EvRunsHere, "request", f.id, "after", f.after)
-	rec, err := f.node.owner.Submit(f.submission(), f.delivered)
+	rec, err := f.node.owner.Submit(f.submission(), f.received)
 	if err != nil {
 		return submitError(err)
 	}
@@ -161,7 +203,7 @@
 	switch {
 	case f.req != nil && isRemoteInvalid:
 		return submitError(fault.New(fault.Invalid, "entry.submit", remote.Peer, "%s", remote.Message))
-	case f.req == nil && fault.Is(err, fault.Invalid):
+	case f.req == nil && fault.Is(err, fault.Invalid) && time.Since(f.searching) >= attachWait:
 		return &gateway.EndError{End: request.End{Outcome: request.Unknown, Problem: "not_found_error",
 			Message: "no such request: it ended too long ago, or its owner was lost; send it again with its Idempotency-Key",
 			Status:  http.StatusNotFound}}
@@ -173,7 +215,7 @@
 // Only a request that no owner can have seen is "not-run".
 func (f *follower) ownerUnreachable(err error) error {
 	end := request.End{Outcome: request.Unknown, Problem: "owner_unreachable",
-		Message: "the node that owns this request cannot be reached: " + err.Error(),
+		Message: "the node that owns this request cannot be reached: " + fault.Text(err),
 		Status:  http.StatusServiceUnavailable, RetryAfter: time.Second}
 	if f.req != nil && f.req.Minted && !f.wasSent {
 		end.Outcome = request.NotRun
--- a/internal/entry/leave.go
+++ b/internal/entry/leave.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"buckthornpick/internal/dispatch"
+	"buckthornpick/internal/fault"
 	"buckthornpick/internal/inventory"
 	"buckthornpick/internal/member"
 	"buckthornpick/internal/peer"
@@ -127,7 +128,7 @@
 	defer cancel()
 	n.leaveTable(ctx, cfg)
 	n.awaitNoRequests(ctx)
-	n.handOver(ctx)
+	n.handOver(ctx, true)
 	n.log.Log(EvDrained, "running", n.owner.Running())
 }
 
@@ -143,18 +144,19 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	n.leaveTable(ctx, cfg)
-	n.handOver(ctx)
+	n.handOver(ctx, false)
 	redirectAt, stop := context.WithDeadline(ctx, deadline.Add(-cfg.RedirectMargin))
 	defer stop()
 	n.awaitNoRequests(redirectAt)
 	n.drain.sendCallersAway()
-	n.handOver(ctx)
+	n.handOver(ctx, true)
 	n.log.Log(EvDrained, "running", n.owner.Running())
 }
 
 func (n *Node) leaveTable(ctx context.Context, cfg DrainConfig) {
 	ctx, cancel := context.WithTimeout(ctx, cfg.LeaveWait)
 	defer cancel()
+	n.askToDepart(ctx)
 	if err := n.members.Leave(ctx); err != nil {
 		n.log.Log(EvLeaveFailed, "error", err)
 	}
@@ -172,20 +174,40 @@
 // transferBatch bounds the requests of one message.
 const transferBatch = 64
 
-// handOver sends every request to its new owner.
-func (n *Node) handOver(ctx context.Context) {
-	for heir, transfers := range n.byHeir(n.owner.Export()) {
+// transferRounds bounds the heirs that are tried for one request.
+const transferRounds = 4
+
+// handOver sends every request to its new owner. What an heir cannot be given
+// because it is gone already goes to the next one. isLast is true if this node
+// runs nothing afterwards.
+func (n *Node) handOver(ctx context.Context, isLast bool) {
+	gone := map[string]bool{}
+	transfers := n.owner.Export(isLast)
+	for round := 0; round < transferRounds && len(transfers) > 0; round++ {
+		transfers = n.transferAll(ctx, transfers, gone)
+	}
+}
+
+// transferAll makes one round. It returns what was not taken and adds the heirs
+// that could not be reached to gone.
+func (n *Node) transferAll(ctx context.Context, transfers []dispatch.Transfer, gone map[string]bool) []dispatch.Transfer {
+	var left []dispatch.Transfer
+	for heir, transfers := range n.byHeir(transfers, gone) {
 		for len(transfers) > 0 {
 			batch := transfers[:min(transferBatch, len(transfers))]
 			transfers = transfers[len(batch):]
-			n.transferTo(ctx, heir, batch)
+			if err := n.transferTo(ctx, heir, batch); fault.Is(err, fault.Unavailable) {
+				gone[heir.ID] = true
+				left = append(left, batch...)
+			}
 		}
 	}
+	return left
 }
 
-func (n *Node) byHeir(transfers []dispatch.Transfer) map[member.Member][]dispatch.Transfer {
+func (n *Node) byHeir(transfers []dispatch.Transfer, gone map[string]bool) map[member.Member][]dispatch.Transfer {
 	out := map[member.Member][]dispatch.Transfer{}
-	heirs := n.heirs()
+	heirs := without(n.heirs(), gone)
 	for _, t := range transfers {
 		if heir, ok := heirs.Owner(t.Request.ID.Partition()); ok {
 			out[heir] = append(out[heir], t)
@@ -194,30 +216,25 @@
 	return out
 }
 
-// heirs returns the table without members that are leaving, this node among
-// them if it drains.
-func (n *Node) heirs() member.Table {
-	table := n.members.Table()
-	deadlines := n.inventory.View().Deadlines
-	isDraining := n.drain.isDraining()
+// without returns the table without the members with the IDs.
+func without(t member.Table, ids map[string]bool) member.Table {
 	var rest []member.Member
-	for _, m := range table.Members {
-		_, isLeaving := deadlines[m.ID]
-		isLeaving = isLeaving || (isDraining && m.ID == n.cfg.Self.ID)
-		if !isLeaving {
+	for _, m := range t.Members {
+		if !ids[m.ID] {
 			rest = append(rest, m)
 		}
 	}
-	return member.NewTable(table.Revision, rest, nil)
+	return member.NewTable(t.Revision, rest, nil)
 }
 
 const transferTimeout = 2 * time.Second
 
-func (n *Node) transferTo(ctx context.Context, heir member.Member, batch []dispatch.Transfer) {
+func (n *Node) transferTo(ctx context.Context, heir member.Member, batch []dispatch.Transfer) error {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	_, err := peer.Call[transferReply](ctx, n.transport, nodeOf(heir), peer.Transfer, transferMsg{Transfers: batch})
 	if err != nil {
 		n.log.Log(EvTransferFailed, "peer", heir.ID, "requests", len(batch), "error", err)
 	}
+	return err
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -41,6 +41,8 @@
 	Lister   platform.Lister
 	Notices  platform.NoticeSource
 	Backends backend.Client
+	// KV moves KV cache between engines; may be nil.
+	KV       dispatch.KVMover
 	Log      *telemetry.Logger
 	Registry metrics.Registry
 
@@ -72,7 +74,10 @@
 	gateway    *gateway.Gateway
 	quarantine *quarantine.Quarantine
 	minter     minter
+	drains     drains
 	drain      *drainState
+	departures *departures
+	heirsCache heirsCache
 }
 
 // pollers is the number of members of a zone that read the platform's lists
@@ -88,6 +93,7 @@
 	cfg.Member.Self = cfg.Self
 	cfg.Member.GapWindow = gapWindow(cfg)
 	n.members = member.New(cfg.Member, cfg.Store, cfg.Log, cfg.Registry)
+	n.departures = newDepartures(n.members)
 	n.own = ownership{Tenure: &claim.Tenure{}, self: cfg.Self.ID, members: n.members}
 	n.documents = confstore.New(confstore.Config{Self: cfg.Self.ID, WatchesStore: n.isPoller}, cfg.Store, cfg.Log, cfg.Registry)
 	cfg.Inventory.IsPoller = n.isPoller
@@ -120,7 +126,7 @@
 func (n *Node) dispatchDeps() dispatch.Deps {
 	return dispatch.Deps{
 		Document: n.documents.Current, Pools: n.pools, Claims: n.ledger, Ownership: n.own,
-		Backends: n.cfg.Backends, Admitter: n.admitter, Quarantine: n.quarantine,
+		Backends: n.cfg.Backends, KV: n.cfg.KV, Admitter: n.admitter, Quarantine: n.quarantine,
 		Zone: n.cfg.Self.Zone, Log: n.cfg.Log, Registry: n.cfg.Registry,
 	}
 }
@@ -145,7 +151,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	for _, duty := range []func(context.Context) error{
 		n.transport.Run, n.members.Run, n.documents.Run, n.inventory.Run,
-		n.ledger.Run, n.owner.Run, n.spreader.Run,
+		n.ledger.Run, n.owner.Run, n.spreader.Run, n.departures.Run,
 		n.applyDocuments, n.applyViews, n.applyTables, n.pullFromSeeds, n.preloadClaims, n.reportDemand,
 	} {
 		g.Go(func() error { return duty(ctx) })
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -15,6 +15,7 @@
 	n.transport.Handle(peer.Attach, n.serveAttach)
 	n.transport.Handle(peer.Locate, n.serveLocate)
 	n.transport.Handle(peer.Transfer, n.serveTransfer)
+	n.transport.Handle(peer.Depart, peer.HandleCall(n.departures.serve))
 	n.transport.Handle(peer.DemandPull, peer.HandleCall(n.serveDemand))
 }
 
@@ -31,7 +32,7 @@
 		return fault.New(fault.Conflict, "entry.submit", n.cfg.Self.ID, "this node does not own partition %d",
 			m.Request.ID.Partition())
 	}
-	src, info, err := n.submitHere(ctx, m.Request, m.Delivered, m.After)
+	src, info, err := n.submitHere(ctx, m.Request, m.Received, m.After)
 	if err != nil {
 		return remoteSubmitError(err)
 	}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -19,16 +19,15 @@
 // View is the site as one node knows it. A View is never changed after it was
 // published.
 type View struct {
-	// Version rises with every change of content seen by a poller: it is the
-	// poller's clock in microseconds, so views of several pollers are ordered.
+	// Version rises with every change of the list seen by a poller: it is the
+	// poller's clock in microseconds, so lists of several pollers are ordered.
+	// Notices do not change it: all pollers hear of one at the same time, and
+	// each would make a version that the others have not seen.
 	Version int64 `msgpack:"v"`
 	// VMs by ID, with notices applied: a VM under notice is leaving.
 	VMs map[string]platform.VM `msgpack:"m"`
 	// Deadlines of the VMs under notice.
 	Deadlines map[string]time.Time `msgpack:"d"`
-	// Draining VMs are to be stopped by the planner and count as leaving,
-	// without a deadline.
-	Draining map[string]bool `msgpack:"g,omitempty"`
 	// LastNotice is the sequence number of the last notice seen.
 	LastNotice int64 `msgpack:"n"`
 }
@@ -84,6 +83,10 @@
 	mu          sync.Mutex
 	view        *View
 	subscribers map[chan *View]struct{}
+	// steps are the latest changes of the list, oldest first.
+	steps []step
+	// needsList is set after a delta that did not fit.
+	needsList bool
 }
 
 // New returns an inventory that polls lister and notices.
@@ -142,10 +145,10 @@
 		LastNotice: max(other.LastNotice, i.view.LastNotice),
 		VMs:        i.view.VMs,
 		Deadlines:  maps.Clone(i.view.Deadlines),
-		Draining:   i.view.Draining,
 	}
 	if other.Version > i.view.Version {
-		next.VMs, next.Draining = other.VMs, other.Draining
+		next.VMs = other.VMs
+		i.needsList = false
 	}
 	maps.Copy(next.Deadlines, other.Deadlines)
 	i.publishLocked(next)
@@ -200,8 +203,7 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	next := &View{VMs: byID, Deadlines: maps.Clone(i.view.Deadlines),
-		Draining: i.view.Draining, LastNotice: i.view.LastNotice}
+	next := &View{VMs: byID, Deadlines: maps.Clone(i.view.Deadlines), LastNotice: i.view.LastNotice}
 	markLeaving(next)
 	if maps.Equal(next.VMs, i.view.VMs) {
 		return
@@ -218,8 +220,8 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	next := &View{
-		Version: max(time.Now().UnixMicro(), i.view.Version+1), VMs: i.view.VMs,
-		Deadlines: maps.Clone(i.view.Deadlines), Draining: i.view.Draining, LastNotice: i.view.LastNotice,
+		Version: i.view.Version, VMs: i.view.VMs,
+		Deadlines: maps.Clone(i.view.Deadlines), LastNotice: i.view.LastNotice,
 	}
 	for _, n := range notices {
 		next.Deadlines[n.VM] = n.Deadline
@@ -234,6 +236,7 @@
 func (i *Inventory) publishLocked(v *View) {
 	i.dropOldDeadlines(v)
 	markLeaving(v)
+	i.recordLocked(v)
 	i.view = v
 	for ch := range i.subscribers {
 		select {
@@ -249,16 +252,9 @@
 	maps.DeleteFunc(v.Deadlines, func(_ string, deadline time.Time) bool { return deadline.Before(oldest) })
 }
 
-// markLeaving copies the VMs and marks those under notice or draining as
-// leaving.
+// markLeaving copies the VMs and marks those under notice as leaving.
 func markLeaving(v *View) {
 	vms := maps.Clone(v.VMs)
-	for id := range v.Draining {
-		if vm, ok := vms[id]; ok && vm.State == platform.VMLive {
-			vm.State = platform.VMLeaving
-			vms[id] = vm
-		}
-	}
 	for id := range v.Deadlines {
 		vm, ok := vms[id]
 		if ok && vm.State != platform.VMTerminated {
