--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -75,6 +75,7 @@
 	gateway    *gateway.Gateway
 	quarantine *quarantine.Quarantine
 	minter     minter
+	drains     drains
 	drain      *drainState
 	departures *departures
 	heirsCache heirsCache
@@ -166,7 +167,7 @@
 	for _, duty := range []func(context.Context) error{
 		n.transport.Run, n.members.Run, n.documents.Run, n.inventory.Run,
 		n.ledger.Run, n.owner.Run, n.spreader.Run, n.departures.Run,
-		n.applyDocuments, n.applyViews, n.applyTables, n.pullFromSeeds, n.preloadClaims,
+		n.applyDocuments, n.applyViews, n.applyTables, n.pullFromSeeds, n.preloadClaims, n.reportDemand,
 	} {
 		g.Go(func() error { return duty(ctx) })
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -16,6 +16,7 @@
 	n.transport.Handle(peer.Locate, peer.HandleCall(n.serveLocate))
 	n.transport.Handle(peer.Transfer, n.serveTransfer)
 	n.transport.Handle(peer.Depart, peer.HandleCall(n.departures.serve))
+	n.transport.Handle(peer.DemandPull, peer.HandleCall(n.serveDemand))
 }
 
 // serveSubmit takes a request that this node owns.
--- a/internal/entry/topics.go
+++ b/internal/entry/topics.go
@@ -22,6 +22,7 @@
 	topicInventory = "inventory"
 	topicNotices   = "notices"
 	topicMarks     = "marks"
+	topicDrains    = "drains"
 )
 
 func (n *Node) newSpreader() *spread.Spreader {
@@ -33,6 +34,7 @@
 	s.Add(topicNotices, noticesTopic{n.inventory})
 	s.Add(topicInventory, inventoryTopic{n.inventory})
 	s.Add(topicMarks, quarantine.Topic{Quarantine: n.quarantine})
+	s.Add(topicDrains, drainsTopic{n})
 	return s
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -24,6 +24,7 @@
 	services map[string]*service
 	view     *inventory.View
 	suspects map[string]suspicion
+	draining map[string]bool
 	changed  chan struct{}
 }
 
@@ -83,6 +84,18 @@
 	s.refreshLocked(now)
 }
 
+// SetDraining tells which VMs the planners drain: they get no new work and
+// finish what they have.
+func (s *Set) SetDraining(now time.Time, ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = make(map[string]bool, len(ids))
+	for _, id := range ids {
+		s.draining[id] = true
+	}
+	s.refreshLocked(now)
+}
+
 // Suspect marks a backend server that could not be reached or dropped a
 // connection.
 func (s *Set) Suspect(now time.Time, id string) {
@@ -232,7 +245,7 @@
 }
 
 func (s *Set) stateOf(now time.Time, vm platform.VM) route.State {
-	if vm.State == platform.VMLeaving {
+	if vm.State == platform.VMLeaving || s.draining[vm.ID] {
 		return route.Leaving
 	}
 	if held, ok := s.suspects[vm.ID]; ok && now.Before(held.until) {
