member: large tables are read less often

Cause: a node that is no watcher reads the whole table every 30 to 60 s; at 200 members that is 34 kB, about 760 B/s by the formula. Change: above 50 members the interval grows with the table. Conclusion: about 190 B/s at 200 members by the formula; not measured, the windows of slopes are too short.

--- a/internal/member/follow.go
+++ b/internal/member/follow.go
@@ -17,6 +17,9 @@
 	removalDelay = 100 * time.Millisecond
 	// removalStagger is the further delay for each watcher that goes first.
 	removalStagger = 300 * time.Millisecond
+	// membersPerRead is the size of the table up to which it is read every
+	// PollInterval.
+	membersPerRead = 50
 	// watchBackoff is the first wait before a broken watch is opened again.
 	watchBackoff = 250 * time.Millisecond
 	// maxWatchBackoff bounds that wait.
@@ -51,7 +54,7 @@
 
 // awaitTable returns when a newer table came or it is time to read it.
 func (m *Membership) awaitTable(ctx context.Context, tables <-chan Table) {
-	timer := time.NewTimer(m.jitter(2 * m.cfg.PollInterval)) // PollInterval and above
+	timer := time.NewTimer(m.jitter(2 * m.readInterval())) // readInterval and above
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -61,6 +64,13 @@
 	}
 }
 
+// readInterval is PollInterval, longer in proportion for large tables, so that
+// the bytes of the reads do not grow with the table. Peers pass tables on at
+// once; the reads serve a node that reaches the store alone.
+func (m *Membership) readInterval() time.Duration {
+	return m.cfg.PollInterval * time.Duration(max(1, len(m.Table().Members)/membersPerRead))
+}
+
 func (m *Membership) isWatcher() bool {
 	return slices.ContainsFunc(watchers(m.Table()), func(w Member) bool { return w.ID == m.cfg.Self.ID })
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -43,7 +43,7 @@
 	// for clocks that differ).
 	GapWindow time.Duration
 	// PollInterval is how often the table is read when nothing was heard of
-	// it, and how often a watcher checks its connection; default 30 s.
+	// it, for up to 50 members and in proportion less often above, and how often a watcher checks its connection; default 30 s.
 	PollInterval time.Duration
 }
 
