confstore: peers pass on what changed in the document

Change: a peer that pulls gets a splice of each list from its own revision, with a checksum; one that does not fit leads to the whole document. Conclusion: the cost of a change no longer grows with the document.

--- /dev/null
+++ b/internal/confstore/delta_test.go
@@ -0,0 +1,131 @@
+package confstore
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/telemetry"
+)
+
+func manyRules(n int) *config.Document {
+	doc := &config.Document{Revision: 1, OperationID: "first",
+		Services: []config.Service{{Name: "audit", Kind: config.PlainService}}}
+	for i := range n {
+		doc.Rules = append(doc.Rules, ruleFor(i))
+	}
+	return doc
+}
+
+// ruleFor returns a rule that no other one covers.
+func ruleFor(tokens int) config.Rule {
+	return config.Rule{Name: fmt.Sprintf("rule-%d", tokens), Then: config.Then{Service: "audit"},
+		When: config.When{MinPromptTokens: tokens + 1, MaxPromptTokens: tokens + 1}}
+}
+
+// next returns the document with one rule inserted, changed or removed.
+func next(rng *rand.Rand, doc *config.Document) *config.Document {
+	n := *doc
+	n.Revision++
+	n.OperationID = fmt.Sprint("op-", n.Revision)
+	i := rng.IntN(len(doc.Rules))
+	rule := ruleFor(1000 + int(n.Revision))
+	edit := rng.IntN(4)
+	if len(doc.Rules) < 5 {
+		edit = 0
+	}
+	switch edit {
+	case 0:
+		n.Rules = slices.Insert(slices.Clone(doc.Rules), i, rule)
+	case 1:
+		n.Rules = slices.Clone(doc.Rules)
+		n.Rules[i] = rule
+	case 2:
+		n.Organisations = append(slices.Clone(doc.Organisations), config.Organisation{Name: rule.Name,
+			KeyHashes: []string{fmt.Sprintf("%064x", n.Revision)}})
+	case 3:
+		n.Rules = slices.Delete(slices.Clone(doc.Rules), i, i+1)
+	}
+	return &n
+}
+
+// pass sends what b lacks as it goes over the wire; it returns the bytes.
+func pass(t *testing.T, a, b *Store) int {
+	t.Helper()
+	d, ok, err := a.DeltaSince(b.WantedRevision())
+	require.NoError(t, err)
+	require.True(t, ok)
+	value, err := msgpack.Marshal(d)
+	require.NoError(t, err)
+	var received Delta
+	require.NoError(t, msgpack.Unmarshal(value, &received))
+	_, err = b.ObserveDelta(&received)
+	require.True(t, err == nil || fault.Is(err, fault.Protocol), "%v", err)
+	return len(value)
+}
+
+func newPeer() *Store { return New(Config{}, nil, telemetry.Discard(), nil) }
+
+func TestDeltasGiveTheSameDocument(t *testing.T) {
+	for seed := range uint64(3) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		a, b := newPeer(), newPeer()
+		doc := manyRules(30)
+		require.True(t, a.Observe(doc))
+		for range 30 {
+			for range 1 + rng.IntN(maxRecent+4) { // sometimes more than a remembers
+				doc = next(rng, doc)
+				require.True(t, a.Observe(doc))
+			}
+			pass(t, a, b)
+			if b.WantedRevision() == 0 {
+				pass(t, a, b)
+			}
+			got, ok := b.Current()
+			require.True(t, ok)
+			require.Equal(t, doc.Revision, got.Revision)
+			require.Equal(t, doc.Rules, got.Document.Rules)
+			require.Equal(t, len(doc.Organisations), len(got.Document.Organisations))
+			require.Equal(t, doc.OperationID, got.Document.OperationID)
+		}
+	}
+}
+
+func TestDeltaOfOneRuleIsShort(t *testing.T) {
+	a, b := newPeer(), newPeer()
+	doc := manyRules(1000)
+	a.Observe(doc)
+	whole := pass(t, a, b)
+	changed := *doc
+	changed.Revision, changed.Rules = 2, slices.Clone(doc.Rules)
+	changed.Rules[500].Then.Priority = "low"
+	a.Observe(&changed)
+	require.Less(t, pass(t, a, b), whole/100)
+	got, _ := b.Current()
+	require.Equal(t, &changed, got.Document)
+}
+
+func TestDeltaThatDoesNotFitLeadsToTheWholeDocument(t *testing.T) {
+	a, b := newPeer(), newPeer()
+	a.Observe(manyRules(5))
+	other := manyRules(5) // the same revision with another content
+	other.Rules[0].Name = "other"
+	b.Observe(other)
+	changed := manyRules(5)
+	changed.Revision, changed.Rules[4].Name = 2, "changed"
+	a.Observe(changed)
+	pass(t, a, b)
+	require.Zero(t, b.WantedRevision())
+	got, _ := b.Current()
+	require.EqualValues(t, 1, got.Revision, "the old document stays in force")
+	pass(t, a, b)
+	got, _ = b.Current()
+	require.Equal(t, changed.Rules, got.Document.Rules)
+	require.EqualValues(t, 2, b.WantedRevision())
+}
--- a/internal/confstore/store.go
+++ b/internal/confstore/store.go
@@ -75,6 +75,10 @@
 	mu          sync.Mutex
 	current     *Snapshot
 	subscribers map[chan *Snapshot]struct{}
+	// recent are the latest snapshots, oldest first.
+	recent []*Snapshot
+	// needsWhole is set after a delta that did not fit.
+	needsWhole bool
 	// seen is the highest revision that the store has shown.
 	seen int64
 	// behind is true while the store shows behindAt, which is lower than what
@@ -189,6 +193,9 @@
 		return false
 	}
 	s.current = next
+	s.needsWhole = false
+	s.recent = append(s.recent, next)
+	s.recent = s.recent[max(0, len(s.recent)-maxRecent):]
 	s.revision.Update(next.Revision)
 	for ch := range s.subscribers {
 		select {
--- a/internal/entry/topics.go
+++ b/internal/entry/topics.go
@@ -6,7 +6,6 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"buckthornpick/internal/config"
 	"buckthornpick/internal/confstore"
 	"buckthornpick/internal/inventory"
 	"buckthornpick/internal/member"
@@ -78,41 +77,36 @@
 	}
 }
 
-// documentTopic spreads the operators' document. It implements
-// spread.PullTopic.
+// documentTopic spreads the operators' document, as the changes since the
+// revision that a peer has. It implements spread.PullTopic.
 type documentTopic struct{ store *confstore.Store }
 
 // Version implements spread.Topic.
-func (t documentTopic) Version() int64 {
-	if s, ok := t.store.Current(); ok {
-		return s.Revision
-	}
-	return 0
-}
+func (t documentTopic) Version() int64 { return t.store.WantedRevision() }
 
 // Encode implements spread.Topic.
 func (t documentTopic) Encode() ([]byte, int64, error) {
-	s, ok := t.store.Current()
-	if !ok {
-		return nil, 0, nil
-	}
-	value, err := msgpack.Marshal(s.Document)
-	return value, s.Revision, err
+	version := t.Version()
+	value, err := t.EncodeSince(0)
+	return value, version, err
 }
 
 // EncodeSince implements spread.PullTopic.
-func (t documentTopic) EncodeSince(int64) ([]byte, error) {
-	value, _, err := t.Encode()
-	return value, err
+func (t documentTopic) EncodeSince(version int64) ([]byte, error) {
+	delta, ok, err := t.store.DeltaSince(version)
+	if err != nil || !ok {
+		return nil, err
+	}
+	return msgpack.Marshal(delta)
 }
 
 // Observe implements spread.Topic.
 func (t documentTopic) Observe(value []byte) (bool, error) {
-	var doc config.Document
-	if err := msgpack.Unmarshal(value, &doc); err != nil {
+	var d confstore.Delta
+	if err := msgpack.Unmarshal(value, &d); err != nil {
 		return false, err
 	}
-	return t.store.Observe(&doc), nil
+	return t.store.ObserveDelta(&d)
 }
 
 // tableTopic spreads the table of members. It implements spread.PullTopic.
--- a/internal/slopes/rig.go
+++ b/internal/slopes/rig.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"buckthornpick/internal/config"
@@ -91,9 +92,12 @@
 	return nil
 }
 
-// propose changes the document and waits until it is in force everywhere.
+// propose changes one rule and waits until the document is in force everywhere.
 func (r *rig) propose(ctx context.Context) error {
 	next := *r.doc
+	next.Rules = slices.Clone(r.doc.Rules)
+	next.Rules[len(next.Rules)/2].Then.DeadlineMillis = float64(r.doc.Revision + 1)
+	r.doc.Rules = next.Rules
 	revision, err := r.site.Propose(ctx, r.site.Entries()[0], &next, r.doc.Revision,
 		fmt.Sprintf("change-%d", r.doc.Revision+1))
 	if err != nil {
