--- a/test/fuzz/oracle.go
+++ b/test/fuzz/oracle.go
@@ -212,7 +212,8 @@
 		return true
 	}
 	for _, other := range j.submissions[s.Call.Number] {
-		if !other.IsAttach && other.Accepted && other.Outcome != "not-run" && s.Began.Sub(other.Ended) < KeepTime {
+		if !other.IsAttach && other.Accepted && other.Outcome != "not-run" &&
+			!other.Ended.After(s.Began) && s.Began.Sub(other.Ended) < KeepTime {
 			return true
 		}
 	}
