--- a/internal/experiment/figures.go
+++ b/internal/experiment/figures.go
@@ -101,7 +101,7 @@
 	f.BoundComputed = boundComputed(jobs)
 	f.Cost = cost / float64(max(1, within)) * 1000
 	f.BoundCost = boundCost(cell, jobs) / float64(max(1, f.Requests)) * 1000
-	f.Goodput = float64(within) / (runLength - warmup).Seconds()
+	f.Goodput = float64(within) / (cell.Scenario.length() - warmup).Seconds()
 	return f
 }
 
@@ -146,7 +146,7 @@
 // reserve for faults.
 func boundCost(cell Cell, jobs []*job) float64 {
 	const interval = time.Minute
-	work := make([]time.Duration, runLength/interval)
+	work := make([]time.Duration, (cell.Scenario.length()+interval-1)/interval)
 	perOutput := (modelSpec.base + time.Duration(modelSpec.maxBatch)*modelSpec.perRequest) / time.Duration(modelSpec.maxBatch)
 	eachCompulsory(jobs, func(j *job, tokens int) {
 		work[j.at/interval] += time.Duration(tokens)*modelSpec.perToken + time.Duration(j.output)*perOutput
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -22,6 +22,8 @@
 	ReportEvery time.Duration
 	// DoublePriceAt doubles the prices of the cheapest zone; 0 is never.
 	DoublePriceAt time.Duration
+	// Length is the virtual length of the run; 0 is 15 minutes.
+	Length time.Duration
 	// Unlimited switches admission off.
 	Unlimited bool
 }
@@ -39,6 +41,13 @@
 	overloadVMs = 9
 )
 
+func (s Scenario) length() time.Duration {
+	if s.Length > 0 {
+		return s.Length
+	}
+	return runLength
+}
+
 // Scenarios lists all scenarios.
 var Scenarios = []Scenario{
 	{Name: "calm"},
--- a/internal/route/types.go
+++ b/internal/route/types.go
@@ -133,7 +133,7 @@
 	SubsetSize int
 	// Self is the entry's ID; it selects the subset and seeds the random choice.
 	Self string
-	// Zone is the entry's availability zone.
+	// Zone is the entry's availability zone. No decision depends on it yet.
 	Zone string
 	// BlockTokens is the size of a prompt block in tokens; default 64.
 	BlockTokens int
