--- a/internal/devsite/run.go
+++ b/internal/devsite/run.go
@@ -9,6 +9,7 @@
 
 	"buckthornpick/internal/load"
 	"buckthornpick/internal/netx"
+	"buckthornpick/internal/planner"
 	"buckthornpick/internal/platform"
 	"buckthornpick/internal/standin/cloud"
 	"buckthornpick/internal/standin/site"
@@ -32,7 +33,9 @@
 	p := o.Profile
 	s, err := site.Start(site.Options{
 		Seed: o.Seed, Fabric: site.Loopback(), Entries: Entries, Servers: p.Servers,
-		Document: p.Document, Older: &p.Older, Log: o.Log, Cloud: cloud.Settings{StartTime: time.Second},
+		Document: p.Document, Older: &p.Older, Log: o.Log,
+		Cloud:    cloud.Settings{StartTime: time.Second, Offers: offers(p)},
+		Planners: true, TunePlanner: tunePlanner,
 	})
 	if err != nil {
 		return nil, err
@@ -44,6 +47,37 @@
 	return s, nil
 }
 
+// offers returns what the stand-in platform sells: each kind of the profile's
+// VMs in each zone.
+func offers(p Profile) []platform.Offer {
+	var out []platform.Offer
+	for _, spec := range p.Servers {
+		for _, zone := range Zones {
+			out = append(out, platform.Offer{Zone: zone, Class: spec.Class, Reclaimable: true,
+				PricePerHour: spec.PricePerHour, Accelerators: site.AcceleratorsOf(spec)})
+		}
+	}
+	return out
+}
+
+// requestsPerAccelerator is the running requests for which the planners hold
+// one of the site's small engines.
+const requestsPerAccelerator = 6
+
+const (
+	// smoothOver is the planners' mean over the load, short enough for a run.
+	smoothOver = 2 * time.Second
+	// reclaimBackoff is how long after a reclaim its zone gets no start.
+	reclaimBackoff = 2 * time.Second
+)
+
+func tunePlanner(c *planner.Config) {
+	c.Demand.RequestsPerAccelerator = requestsPerAccelerator
+	c.Demand.SmoothOver = smoothOver
+	c.ReclaimBackoff = reclaimBackoff
+	c.Interval = time.Second
+}
+
 const (
 	readyWait = 30 * time.Second
 	readyPoll = 50 * time.Millisecond
@@ -151,7 +185,7 @@
 )
 
 // startEvents reclaims one backend server and later a whole zone, and starts
-// VMs in their place. The returned function waits for it.
+// entries in the place of those that go. The returned function waits for it.
 func startEvents(ctx context.Context, s *site.Site, o Options) func() {
 	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
@@ -170,7 +204,7 @@
 		zone := Zones[len(Zones)-1]
 		gone := s.Cloud.ReclaimZone(zone, zoneNotice)
 		_, _ = fmt.Fprintf(o.Out, "notice: zone %s goes in %s with %d VMs\n", zone, zoneNotice, len(gone))
-		replace(s, o, gone)
+		replaceEntries(s, gone)
 	}()
 	return func() {
 		cancel()
@@ -191,24 +225,13 @@
 	return ids[rng.IntN(len(ids))]
 }
 
-// replace starts new entries and backend servers in the remaining zones, as
-// the planner and the platform do.
-func replace(s *site.Site, o Options, gone []string) {
+// replaceEntries starts new entries in the remaining zones, as the platform
+// does. The planners replace the backend servers.
+func replaceEntries(s *site.Site, gone []string) {
 	rest := Zones[:len(Zones)-1]
 	for i, id := range gone {
-		zone := rest[i%len(rest)]
 		if _, isEntry := s.Entry(id); isEntry {
-			_, _ = s.StartEntry(zone)
-			continue
-		}
-		sv, ok := s.Server(id)
-		if !ok {
-			continue
-		}
-		for _, spec := range o.Profile.Servers {
-			if spec.Service == sv.Service {
-				_, _ = s.StartServer(spec, zone)
-			}
+			_, _ = s.StartEntry(rest[i%len(rest)])
 		}
 	}
 }
--- a/internal/standin/site/server.go
+++ b/internal/standin/site/server.go
@@ -29,12 +29,13 @@
 	}
 	s.Cloud.Add(platform.VM{
 		ID: sv.ID, Zone: zone, Class: spec.Class, Service: spec.Service, Address: sv.Address,
-		Reclaimable: true, PricePerHour: spec.PricePerHour, Accelerators: acceleratorsOf(spec),
+		Reclaimable: true, PricePerHour: spec.PricePerHour, Accelerators: AcceleratorsOf(spec),
 	})
 	return sv, nil
 }
 
-func acceleratorsOf(spec ServerSpec) int {
+// AcceleratorsOf returns the accelerators of a server's VM.
+func AcceleratorsOf(spec ServerSpec) int {
 	if spec.Kind == config.ModelService {
 		return 1
 	}
