--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -78,6 +79,10 @@
 	drain      *drainState
 	departures *departures
 	heirsCache heirsCache
+
+	provisionedAt time.Time
+	// searches counts the callers' requests whose owner is being looked for.
+	searches atomic.Int64
 }
 
 // pollers is the number of members of a zone that read the platform's lists
@@ -86,9 +91,10 @@
 
 // New provisions a node; it does nothing until Run.
 func New(cfg Config) *Node {
-	n := &Node{cfg: cfg, log: cfg.Log, drain: newDrainState()}
+	n := &Node{cfg: cfg, log: cfg.Log, drain: newDrainState(), provisionedAt: time.Now()}
 	self := nodeOf(cfg.Self)
 	cfg.Peer.Secret = cfg.Secret
+	cfg.Peer.MaxFrameBytes = max(cfg.Peer.MaxFrameBytes, maxFrame(cfg))
 	n.transport = peer.New(self, cfg.Network, cfg.Log, cfg.Registry, cfg.Peer)
 	cfg.Member.Self = cfg.Self
 	cfg.Member.GapWindow = gapWindow(cfg)
@@ -111,6 +117,15 @@
 	return n
 }
 
+// frameMargin is the room for everything in a message but body and answer.
+const frameMargin = 1 << 20
+
+// maxFrame returns the size of the largest message: the transfer of a request
+// of the largest body with the largest answer.
+func maxFrame(cfg Config) int {
+	return int(cfg.Gateway.WithDefaults().MaxBodyBytes) + cfg.Dispatch.WithDefaults().AnswerBytes + frameMargin
+}
+
 // gapMargin covers the time from the lapse of a lease to the removal of its
 // holder, and clocks that differ.
 const gapMargin = time.Minute
