--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,11 @@
 GO    ?= go
 SITE  ?= nilevale
 SEED  ?= 1
+# STEPS of each of HISTORIES fuzz histories from SEED on.
+STEPS     ?= 24
+HISTORIES ?= 1000
 
-.PHONY: all build run dev test fmt-check vet lint unit race bench events clean
+.PHONY: all build run dev test fmt-check vet lint unit race bench fuzz slopes experiment events clean
 
 all: build
 
@@ -38,9 +41,24 @@
 # Everything that CI runs.
 test: fmt-check lint build unit race
 
-bench:
+# Delay and processor time that an entry adds, and micro-benchmarks.
+bench: build
+	./bin/buckthornpick-load bench
 	$(GO) test -run '^$$' -bench . -benchtime 1s ./...
 
+# Stateful fuzzing of whole sites; see docs/FUZZ.md.
+fuzz:
+	FUZZ_SEED=$(SEED) FUZZ_STEPS=$(STEPS) FUZZ_HISTORIES=$(HISTORIES) \
+		$(GO) test -count=1 -timeout 6h -run TestHistories ./test/fuzz
+
+# Control traffic, processor time, memory and store calls at growing sizes.
+slopes: build
+	./bin/buckthornpick-slopes
+
+# Routing policies, limits and fleet sizing on both users' workloads.
+experiment: build
+	./bin/buckthornpick-experiment --out out/experiment
+
 # Print the catalogue of log events into its page.
 events: build
 	./bin/buckthornpick-dev events > docs/EVENTS.md
