--- a/test/fuzz/fuzz_test.go
+++ b/test/fuzz/fuzz_test.go
@@ -36,8 +36,12 @@
 	return n
 }
 
+var bubbles = make(chan struct{}, maxBubbles)
+
 // runHistory runs a history in virtual time and returns its violations.
 func runHistory(t *testing.T, seed uint64, s Schedule, o Options) []Violation {
+	bubbles <- struct{}{}
+	defer func() { <-bubbles }()
 	var out []Violation
 	synctest.Test(t, func(t *testing.T) {
 		seen, err := Run(seed, s, o)
