--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -74,11 +75,14 @@
 	gateway    *gateway.Gateway
 	quarantine *quarantine.Quarantine
 	minter     minter
+	drains     drains
 	drain      *drainState
 	departures *departures
 	heirsCache heirsCache
 
 	provisionedAt time.Time
+	// searches counts the callers' requests whose owner is being looked for.
+	searches atomic.Int64
 }
 
 // pollers is the number of members of a zone that read the platform's lists
@@ -163,7 +167,7 @@
 	for _, duty := range []func(context.Context) error{
 		n.transport.Run, n.members.Run, n.documents.Run, n.inventory.Run,
 		n.ledger.Run, n.owner.Run, n.spreader.Run, n.departures.Run,
-		n.applyDocuments, n.applyViews, n.applyTables, n.pullFromSeeds, n.preloadClaims,
+		n.applyDocuments, n.applyViews, n.applyTables, n.pullFromSeeds, n.preloadClaims, n.reportDemand,
 	} {
 		g.Go(func() error { return duty(ctx) })
 	}
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -46,6 +46,8 @@
 	TrialEnd Kind = 18
 	// Depart asks a node to take the sender out of the table of members.
 	Depart Kind = 19
+	// DemandPull asks a member of the zone for its load by service.
+	DemandPull Kind = 20
 )
 
 var kindNames = map[Kind]string{
@@ -55,6 +57,7 @@
 	InventoryAnnounce: "inventory-announce", TableAnnounce: "table-announce", TablePull: "table-pull",
 	GossipCompare: "gossip-compare", CrashMark: "crash-mark", CrashClear: "crash-clear",
 	TrialBegin: "trial-begin", TrialEnd: "trial-end", Depart: "depart",
+	DemandPull: "demand-pull",
 }
 
 // String returns the kind's name, or its number if it has none.
