--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -8,6 +8,8 @@
 	"runtime"
 	"runtime/pprof"
 	"time"
+
+	"buckthornpick/internal/wait"
 )
 
 // Options of a run.
@@ -87,7 +89,7 @@
 		return nil, err
 	}
 	before := processorTime()
-	pause(ctx, idleLength)
+	wait.For(ctx, idleLength)
 	r.IdleProcessors = (processorTime() - before).Seconds() / idleLength.Seconds()
 	if err := b.compare(ctx, o, r); err != nil {
 		return r, err
--- a/internal/bench/phase.go
+++ b/internal/bench/phase.go
@@ -10,6 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"buckthornpick/internal/load"
+	"buckthornpick/internal/wait"
 )
 
 // Delays are percentiles of delays in milliseconds.
@@ -51,7 +52,7 @@
 	before, started := processorTime(), time.Now()
 	var work sync.WaitGroup
 	for i := range calls {
-		if !pause(ctx, time.Until(started.Add(calls[i].At))) {
+		if !wait.For(ctx, time.Until(started.Add(calls[i].At))) {
 			break
 		}
 		work.Go(func() { samples[i] = call(ctx, client, t, &calls[i]) })
@@ -114,14 +115,3 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/bench/site.go
+++ b/internal/bench/site.go
@@ -13,6 +13,7 @@
 	"buckthornpick/internal/request"
 	"buckthornpick/internal/standin/engine"
 	"buckthornpick/internal/standin/site"
+	"buckthornpick/internal/wait"
 )
 
 const (
@@ -118,7 +119,7 @@
 
 func (b *bench) await(ctx context.Context, ok func() bool) error {
 	for !ok() {
-		if !pause(ctx, readyPoll) {
+		if !wait.For(ctx, readyPoll) {
 			return fmt.Errorf("the site did not become ready: %w", ctx.Err())
 		}
 	}
--- a/internal/devsite/run.go
+++ b/internal/devsite/run.go
@@ -14,6 +14,7 @@
 	"buckthornpick/internal/standin/cloud"
 	"buckthornpick/internal/standin/site"
 	"buckthornpick/internal/telemetry"
+	"buckthornpick/internal/wait"
 )
 
 // Options describe a run of a site.
@@ -192,13 +193,13 @@
 	whole := time.Duration(o.Profile.Workload.DurationSeconds * float64(time.Second))
 	go func() {
 		defer close(done)
-		if !pause(ctx, time.Duration(serverAt*float64(whole))) {
+		if !wait.For(ctx, time.Duration(serverAt*float64(whole))) {
 			return
 		}
 		victim := pickServer(s, o)
 		_, _ = fmt.Fprintf(o.Out, "notice: backend server %s goes in %s\n", victim, serverNotice)
 		s.Cloud.Reclaim(victim, serverNotice)
-		if !pause(ctx, time.Duration((zoneAt-serverAt)*float64(whole))) {
+		if !wait.For(ctx, time.Duration((zoneAt-serverAt)*float64(whole))) {
 			return
 		}
 		zone := Zones[len(Zones)-1]
@@ -236,17 +237,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 const progressInterval = 2 * time.Second
 
 // printProgress returns a progress function that prints now and then.
--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -9,6 +9,7 @@
 	"buckthornpick/internal/claim"
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/request"
+	"buckthornpick/internal/wait"
 )
 
 // resolveClaim looks for a claim of an earlier submission of a non-repeatable
@@ -57,7 +58,7 @@
 		if !e.mayTryAgain(ctx, err) {
 			return c, found, err
 		}
-		sleep(ctx, claimPause)
+		wait.For(ctx, claimPause)
 	}
 }
 
@@ -148,7 +149,7 @@
 		if lookupErr == nil && found && other.Attempt != e.lastClaim().Attempt {
 			return err
 		}
-		sleep(ctx, claimPause)
+		wait.For(ctx, claimPause)
 	}
 }
 
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -6,6 +6,7 @@
 
 	"buckthornpick/internal/backend"
 	"buckthornpick/internal/request"
+	"buckthornpick/internal/wait"
 )
 
 // noticeLeavingServers looks at every running attempt after a change of the
@@ -122,7 +123,7 @@
 		if isOver && e.d.deps.Pools.IsGone(a.target.ID) {
 			return e.afterReclaim(a)
 		}
-		sleep(ctx, terminationPause)
+		wait.For(ctx, terminationPause)
 	}
 	return e.timedOut(ctx, a), true
 }
--- a/internal/dispatch/outage.go
+++ b/internal/dispatch/outage.go
@@ -9,6 +9,7 @@
 	"buckthornpick/internal/config"
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/request"
+	"buckthornpick/internal/wait"
 )
 
 // A service with the outage policy "owner" goes on while the store is away: the
@@ -123,7 +124,7 @@
 // store is back.
 func (d *Dispatcher) uploadClaims(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, uploadInterval)
+		wait.For(ctx, uploadInterval)
 		for _, c := range d.unclaimed.all() {
 			d.uploadClaim(ctx, c)
 		}
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -10,6 +10,7 @@
 	"buckthornpick/internal/backend"
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/request"
+	"buckthornpick/internal/wait"
 )
 
 // afterLoss decides what follows an attempt without a whole answer. isDone is
@@ -168,7 +169,7 @@
 			giveUpAt = time.Now().Add(e.d.cfg.RecoverWait)
 			pause = firstResumePause
 		}
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 		pause = min(2*pause, maxResumePause)
 	}
 	return nil, false
@@ -313,15 +314,6 @@
 	e.current = *a
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // adoptedAttempt rebuilds the attempt that another node has dispatched.
 func adoptedAttempt(t Transfer) attempt {
 	return attempt{service: t.Service, target: t.Target, id: t.Attempt, sentAt: time.Now()}
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -15,6 +15,7 @@
 	"buckthornpick/internal/kv"
 	"buckthornpick/internal/member"
 	"buckthornpick/internal/peer"
+	"buckthornpick/internal/wait"
 )
 
 const (
@@ -48,7 +49,7 @@
 func (n *Node) reportDemand(ctx context.Context) error {
 	var last fleet.ZoneDemand
 	for ctx.Err() == nil {
-		pause(ctx, demandInterval)
+		wait.For(ctx, demandInterval)
 		if rankInZone(n.members.Table(), n.cfg.Self.ID) != 0 {
 			last = fleet.ZoneDemand{}
 			continue
--- a/internal/entry/departures.go
+++ b/internal/entry/departures.go
@@ -7,6 +7,7 @@
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/member"
 	"buckthornpick/internal/peer"
+	"buckthornpick/internal/wait"
 )
 
 const (
@@ -51,7 +52,7 @@
 		case <-ctx.Done():
 			return nil
 		case first := <-d.queue:
-			pause(ctx, departGather)
+			wait.For(ctx, departGather)
 			d.remove(ctx, d.gather(first))
 		}
 	}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -10,6 +10,7 @@
 	"buckthornpick/internal/gateway"
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/request"
+	"buckthornpick/internal/wait"
 )
 
 // follower delivers one answer to the gateway. It follows the request when its
@@ -79,7 +80,7 @@
 // mayFollow paces the search for the owner of a request that no node keeps. It
 // reports whether the search, begun at lost, may go on.
 func (f *follower) mayFollow(ctx context.Context, lost time.Time) bool {
-	pause(ctx, ownerPause)
+	wait.For(ctx, ownerPause)
 	return time.Since(lost) < ownerWait
 }
 
@@ -140,7 +141,7 @@
 		if time.Since(f.searching) > ownerWait {
 			return f.ownerUnreachable(err)
 		}
-		pause(ctx, ownerPause)
+		wait.For(ctx, ownerPause)
 	}
 }
 
--- a/internal/entry/leave.go
+++ b/internal/entry/leave.go
@@ -11,6 +11,7 @@
 	"buckthornpick/internal/inventory"
 	"buckthornpick/internal/member"
 	"buckthornpick/internal/peer"
+	"buckthornpick/internal/wait"
 )
 
 // Reasons for failing readiness.
@@ -170,7 +171,7 @@
 // looks for its owner: before an owner has it, the caller can't attach to it.
 func (n *Node) awaitNoRequests(ctx context.Context) {
 	for (n.owner.Running() > 0 || n.searches.Load() > 0) && ctx.Err() == nil {
-		pause(ctx, drainPoll)
+		wait.For(ctx, drainPoll)
 	}
 }
 
--- a/internal/entry/preload.go
+++ b/internal/entry/preload.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"buckthornpick/internal/config"
+	"buckthornpick/internal/wait"
 )
 
 const (
@@ -23,7 +24,7 @@
 func (n *Node) preloadClaims(ctx context.Context) error {
 	loaded := map[int]int64{}
 	for ctx.Err() == nil {
-		pause(ctx, preloadInterval)
+		wait.For(ctx, preloadInterval)
 		doc, ok := n.Document()
 		if !ok || !hasOwnerMode(doc) {
 			continue
@@ -47,7 +48,7 @@
 			return
 		}
 		loaded[p] = since
-		pause(ctx, preloadPause)
+		wait.For(ctx, preloadPause)
 	}
 }
 
--- a/internal/entry/topics.go
+++ b/internal/entry/topics.go
@@ -12,6 +12,7 @@
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/quarantine"
 	"buckthornpick/internal/spread"
+	"buckthornpick/internal/wait"
 )
 
 // Names of the topics that nodes pass on.
@@ -65,20 +66,11 @@
 		for _, seed := range n.cfg.Seeds {
 			n.spreader.CompareWith(ctx, seed)
 		}
-		pause(ctx, seedInterval)
+		wait.For(ctx, seedInterval)
 	}
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // documentTopic spreads the operators' document, as the changes since the
 // revision that a peer has. It implements spread.PullTopic.
 type documentTopic struct{ store *confstore.Store }
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -14,6 +14,7 @@
 
 	"buckthornpick/internal/platform"
 	"buckthornpick/internal/telemetry"
+	"buckthornpick/internal/wait"
 )
 
 // View is the site as one node knows it. A View is never changed after it was
@@ -167,7 +168,7 @@
 				i.applyList(vms)
 			}
 		}
-		if !sleep(ctx, jittered(pause)) {
+		if !wait.For(ctx, jittered(pause)) {
 			return
 		}
 	}
@@ -176,7 +177,7 @@
 func (i *Inventory) pollNotices(ctx context.Context) {
 	for {
 		if !i.cfg.IsPoller() {
-			if !sleep(ctx, i.cfg.RetryInterval) {
+			if !wait.For(ctx, i.cfg.RetryInterval) {
 				return
 			}
 			continue
@@ -189,7 +190,7 @@
 		if ctx.Err() == nil {
 			i.log.Log(EvNoticesFailed, "error", err)
 		}
-		if !sleep(ctx, i.cfg.RetryInterval) {
+		if !wait.For(ctx, i.cfg.RetryInterval) {
 			return
 		}
 	}
@@ -270,14 +271,3 @@
 func jittered(d time.Duration) time.Duration {
 	return d + time.Duration(rand.Float64()*jitterShare*float64(d))
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/kv/once.go
+++ b/internal/kv/once.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"buckthornpick/internal/fault"
+	"buckthornpick/internal/wait"
 )
 
 const (
@@ -62,7 +63,7 @@
 // transaction, is known.
 func resolve(ctx context.Context, store Store, marker Marker, operationID string, cause error) (TxnResult, Marker, error) {
 	void := voidPrefix + operationID
-	for wait := resolveBackoff; ; wait = min(2*wait, maxResolveBackoff) {
+	for backoff := resolveBackoff; ; backoff = min(2*backoff, maxResolveBackoff) {
 		voided, err := store.Txn(ctx, []Compare{marker.guard()}, []Op{marker.put(void)})
 		if err == nil && voided.Succeeded {
 			marker.Revision = voided.Revision
@@ -74,7 +75,7 @@
 				return judge(entry, found, marker, operationID, cause)
 			}
 		}
-		if err := pause(ctx, wait); err != nil {
+		if !wait.For(ctx, backoff) {
 			return TxnResult{}, marker, fault.Wrap(cause, fault.Ambiguous, "kv.resolve", fault.Peer(cause), "not resolved in time")
 		}
 	}
@@ -99,14 +100,3 @@
 func barred(cause error) error {
 	return fault.New(fault.Unavailable, "kv.resolve", fault.Peer(cause), "transaction lost and barred: %v", cause)
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -16,6 +16,7 @@
 	"buckthornpick/internal/gateway"
 	"buckthornpick/internal/request"
 	"buckthornpick/internal/standin/engine"
+	"buckthornpick/internal/wait"
 )
 
 // Balancer returns the base URL of an entry for one connection; attempt rises
@@ -80,11 +81,11 @@
 		tries = defaultMaxTries
 	}
 	for attempt := range tries {
-		wait, isDone := c.connect(ctx, p, attempt)
+		after, isDone := c.connect(ctx, p, attempt)
 		if isDone || ctx.Err() != nil {
 			break
 		}
-		sleep(ctx, wait)
+		wait.For(ctx, after)
 	}
 	p.result.Total = time.Since(p.started)
 	p.check()
@@ -301,12 +302,3 @@
 	}
 	return c.Choices[0].Delta.Content
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"buckthornpick/internal/wait"
 )
 
 // Run makes the workload's calls, each at its time of arrival whatever becomes
@@ -20,7 +22,7 @@
 	var work sync.WaitGroup
 	started := time.Now()
 	for i, call := range calls {
-		sleep(ctx, time.Until(started.Add(call.At)))
+		wait.For(ctx, time.Until(started.Add(call.At)))
 		if ctx.Err() != nil {
 			break
 		}
--- a/internal/member/change.go
+++ b/internal/member/change.go
@@ -6,6 +6,7 @@
 
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/kv"
+	"buckthornpick/internal/wait"
 )
 
 const (
@@ -55,7 +56,7 @@
 // e had no effect; with one, change goes on until ctx ends.
 func (m *Membership) change(ctx context.Context, e edit) error {
 	ambiguous := false
-	for wait := changeBackoff; ; wait = min(2*wait, maxChangeBackoff) {
+	for backoff := changeBackoff; ; backoff = min(2*backoff, maxChangeBackoff) {
 		done, err := m.tryChange(ctx, e)
 		if done {
 			return nil
@@ -67,7 +68,7 @@
 		} else if err != nil && !ambiguous {
 			return err
 		}
-		if !pause(ctx, m.jitter(wait)) {
+		if !wait.For(ctx, m.jitter(backoff)) {
 			t := fault.Unavailable
 			if ambiguous {
 				t = fault.Ambiguous
--- a/internal/member/follow.go
+++ b/internal/member/follow.go
@@ -8,6 +8,7 @@
 
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/kv"
+	"buckthornpick/internal/wait"
 )
 
 const (
@@ -31,7 +32,7 @@
 func (m *Membership) follow(ctx context.Context) error {
 	tables, cancel := m.Subscribe()
 	defer cancel()
-	wait := watchBackoff
+	backoff := watchBackoff
 	for ctx.Err() == nil {
 		if !m.isWatcher() {
 			m.awaitTable(ctx, tables)
@@ -44,10 +45,10 @@
 		}
 		m.log.Log(EvWatchBroken, "error", err)
 		if time.Since(opened) > maxWatchBackoff {
-			wait = watchBackoff
+			backoff = watchBackoff
 		}
-		pause(ctx, m.jitter(wait))
-		wait = min(2*wait, maxWatchBackoff)
+		wait.For(ctx, m.jitter(backoff))
+		backoff = min(2*backoff, maxWatchBackoff)
 	}
 	return ctx.Err()
 }
@@ -247,13 +248,13 @@
 	}
 }
 
-// nextDue returns the wait for the next removal, an hour if there is none.
+// nextDue returns the time until the next removal, an hour if there is none.
 func (s *session) nextDue() time.Duration {
-	wait := time.Hour
+	left := time.Hour
 	for _, lost := range s.missing {
-		wait = min(wait, max(0, time.Until(lost.due)))
+		left = min(left, max(0, time.Until(lost.due)))
 	}
-	return wait
+	return left
 }
 
 // removeDue removes the members whose turn has come. A node whose own lease is
--- a/internal/member/lease.go
+++ b/internal/member/lease.go
@@ -7,6 +7,7 @@
 
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/kv"
+	"buckthornpick/internal/wait"
 )
 
 const (
@@ -36,7 +37,7 @@
 
 // joinUntilDone reports false when ctx ended or the node is leaving.
 func (m *Membership) joinUntilDone(ctx context.Context) bool {
-	for wait := joinBackoff; ; wait = min(2*wait, maxJoinBackoff) {
+	for backoff := joinBackoff; ; backoff = min(2*backoff, maxJoinBackoff) {
 		if m.isLeaving() {
 			<-ctx.Done()
 			return false
@@ -48,7 +49,7 @@
 		if ctx.Err() == nil {
 			m.log.Log(EvJoinFailed, "error", err)
 		}
-		if !pause(ctx, m.jitter(wait)) {
+		if !wait.For(ctx, m.jitter(backoff)) {
 			return false
 		}
 	}
--- a/internal/member/leave.go
+++ b/internal/member/leave.go
@@ -6,6 +6,7 @@
 
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/kv"
+	"buckthornpick/internal/wait"
 )
 
 // Leave takes the node out of the table and ends its lease. It tries until ctx
@@ -61,9 +62,9 @@
 
 // retry repeats f until it succeeds or ctx ends.
 func (m *Membership) retry(ctx context.Context, f func() error) error {
-	for wait := joinBackoff; ; wait = min(2*wait, maxJoinBackoff) {
+	for backoff := joinBackoff; ; backoff = min(2*backoff, maxJoinBackoff) {
 		err := f()
-		if err == nil || !pause(ctx, m.jitter(wait)) {
+		if err == nil || !wait.For(ctx, m.jitter(backoff)) {
 			return err
 		}
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -257,15 +257,3 @@
 func (m *Membership) count(name string) {
 	metrics.GetOrRegisterCounter("member."+name, m.reg).Inc(1)
 }
-
-// pause waits for d; false means that ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/planner/lease.go
+++ b/internal/planner/lease.go
@@ -9,6 +9,7 @@
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/kv"
 	"buckthornpick/internal/telemetry"
+	"buckthornpick/internal/wait"
 )
 
 // leasePrefix holds one key for each zone, bound to the holder's lease.
@@ -95,7 +96,7 @@
 			l.renewUntilLost(ctx)
 			continue
 		}
-		sleep(ctx, l.standby/2+rand.N(l.standby))
+		wait.For(ctx, l.standby/2+rand.N(l.standby))
 	}
 	return nil
 }
@@ -151,8 +152,8 @@
 }
 
 func (l *Lease) renewUntilLost(ctx context.Context) {
-	wait := l.ttl / renewalsPerTTL
-	for sleep(ctx, wait) {
+	interval := l.ttl / renewalsPerTTL
+	for wait.For(ctx, interval) {
 		l.mu.Lock()
 		id, token := l.id, l.token
 		l.mu.Unlock()
@@ -162,7 +163,7 @@
 		}
 		sent := time.Now()
 		err := l.store.KeepAlive(ctx, id)
-		wait = l.ttl / renewalsPerTTL
+		interval = l.ttl / renewalsPerTTL
 		switch {
 		case err == nil:
 			l.extend(token, sent)
@@ -171,7 +172,7 @@
 			return
 		case ctx.Err() == nil:
 			l.log.Log(EvLeaseFailed, "error", err)
-			wait = l.ttl / retryShare
+			interval = l.ttl / retryShare
 		}
 	}
 }
@@ -194,14 +195,3 @@
 		l.revoke(ctx, id)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -17,6 +17,7 @@
 	"buckthornpick/internal/kv"
 	"buckthornpick/internal/platform"
 	"buckthornpick/internal/telemetry"
+	"buckthornpick/internal/wait"
 )
 
 // Deps are what a planner works with.
@@ -170,7 +171,7 @@
 func (p *Planner) followNotices(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if !p.Acting() {
-			sleep(ctx, p.cfg.Interval/2)
+			wait.For(ctx, p.cfg.Interval/2)
 			continue
 		}
 		p.notices.mu.Lock()
@@ -178,7 +179,7 @@
 		p.notices.mu.Unlock()
 		list, err := p.deps.Notices.Notices(ctx, last)
 		if err != nil {
-			sleep(ctx, p.cfg.Interval/2)
+			wait.For(ctx, p.cfg.Interval/2)
 			continue
 		}
 		if len(list) > 0 {
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -7,6 +7,7 @@
 	"buckthornpick/internal/dispatch"
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/peer"
+	"buckthornpick/internal/wait"
 )
 
 // trialPause is the time between two requests for a trial's leave.
@@ -31,8 +32,8 @@
 			q.log.Log(EvTrial, "fingerprint", c.Fingerprint, "server", c.Server, "attempt", c.Attempt)
 			return &trialPermit{q: q, msg: m}, nil
 		}
-		if err := pause(ctx, trialPause); err != nil {
-			return nil, err
+		if !wait.For(ctx, trialPause) {
+			return nil, ctx.Err()
 		}
 	}
 }
@@ -151,14 +152,3 @@
 
 func (freePermit) Answered() {}
 func (freePermit) Release()  {}
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/slopes/claims.go
+++ b/internal/slopes/claims.go
@@ -21,6 +21,7 @@
 	"buckthornpick/internal/request"
 	"buckthornpick/internal/standin/site"
 	"buckthornpick/internal/telemetry"
+	"buckthornpick/internal/wait"
 
 	kvstandin "buckthornpick/internal/standin/kv"
 )
@@ -55,7 +56,7 @@
 		return err
 	}
 	defer z.stop()
-	pause(ctx, startPause)
+	wait.For(ctx, startPause)
 	if err := z.warmUp(ctx); err != nil {
 		return err
 	}
@@ -170,7 +171,7 @@
 				}
 			})
 		}
-		pause(ctx, time.Millisecond)
+		wait.For(ctx, time.Millisecond)
 	}
 	wg.Wait()
 	if err := failure.Load(); err != nil {
--- a/internal/slopes/document.go
+++ b/internal/slopes/document.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"buckthornpick/internal/wait"
 )
 
 // documentSizes are numbers of organisations, each with one rule.
@@ -31,8 +33,8 @@
 		return err
 	}
 	defer r.site.Close()
-	pause(ctx, settle)
-	rest := r.during(func() { pause(ctx, idle/4) })
+	wait.For(ctx, settle)
+	rest := r.during(func() { wait.For(ctx, idle/4) })
 	size := float64(len(value))
 	out.Add("document", "organisations and rules of the document", "number", "encoded document bytes", size, float64(organisations))
 	return r.measureChanges(ctx, rest, func(quantity, unit string, y float64) {
--- a/internal/slopes/mesh.go
+++ b/internal/slopes/mesh.go
@@ -13,6 +13,7 @@
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/standin/site"
 	"buckthornpick/internal/telemetry"
+	"buckthornpick/internal/wait"
 )
 
 // largestMesh bounds the nodes of a full mesh in one process.
@@ -45,7 +46,7 @@
 	for n, m := range meters {
 		was[n] = sumPeer(m)
 	}
-	pause(ctx, meshWindow)
+	wait.For(ctx, meshWindow)
 	seconds := time.Since(began).Seconds()
 	for _, n := range slices.Sorted(maps.Keys(meters)) {
 		out.Add("mesh", "full mesh of idle connections: bytes to peers per node", "B/s", "nodes",
@@ -68,7 +69,7 @@
 		wg.Go(func() { _ = t.Run(ctx) })
 		nodes, transports = append(nodes, self), append(transports, t)
 	}
-	pause(ctx, settle/10)
+	wait.For(ctx, settle/10)
 	for i, t := range transports {
 		for _, to := range nodes[i+1:] {
 			if err := t.Notify(to, peer.Gossip, "hello"); err != nil {
@@ -76,7 +77,7 @@
 			}
 		}
 	}
-	pause(ctx, settle)
+	wait.For(ctx, settle)
 	return m, nil
 }
 
--- a/internal/slopes/nodes.go
+++ b/internal/slopes/nodes.go
@@ -7,6 +7,7 @@
 
 	"buckthornpick/internal/member"
 	"buckthornpick/internal/standin/site"
+	"buckthornpick/internal/wait"
 )
 
 const (
@@ -40,8 +41,8 @@
 	add("all nodes start at once: until all know all", "s", time.Since(began).Seconds())
 	add("all nodes start at once: store transactions per node", "calls", float64(r.site.Store.Calls()["txn"])/x)
 
-	pause(ctx, settle)
-	rest := r.during(func() { pause(ctx, idle) })
+	wait.For(ctx, settle)
+	rest := r.during(func() { wait.For(ctx, idle) })
 	add("idle: bytes to peers per node", "B/s", rest.total.peer/x/rest.seconds)
 	add("idle: bytes to peers, busiest node", "B/s", rest.busiest.peer/rest.seconds)
 	add("idle: bytes with the store per node", "B/s", rest.total.store/x/rest.seconds)
@@ -84,7 +85,7 @@
 				return
 			}
 			slowest = max(slowest, time.Since(began).Seconds())
-			pause(ctx, changeIn)
+			wait.For(ctx, changeIn)
 		}
 	})
 	if err != nil {
@@ -104,7 +105,7 @@
 			if err = r.startEntries(ctx, 1); err != nil {
 				return
 			}
-			pause(ctx, changeIn)
+			wait.For(ctx, changeIn)
 		}
 	})
 	if err != nil {
--- a/internal/slopes/rig.go
+++ b/internal/slopes/rig.go
@@ -11,6 +11,7 @@
 	"buckthornpick/internal/platform"
 	"buckthornpick/internal/standin/cloud"
 	"buckthornpick/internal/standin/site"
+	"buckthornpick/internal/wait"
 )
 
 const (
@@ -84,7 +85,7 @@
 	defer cancel()
 	for _, e := range r.site.Entries() {
 		for !is(e) {
-			if !pause(ctx, readyPoll) {
+			if !wait.For(ctx, readyPoll) {
 				return fault.New(fault.Unavailable, "slopes.await", e.ID, "%s: not reached in time", step)
 			}
 		}
@@ -110,17 +111,6 @@
 	})
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // document returns a document with the number of organisations, each with its
 // key and one rule.
 func document(organisations int) *config.Document {
--- a/internal/slopes/servers.go
+++ b/internal/slopes/servers.go
@@ -7,6 +7,7 @@
 
 	"buckthornpick/internal/backend"
 	"buckthornpick/internal/route"
+	"buckthornpick/internal/wait"
 )
 
 const (
@@ -41,22 +42,22 @@
 		return err
 	}
 	defer r.site.Close()
-	pause(ctx, settle)
-	rest := r.during(func() { pause(ctx, idle/2) })
+	wait.For(ctx, settle)
+	rest := r.during(func() { wait.For(ctx, idle/2) })
 	add("idle: bytes with the cloud API, busiest node", "B/s", rest.busiest.cloud/rest.seconds)
 	add("idle: processor time per node, stand-ins included", "share of a core", rest.cpu.Seconds()/serverNodes/rest.seconds)
 	add("memory per node, stand-ins included", "B", (liveBytes()-before)/serverNodes)
 	used := r.during(func() {
 		for i := range reclaims {
 			r.site.Cloud.Reclaim(r.servers[2*i], reclaimNotice)
-			pause(ctx, reclaimPause)
+			wait.For(ctx, reclaimPause)
 		}
 	})
 	add("VM under notice: bytes to peers per event and node", "B", used.above(rest)/serverNodes/reclaims)
 	used = r.during(func() {
 		for i := range starts {
 			r.addServer(n + i)
-			pause(ctx, startsPause)
+			wait.For(ctx, startsPause)
 		}
 	})
 	add("VM new in the list: bytes to peers per event and node", "B", used.above(rest)/serverNodes/starts)
--- a/internal/standin/kv/faults.go
+++ b/internal/standin/kv/faults.go
@@ -1,7 +1,6 @@
 package kv
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -150,15 +149,3 @@
 	}
 	return f.loseShare > 0 && f.rng.Float64() < f.loseShare
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"buckthornpick/internal/kv/etcd/wire"
+	"buckthornpick/internal/wait"
 )
 
 const (
@@ -57,7 +58,7 @@
 
 // Run ends lapsed leases until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
-	for sleep(ctx, expiryInterval) == nil {
+	for wait.For(ctx, expiryInterval) {
 		if s.Faults.holdsLeases() {
 			s.holdLeases()
 			continue
--- a/test/fuzz/operators.go
+++ b/test/fuzz/operators.go
@@ -7,6 +7,7 @@
 
 	"buckthornpick/internal/config"
 	"buckthornpick/internal/standin/site"
+	"buckthornpick/internal/wait"
 )
 
 // change is one change of the operators' document.
@@ -77,7 +78,7 @@
 // acceptance and do not have it SpreadTime later.
 func (w *world) checkSpread(a Acceptance) {
 	before := w.site.Entries()
-	if !pause(w.ctx, SpreadTime) {
+	if !wait.For(w.ctx, SpreadTime) {
 		return
 	}
 	entries := w.site.Entries()
@@ -118,7 +119,7 @@
 			}
 		}
 		w.mu.Unlock()
-		if !pause(ctx, pollInterval) {
+		if !wait.For(ctx, pollInterval) {
 			return
 		}
 	}
@@ -135,14 +136,3 @@
 	return Sighting{Node: e.ID, Life: w.lives[e], At: time.Now(), Revision: now.Revision,
 		Operation: now.Document.OperationID}, true
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
