--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -30,6 +30,7 @@
 	defer cancel()
 	earlier, found, err := e.lookupClaim(lookupCtx)
 	if e.isOwnedElsewhere(err) {
+		e.isOrphan = true
 		return nil, true
 	}
 	if err != nil {
@@ -113,6 +114,7 @@
 		return e.stateRefused(loseErr), false
 	}
 	if e.isOwnedElsewhere(err) {
+		e.isOrphan = true
 		return nil, false
 	}
 	return e.notClaimed(err), false
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -164,9 +164,12 @@
 	KV         KVMover
 	Admitter   *limit.Admitter
 	Quarantine Quarantine
-	Zone       string
-	Log        *telemetry.Logger
-	Registry   metrics.Registry
+	// PassOn brings a request to the node that owns it now; nil leaves that to
+	// whoever follows the request.
+	PassOn   func(ctx context.Context, t Transfer)
+	Zone     string
+	Log      *telemetry.Logger
+	Registry metrics.Registry
 }
 
 // Dispatcher runs the requests that this node owns. It is safe for concurrent
--- a/internal/dispatch/execution.go
+++ b/internal/dispatch/execution.go
@@ -34,6 +34,9 @@
 	// hasEarlier is true if an earlier submission of the request, that may
 	// have run, is known here.
 	hasEarlier bool
+	// isOrphan is true if another node has come to own the request without
+	// having been given it.
+	isOrphan bool
 	// isSurplus is true if the node runs its maximum of requests already.
 	isSurplus bool
 	// isCrash tells whether the last attempt's server crashed, as opposed to
@@ -97,6 +100,9 @@
 	e.startedAt = time.Now()
 	defer e.stopMoveTimer()
 	e.end(e.run(ctx))
+	if e.isOrphan && e.d.deps.PassOn != nil {
+		e.d.deps.PassOn(base, Transfer{Request: resubmitted(e.req), Claim: e.exportedClaim()})
+	}
 }
 
 // run returns the request's end; a nil end means that it was handed over.
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -48,6 +48,24 @@
 	}
 }
 
+// Settle implements gateway.Answer. Submitting is idempotent, so the request
+// is submitted again to the node that takes its partition now.
+func (f *follower) Settle(ctx context.Context) {
+	for f.req != nil && ctx.Err() == nil {
+		owner, ok := f.node.ownerOf(f.id.Partition())
+		if ok && owner.ID == f.node.cfg.Self.ID {
+			return
+		}
+		f.wasSent = true
+		src, _, err := f.node.openSubmit(ctx, f.submission(), f.received, f.after)
+		if err == nil {
+			src.close()
+			return
+		}
+		wait.For(ctx, ownerPause)
+	}
+}
+
 // Next implements gateway.Answer.
 func (f *follower) Next(ctx context.Context) (request.Step, error) {
 	var lost time.Time
@@ -212,7 +230,7 @@
 	switch {
 	case f.req != nil && isRemoteInvalid:
 		return submitError(fault.New(fault.Invalid, "entry.submit", remote.Peer, "%s", remote.Message))
-	case f.req == nil && fault.Is(err, fault.Invalid) && time.Since(f.searching) >= attachWait:
+	case f.req == nil && fault.Is(err, fault.Invalid) && time.Since(f.searching) >= f.node.attachWait():
 		return &gateway.EndError{End: request.End{Outcome: request.Unknown, Problem: "not_found_error",
 			Message: "no such request: it ended too long ago, or its owner was lost; send it again with its Idempotency-Key",
 			Status:  http.StatusNotFound}}
--- a/internal/entry/leave.go
+++ b/internal/entry/leave.go
@@ -151,6 +151,8 @@
 	defer stop()
 	n.awaitNoRequests(redirectAt)
 	n.drain.sendCallersAway()
+	n.handOver(ctx, true)
+	n.awaitCalls(ctx, deadline)
 	n.handOverLast(ctx)
 	n.log.Log(EvDrained, "running", n.owner.Running())
 }
@@ -196,6 +198,17 @@
 	return len(transfers) == 0
 }
 
+// lastHandOver is the time kept for the last handover before the VM goes.
+const lastHandOver = 200 * time.Millisecond
+
+// awaitCalls waits for the calls that no other node can take over: those of
+// plain services that must not be repeated.
+func (n *Node) awaitCalls(ctx context.Context, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-lastHandOver))
+	defer cancel()
+	n.awaitNoRequests(ctx)
+}
+
 // handOverLast hands over what is left and, if nothing stays here, notes in the
 // table that no request of this node is lost.
 func (n *Node) handOverLast(ctx context.Context) {
@@ -222,7 +235,7 @@
 		for len(transfers) > 0 {
 			batch := nextBatch(transfers)
 			transfers = transfers[len(batch):]
-			if err := n.transferTo(ctx, heir, batch); err != nil {
+			if err := n.transferTo(ctx, nodeOf(heir), batch); err != nil {
 				gone[heir.ID] = fault.Is(err, fault.Unavailable)
 				left = append(left, batch...)
 			}
@@ -271,12 +284,33 @@
 	return member.NewTable(t.Revision, rest, nil)
 }
 
+// passOn brings a request that this node has lost the ownership of to its
+// present owner. Nobody may be following it: its caller may have been sent away.
+func (n *Node) passOn(ctx context.Context, t dispatch.Transfer) {
+	ctx, cancel := context.WithTimeout(ctx, ownerWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		owner, ok := n.ownerOf(t.Request.ID.Partition())
+		if ok && n.passTo(ctx, owner, t) == nil {
+			return
+		}
+		wait.For(ctx, ownerPause)
+	}
+}
+
+func (n *Node) passTo(ctx context.Context, owner peer.Node, t dispatch.Transfer) error {
+	if owner.ID == n.cfg.Self.ID {
+		return n.owner.Adopt(t)
+	}
+	return n.transferTo(ctx, owner, []dispatch.Transfer{t})
+}
+
 const transferTimeout = 2 * time.Second
 
-func (n *Node) transferTo(ctx context.Context, heir member.Member, batch []dispatch.Transfer) error {
+func (n *Node) transferTo(ctx context.Context, heir peer.Node, batch []dispatch.Transfer) error {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
-	_, err := peer.Call[transferReply](ctx, n.transport, nodeOf(heir), peer.Transfer, transferMsg{Transfers: batch})
+	_, err := peer.Call[transferReply](ctx, n.transport, heir, peer.Transfer, transferMsg{Transfers: batch})
 	if err != nil {
 		n.log.Log(EvTransferFailed, "peer", heir.ID, "requests", len(batch), "error", err)
 	}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -80,7 +80,9 @@
 	departures *departures
 	heirsCache heirsCache
 
-	provisionedAt time.Time
+	// tableChangedAt is the time of the last new table, in Unix nanoseconds.
+	tableChangedAt atomic.Int64
+	provisionedAt  time.Time
 	// searches counts the callers' requests whose owner is being looked for.
 	searches atomic.Int64
 }
@@ -145,7 +147,7 @@
 func (n *Node) dispatchDeps() dispatch.Deps {
 	return dispatch.Deps{
 		Document: n.documents.Current, Pools: n.pools, Claims: n.ledger, Ownership: n.own,
-		Backends: n.cfg.Backends, KV: n.cfg.KV, Admitter: n.admitter, Quarantine: n.quarantine,
+		Backends: n.cfg.Backends, KV: n.cfg.KV, Admitter: n.admitter, Quarantine: n.quarantine, PassOn: n.passOn,
 		Zone: n.cfg.Self.Zone, Log: n.cfg.Log, Registry: n.cfg.Registry,
 	}
 }
@@ -259,6 +261,7 @@
 		case <-ctx.Done():
 			return nil
 		case table := <-tables:
+			n.tableChangedAt.Store(time.Now().UnixNano())
 			n.own.observe(table)
 			n.minter.setPartitions(ownedPartitions(table, n.cfg.Self.ID))
 			n.spreader.Changed()
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -17,14 +17,26 @@
 	ownerWait = 15 * time.Second
 	// ownerPause is the time between two tries.
 	ownerPause = 100 * time.Millisecond
-	// attachWait is how long a request that is not found is looked for, while
-	// the table of members may be on its way.
-	attachWait = 500 * time.Millisecond
+	// shortAttachWait is how long a request that is not found is looked for,
+	// while the table of members may be on its way; longAttachWait is that for
+	// movingTime after a new table, while requests are handed over.
+	shortAttachWait = 500 * time.Millisecond
+	longAttachWait  = 3 * time.Second
+	movingTime      = 5 * time.Second
 	// localFallback is how long a repeatable request waits for an unreachable
 	// owner before this node runs it.
 	localFallback = time.Second
 )
 
+// attachWait returns how long a request that is not found is looked for.
+func (n *Node) attachWait() time.Duration {
+	changed := time.Unix(0, n.tableChangedAt.Load())
+	if time.Since(changed) < movingTime {
+		return longAttachWait
+	}
+	return shortAttachWait
+}
+
 // MintID implements gateway.Node.
 func (n *Node) MintID() request.ID { return n.minter.mint() }
 
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"buckthornpick/internal/request"
 )
@@ -32,6 +33,7 @@
 	case err == nil:
 		g.writeCollected(w, a.Info(), collected)
 	case errors.Is(context.Cause(ctx), errLeaving):
+		settle(r, a)
 		redirect(w, a.Info().ID)
 	case r.Context().Err() != nil:
 		g.aborted(a, r.Context().Err())
@@ -76,6 +78,15 @@
 	w.WriteHeader(http.StatusSeeOther)
 }
 
+// settleWait bounds the wait until a node that stays has the request.
+const settleWait = time.Second
+
+func settle(r *http.Request, a Answer) {
+	ctx, cancel := context.WithTimeout(r.Context(), settleWait)
+	defer cancel()
+	a.Settle(ctx)
+}
+
 // untilLeaving returns a context that also ends when this VM must be left; its
 // cause is then errLeaving.
 func (g *Gateway) untilLeaving(parent context.Context) (context.Context, context.CancelFunc) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,9 @@
 	Next(ctx context.Context) (request.Step, error)
 	// Ready reports whether Next would return at once.
 	Ready() bool
+	// Settle makes sure that a node that stays has the request, before the
+	// caller is told to attach elsewhere.
+	Settle(ctx context.Context)
 	// Close releases the answer; the request goes on.
 	Close()
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -59,6 +59,8 @@
 func (a *fakeAnswer) Ready() bool        { return len(a.steps) > 0 }
 func (a *fakeAnswer) Close()             {}
 
+func (a *fakeAnswer) Settle(context.Context) {}
+
 func (a *fakeAnswer) Next(ctx context.Context) (request.Step, error) {
 	if len(a.steps) == 0 {
 		<-ctx.Done()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -97,6 +97,7 @@
 func (g *Gateway) endBrokenStream(ctx context.Context, r *http.Request, a Answer, s *streamWriter, err error) {
 	switch {
 	case errors.Is(context.Cause(ctx), errLeaving):
+		settle(r, a)
 		s.reattach()
 	case r.Context().Err() != nil:
 		g.aborted(a, err)
