entry: an orphaned request is passed on at a bounded pace

Cause: an heir that could not claim passed the request on to itself without a pause; the fuzz ended by want of memory after 104 s. It now waits first each time, and takes a request back only once it owns the partition by the table.

--- a/internal/entry/leave.go
+++ b/internal/entry/leave.go
@@ -289,16 +289,22 @@
 func (n *Node) passOn(ctx context.Context, t dispatch.Transfer) {
 	ctx, cancel := context.WithTimeout(ctx, ownerWait)
 	defer cancel()
-	for ctx.Err() == nil {
+	for wait.For(ctx, ownerPause) {
 		owner, ok := n.ownerOf(t.Request.ID.Partition())
 		if ok && n.passTo(ctx, owner, t) == nil {
 			return
 		}
-		wait.For(ctx, ownerPause)
 	}
 }
 
+// passTo gives the request to its owner. This node takes it back only once it
+// owns the partition by the table: as an heir it could not claim, and would pass
+// the request on to itself again.
 func (n *Node) passTo(ctx context.Context, owner peer.Node, t dispatch.Transfer) error {
+	partition := t.Request.ID.Partition()
+	if owner.ID == n.cfg.Self.ID && !n.own.OwnsPartition(partition) {
+		return fault.New(fault.Conflict, "entry.pass-on", "", "partition %d has no owner that may claim", partition)
+	}
 	if owner.ID == n.cfg.Self.ID {
 		return n.owner.Adopt(t)
 	}
