dispatch: a moved answer goes on from everything its engine generated

Cause: fuzz: an attempt at a leaving engine was cancelled when its first token was generated but had not arrived; the answer began anew elsewhere, which for a non-repeatable request is a second run. The events of the cancelled attempt are now read first; without them a non-repeatable request waits until the VM is gone.

--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"buckthornpick/internal/backend"
@@ -105,7 +106,34 @@
 	if ctx.Err() != nil {
 		return e.timedOut(ctx, a), true
 	}
-	if e.req.Repeatable || isStopped {
+	if isStopped {
+		return e.drainCancelled(ctx, a)
+	}
+	if e.req.Repeatable {
+		return nil, false
+	}
+	return e.awaitTermination(ctx, a)
+}
+
+// drainCancelled reads the events that a cancelled attempt generated before it
+// stopped and that were still on their way, so that the answer goes on from them
+// and nothing runs a second time.
+func (e *execution) drainCancelled(ctx context.Context, a *attempt) (*request.End, bool) {
+	number, err := e.rec.Dispatch()
+	if err != nil {
+		return e.stateRefused(err), true
+	}
+	isAttached, err := e.attach(ctx, number, a, false)
+	if err == nil {
+		return &request.End{Outcome: request.Completed}, true
+	}
+	if errors.Is(err, errHandedOver) || e.observes() {
+		return nil, true
+	}
+	if err := e.rec.Lose(); err != nil {
+		return e.stateRefused(err), true
+	}
+	if isAttached || e.req.Repeatable {
 		return nil, false
 	}
 	return e.awaitTermination(ctx, a)
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -220,9 +220,17 @@
 // resumeOnce attaches to the attempt and follows it from the last event.
 // isAttached is true if the server knew the attempt.
 func (e *execution) resumeOnce(ctx context.Context, number int, a *attempt) (isAttached bool, err error) {
+	return e.attach(ctx, number, a, true)
+}
+
+// attach is resumeOnce; mayMove is false for an attempt that was cancelled
+// already because its server leaves.
+func (e *execution) attach(ctx context.Context, number int, a *attempt, mayMove bool) (isAttached bool, err error) {
 	attemptCtx, cancel := e.interruptible(ctx)
 	defer cancel()
-	e.d.watchDeadline(e, a.target.ID)
+	if mayMove {
+		e.d.watchDeadline(e, a.target.ID)
+	}
 	stall := e.watchStall(a, e.d.cfg.ResumeTimeout)
 	defer stall.stop()
 	answer, err := e.d.deps.Backends.Resume(attemptCtx, a.target, e.req, a.id, len(e.rec.Events()))
