--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -129,30 +130,23 @@
 
 // WithDefaults returns the configuration with defaults for zero fields.
 func (c Config) WithDefaults() Config {
-	setDefault(&c.AnswerBytes, defaultAnswerBytes)
-	setDefault(&c.BufferBytes, defaultBufferBytes)
-	setDefault(&c.MaxRequests, defaultMaxRequests)
-	setDefault(&c.Retention, defaultRetention)
-	setDefault(&c.KeyWindow, defaultKeyWindow)
-	setDefault(&c.StartWait, defaultStartWait)
-	setDefault(&c.RecoverWait, defaultRecoverWait)
-	setDefault(&c.StallTimeout, defaultStallTimeout)
-	setDefault(&c.ResumeTimeout, defaultResumeTimeout)
-	setDefault(&c.ClaimWait, defaultClaimWait)
-	setDefault(&c.OwnerModeLimit, defaultOwnerModeLimit)
-	setDefault(&c.MaxUnclaimed, defaultMaxUnclaimed)
-	setDefault(&c.MaxAttempts, defaultMaxAttempts)
-	setDefault(&c.MigrationMargin, defaultMigrationMargin)
+	c.AnswerBytes = cmp.Or(c.AnswerBytes, defaultAnswerBytes)
+	c.BufferBytes = cmp.Or(c.BufferBytes, defaultBufferBytes)
+	c.MaxRequests = cmp.Or(c.MaxRequests, defaultMaxRequests)
+	c.Retention = cmp.Or(c.Retention, defaultRetention)
+	c.KeyWindow = cmp.Or(c.KeyWindow, defaultKeyWindow)
+	c.StartWait = cmp.Or(c.StartWait, defaultStartWait)
+	c.RecoverWait = cmp.Or(c.RecoverWait, defaultRecoverWait)
+	c.StallTimeout = cmp.Or(c.StallTimeout, defaultStallTimeout)
+	c.ResumeTimeout = cmp.Or(c.ResumeTimeout, defaultResumeTimeout)
+	c.ClaimWait = cmp.Or(c.ClaimWait, defaultClaimWait)
+	c.OwnerModeLimit = cmp.Or(c.OwnerModeLimit, defaultOwnerModeLimit)
+	c.MaxUnclaimed = cmp.Or(c.MaxUnclaimed, defaultMaxUnclaimed)
+	c.MaxAttempts = cmp.Or(c.MaxAttempts, defaultMaxAttempts)
+	c.MigrationMargin = cmp.Or(c.MigrationMargin, defaultMigrationMargin)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Deps are the components that a dispatcher uses.
 type Deps struct {
 	Document  func() (*confstore.Snapshot, bool)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -5,6 +5,7 @@
 package member
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -51,19 +52,13 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.LeaseTTL, defaultLeaseTTL)
-	setDefault(&c.DriftMargin, c.LeaseTTL/10)
-	setDefault(&c.GapWindow, defaultGapWindow)
-	setDefault(&c.PollInterval, defaultPollInterval)
+	c.LeaseTTL = cmp.Or(c.LeaseTTL, defaultLeaseTTL)
+	c.DriftMargin = cmp.Or(c.DriftMargin, c.LeaseTTL/10)
+	c.GapWindow = cmp.Or(c.GapWindow, defaultGapWindow)
+	c.PollInterval = cmp.Or(c.PollInterval, defaultPollInterval)
 	return c
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 // Membership is one node's view of the table and its own place in it.
 type Membership struct {
 	cfg   Config
--- a/internal/planner/config.go
+++ b/internal/planner/config.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"time"
 
 	"buckthornpick/internal/fleet"
@@ -78,32 +79,25 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.LeaseTTL, 10*time.Second)
-	setDefault(&c.DriftMargin, c.LeaseTTL/10)
-	setDefault(&c.StandbyInterval, 5*time.Second)
-	setDefault(&c.Interval, 2*time.Second)
-	setDefault(&c.ActTimeout, 5*time.Second)
-	setDefault(&c.SettleTime, c.ActTimeout+networkMargin)
-	setDefault(&c.ProtectedShare, 0.6)
-	setDefault(&c.MinCapacity, 2)
-	setDefault(&c.WavesPerHour, 1)
-	setDefault(&c.RestartHours, 0.02)
-	setDefault(&c.MaxStarts, 32)
-	setDefault(&c.RefusalBackoff, 10*time.Second)
-	setDefault(&c.MaxRefusalBackoff, 5*time.Minute)
-	setDefault(&c.ReclaimBackoff, time.Minute)
-	setDefault(&c.HoldTime, time.Minute)
-	setDefault(&c.DrainSettle, 5*time.Second)
-	setDefault(&c.MaxDrain, 15*time.Minute)
-	setDefault(&c.MaxLoads, 4)
-	setDefault(&c.LoadsPerSecond, 2)
-	setDefault(&c.RecheckInterval, time.Minute)
+	c.LeaseTTL = cmp.Or(c.LeaseTTL, 10*time.Second)
+	c.DriftMargin = cmp.Or(c.DriftMargin, c.LeaseTTL/10)
+	c.StandbyInterval = cmp.Or(c.StandbyInterval, 5*time.Second)
+	c.Interval = cmp.Or(c.Interval, 2*time.Second)
+	c.ActTimeout = cmp.Or(c.ActTimeout, 5*time.Second)
+	c.SettleTime = cmp.Or(c.SettleTime, c.ActTimeout+networkMargin)
+	c.ProtectedShare = cmp.Or(c.ProtectedShare, 0.6)
+	c.MinCapacity = cmp.Or(c.MinCapacity, 2)
+	c.WavesPerHour = cmp.Or(c.WavesPerHour, 1)
+	c.RestartHours = cmp.Or(c.RestartHours, 0.02)
+	c.MaxStarts = cmp.Or(c.MaxStarts, 32)
+	c.RefusalBackoff = cmp.Or(c.RefusalBackoff, 10*time.Second)
+	c.MaxRefusalBackoff = cmp.Or(c.MaxRefusalBackoff, 5*time.Minute)
+	c.ReclaimBackoff = cmp.Or(c.ReclaimBackoff, time.Minute)
+	c.HoldTime = cmp.Or(c.HoldTime, time.Minute)
+	c.DrainSettle = cmp.Or(c.DrainSettle, 5*time.Second)
+	c.MaxDrain = cmp.Or(c.MaxDrain, 15*time.Minute)
+	c.MaxLoads = cmp.Or(c.MaxLoads, 4)
+	c.LoadsPerSecond = cmp.Or(c.LoadsPerSecond, 2)
+	c.RecheckInterval = cmp.Or(c.RecheckInterval, time.Minute)
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/standin/engine/settings.go
+++ b/internal/standin/engine/settings.go
@@ -1,6 +1,9 @@
 package engine
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Settings of an engine. Zero fields take their defaults.
 type Settings struct {
@@ -56,34 +59,27 @@
 )
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.ID, "engine")
+	s.ID = cmp.Or(s.ID, "engine")
 	if len(s.Models) == 0 {
 		s.Models = []string{defaultModel}
 	}
-	setDefault(&s.PrefillTokensPerSecond, 8000)
+	s.PrefillTokensPerSecond = cmp.Or(s.PrefillTokensPerSecond, 8000)
 	if s.DecodeTokensPerSecond == nil {
 		s.DecodeTokensPerSecond = func(batch int) float64 { return 100 / (1 + float64(batch)/64) }
 	}
-	setDefault(&s.MaxBatch, 32)
-	setDefault(&s.MaxWaiting, 256)
-	setDefault(&s.KVTokens, 65536)
-	setDefault(&s.KVBytesPerToken, 64)
-	setDefault(&s.MaxBlobBytes, 16<<20)
-	setDefault(&s.KeepFinished, time.Minute)
-	setDefault(&s.MaxKept, 1024)
-	setDefault(&s.LoadLag, 100*time.Millisecond)
-	setDefault(&s.CacheEventLag, 200*time.Millisecond)
-	setDefault(&s.MaxRecorded, 100000)
+	s.MaxBatch = cmp.Or(s.MaxBatch, 32)
+	s.MaxWaiting = cmp.Or(s.MaxWaiting, 256)
+	s.KVTokens = cmp.Or(s.KVTokens, 65536)
+	s.KVBytesPerToken = cmp.Or(s.KVBytesPerToken, 64)
+	s.MaxBlobBytes = cmp.Or(s.MaxBlobBytes, 16<<20)
+	s.KeepFinished = cmp.Or(s.KeepFinished, time.Minute)
+	s.MaxKept = cmp.Or(s.MaxKept, 1024)
+	s.LoadLag = cmp.Or(s.LoadLag, 100*time.Millisecond)
+	s.CacheEventLag = cmp.Or(s.CacheEventLag, 200*time.Millisecond)
+	s.MaxRecorded = cmp.Or(s.MaxRecorded, 100000)
 	return s
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Faults are switched on and off at any time with Server.SetFaults.
 type Faults struct {
 	// CrashMarker crashes the engine when it starts a prompt that contains it.
--- a/internal/standin/plainservice/plainservice.go
+++ b/internal/standin/plainservice/plainservice.go
@@ -11,6 +11,7 @@
 package plainservice
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"strconv"
@@ -38,21 +39,14 @@
 const maxBodyBytes = 8 << 20
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.ServiceTime, 20*time.Millisecond)
-	setDefault(&s.MaxConcurrent, 16)
-	setDefault(&s.MaxWaiting, 256)
-	setDefault(&s.LoadLag, 100*time.Millisecond)
-	setDefault(&s.MaxRecorded, 100000)
+	s.ServiceTime = cmp.Or(s.ServiceTime, 20*time.Millisecond)
+	s.MaxConcurrent = cmp.Or(s.MaxConcurrent, 16)
+	s.MaxWaiting = cmp.Or(s.MaxWaiting, 256)
+	s.LoadLag = cmp.Or(s.LoadLag, 100*time.Millisecond)
+	s.MaxRecorded = cmp.Or(s.MaxRecorded, 100000)
 	return s
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Faults are switched on and off at any time with Server.SetFaults.
 type Faults struct {
 	// CrashMarker crashes the service when it runs a call with the marker in
