--- a/internal/devsite/run.go
+++ b/internal/devsite/run.go
@@ -10,7 +10,7 @@
 	"buckthornpick/internal/load"
 	"buckthornpick/internal/netx"
 	"buckthornpick/internal/planner"
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 	"buckthornpick/internal/standin/cloud"
 	"buckthornpick/internal/standin/site"
 	"buckthornpick/internal/telemetry"
@@ -50,11 +50,11 @@
 
 // offers returns what the stand-in platform sells: each kind of the profile's
 // VMs in each zone.
-func offers(p Profile) []platform.Offer {
-	var out []platform.Offer
+func offers(p Profile) []provider.Offer {
+	var out []provider.Offer
 	for _, spec := range p.Servers {
 		for _, zone := range Zones {
-			out = append(out, platform.Offer{Zone: zone, Class: spec.Class, Reclaimable: true,
+			out = append(out, provider.Offer{Zone: zone, Class: spec.Class, Reclaimable: true,
 				PricePerHour: spec.PricePerHour, Accelerators: site.AcceleratorsOf(spec)})
 		}
 	}
@@ -219,7 +219,7 @@
 	rng := rand.New(rand.NewPCG(o.Seed, 2))
 	var ids []string
 	for _, vm := range s.Cloud.VMs() {
-		if vm.Service == o.Profile.Servers[0].Service && vm.Zone != Zones[len(Zones)-1] && vm.State == platform.VMLive {
+		if vm.Service == o.Profile.Servers[0].Service && vm.Zone != Zones[len(Zones)-1] && vm.State == provider.VMLive {
 			ids = append(ids, vm.ID)
 		}
 	}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -21,8 +21,8 @@
 	"buckthornpick/internal/member"
 	"buckthornpick/internal/netx"
 	"buckthornpick/internal/peer"
-	"buckthornpick/internal/platform"
 	"buckthornpick/internal/pool"
+	"buckthornpick/internal/provider"
 	"buckthornpick/internal/quarantine"
 	"buckthornpick/internal/spread"
 	"buckthornpick/internal/telemetry"
@@ -39,8 +39,8 @@
 
 	Network  netx.Network
 	Store    kv.Store
-	Lister   platform.Lister
-	Notices  platform.NoticeSource
+	Lister   provider.Lister
+	Notices  provider.NoticeSource
 	Backends backend.Client
 	// KV moves KV cache between engines; may be nil.
 	KV       dispatch.KVMover
--- a/internal/entryd/provision.go
+++ b/internal/entryd/provision.go
@@ -16,8 +16,8 @@
 	"buckthornpick/internal/member"
 	"buckthornpick/internal/netx"
 	"buckthornpick/internal/peer"
-	"buckthornpick/internal/platform"
-	"buckthornpick/internal/platform/cloudhttp"
+	"buckthornpick/internal/provider"
+	"buckthornpick/internal/provider/cloudhttp"
 )
 
 const (
@@ -85,8 +85,8 @@
 	timeout time.Duration
 }
 
-// ListVMs implements platform.Lister.
-func (c boundedCloud) ListVMs(ctx context.Context) ([]platform.VM, error) {
+// ListVMs implements provider.Lister.
+func (c boundedCloud) ListVMs(ctx context.Context) ([]provider.VM, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	return c.Client.ListVMs(ctx)
--- a/internal/experiment/cloud.go
+++ b/internal/experiment/cloud.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"buckthornpick/internal/fleet"
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 	"buckthornpick/internal/route"
 )
 
@@ -54,7 +54,7 @@
 	loop     *loop
 	rng      *rand.Rand
 	scenario Scenario
-	offers   []platform.Offer
+	offers   []provider.Offer
 	vms      []*vm
 	nextID   int
 	cost     float64
@@ -66,9 +66,9 @@
 	for i, zone := range zones {
 		price := []float64{1.0, 1.1, 1.25}[i]
 		c.offers = append(c.offers,
-			platform.Offer{Zone: zone, Class: "g1", Reclaimable: true, PricePerHour: price, Accelerators: 1},
-			platform.Offer{Zone: zone, Class: "g2", Reclaimable: true, PricePerHour: 2.1 * price, Accelerators: 2},
-			platform.Offer{Zone: zone, Class: "g1", PricePerHour: 2.6 * price, Accelerators: 1})
+			provider.Offer{Zone: zone, Class: "g1", Reclaimable: true, PricePerHour: price, Accelerators: 1},
+			provider.Offer{Zone: zone, Class: "g2", Reclaimable: true, PricePerHour: 2.1 * price, Accelerators: 2},
+			provider.Offer{Zone: zone, Class: "g1", PricePerHour: 2.6 * price, Accelerators: 1})
 	}
 	return c
 }
@@ -86,13 +86,13 @@
 	return v
 }
 
-func (c *cloud) offer(key fleet.OfferKey) platform.Offer {
+func (c *cloud) offer(key fleet.OfferKey) provider.Offer {
 	for _, o := range c.offers {
 		if fleet.KeyOf(o) == key {
 			return o
 		}
 	}
-	return platform.Offer{Accelerators: 1}
+	return provider.Offer{Accelerators: 1}
 }
 
 // start starts a VM and reports false if the platform refuses.
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 )
 
 // Keys of the store that planners and entries share. The zone's name follows.
@@ -27,7 +27,7 @@
 
 // Operation is one start of a VM, recorded before the platform is asked.
 type Operation struct {
-	Spec platform.VMSpec `json:"spec"`
+	Spec provider.VMSpec `json:"spec"`
 	// VM is the started VM's ID; empty until the platform has answered.
 	VM    string    `json:"vm,omitempty"`
 	Since time.Time `json:"since"`
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 )
 
 // OfferKey names a kind of VM that a zone sells.
@@ -16,7 +16,7 @@
 }
 
 // KeyOf returns the key of an offer.
-func KeyOf(o platform.Offer) OfferKey { return OfferKey{o.Zone, o.Class, o.Reclaimable} }
+func KeyOf(o provider.Offer) OfferKey { return OfferKey{o.Zone, o.Class, o.Reclaimable} }
 
 // Demand is the capacity that a service needs, in accelerators.
 type Demand struct {
@@ -31,7 +31,7 @@
 type SizeInput struct {
 	Now    time.Time
 	Demand Demand
-	Offers []platform.Offer
+	Offers []provider.Offer
 	// Current counts the VMs that are live or starting.
 	Current map[OfferKey]int
 	// RefusedUntil holds offers whose starts were refused; they are not grown
--- a/internal/fleet/size_test.go
+++ b/internal/fleet/size_test.go
@@ -7,17 +7,17 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func testOffers() []platform.Offer {
-	var offers []platform.Offer
+func testOffers() []provider.Offer {
+	var offers []provider.Offer
 	for i, zone := range []string{"a", "b", "c"} {
 		offers = append(offers,
-			platform.Offer{Zone: zone, Class: "g1", Reclaimable: true, PricePerHour: 1 + 0.2*float64(i), Accelerators: 1},
-			platform.Offer{Zone: zone, Class: "g1", PricePerHour: 3, Accelerators: 1})
+			provider.Offer{Zone: zone, Class: "g1", Reclaimable: true, PricePerHour: 1 + 0.2*float64(i), Accelerators: 1},
+			provider.Offer{Zone: zone, Class: "g1", PricePerHour: 3, Accelerators: 1})
 	}
 	return offers
 }
@@ -49,7 +49,7 @@
 
 func TestSizeKeepsVMsInUseWithinHysteresis(t *testing.T) {
 	inB := OfferKey{"b", "g1", true}
-	size := func(total float64, offers []platform.Offer) Plan {
+	size := func(total float64, offers []provider.Offer) Plan {
 		return Size(SizeInput{Now: start, Demand: Demand{Total: total}, Offers: offers, Current: map[OfferKey]int{inB: 8}})
 	}
 	require.Equal(t, 8, size(7.5, testOffers()).Want[inB], "not worth a move")
--- a/internal/inventory/changes.go
+++ b/internal/inventory/changes.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 )
 
 // maxChanges bounds the earlier versions from which a node can tell changes.
@@ -19,7 +19,7 @@
 	Since   int64 `msgpack:"b,omitempty"`
 	Version int64 `msgpack:"v"`
 	// VMs are those that are new or different.
-	VMs []platform.VM `msgpack:"m,omitempty"`
+	VMs []provider.VM `msgpack:"m,omitempty"`
 	// Removed are the IDs of those that are gone.
 	Removed []string `msgpack:"r,omitempty"`
 	// Sum is the checksum of the resulting list.
@@ -79,7 +79,7 @@
 	if c.Version <= i.view.Version || c.Since != 0 && c.Since != i.view.Version {
 		return false
 	}
-	vms := map[string]platform.VM{}
+	vms := map[string]provider.VM{}
 	if c.Since != 0 {
 		vms = maps.Clone(i.view.VMs)
 	}
@@ -121,12 +121,12 @@
 
 // checksum is independent of the order and of marks by notices, which nodes
 // may have heard of at different times.
-func checksum(vms map[string]platform.VM) uint64 {
+func checksum(vms map[string]provider.VM) uint64 {
 	var sum uint64
 	for _, vm := range vms {
 		state := vm.State
-		if state == platform.VMLeaving {
-			state = platform.VMLive
+		if state == provider.VMLeaving {
+			state = provider.VMLive
 		}
 		sum += xxhash.Sum64String(vm.ID + "\x00" + vm.Service + "\x00" + vm.Address + "\x00" + string(state))
 	}
--- a/internal/inventory/changes_test.go
+++ b/internal/inventory/changes_test.go
@@ -9,14 +9,14 @@
 
 	"github.com/stretchr/testify/require"
 
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 	"buckthornpick/internal/telemetry"
 )
 
 func newTestInventory() *Inventory { return New(Config{}, nil, nil, telemetry.Discard()) }
 
-func testVM(i, life int) platform.VM {
-	return platform.VM{ID: fmt.Sprintf("vm-%d", i), Zone: "a", Service: "audit", State: platform.VMLive,
+func testVM(i, life int) provider.VM {
+	return provider.VM{ID: fmt.Sprintf("vm-%d", i), Zone: "a", Service: "audit", State: provider.VMLive,
 		Address: fmt.Sprintf("10.0.0.%d:%d", i, 8000+life)}
 }
 
@@ -36,7 +36,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 0))
 			nodes := []*Inventory{newTestInventory(), newTestInventory(), newTestInventory()}
-			vms, sequence := map[int]platform.VM{}, int64(0)
+			vms, sequence := map[int]provider.VM{}, int64(0)
 			for round := range 300 {
 				time.Sleep(10 * time.Millisecond)
 				switch i := rng.IntN(20); rng.IntN(4) {
@@ -46,10 +46,10 @@
 					delete(vms, i)
 				case 2:
 					sequence++
-					nodes[0].applyNotices([]platform.Notice{{Sequence: sequence, VM: fmt.Sprintf("vm-%d", i),
+					nodes[0].applyNotices([]provider.Notice{{Sequence: sequence, VM: fmt.Sprintf("vm-%d", i),
 						Deadline: time.Now().Add(time.Hour)}})
 				}
-				var list []platform.VM
+				var list []provider.VM
 				for _, vm := range vms {
 					list = append(list, vm)
 				}
@@ -70,21 +70,21 @@
 
 func TestDeltaHoldsOnlyWhatChanged(t *testing.T) {
 	a, b := newTestInventory(), newTestInventory()
-	list := []platform.VM{testVM(1, 0), testVM(2, 0), testVM(3, 0)}
+	list := []provider.VM{testVM(1, 0), testVM(2, 0), testVM(3, 0)}
 	a.applyList(list)
 	pull(t, b, a)
-	a.applyList([]platform.VM{list[0], testVM(2, 1)})
+	a.applyList([]provider.VM{list[0], testVM(2, 1)})
 	delta := a.ChangesSince(b.ListVersion())
-	require.Equal(t, []platform.VM{testVM(2, 1)}, delta.VMs)
+	require.Equal(t, []provider.VM{testVM(2, 1)}, delta.VMs)
 	require.Equal(t, []string{"vm-3"}, delta.Removed)
 	require.Len(t, a.ChangesSince(17).VMs, 2, "the whole list for a version never seen")
 }
 
 func TestDeltaThatDoesNotFitLeadsToTheWholeList(t *testing.T) {
 	a, b := newTestInventory(), newTestInventory()
-	a.applyList([]platform.VM{testVM(1, 0)})
+	a.applyList([]provider.VM{testVM(1, 0)})
 	pull(t, b, a)
-	a.applyList([]platform.VM{testVM(1, 0), testVM(2, 0)})
+	a.applyList([]provider.VM{testVM(1, 0), testVM(2, 0)})
 	delta := a.ChangesSince(b.ListVersion())
 
 	other := *delta
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 	"buckthornpick/internal/telemetry"
 	"buckthornpick/internal/wait"
 )
@@ -26,7 +26,7 @@
 	// each would make a version that the others have not seen.
 	Version int64 `msgpack:"v"`
 	// VMs by ID, with notices applied: a VM under notice is leaving.
-	VMs map[string]platform.VM `msgpack:"m"`
+	VMs map[string]provider.VM `msgpack:"m"`
 	// Deadlines of the VMs under notice.
 	Deadlines map[string]time.Time `msgpack:"d"`
 	// LastNotice is the sequence number of the last notice seen.
@@ -34,14 +34,14 @@
 }
 
 // Servers returns the backend servers of a service, sorted by ID.
-func (v *View) Servers(service string) []platform.VM {
-	var out []platform.VM
+func (v *View) Servers(service string) []provider.VM {
+	var out []provider.VM
 	for _, vm := range v.VMs {
 		if vm.Service == service {
 			out = append(out, vm)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.VM) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(out, func(a, b provider.VM) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
 
@@ -77,8 +77,8 @@
 // Inventory publishes views. It is safe for concurrent use.
 type Inventory struct {
 	cfg     Config
-	lister  platform.Lister
-	notices platform.NoticeSource
+	lister  provider.Lister
+	notices provider.NoticeSource
 	log     *telemetry.Logger
 
 	mu          sync.Mutex
@@ -91,10 +91,10 @@
 }
 
 // New returns an inventory that polls lister and notices.
-func New(cfg Config, lister platform.Lister, notices platform.NoticeSource, log *telemetry.Logger) *Inventory {
+func New(cfg Config, lister provider.Lister, notices provider.NoticeSource, log *telemetry.Logger) *Inventory {
 	return &Inventory{
 		cfg: cfg.withDefaults(), lister: lister, notices: notices, log: log,
-		view:        &View{VMs: map[string]platform.VM{}, Deadlines: map[string]time.Time{}},
+		view:        &View{VMs: map[string]provider.VM{}, Deadlines: map[string]time.Time{}},
 		subscribers: map[chan *View]struct{}{},
 	}
 }
@@ -197,8 +197,8 @@
 }
 
 // applyList replaces the VMs. A list without content changes nothing.
-func (i *Inventory) applyList(vms []platform.VM) {
-	byID := make(map[string]platform.VM, len(vms))
+func (i *Inventory) applyList(vms []provider.VM) {
+	byID := make(map[string]provider.VM, len(vms))
 	for _, vm := range vms {
 		byID[vm.ID] = vm
 	}
@@ -214,7 +214,7 @@
 }
 
 // applyNotices marks VMs as leaving.
-func (i *Inventory) applyNotices(notices []platform.Notice) {
+func (i *Inventory) applyNotices(notices []provider.Notice) {
 	if len(notices) == 0 {
 		return
 	}
@@ -258,8 +258,8 @@
 	vms := maps.Clone(v.VMs)
 	for id := range v.Deadlines {
 		vm, ok := vms[id]
-		if ok && vm.State != platform.VMTerminated {
-			vm.State = platform.VMLeaving
+		if ok && vm.State != provider.VMTerminated {
+			vm.State = provider.VMLeaving
 			vms[id] = vm
 		}
 	}
--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -10,7 +10,7 @@
 
 	"buckthornpick/internal/config"
 	"buckthornpick/internal/fleet"
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 )
 
 // supply is the present fleet of one service over all zones.
@@ -43,24 +43,24 @@
 			continue
 		}
 		switch vm.State {
-		case platform.VMLive:
+		case provider.VMLive:
 			out.live[keyOf(vm)]++
 			out.coming[keyOf(vm)]++
-		case platform.VMStarting:
+		case provider.VMStarting:
 			out.coming[keyOf(vm)]++
 		}
 	}
 	return out
 }
 
-func keyOf(vm platform.VM) fleet.OfferKey {
+func keyOf(vm provider.VM) fleet.OfferKey {
 	return fleet.OfferKey{Zone: vm.Zone, Class: vm.Class, Reclaimable: vm.Reclaimable}
 }
 
 // offersFor returns the offers that can serve the service, in zones where
 // somebody can take them up.
-func offersFor(s *site, service *config.Service, present map[fleet.OfferKey]int) []platform.Offer {
-	var out []platform.Offer
+func offersFor(s *site, service *config.Service, present map[fleet.OfferKey]int) []provider.Offer {
+	var out []provider.Offer
 	for _, o := range s.offers {
 		if (o.Accelerators > 0) == isModel(service) && (s.acting[o.Zone] || present[fleet.KeyOf(o)] > 0) {
 			out = append(out, o)
@@ -152,10 +152,10 @@
 // zone.
 type comparison struct {
 	service string
-	offer   platform.Offer
+	offer   provider.Offer
 	key     fleet.OfferKey
 	have    supply
-	offers  []platform.Offer
+	offers  []provider.Offer
 	demand  fleet.Demand
 	// missing is the capacity short of the demand, in accelerators.
 	missing float64
@@ -223,7 +223,7 @@
 	for range min(n, p.cfg.MaxStarts-len(s.own.Operations)) {
 		p.counter++
 		id := fmt.Sprintf("%s-%d-%d", p.cfg.Zone, p.token, p.counter)
-		s.own.Operations = append(s.own.Operations, fleet.Operation{Since: s.now, Spec: platform.VMSpec{
+		s.own.Operations = append(s.own.Operations, fleet.Operation{Since: s.now, Spec: provider.VMSpec{
 			OperationID: id, Zone: c.key.Zone, Class: c.key.Class, Reclaimable: c.key.Reclaimable, Service: c.service,
 		}})
 		p.unasked[id] = true
@@ -297,11 +297,11 @@
 }
 
 // units is the capacity of one VM of an offer.
-func units(o platform.Offer) float64 { return float64(max(o.Accelerators, 1)) }
+func units(o provider.Offer) float64 { return float64(max(o.Accelerators, 1)) }
 
 // shortfall returns the capacity that count lacks for the demand, with all
 // zones up and without the largest one.
-func shortfall(offers []platform.Offer, count map[fleet.OfferKey]int, demand fleet.Demand) float64 {
+func shortfall(offers []provider.Offer, count map[fleet.OfferKey]int, demand fleet.Demand) float64 {
 	zones := map[string]float64{}
 	total, largest := 0.0, 0.0
 	for _, o := range offers {
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -13,7 +13,7 @@
 	"buckthornpick/internal/config"
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/fleet"
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 )
 
 // engineState is what this holder knows of an engine.
@@ -34,7 +34,7 @@
 
 // job is one model that one engine lacks.
 type job struct {
-	vm      platform.VM
+	vm      provider.VM
 	model   string
 	service string
 	// need is the service's demand per engine that has all its models.
@@ -46,7 +46,7 @@
 // place orders the engines of the own zone to load the models of their
 // services, most needed first, at the pace of the weight store.
 func (p *Planner) place(ctx context.Context, s *site) error {
-	maps.DeleteFunc(p.engines, func(id string, _ *engineState) bool { return s.vms[id].State != platform.VMLive })
+	maps.DeleteFunc(p.engines, func(id string, _ *engineState) bool { return s.vms[id].State != provider.VMLive })
 	var jobs []job
 	for i := range s.document.Services {
 		service := &s.document.Services[i]
@@ -101,14 +101,14 @@
 // each of them should load next.
 func (p *Planner) missingModels(ctx context.Context, s *site, service *config.Service) []job {
 	wanted := wantedModels(s.document, service)
-	var vms []platform.VM
+	var vms []provider.VM
 	for _, vm := range s.vms {
 		isDraining := slices.ContainsFunc(s.own.Draining, func(d fleet.Drain) bool { return d.VM == vm.ID })
-		if vm.Service == service.Name && vm.Zone == p.cfg.Zone && vm.State == platform.VMLive && vm.Address != "" && !isDraining {
+		if vm.Service == service.Name && vm.Zone == p.cfg.Zone && vm.State == provider.VMLive && vm.Address != "" && !isDraining {
 			vms = append(vms, vm)
 		}
 	}
-	slices.SortFunc(vms, func(a, b platform.VM) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(vms, func(a, b provider.VM) int { return cmp.Compare(a.ID, b.ID) })
 	p.readEngines(ctx, s, vms)
 	whole := 0
 	var jobs []job
@@ -131,7 +131,7 @@
 
 // readEngines reads the models of engines that are new, that load, or that
 // were not read for RecheckInterval.
-func (p *Planner) readEngines(ctx context.Context, s *site, vms []platform.VM) {
+func (p *Planner) readEngines(ctx context.Context, s *site, vms []provider.VM) {
 	var g errgroup.Group
 	g.SetLimit(parallelCalls)
 	for _, vm := range vms {
@@ -151,7 +151,7 @@
 	_ = g.Wait() // the functions return no error
 }
 
-func (p *Planner) readEngine(ctx context.Context, vm platform.VM, e *engineState) {
+func (p *Planner) readEngine(ctx context.Context, vm provider.VM, e *engineState) {
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.ActTimeout)
 	defer cancel()
 	models, err := p.readModels(ctx, vm.Address)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -15,7 +15,7 @@
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/fleet"
 	"buckthornpick/internal/kv"
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 	"buckthornpick/internal/telemetry"
 	"buckthornpick/internal/wait"
 )
@@ -23,9 +23,9 @@
 // Deps are what a planner works with.
 type Deps struct {
 	Store   kv.Store
-	Cloud   platform.Cloud
-	Lister  platform.Lister
-	Notices platform.NoticeSource
+	Cloud   provider.Cloud
+	Lister  provider.Lister
+	Notices provider.NoticeSource
 	// Engines calls engines and plain services.
 	Engines  *http.Client
 	Log      *telemetry.Logger
@@ -189,7 +189,7 @@
 	return nil
 }
 
-func (p *Planner) takeNotices(list []platform.Notice) {
+func (p *Planner) takeNotices(list []provider.Notice) {
 	p.notices.mu.Lock()
 	for _, n := range list {
 		p.notices.deadlines[n.VM] = n.Deadline
--- a/internal/planner/rig_test.go
+++ b/internal/planner/rig_test.go
@@ -21,8 +21,8 @@
 	"buckthornpick/internal/kv/etcd"
 	"buckthornpick/internal/netx"
 	"buckthornpick/internal/planner"
-	"buckthornpick/internal/platform"
-	"buckthornpick/internal/platform/cloudhttp"
+	"buckthornpick/internal/provider"
+	"buckthornpick/internal/provider/cloudhttp"
 	"buckthornpick/internal/standin/cloud"
 	"buckthornpick/internal/standin/engine"
 	storesim "buckthornpick/internal/standin/kv"
@@ -76,9 +76,9 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		r := &rig{t: t, ctx: ctx, network: memnet.New(1), store: storesim.New(1), checks: checks, models: models,
 			engines: map[string]*engine.Server{}, asked: map[string]int{}, demand: map[string]float64{}}
-		var offers []platform.Offer
+		var offers []provider.Offer
 		for i, zone := range []string{"a", "b", "c"} {
-			offers = append(offers, platform.Offer{Zone: zone, Class: "gpu", Reclaimable: true,
+			offers = append(offers, provider.Offer{Zone: zone, Class: "gpu", Reclaimable: true,
 				PricePerHour: 1 + 0.01*float64(i), Accelerators: 1})
 		}
 		r.cloud = cloud.New(cloud.Settings{Offers: offers, OnLive: r.startEngine, ListLag: lag})
@@ -136,7 +136,7 @@
 func (r *rig) countStarts(w http.ResponseWriter, req *http.Request) {
 	if req.Method == http.MethodPost {
 		body, _ := io.ReadAll(req.Body)
-		var spec platform.VMSpec
+		var spec provider.VMSpec
 		_ = json.Unmarshal(body, &spec)
 		r.mu.Lock()
 		r.asked[spec.Zone]++
@@ -152,7 +152,7 @@
 	return r.asked[zone]
 }
 
-func (r *rig) startEngine(vm platform.VM) string {
+func (r *rig) startEngine(vm provider.VM) string {
 	e := engine.New(engine.Settings{ID: vm.ID, Models: []string{"base"}, ChecksFencing: r.checks})
 	r.run(e.Run)
 	r.mu.Lock()
@@ -279,7 +279,7 @@
 func (r *rig) live() map[string]int {
 	out := map[string]int{}
 	for _, vm := range r.cloud.VMs() {
-		if vm.State == platform.VMLive {
+		if vm.State == provider.VMLive {
 			out[vm.Zone]++
 		}
 	}
--- a/internal/planner/site.go
+++ b/internal/planner/site.go
@@ -12,15 +12,15 @@
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/fleet"
 	"buckthornpick/internal/kv"
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 )
 
 // site is what one round knows. Own is the part that the round may change.
 type site struct {
 	now      time.Time
 	document *config.Document
-	vms      map[string]platform.VM
-	offers   []platform.Offer
+	vms      map[string]provider.VM
+	offers   []provider.Offer
 	// acting holds the zones that have a planner.
 	acting map[string]bool
 	// deadlines of VMs under notice.
@@ -37,7 +37,7 @@
 
 // look reads the store, the VM list and the offers.
 func (p *Planner) look(ctx context.Context, doc *config.Document) (*site, error) {
-	s := &site{now: time.Now(), document: doc, vms: map[string]platform.VM{}, acting: map[string]bool{},
+	s := &site{now: time.Now(), document: doc, vms: map[string]provider.VM{}, acting: map[string]bool{},
 		demand: map[string]float64{}, zones: map[string]fleet.ZoneState{}}
 	// The store is read before the VM list: a VM that left the operations
 	// because it was listed is then in this list too.
@@ -101,8 +101,8 @@
 	s.deadlines = maps.Clone(p.notices.deadlines)
 	p.notices.mu.Unlock()
 	for _, vm := range list {
-		if _, noticed := s.deadlines[vm.ID]; noticed && vm.State != platform.VMTerminated {
-			vm.State = platform.VMLeaving
+		if _, noticed := s.deadlines[vm.ID]; noticed && vm.State != provider.VMTerminated {
+			vm.State = provider.VMLeaving
 		}
 		s.vms[vm.ID] = vm
 	}
@@ -118,7 +118,7 @@
 	})
 	s.own.Draining = slices.DeleteFunc(slices.Clone(s.own.Draining), func(d fleet.Drain) bool {
 		vm, listed := s.vms[d.VM]
-		return !listed || vm.State == platform.VMTerminated || vm.State == platform.VMLeaving
+		return !listed || vm.State == provider.VMTerminated || vm.State == provider.VMLeaving
 	})
 	s.own.Refused = slices.DeleteFunc(slices.Clone(s.own.Refused), func(r fleet.Refusal) bool {
 		return s.now.Sub(r.Until) > p.cfg.MaxRefusalBackoff
--- a/internal/planner/start.go
+++ b/internal/planner/start.go
@@ -8,12 +8,12 @@
 
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/fleet"
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 )
 
 // startResult is the platform's answer to one operation.
 type startResult struct {
-	vm  platform.VM
+	vm  provider.VM
 	err error
 	// skipped is true if the platform was not asked.
 	skipped bool
--- a/internal/planner/stop.go
+++ b/internal/planner/stop.go
@@ -9,7 +9,7 @@
 
 	"buckthornpick/internal/backend"
 	"buckthornpick/internal/fleet"
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 )
 
 // maxCandidates bounds the VMs whose load is read to choose one to drain.
@@ -18,14 +18,14 @@
 // idlest returns the VM of an offer whose server keeps the fewest contexts, by
 // the used share of its cache; then the one with the fewest requests.
 func (p *Planner) idlest(ctx context.Context, s *site, c comparison) (id string, ok bool) {
-	var candidates []platform.VM
+	var candidates []provider.VM
 	for _, vm := range s.vms {
 		isDraining := slices.ContainsFunc(s.own.Draining, func(d fleet.Drain) bool { return d.VM == vm.ID })
-		if vm.Service == c.service && keyOf(vm) == c.key && vm.State == platform.VMLive && !isDraining {
+		if vm.Service == c.service && keyOf(vm) == c.key && vm.State == provider.VMLive && !isDraining {
 			candidates = append(candidates, vm)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b platform.VM) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(candidates, func(a, b provider.VM) int { return cmp.Compare(a.ID, b.ID) })
 	candidates = candidates[:min(len(candidates), maxCandidates)]
 	loads := p.readLoads(ctx, candidates)
 	best := -1
@@ -45,7 +45,7 @@
 }
 
 // readLoads reads the load reports of servers; nil stands for no answer.
-func (p *Planner) readLoads(ctx context.Context, vms []platform.VM) []*backend.Load {
+func (p *Planner) readLoads(ctx context.Context, vms []provider.VM) []*backend.Load {
 	out := make([]*backend.Load, len(vms))
 	var g errgroup.Group
 	g.SetLimit(parallelCalls)
@@ -67,7 +67,7 @@
 // have been asked for is recorded first, so that no later holder gives the VM
 // work again.
 func (p *Planner) stop(ctx context.Context, s *site) error {
-	var due []platform.VM
+	var due []provider.VM
 	for _, d := range s.own.Draining {
 		if d.StopAsked || s.now.Sub(d.Since) >= p.cfg.DrainSettle {
 			due = append(due, s.vms[d.VM])
--- a/internal/plannerd/plannerd.go
+++ b/internal/plannerd/plannerd.go
@@ -12,7 +12,7 @@
 	"buckthornpick/internal/kv/etcd"
 	"buckthornpick/internal/netx"
 	"buckthornpick/internal/planner"
-	"buckthornpick/internal/platform/cloudhttp"
+	"buckthornpick/internal/provider/cloudhttp"
 )
 
 // idleConns bounds kept connections to one address.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -9,7 +9,7 @@
 	"buckthornpick/internal/backend"
 	"buckthornpick/internal/config"
 	"buckthornpick/internal/inventory"
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 	"buckthornpick/internal/route"
 )
 
@@ -193,7 +193,7 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	vm, ok := s.view.VMs[id]
-	return !ok || vm.State == platform.VMTerminated
+	return !ok || vm.State == provider.VMTerminated
 }
 
 // Report passes a load report on to the service's picker.
@@ -232,7 +232,7 @@
 func (s *Set) serversOf(now time.Time, name string) []route.Server {
 	var out []route.Server
 	for _, vm := range s.view.Servers(name) {
-		if vm.State != platform.VMLive && vm.State != platform.VMLeaving {
+		if vm.State != provider.VMLive && vm.State != provider.VMLeaving {
 			continue
 		}
 		out = append(out, route.Server{
@@ -244,8 +244,8 @@
 	return out
 }
 
-func (s *Set) stateOf(now time.Time, vm platform.VM) route.State {
-	if vm.State == platform.VMLeaving || s.draining[vm.ID] {
+func (s *Set) stateOf(now time.Time, vm provider.VM) route.State {
+	if vm.State == provider.VMLeaving || s.draining[vm.ID] {
 		return route.Leaving
 	}
 	if held, ok := s.suspects[vm.ID]; ok && now.Before(held.until) {
--- a/internal/platform/cloudhttp/client.go
+++ b/internal/provider/cloudhttp/client.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"buckthornpick/internal/fault"
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 	"buckthornpick/internal/telemetry"
 )
 
@@ -41,13 +41,13 @@
 	// mu guards the last VM list and its entity tag.
 	mu  sync.Mutex
 	tag string
-	vms []platform.VM
+	vms []provider.VM
 }
 
 var (
-	_ platform.Lister       = (*Client)(nil)
-	_ platform.NoticeSource = (*Client)(nil)
-	_ platform.Cloud        = (*Client)(nil)
+	_ provider.Lister       = (*Client)(nil)
+	_ provider.NoticeSource = (*Client)(nil)
+	_ provider.Cloud        = (*Client)(nil)
 )
 
 // New returns an adapter for the cloud API at base ("http://host:port").
@@ -55,11 +55,11 @@
 	return &Client{base: strings.TrimSuffix(base, "/"), http: httpClient, log: log, NoticeWait: DefaultNoticeWait}
 }
 
-// ListVMs implements platform.Lister. The list must not be changed. If the
+// ListVMs implements provider.Lister. The list must not be changed. If the
 // platform gives it an entity tag, an unchanged list is not sent again.
-func (c *Client) ListVMs(ctx context.Context) ([]platform.VM, error) {
+func (c *Client) ListVMs(ctx context.Context) ([]provider.VM, error) {
 	var list struct {
-		VMs []platform.VM `json:"vms"`
+		VMs []provider.VM `json:"vms"`
 	}
 	c.mu.Lock()
 	last, tag := c.vms, c.tag
@@ -78,34 +78,34 @@
 	return list.VMs, nil
 }
 
-// Notices implements platform.NoticeSource. It returns no notice and no error
+// Notices implements provider.NoticeSource. It returns no notice and no error
 // if none came within NoticeWait.
-func (c *Client) Notices(ctx context.Context, after int64) ([]platform.Notice, error) {
+func (c *Client) Notices(ctx context.Context, after int64) ([]provider.Notice, error) {
 	query := url.Values{
 		"after": {strconv.FormatInt(after, 10)},
 		"wait":  {strconv.FormatInt(c.NoticeWait.Milliseconds(), 10)},
 	}
 	var list struct {
-		Notices []platform.Notice `json:"notices"`
+		Notices []provider.Notice `json:"notices"`
 	}
 	path := "/v1/notices?" + query.Encode()
 	err := c.call(ctx, call{step: "cloud.notices", method: http.MethodGet, path: path, answer: &list})
 	return list.Notices, err
 }
 
-// Offers implements platform.Cloud.
-func (c *Client) Offers(ctx context.Context) ([]platform.Offer, error) {
+// Offers implements provider.Cloud.
+func (c *Client) Offers(ctx context.Context) ([]provider.Offer, error) {
 	var list struct {
-		Offers []platform.Offer `json:"offers"`
+		Offers []provider.Offer `json:"offers"`
 	}
 	err := c.call(ctx, call{step: "cloud.offers", method: http.MethodGet, path: "/v1/offers", answer: &list})
 	return list.Offers, err
 }
 
-// StartVM implements platform.Cloud. After fault.Ambiguous the VM may have
+// StartVM implements provider.Cloud. After fault.Ambiguous the VM may have
 // been started; the same spec with the same OperationID finds out.
-func (c *Client) StartVM(ctx context.Context, spec platform.VMSpec) (platform.VM, error) {
-	var vm platform.VM
+func (c *Client) StartVM(ctx context.Context, spec provider.VMSpec) (provider.VM, error) {
+	var vm provider.VM
 	err := c.call(ctx, call{
 		step: "cloud.start", method: http.MethodPost, path: "/v1/vms", body: spec, answer: &vm, writes: true,
 	})
@@ -113,13 +113,13 @@
 		c.log.Log(EvStartRefused, "zone", spec.Zone, "class", spec.Class, "operation", spec.OperationID)
 	}
 	if err != nil {
-		return platform.VM{}, err
+		return provider.VM{}, err
 	}
 	c.log.Log(EvVMStarted, "vm", vm.ID, "zone", vm.Zone, "class", vm.Class, "operation", spec.OperationID)
 	return vm, nil
 }
 
-// StopVM implements platform.Cloud. Stopping an ended VM is no error.
+// StopVM implements provider.Cloud. Stopping an ended VM is no error.
 func (c *Client) StopVM(ctx context.Context, id string) error {
 	return c.call(ctx, call{
 		step: "cloud.stop", method: http.MethodDelete, path: "/v1/vms/" + url.PathEscape(id), writes: true,
--- a/internal/platform/cloudhttp/client_test.go
+++ b/internal/provider/cloudhttp/client_test.go
@@ -11,14 +11,14 @@
 	"github.com/stretchr/testify/require"
 
 	"buckthornpick/internal/fault"
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 	"buckthornpick/internal/standin/cloud"
 	"buckthornpick/internal/telemetry"
 )
 
 func start(t *testing.T, settings cloud.Settings) (*cloud.Server, *Client) {
 	t.Helper()
-	settings.Offers = []platform.Offer{{Zone: "a", Class: "small", Reclaimable: true, PricePerHour: 2, Accelerators: 1}}
+	settings.Offers = []provider.Offer{{Zone: "a", Class: "small", Reclaimable: true, PricePerHour: 2, Accelerators: 1}}
 	s := cloud.New(settings)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -28,8 +28,8 @@
 	return s, New(srv.URL, srv.Client(), telemetry.Discard())
 }
 
-func spec(operation string) platform.VMSpec {
-	return platform.VMSpec{OperationID: operation, Zone: "a", Class: "small", Reclaimable: true, Service: "audit"}
+func spec(operation string) provider.VMSpec {
+	return provider.VMSpec{OperationID: operation, Zone: "a", Class: "small", Reclaimable: true, Service: "audit"}
 }
 
 func TestStartIsIdempotentAlsoAfterALostAnswer(t *testing.T) {
@@ -49,7 +49,7 @@
 	require.True(t, fault.Is(err, fault.Conflict), "%v", err)
 	require.NoError(t, c.StopVM(t.Context(), vm.ID))
 	require.NoError(t, c.StopVM(t.Context(), vm.ID))
-	require.Equal(t, platform.VMTerminated, s.VMs()[0].State)
+	require.Equal(t, provider.VMTerminated, s.VMs()[0].State)
 }
 
 func TestRefusedStartsAndOutages(t *testing.T) {
@@ -75,11 +75,11 @@
 	require.NoError(t, err)
 	require.Equal(t, 3.0, offers[0].PricePerHour)
 
-	got := make(chan []platform.Notice, 1)
+	got := make(chan []provider.Notice, 1)
 	go func() { list, _ := c.Notices(context.Background(), 0); got <- list }()
-	s.Add(platform.VM{ID: "v1", Zone: "a", Reclaimable: true})
-	s.Add(platform.VM{ID: "v2", Zone: "a"})
-	s.Add(platform.VM{ID: "v3", Zone: "a", Reclaimable: true})
+	s.Add(provider.VM{ID: "v1", Zone: "a", Reclaimable: true})
+	s.Add(provider.VM{ID: "v2", Zone: "a"})
+	s.Add(provider.VM{ID: "v3", Zone: "a", Reclaimable: true})
 	require.Equal(t, []string{"v1", "v3"}, s.ReclaimZone("a", time.Hour))
 	list := <-got
 	require.Len(t, list, 2)
@@ -114,7 +114,7 @@
 	c := New(srv.URL, srv.Client(), telemetry.Discard())
 	for _, id := range []string{"vm-1", "", "vm-2", ""} {
 		if id != "" {
-			s.Add(platform.VM{ID: id, Zone: "a", State: platform.VMLive})
+			s.Add(provider.VM{ID: id, Zone: "a", State: provider.VMLive})
 		}
 		vms, err := c.ListVMs(t.Context())
 		require.NoError(t, err)
--- a/internal/platform/platform.go
+++ b/internal/provider/platform.go
@@ -1,6 +1,6 @@
-// Package platform describes what the cloud platform offers: VMs, their list,
+// Package provider describes what the cloud platform offers: VMs, their list,
 // their lifecycle and reclaim notices. Adapters speak HTTP to the platform.
-package platform
+package provider
 
 import (
 	"context"
--- a/internal/slopes/rig.go
+++ b/internal/slopes/rig.go
@@ -8,7 +8,7 @@
 
 	"buckthornpick/internal/config"
 	"buckthornpick/internal/fault"
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 	"buckthornpick/internal/standin/cloud"
 	"buckthornpick/internal/standin/site"
 	"buckthornpick/internal/wait"
@@ -59,8 +59,8 @@
 func (r *rig) addServer(i int) {
 	id := fmt.Sprintf("server-%s-%05d", zoneName(i), i)
 	r.servers = append(r.servers, id)
-	r.site.Cloud.Add(platform.VM{
-		ID: id, Zone: zoneName(i), Class: "accelerator-4", Service: "chat", State: platform.VMLive,
+	r.site.Cloud.Add(provider.VM{
+		ID: id, Zone: zoneName(i), Class: "accelerator-4", Service: "chat", State: provider.VMLive,
 		Address: fmt.Sprintf("10.%d.%d.%d:8000", i/65536, i/256%256, i%256), Reclaimable: i%2 == 0,
 		PricePerHour: 4.25, Accelerators: 4,
 	})
--- a/internal/standin/cloud/cloud.go
+++ b/internal/standin/cloud/cloud.go
@@ -21,24 +21,24 @@
 	"sync"
 	"time"
 
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 )
 
 // Settings of a cloud. Zero fields take their defaults.
 type Settings struct {
 	// Offers are sold from the start.
-	Offers []platform.Offer
+	Offers []provider.Offer
 	// StartTime is the time from a VM's start until it is live; default 2 s.
 	StartTime time.Duration
 	// ListLag is how far the VM list lags; default 1 s.
 	ListLag time.Duration
 	// OnLive is called, without locks, when a started VM becomes live; it
 	// returns the address of the VM's server.
-	OnLive func(platform.VM) (address string)
+	OnLive func(provider.VM) (address string)
 	// OnTerminated is called, without locks, when a VM ends: at its deadline
 	// or when it is stopped. It may be called twice for a VM that is stopped
 	// during OnLive.
-	OnTerminated func(platform.VM)
+	OnTerminated func(provider.VM)
 }
 
 // Bounds of what is kept.
@@ -66,12 +66,12 @@
 
 	mu         sync.Mutex
 	faults     Faults
-	offers     []platform.Offer
+	offers     []provider.Offer
 	refusals   map[place]bool
 	vms        map[string]*machine
 	operations map[string]operation
 	history    []listing // oldest first; the last one is the present
-	notices    []platform.Notice
+	notices    []provider.Notice
 	sequence   int64
 	waves      int
 	started    int
@@ -82,18 +82,18 @@
 type place struct{ zone, class string }
 
 type operation struct {
-	spec platform.VMSpec
+	spec provider.VMSpec
 	vm   string
 }
 
 type listing struct {
 	at  time.Time
-	vms []platform.VM
+	vms []provider.VM
 }
 
 // machine is a VM with its schedule; zero times are not scheduled.
 type machine struct {
-	platform.VM
+	provider.VM
 	startedAt time.Time
 	liveAt    time.Time
 	deadline  time.Time
@@ -118,11 +118,11 @@
 
 // Add puts a VM on the platform that is already live. It shows in the list at
 // once.
-func (s *Server) Add(vm platform.VM) {
+func (s *Server) Add(vm provider.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if vm.State == "" {
-		vm.State = platform.VMLive
+		vm.State = provider.VMLive
 	}
 	s.vms[vm.ID] = &machine{VM: vm, startedAt: time.Now()}
 	s.changed()
@@ -131,7 +131,7 @@
 }
 
 // VMs returns the true present list, ordered by ID, ended VMs included.
-func (s *Server) VMs() []platform.VM {
+func (s *Server) VMs() []provider.VM {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.present()
@@ -144,7 +144,7 @@
 	total := s.cost
 	now := time.Now()
 	for _, m := range s.vms {
-		if m.State != platform.VMTerminated {
+		if m.State != provider.VMTerminated {
 			total += m.costUntil(now)
 		}
 	}
@@ -209,7 +209,7 @@
 }
 
 func (m *machine) takeable() bool {
-	return m.State == platform.VMLive || m.State == platform.VMStarting
+	return m.State == provider.VMLive || m.State == provider.VMStarting
 }
 
 func (m *machine) costUntil(t time.Time) float64 {
@@ -223,11 +223,11 @@
 	}
 	deadline := time.Now().Add(notice)
 	for _, m := range taken {
-		m.State = platform.VMLeaving
+		m.State = provider.VMLeaving
 		m.liveAt = time.Time{}
 		m.deadline = deadline
 		s.sequence++
-		s.notices = append(s.notices, platform.Notice{
+		s.notices = append(s.notices, provider.Notice{
 			Sequence: s.sequence, VM: m.ID, Zone: m.Zone, Deadline: deadline, Wave: wave,
 		})
 	}
@@ -240,12 +240,12 @@
 }
 
 // present returns the VMs ordered by ID.
-func (s *Server) present() []platform.VM {
-	list := make([]platform.VM, 0, len(s.vms))
+func (s *Server) present() []provider.VM {
+	list := make([]provider.VM, 0, len(s.vms))
 	for _, m := range s.vms {
 		list = append(list, m.VM)
 	}
-	slices.SortFunc(list, func(a, b platform.VM) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(list, func(a, b provider.VM) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
 
--- a/internal/standin/cloud/http.go
+++ b/internal/standin/cloud/http.go
@@ -11,21 +11,21 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 )
 
 const maxBodyBytes = 1 << 20
 
 type offerList struct {
-	Offers []platform.Offer `json:"offers"`
+	Offers []provider.Offer `json:"offers"`
 }
 
 type vmList struct {
-	VMs []platform.VM `json:"vms"`
+	VMs []provider.VM `json:"vms"`
 }
 
 type noticeList struct {
-	Notices []platform.Notice `json:"notices"`
+	Notices []provider.Notice `json:"notices"`
 }
 
 type problem struct {
@@ -71,7 +71,7 @@
 
 func (s *Server) serveOffers(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	list := offerList{Offers: append([]platform.Offer{}, s.offers...)}
+	list := offerList{Offers: append([]provider.Offer{}, s.offers...)}
 	s.mu.Unlock()
 	writeJSON(w, http.StatusOK, list)
 }
@@ -81,7 +81,7 @@
 	s.mu.Lock()
 	now := time.Now()
 	s.forget(now)
-	list := vmList{VMs: []platform.VM{}}
+	list := vmList{VMs: []provider.VM{}}
 	if len(s.history) > 0 && !s.history[0].at.After(now.Add(-s.settings.ListLag)) {
 		list.VMs = s.history[0].vms
 	}
@@ -109,7 +109,7 @@
 )
 
 func (s *Server) serveStart(w http.ResponseWriter, r *http.Request) {
-	var spec platform.VMSpec
+	var spec provider.VMSpec
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&spec); err != nil {
 		writeProblem(w, http.StatusBadRequest, "invalid", err.Error())
 		return
@@ -134,29 +134,29 @@
 }
 
 // start starts a VM; a refused start leaves its operation free.
-func (s *Server) start(spec platform.VMSpec) (platform.VM, error) {
+func (s *Server) start(spec provider.VMSpec) (provider.VM, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if op, ok := s.operations[spec.OperationID]; ok {
 		if op.spec != spec {
-			return platform.VM{}, errReused
+			return provider.VM{}, errReused
 		}
 		return s.vms[op.vm].VM, nil
 	}
 	offer, ok := s.offer(spec)
 	if !ok {
-		return platform.VM{}, errNoOffer
+		return provider.VM{}, errNoOffer
 	}
 	if s.refusals[place{spec.Zone, spec.Class}] || s.refusals[place{spec.Zone, ""}] {
-		return platform.VM{}, errCapacity
+		return provider.VM{}, errCapacity
 	}
 	if len(s.operations) >= maxOperations {
-		return platform.VM{}, errFull
+		return provider.VM{}, errFull
 	}
 	s.started++
 	now := time.Now()
-	m := &machine{startedAt: now, liveAt: now.Add(s.settings.StartTime), VM: platform.VM{
-		ID: "vm-" + strconv.Itoa(s.started), Zone: spec.Zone, Class: spec.Class, State: platform.VMStarting,
+	m := &machine{startedAt: now, liveAt: now.Add(s.settings.StartTime), VM: provider.VM{
+		ID: "vm-" + strconv.Itoa(s.started), Zone: spec.Zone, Class: spec.Class, State: provider.VMStarting,
 		Service: spec.Service, Reclaimable: spec.Reclaimable,
 		PricePerHour: offer.PricePerHour, Accelerators: offer.Accelerators,
 	}}
@@ -166,13 +166,13 @@
 	return m.VM, nil
 }
 
-func (s *Server) offer(spec platform.VMSpec) (platform.Offer, bool) {
+func (s *Server) offer(spec provider.VMSpec) (provider.Offer, bool) {
 	for _, o := range s.offers {
 		if o.Zone == spec.Zone && o.Class == spec.Class && o.Reclaimable == spec.Reclaimable {
 			return o, true
 		}
 	}
-	return platform.Offer{}, false
+	return provider.Offer{}, false
 }
 
 func (s *Server) serveStop(w http.ResponseWriter, r *http.Request) {
@@ -184,7 +184,7 @@
 func (s *Server) stop(id string) {
 	s.mu.Lock()
 	m, ok := s.vms[id]
-	if !ok || m.State == platform.VMTerminated {
+	if !ok || m.State == provider.VMTerminated {
 		s.mu.Unlock()
 		return
 	}
@@ -236,10 +236,10 @@
 	}
 }
 
-func (s *Server) noticesAfter(after int64) ([]platform.Notice, <-chan struct{}) {
+func (s *Server) noticesAfter(after int64) ([]provider.Notice, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := []platform.Notice{}
+	list := []provider.Notice{}
 	for _, n := range s.notices {
 		if n.Sequence > after {
 			list = append(list, n)
--- a/internal/standin/cloud/schedule.go
+++ b/internal/standin/cloud/schedule.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 )
 
 // Run makes VMs live and ends them at their deadlines until ctx ends.
@@ -41,7 +41,7 @@
 
 // due ends the VMs whose time has come. It returns those to become live, those
 // ended and the time of the next change.
-func (s *Server) due() (live, ended []platform.VM, next time.Time) {
+func (s *Server) due() (live, ended []provider.VM, next time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -74,12 +74,12 @@
 // end closes the VM's bill and schedule.
 func (s *Server) end(m *machine, now time.Time) {
 	s.cost += m.costUntil(now)
-	m.State = platform.VMTerminated
+	m.State = provider.VMTerminated
 	m.deadline, m.liveAt = time.Time{}, time.Time{}
 }
 
 // report calls the callbacks, then lists the live VMs with their addresses.
-func (s *Server) report(live, ended []platform.VM) {
+func (s *Server) report(live, ended []provider.VM) {
 	for _, vm := range ended {
 		s.terminated(vm)
 	}
@@ -94,7 +94,7 @@
 	}
 }
 
-func (s *Server) terminated(vm platform.VM) {
+func (s *Server) terminated(vm provider.VM) {
 	if s.settings.OnTerminated != nil {
 		s.settings.OnTerminated(vm)
 	}
@@ -105,12 +105,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.vms[id]
-	if m.State == platform.VMTerminated {
+	if m.State == provider.VMTerminated {
 		return false
 	}
 	m.Address = address
-	if m.State == platform.VMStarting { // it may have had notice meanwhile
-		m.State = platform.VMLive
+	if m.State == provider.VMStarting { // it may have had notice meanwhile
+		m.State = provider.VMLive
 	}
 	s.changed()
 	return true
--- a/internal/standin/site/entry.go
+++ b/internal/standin/site/entry.go
@@ -15,8 +15,8 @@
 	"buckthornpick/internal/member"
 	"buckthornpick/internal/netx"
 	"buckthornpick/internal/peer"
-	"buckthornpick/internal/platform"
-	"buckthornpick/internal/platform/cloudhttp"
+	"buckthornpick/internal/provider"
+	"buckthornpick/internal/provider/cloudhttp"
 	"buckthornpick/internal/telemetry"
 )
 
@@ -63,7 +63,7 @@
 	e.Node = entry.New(s.entryConfig(e, self, network))
 	e.server = &http.Server{ReadHeaderTimeout: time.Minute}
 	p := &entry.Process{Node: e.Node, Listener: listener, Server: e.server}
-	s.Cloud.Add(platform.VM{ID: id, Zone: zone, Class: "entry", Reclaimable: true})
+	s.Cloud.Add(provider.VM{ID: id, Zone: zone, Class: "entry", Reclaimable: true})
 	s.addEntry(e)
 	e.run(p)
 	if s.options.Planners {
--- a/internal/standin/site/planner.go
+++ b/internal/standin/site/planner.go
@@ -9,7 +9,7 @@
 	"buckthornpick/internal/kv/etcd"
 	"buckthornpick/internal/netx"
 	"buckthornpick/internal/planner"
-	"buckthornpick/internal/platform/cloudhttp"
+	"buckthornpick/internal/provider/cloudhttp"
 	"buckthornpick/internal/telemetry"
 )
 
--- a/internal/standin/site/server.go
+++ b/internal/standin/site/server.go
@@ -5,7 +5,7 @@
 	"net/http"
 
 	"buckthornpick/internal/config"
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 	"buckthornpick/internal/standin/engine"
 	"buckthornpick/internal/standin/plainservice"
 )
@@ -27,7 +27,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.Cloud.Add(platform.VM{
+	s.Cloud.Add(provider.VM{
 		ID: sv.ID, Zone: zone, Class: spec.Class, Service: spec.Service, Address: sv.Address,
 		Reclaimable: true, PricePerHour: spec.PricePerHour, Accelerators: AcceleratorsOf(spec),
 	})
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -14,7 +14,7 @@
 	"buckthornpick/internal/config"
 	"buckthornpick/internal/netx"
 	"buckthornpick/internal/planner"
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 	"buckthornpick/internal/standin/cloud"
 	"buckthornpick/internal/standin/engine"
 	"buckthornpick/internal/standin/kv"
@@ -193,7 +193,7 @@
 }
 
 // terminated ends the process of a VM that the cloud has taken back.
-func (s *Site) terminated(vm platform.VM) {
+func (s *Site) terminated(vm provider.VM) {
 	if e, ok := s.Entry(vm.ID); ok {
 		e.Kill()
 	}
@@ -203,7 +203,7 @@
 }
 
 // becameLive starts the process of a VM that the cloud has started.
-func (s *Site) becameLive(vm platform.VM) string {
+func (s *Site) becameLive(vm provider.VM) string {
 	for _, spec := range s.options.Servers {
 		if spec.Service == vm.Service {
 			sv, err := s.startServerOn(spec, vm.ID, vm.Zone)
--- a/test/fuzz/actions.go
+++ b/test/fuzz/actions.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 	"buckthornpick/internal/standin/cloud"
 	"buckthornpick/internal/standin/site"
 )
@@ -257,7 +257,7 @@
 	var out []*site.Server
 	for _, vm := range w.site.Cloud.VMs() {
 		sv, ok := w.site.Server(vm.ID)
-		if ok && vm.State == platform.VMLive && !isCrashed(sv) && !w.isDead(sv) {
+		if ok && vm.State == provider.VMLive && !isCrashed(sv) && !w.isDead(sv) {
 			out = append(out, sv)
 		}
 	}
--- a/test/fuzz/breaks_test.go
+++ b/test/fuzz/breaks_test.go
@@ -13,7 +13,7 @@
 	"buckthornpick/internal/entry"
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/kv"
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 	"buckthornpick/internal/request"
 	"buckthornpick/internal/standin/site"
 )
@@ -279,20 +279,20 @@
 
 type noNotices struct{}
 
-// Notices implements platform.NoticeSource.
-func (noNotices) Notices(ctx context.Context, _ int64) ([]platform.Notice, error) {
+// Notices implements provider.NoticeSource.
+func (noNotices) Notices(ctx context.Context, _ int64) ([]provider.Notice, error) {
 	<-ctx.Done()
 	return nil, ctx.Err()
 }
 
-type liveLister struct{ platform.Lister }
+type liveLister struct{ provider.Lister }
 
-// ListVMs implements platform.Lister.
-func (l liveLister) ListVMs(ctx context.Context) ([]platform.VM, error) {
+// ListVMs implements provider.Lister.
+func (l liveLister) ListVMs(ctx context.Context) ([]provider.VM, error) {
 	vms, err := l.Lister.ListVMs(ctx)
 	for i := range vms {
-		if vms[i].State == platform.VMLeaving {
-			vms[i].State = platform.VMLive
+		if vms[i].State == provider.VMLeaving {
+			vms[i].State = provider.VMLive
 		}
 	}
 	return vms, err
--- a/test/fuzz/restart.go
+++ b/test/fuzz/restart.go
@@ -5,20 +5,20 @@
 	"sort"
 	"time"
 
-	"buckthornpick/internal/platform"
+	"buckthornpick/internal/provider"
 	"buckthornpick/internal/standin/site"
 )
 
 // restartServers brings back the crashed servers whose VMs are still there.
 func (w *world) restartServers() {
-	state := map[string]platform.VMState{}
+	state := map[string]provider.VMState{}
 	for _, vm := range w.site.Cloud.VMs() {
 		state[vm.ID] = vm.State
 	}
 	servers := w.site.Servers()
 	sort.Slice(servers, func(i, j int) bool { return servers[i].ID < servers[j].ID })
 	for _, sv := range servers {
-		if isCrashed(sv) && !w.isDead(sv) && state[sv.ID] == platform.VMLive {
+		if isCrashed(sv) && !w.isDead(sv) && state[sv.ID] == provider.VMLive {
 			w.restartServer(sv)
 		}
 	}
