--- a/internal/admin/node.go
+++ b/internal/admin/node.go
@@ -95,6 +95,7 @@
 		Organisation: s.Organisation, Service: s.Service, Model: s.Model, Kind: s.Kind,
 		PromptTokens: s.PromptTokens, Repeatable: s.Repeatable == nil || *s.Repeatable,
 		Priority: s.Priority, RequestID: s.RequestID, Zone: s.Zone,
+		Host: s.Host, Path: s.Path,
 		Now: time.Now(), Load: s.Load, Price: s.Price,
 	}
 	if in.Kind == "" {
--- a/internal/admin/types.go
+++ b/internal/admin/types.go
@@ -110,6 +110,9 @@
 	RequestID string `json:"requestId"`
 	// Zone is that of the entry; default the answering node's.
 	Zone string `json:"zone"`
+	// Host and Path are those of the call, for rules of relays.
+	Host string `json:"host"`
+	Path string `json:"path"`
 	// Now is the time of the request; default the present.
 	Now   *time.Time `json:"now"`
 	Load  float64    `json:"load"`
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -15,6 +15,9 @@
 	"buckthornpick/internal/telemetry"
 )
 
+// EnvSettings names the settings file where --config is not given.
+const EnvSettings = "BUCKTHORNPICK_SETTINGS"
+
 // Process is what a binary's Run gets besides its settings.
 type Process struct {
 	Log     *telemetry.Logger
@@ -45,7 +48,7 @@
 		Name:  d.Name,
 		Usage: d.Usage,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "config", Usage: "read settings from `FILE` (JSON with comments)"},
+			&cli.StringFlag{Name: "config", Usage: "read settings from `FILE` (JSON with comments)", Sources: cli.EnvVars(EnvSettings)},
 			&cli.BoolFlag{Name: "check-config", Usage: "check the settings and exit"},
 			&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error; goes before the settings"},
 		},
@@ -76,7 +79,7 @@
 		_, _ = fmt.Fprintf(c.Root().Writer, "%s: settings are good\n", c.String("config"))
 		return nil
 	}
-	log, stopLog := startLog(c.Root().ErrWriter, level, node)
+	log, stopLog := startLog(c.Root().Writer, level, node)
 	defer stopLog()
 	return d.run(ctx, settings, &Process{Log: log, Metrics: metrics.NewRegistry(), Stdout: c.Root().Writer})
 }
--- a/internal/config/check_rules.go
+++ b/internal/config/check_rules.go
@@ -40,6 +40,11 @@
 		c.problems.add(at+".minPromptTokens", r.Name, "expected at most maxPromptTokens (%d), got %d",
 			w.MaxPromptTokens, w.MinPromptTokens)
 	}
+	for i, p := range w.PathPrefixes {
+		if !strings.HasPrefix(p, "/") || !strings.HasSuffix(p, "/") {
+			c.problems.add(fmt.Sprintf("%s.pathPrefixes[%d]", at, i), r.Name, "expected a path that begins and ends with \"/\", got %q", p)
+		}
+	}
 	if w.LoadAbove != nil {
 		c.notNegative(at+".loadAbove", r.Name, *w.LoadAbove)
 	}
@@ -88,6 +93,30 @@
 		c.problems.add(at+".priority", r.Name, "expected one of %v, got %q", priorities, t.Priority)
 	}
 	c.notNegative(at+".deadlineMillis", r.Name, t.DeadlineMillis)
+	if t.Call != nil {
+		c.checkCall(at+".call", r)
+	}
+}
+
+// checkCall checks how a relay carries out the rule's calls.
+func (c *documentCheck) checkCall(at string, r *Rule) {
+	call := r.Then.Call
+	switch call.Repetition {
+	case RunOnce, Repeatable, Resumable:
+	default:
+		c.problems.add(at+".repetition", r.Name, "expected %q, %q or %q, got %q", RunOnce, Repeatable, Resumable, call.Repetition)
+	}
+	c.notNegative(at+".timeoutMillis", r.Name, call.TimeoutMillis)
+	c.notNegative(at+".targetMillis", r.Name, call.TargetMillis)
+	c.notNegative(at+".targetGapMillis", r.Name, call.TargetGapMillis)
+	c.notNegative(at+".attempts", r.Name, float64(call.Attempts))
+	for i, part := range call.Split {
+		field := fmt.Sprintf("%s.split[%d]", at, i)
+		if c.services[part.Service] == nil {
+			c.problems.add(field+".service", r.Name, "unknown service %q", part.Service)
+		}
+		c.notNegative(field+".weight", r.Name, part.Weight)
+	}
 }
 
 func (c *documentCheck) checkRefuse(at string, r *Rule) {
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -14,6 +14,14 @@
 	Services      []Service      `json:"services" msgpack:"svcs"`
 	Rules         []Rule         `json:"rules" msgpack:"rules"`
 	OlderSystem   *OlderSystem   `json:"olderSystem,omitempty" msgpack:"old,omitempty"`
+	// CallerLimits bound what a caller of a relay may send.
+	CallerLimits CallerLimits `json:"callerLimits,omitzero" msgpack:"cl"`
+}
+
+// CallerLimits bound a caller's request. 0 is the entry's own bound.
+type CallerLimits struct {
+	MaxHeaderBytes int   `json:"maxHeaderBytes,omitempty" msgpack:"h,omitempty"`
+	MaxBodyBytes   int64 `json:"maxBodyBytes,omitempty" msgpack:"b,omitempty"`
 }
 
 // Organisation is a customer whose callers hold bearer keys.
@@ -29,6 +37,23 @@
 	MaxConcurrent int `json:"maxConcurrent,omitempty" msgpack:"mc,omitempty"`
 	// Share is the weight in fair sharing; default 1.
 	Share float64 `json:"share,omitempty" msgpack:"sh,omitempty"`
+	// Quota bounds the organisation's work over all entries of a site of
+	// relays; nil is unlimited.
+	Quota *Quota `json:"quota,omitempty" msgpack:"q,omitempty"`
+	// Rank goes before the rank of the rule's call policy; nil is none.
+	Rank *int `json:"rank,omitempty" msgpack:"rk,omitempty"`
+}
+
+// Quota bounds work over all entries together, over any window.
+type Quota struct {
+	// PerSecond is the sustained rate in tokens, or in requests if ByRequest.
+	PerSecond float64 `json:"perSecond" msgpack:"p"`
+	// Burst may be spent beyond the rate.
+	Burst float64 `json:"burst" msgpack:"b"`
+	// PlainTokens is the cost of a request that states no tokens.
+	PlainTokens float64 `json:"plainTokens,omitempty" msgpack:"t,omitempty"`
+	// ByRequest counts each request as 1.
+	ByRequest bool `json:"byRequest,omitempty" msgpack:"r,omitempty"`
 }
 
 // ServiceKind tells how a service is called.
@@ -75,6 +100,26 @@
 	MaxConcurrentPerServer int `json:"maxConcurrentPerServer,omitempty" msgpack:"mcs,omitempty"`
 	// RetryBudget is the share of retries per first attempt; default 0.2.
 	RetryBudget float64 `json:"retryBudget,omitempty" msgpack:"rb,omitempty"`
+	// MaxConnectionsPerServer bounds the connections of all entries to one
+	// backend server; 0 is unbounded.
+	MaxConnectionsPerServer int `json:"maxConnectionsPerServer,omitempty" msgpack:"mx,omitempty"`
+	// Slots is the number of requests that one backend server runs at once; 0
+	// is unknown.
+	Slots int `json:"slots,omitempty" msgpack:"sl,omitempty"`
+	// CacheTokens is the memory of one model engine in tokens; 0 is unknown.
+	CacheTokens int `json:"cacheTokens,omitempty" msgpack:"ct,omitempty"`
+	// Scaling bounds the backend servers that relays order; nil orders none.
+	Scaling *Scaling `json:"scaling,omitempty" msgpack:"sc,omitempty"`
+}
+
+// Scaling bounds the number of a service's backend servers in each zone.
+type Scaling struct {
+	Min int `json:"min" msgpack:"mn"`
+	Max int `json:"max" msgpack:"mx"`
+	// BootSeconds is the time from an order to a serving backend server.
+	BootSeconds float64 `json:"bootSeconds,omitempty" msgpack:"b,omitempty"`
+	// ZonePrices are relative prices of one backend server by zone.
+	ZonePrices map[string]float64 `json:"zonePrices,omitempty" msgpack:"z,omitempty"`
 }
 
 // CallMatch matches calls of a plain service.
@@ -133,6 +178,10 @@
 	LoadAbove *float64 `json:"loadAbove,omitempty" msgpack:"l,omitempty"`
 	// PriceAbove matches if the cheapest live server's price per hour exceeds it.
 	PriceAbove *float64 `json:"priceAbove,omitempty" msgpack:"pa,omitempty"`
+	// Hosts are the hosts that callers name, in lower case.
+	Hosts []string `json:"hosts,omitempty" msgpack:"ho,omitempty"`
+	// PathPrefixes begin and end with "/".
+	PathPrefixes []string `json:"pathPrefixes,omitempty" msgpack:"pp,omitempty"`
 }
 
 // HourRange is [From, To) in hours of the day, UTC.
@@ -158,6 +207,50 @@
 	// request.
 	Fallback []string `json:"fallback,omitempty" msgpack:"f,omitempty"`
 	Refuse   *Refuse  `json:"refuse,omitempty" msgpack:"r,omitempty"`
+	// Call tells a relay how to carry out the call.
+	Call *CallPolicy `json:"call,omitempty" msgpack:"ca,omitempty"`
+}
+
+// Repetition tells what may be repeated of a call.
+type Repetition string
+
+// Repetitions of a call.
+const (
+	// RunOnce calls run at most once for each attempt of a caller.
+	RunOnce Repetition = "once"
+	// Repeatable calls may run more than once.
+	Repeatable Repetition = "repeatable"
+	// Resumable streams may run more than once, and may go on at another
+	// backend server after the last event that arrived.
+	Resumable Repetition = "resumable"
+)
+
+// CallPolicy is how a relay carries out the calls of a rule.
+type CallPolicy struct {
+	Repetition Repetition `json:"repetition" msgpack:"r"`
+	// Stream calls are answered by a series of events.
+	Stream bool `json:"stream,omitempty" msgpack:"s,omitempty"`
+	// TimeoutMillis bounds the call from its arrival to the end of its answer.
+	TimeoutMillis float64 `json:"timeoutMillis,omitempty" msgpack:"t,omitempty"`
+	// TargetMillis is the latency target: the answer, or the first event.
+	TargetMillis float64 `json:"targetMillis,omitempty" msgpack:"g,omitempty"`
+	// TargetGapMillis is the longest pause between events within the target.
+	TargetGapMillis float64 `json:"targetGapMillis,omitempty" msgpack:"p,omitempty"`
+	// Attempts bounds the backend servers that one call is sent to; default 1.
+	Attempts int `json:"attempts,omitempty" msgpack:"a,omitempty"`
+	// Rank orders calls; 0 goes first, 9 last.
+	Rank int `json:"rank,omitempty" msgpack:"k,omitempty"`
+	// Public calls need no key.
+	Public bool `json:"public,omitempty" msgpack:"u,omitempty"`
+	// Split spreads the calls over services by weight; empty is Then.Service
+	// alone.
+	Split []ServiceWeight `json:"split,omitempty" msgpack:"w,omitempty"`
+}
+
+// ServiceWeight is a service's part of a split.
+type ServiceWeight struct {
+	Service string  `json:"service" msgpack:"s"`
+	Weight  float64 `json:"weight" msgpack:"w"`
 }
 
 // Refuse answers a request without running it.
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -63,7 +63,7 @@
 	Timeout Duration `json:"timeout"`
 }
 
-// LogSettings describe the log on standard error.
+// LogSettings describe the log on standard output.
 type LogSettings struct {
 	// Level is "debug", "info", "warn" or "error"; default "info".
 	Level string `json:"level"`
--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -28,6 +28,8 @@
 			&cli.StringFlag{Name: "context", Usage: "any text that names the conversation"},
 			&cli.StringFlag{Name: "context-hash", Usage: "`HEX` hash of a live request's context; goes before --context"},
 			&cli.StringFlag{Name: "zone", Usage: "availability zone; default that of the entry"},
+			&cli.StringFlag{Name: "host", Usage: "host that the caller names"},
+			&cli.StringFlag{Name: "path", Usage: "path of the call"},
 			&cli.TimestampFlag{Name: "now", Usage: "`TIME` of the request, such as 2026-01-31T22:00:00Z; default the present",
 				Config: cli.TimestampConfig{Layouts: []string{"2006-01-02T15:04:05Z07:00"}}},
 			&cli.FloatFlag{Name: "load", Usage: "load of the service, 0 to 1 and above"},
@@ -61,6 +63,7 @@
 		Kind: c.String("kind"), PromptTokens: c.Int("prompt-tokens"), Repeatable: &repeatable,
 		Priority: c.String("priority"), Context: c.String("context"),
 		ContextHash: c.String("context-hash"), Zone: c.String("zone"),
+		Host: c.String("host"), Path: c.String("path"),
 		Load: c.Float("load"), Price: c.Float("price"),
 	}
 	if now := c.Timestamp("now"); !now.IsZero() {
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,217 @@
+// Package exchange keeps the entries of a site informed of each other: several
+// times a second each tells the others its totals and loads. All values are
+// totals or states, so that a lost message is made good by the next one.
+package exchange
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"buckthornpick/internal/clock"
+	"buckthornpick/internal/follow"
+	"buckthornpick/internal/peer"
+	"buckthornpick/internal/quota"
+	"buckthornpick/internal/relay"
+	"buckthornpick/internal/telemetry"
+	"buckthornpick/internal/usage"
+)
+
+const (
+	// interval between messages: what an organisation spends beyond its quota is
+	// what all entries take in this time.
+	interval = 200 * time.Millisecond
+	// silence after which an entry is out of touch: five messages.
+	silence = time.Second
+	// usageEvery is the number of messages for each one that carries counts of
+	// usage, which change slowly.
+	usageEvery = 2
+)
+
+// state is one message.
+type state struct {
+	Run   string                `msgpack:"r"`
+	Spent map[string]float64    `msgpack:"q,omitempty"`
+	Loads map[string]relay.Load `msgpack:"l,omitempty"`
+	Usage usage.Windows         `msgpack:"u,omitempty"`
+}
+
+// cleared tells that a content was answered.
+type cleared struct {
+	Content uint64 `msgpack:"c"`
+}
+
+// Config is what an exchange works with.
+type Config struct {
+	Transport *peer.Transport
+	Entries   *follow.Entries
+	Fleet     *relay.Fleet
+	Quotas    *relay.Quotas
+	Crashes   *relay.Crashes
+	Counts    *usage.Counts
+	Clock     clock.Clock
+	Log       *telemetry.Logger
+}
+
+// Exchange implements relay.Peers. It is safe for concurrent use.
+type Exchange struct {
+	Config
+	run string
+
+	mu    sync.Mutex
+	heard map[string]*entryState
+	site  quota.Site
+}
+
+// entryState is what is known of another entry.
+type entryState struct {
+	at        time.Duration
+	loads     map[string]relay.Load
+	isInTouch bool
+}
+
+// New returns an exchange and registers its handlers with the transport. Start
+// tells runs of the entry apart.
+func New(c Config, self string, start time.Time) *Exchange {
+	x := &Exchange{
+		Config: c, run: self + "/" + strconv.FormatInt(start.UnixNano(), 36),
+		heard: map[string]*entryState{}, site: quota.Site{Entries: 1, Heard: 1},
+	}
+	c.Transport.HandleNotify(peer.RelayState, x.receive)
+	c.Transport.HandleNotify(peer.RelayCrash, x.receiveCrash)
+	c.Transport.HandleNotify(peer.RelayCleared, x.receiveCleared)
+	return x
+}
+
+// Run sends messages until ctx ends.
+func (x *Exchange) Run(ctx context.Context) error {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil
+		}
+		x.judge()
+		x.tell(n%usageEvery == 0)
+	}
+}
+
+func (x *Exchange) tell(withUsage bool) {
+	message := state{Run: x.run, Spent: x.Quotas.Spent(), Loads: x.Fleet.Loads()}
+	if withUsage {
+		message.Usage = x.Counts.Own()
+	}
+	x.notify(peer.RelayState, message)
+}
+
+// notify sends a message to every other entry. One that cannot be reached is
+// seen by its silence.
+func (x *Exchange) notify(kind peer.Kind, message any) {
+	for _, node := range x.Entries.Others() {
+		if err := x.Transport.Notify(node, kind, message); err != nil && kind != peer.RelayState {
+			x.Log.Log(relay.EvNotTold, "entry", node.ID, "kind", kind.String(), "error", err.Error())
+		}
+	}
+}
+
+func (x *Exchange) receive(from peer.Node, decode func(any) error) {
+	var message state
+	if decode(&message) != nil {
+		return // the transport has logged it
+	}
+	x.Quotas.Report(message.Run, message.Spent)
+	if message.Usage != nil {
+		x.Counts.Report(message.Run, message.Usage)
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	known, ok := x.heard[from.ID]
+	if !ok {
+		known = &entryState{}
+		x.heard[from.ID] = known
+	}
+	known.at, known.loads = x.Clock(), message.Loads
+}
+
+// judge decides which entries are in touch, and sums their loads.
+func (x *Exchange) judge() {
+	others := x.Entries.Others()
+	loads := map[string]int{}
+	x.mu.Lock()
+	now := x.Clock()
+	site := quota.Site{Entries: 1 + len(others), Heard: 1}
+	present := map[string]bool{}
+	for _, node := range others {
+		present[node.ID] = true
+		known := x.heard[node.ID]
+		inTouch := known != nil && now-known.at < silence
+		if inTouch {
+			site.Heard++
+			for server, load := range known.loads {
+				loads[server] += load.Running
+			}
+		}
+		if known != nil && known.isInTouch != inTouch {
+			known.isInTouch = inTouch
+			x.logTouch(node.ID, inTouch, now-known.at)
+		}
+	}
+	for id := range x.heard {
+		if !present[id] && now-x.heard[id].at > silence {
+			delete(x.heard, id)
+		}
+	}
+	x.site = site
+	x.mu.Unlock()
+	x.Fleet.SetOthers(loads)
+	x.Fleet.SetEntries(site.Entries)
+}
+
+func (x *Exchange) logTouch(id string, inTouch bool, age time.Duration) {
+	if inTouch {
+		x.Log.Log(relay.EvBackInTouch, "entry", id)
+		return
+	}
+	x.Log.Log(relay.EvOutOfTouch, "entry", id, "age_ms", age.Milliseconds())
+}
+
+// Site implements relay.Peers.
+func (x *Exchange) Site() quota.Site {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.site
+}
+
+// TellCrash implements relay.Peers.
+func (x *Exchange) TellCrash(c relay.Crash) { x.notify(peer.RelayCrash, c) }
+
+// TellCleared implements relay.Peers.
+func (x *Exchange) TellCleared(content uint64) { x.notify(peer.RelayCleared, cleared{content}) }
+
+func (x *Exchange) receiveCrash(from peer.Node, decode func(any) error) {
+	var c relay.Crash
+	if decode(&c) != nil {
+		return
+	}
+	n := x.Crashes.Note(c)
+	x.Log.Log(relay.EvCrashed, "content", c.Content, "server", c.Server, "crashes", n, "told_by", from.ID)
+}
+
+func (x *Exchange) receiveCleared(_ peer.Node, decode func(any) error) {
+	var c cleared
+	if decode(&c) == nil {
+		x.Crashes.Answered(c.Content)
+	}
+}
+
+// flushTime is how long the last message gets to leave the process.
+const flushTime = 100 * time.Millisecond
+
+// Flush tells the other entries the last totals before a stop.
+func (x *Exchange) Flush() {
+	x.tell(true)
+	time.Sleep(flushTime)
+}
--- /dev/null
+++ b/internal/follow/entries.go
@@ -0,0 +1,163 @@
+package follow
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/kv"
+	"buckthornpick/internal/peer"
+	"buckthornpick/internal/telemetry"
+	"buckthornpick/internal/wait"
+)
+
+// EntriesPrefix holds one leased key for each entry of the site.
+const EntriesPrefix = "buckthornpick/entries/"
+
+const (
+	// registrationTTL is the time after which a lost entry is no member: long
+	// enough for a restart, short enough that its share of quotas returns soon.
+	registrationTTL = 4 * time.Second
+	// renewInterval leaves two tries after a failed renewal.
+	renewInterval = 1300 * time.Millisecond
+)
+
+// Entries is the view of the entries of the site.
+type Entries struct {
+	self peer.Node
+	log  *telemetry.Logger
+
+	// isGone is set when the entry's own key was removed: a write of an earlier
+	// run that was carried out late binds the key to a lease that then ends.
+	isGone atomic.Bool
+
+	mu    sync.Mutex
+	nodes map[string]peer.Node
+}
+
+// NewEntries returns a view that holds only the entry itself.
+func NewEntries(self peer.Node, log *telemetry.Logger) *Entries {
+	return &Entries{self: self, log: log, nodes: map[string]peer.Node{}}
+}
+
+// Others returns the other entries by ID.
+func (e *Entries) Others() []peer.Node {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	list := make([]peer.Node, 0, len(e.nodes))
+	for _, n := range e.nodes {
+		list = append(list, n)
+	}
+	slices.SortFunc(list, func(a, b peer.Node) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Replace implements Sink.
+func (e *Entries) Replace(entries []kv.Entry) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	present := map[string]bool{}
+	for _, entry := range entries {
+		present[entry.Key[len(EntriesPrefix):]] = true
+		e.putLocked(entry)
+	}
+	for id := range e.nodes {
+		if !present[id] {
+			e.removeLocked(id)
+		}
+	}
+}
+
+// Apply implements Sink.
+func (e *Entries) Apply(events []kv.Event) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, event := range events {
+		if event.Deleted {
+			e.removeLocked(event.Entry.Key[len(EntriesPrefix):])
+		} else {
+			e.putLocked(event.Entry)
+		}
+	}
+}
+
+// Confirmed implements Sink.
+func (e *Entries) Confirmed() {}
+
+func (e *Entries) putLocked(entry kv.Entry) {
+	var node peer.Node
+	if err := json.Unmarshal(entry.Value, &node); err != nil || node.ID == "" || node.Address == "" {
+		e.log.Log(EvEntryBad, "key", entry.Key, "revision", entry.ModRevision)
+		return
+	}
+	if node.ID == e.self.ID || e.nodes[node.ID] == node {
+		return
+	}
+	e.nodes[node.ID] = node
+	e.log.Log(EvEntry, "entry", node.ID, "entry_zone", node.Zone, "address", node.Address, "state", "present", "revision", entry.ModRevision)
+}
+
+func (e *Entries) removeLocked(id string) {
+	if id == e.self.ID {
+		e.isGone.Store(true)
+		return
+	}
+	if _, known := e.nodes[id]; known {
+		delete(e.nodes, id)
+		e.log.Log(EvEntry, "entry", id, "state", "gone")
+	}
+}
+
+// Register keeps the entry's own key in the store until ctx ends, and then
+// removes it.
+func (e *Entries) Register(ctx context.Context, store kv.Store) error {
+	var lease kv.LeaseID
+	for ctx.Err() == nil {
+		var err error
+		if e.isGone.Swap(false) {
+			lease = 0
+		}
+		if lease == 0 {
+			lease, err = e.register(ctx, store)
+		} else if err = store.KeepAlive(ctx, lease); fault.Is(err, fault.Conflict) {
+			lease = 0
+			continue
+		}
+		pause := renewInterval
+		if err != nil && ctx.Err() == nil {
+			e.log.Log(EvRegisterFailed, "step", fault.Step(err), "peer", fault.Peer(err), "error", err.Error())
+			pause = retryMost
+		}
+		wait.For(ctx, pause)
+	}
+	if lease != 0 {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+		defer cancel()
+		if err := store.Revoke(ctx, lease); err != nil {
+			e.log.Log(EvRegisterFailed, "step", fault.Step(err), "peer", fault.Peer(err), "error", err.Error())
+		}
+	}
+	return nil
+}
+
+func (e *Entries) register(ctx context.Context, store kv.Store) (kv.LeaseID, error) {
+	value, err := json.Marshal(e.self)
+	if err != nil {
+		return 0, err
+	}
+	lease, err := store.Grant(ctx, registrationTTL)
+	if err != nil {
+		return 0, err
+	}
+	result, err := store.Txn(ctx, nil, []kv.Op{kv.PutWithLease(EntriesPrefix+e.self.ID, value, lease)})
+	if err != nil {
+		return 0, err
+	}
+	e.log.Log(EvRegistered, "lease", lease, "revision", result.Revision, "address", e.self.Address)
+	return lease, nil
+}
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -77,6 +77,14 @@
 	Compacted bool
 }
 
+// Poller is a store whose changes can be asked for call by call.
+type Poller interface {
+	// Poll waits at most wait for changes to keys with prefix after revision
+	// and returns them; without any the batch has only a revision. Errors are
+	// those of Store.
+	Poll(ctx context.Context, prefix string, after int64, wait time.Duration) (WatchBatch, error)
+}
+
 // Store is the key-value service.
 //
 // Errors: fault.Unavailable means that the call had no effect;
--- a/internal/planner/lease.go
+++ b/internal/lease/lease.go
@@ -1,4 +1,7 @@
-package planner
+// Package lease gives one process at a time the right to act: a key of the store
+// that is bound to the holder's lease, with a fencing token that rises with every
+// holder.
+package lease
 
 import (
 	"context"
@@ -12,8 +15,19 @@
 	"buckthornpick/internal/wait"
 )
 
-// leasePrefix holds one key for each zone, bound to the holder's lease.
-const leasePrefix = "bp/planner/"
+// Config parametrises a Lease.
+type Config struct {
+	// Key is bound to the holder's lease.
+	Key string
+	// Holder names this process.
+	Holder string
+	// TTL is the time after the last renewal at which the store frees the key.
+	TTL time.Duration
+	// Margin is taken off the lease for clock drift.
+	Margin time.Duration
+	// Standby is the mean time between looks at a key that another one holds.
+	Standby time.Duration
+}
 
 const (
 	renewalsPerTTL = 3
@@ -23,19 +37,15 @@
 	releaseTimeout = time.Second
 )
 
-// Lease is the right to act for a zone. It is safe for concurrent use.
+// Lease is the right to act. It is safe for concurrent use.
 //
 // The holder counts its lease from before it sent the renewal, less a margin.
-// The create revision of the zone's key is the fencing token: it rises with
-// every holder.
+// The create revision of the key is the fencing token: it rises with every
+// holder.
 type Lease struct {
-	key     string
-	holder  string
-	ttl     time.Duration
-	margin  time.Duration
-	standby time.Duration
-	store   kv.Store
-	log     *telemetry.Logger
+	cfg   Config
+	store kv.Store
+	log   *telemetry.Logger
 
 	mu         sync.Mutex
 	id         kv.LeaseID
@@ -44,13 +54,14 @@
 	validUntil time.Time
 }
 
-func newLease(cfg Config, store kv.Store, log *telemetry.Logger) *Lease {
-	return &Lease{
-		key: leasePrefix + cfg.Zone, holder: cfg.ID, ttl: cfg.LeaseTTL, margin: cfg.DriftMargin,
-		standby: cfg.StandbyInterval, store: store, log: log,
-	}
+// New returns a lease that is not held.
+func New(cfg Config, store kv.Store, log *telemetry.Logger) *Lease {
+	return &Lease{cfg: cfg, store: store, log: log}
 }
 
+// Key returns the key that is bound to the lease.
+func (l *Lease) Key() string { return l.cfg.Key }
+
 // Check returns the token and the end of the lease; an error of type
 // fault.Conflict means that this planner must not act.
 func (l *Lease) Check() (token int64, until time.Time, err error) {
@@ -59,7 +70,7 @@
 	now := time.Now()
 	// Either clock may stand still or step; both must agree.
 	if l.token == 0 || !now.Before(l.validUntil) || !now.Round(0).Before(l.validUntil.Round(0)) {
-		return 0, time.Time{}, fault.New(fault.Conflict, "planner.lease", l.key, "the zone's lease is not held")
+		return 0, time.Time{}, fault.New(fault.Conflict, "lease.check", l.cfg.Key, "the lease is not held")
 	}
 	return l.token, l.validUntil, nil
 }
@@ -71,43 +82,43 @@
 	return l.acquiredAt
 }
 
-// guard holds in the store while token is the zone's present holder.
-func (l *Lease) guard(token int64) kv.Compare { return kv.Compare{Key: l.key, ModRevision: token} }
+// Guard holds in the store while token is the present holder's.
+func (l *Lease) Guard(token int64) kv.Compare { return kv.Compare{Key: l.cfg.Key, ModRevision: token} }
 
-// lose gives up a token that the store or an engine says is not the latest.
-func (l *Lease) lose(token int64, cause string) {
+// Lose gives up a token that the store or an engine says is not the latest.
+func (l *Lease) Lose(token int64, cause string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.token != token || token == 0 {
 		return
 	}
 	l.token = 0
-	l.log.Log(EvLeaseLost, "token", token, "cause", cause)
+	l.log.Log(EvLost, "key", l.cfg.Key, "token", token, "cause", cause)
 }
 
-// run takes and renews the lease until ctx ends. It does not release it.
-func (l *Lease) run(ctx context.Context) error {
+// Run takes and renews the lease until ctx ends. It does not release it.
+func (l *Lease) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		held, err := l.campaign(ctx)
 		if err != nil && ctx.Err() == nil {
-			l.log.Log(EvLeaseFailed, "error", err)
+			l.log.Log(EvFailed, "key", l.cfg.Key, "error", err)
 		}
 		if held {
 			l.renewUntilLost(ctx)
 			continue
 		}
-		wait.For(ctx, l.standby/2+rand.N(l.standby))
+		wait.For(ctx, l.cfg.Standby/2+rand.N(l.cfg.Standby))
 	}
 	return nil
 }
 
 // campaign takes the lease if nobody holds it.
 func (l *Lease) campaign(ctx context.Context) (held bool, err error) {
-	if _, found, err := l.store.Get(ctx, l.key); err != nil || found {
+	if _, found, err := l.store.Get(ctx, l.cfg.Key); err != nil || found {
 		return false, err
 	}
 	sent := time.Now()
-	id, err := l.store.Grant(ctx, l.ttl)
+	id, err := l.store.Grant(ctx, l.cfg.TTL)
 	if err != nil {
 		return false, err
 	}
@@ -118,16 +129,16 @@
 	}
 	l.mu.Lock()
 	l.id, l.token, l.acquiredAt = id, token, time.Now()
-	l.validUntil = sent.Add(l.ttl - l.margin)
+	l.validUntil = sent.Add(l.cfg.TTL - l.cfg.Margin)
 	l.mu.Unlock()
-	l.log.Log(EvActing, "token", token)
+	l.log.Log(EvActing, "key", l.cfg.Key, "token", token)
 	return true, nil
 }
 
-// create writes the zone's key and returns its create revision, 0 if another
-// planner was first.
+// create writes the key and returns its create revision, 0 if another
+// process was first.
 func (l *Lease) create(ctx context.Context, id kv.LeaseID) (int64, error) {
-	result, err := l.store.Txn(ctx, []kv.Compare{{Key: l.key}}, []kv.Op{kv.PutWithLease(l.key, []byte(l.holder), id)})
+	result, err := l.store.Txn(ctx, []kv.Compare{{Key: l.cfg.Key}}, []kv.Op{kv.PutWithLease(l.cfg.Key, []byte(l.cfg.Holder), id)})
 	switch {
 	case err == nil && result.Succeeded:
 		return result.Revision, nil
@@ -137,7 +148,7 @@
 		return 0, err
 	}
 	// A write that arrives later is bound to a lease that is then revoked.
-	entry, found, err := l.store.Get(ctx, l.key)
+	entry, found, err := l.store.Get(ctx, l.cfg.Key)
 	if err != nil || !found || entry.Lease != id {
 		return 0, err
 	}
@@ -152,7 +163,7 @@
 }
 
 func (l *Lease) renewUntilLost(ctx context.Context) {
-	interval := l.ttl / renewalsPerTTL
+	interval := l.cfg.TTL / renewalsPerTTL
 	for wait.For(ctx, interval) {
 		l.mu.Lock()
 		id, token := l.id, l.token
@@ -163,16 +174,16 @@
 		}
 		sent := time.Now()
 		err := l.store.KeepAlive(ctx, id)
-		interval = l.ttl / renewalsPerTTL
+		interval = l.cfg.TTL / renewalsPerTTL
 		switch {
 		case err == nil:
 			l.extend(token, sent)
 		case fault.Is(err, fault.Conflict):
-			l.lose(token, "lapsed in the store")
+			l.Lose(token, "lapsed in the store")
 			return
 		case ctx.Err() == nil:
-			l.log.Log(EvLeaseFailed, "error", err)
-			interval = l.ttl / retryShare
+			l.log.Log(EvFailed, "key", l.cfg.Key, "error", err)
+			interval = l.cfg.TTL / retryShare
 		}
 	}
 }
@@ -181,12 +192,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.token == token {
-		l.validUntil = sent.Add(l.ttl - l.margin)
+		l.validUntil = sent.Add(l.cfg.TTL - l.cfg.Margin)
 	}
 }
 
-// release hands the lease over at a planned stop, after the last act.
-func (l *Lease) release(ctx context.Context) {
+// Release hands the lease over at a planned stop, after the last act.
+func (l *Lease) Release(ctx context.Context) {
 	l.mu.Lock()
 	id, held := l.id, l.token != 0
 	l.token = 0
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -132,7 +132,7 @@
 
 func (t *Transport) proof(role string, dialler, acceptor hello) []byte {
 	dialler.Proof, acceptor.Proof = nil, nil
-	mac := hmac.New(sha256.New, t.options.Secret)
+	mac := hmac.New(sha256.New, t.secret())
 	enc := msgpack.NewEncoder(mac)
 	_ = enc.Encode([]any{role, protocolVersion, &dialler, &acceptor}) // a hash takes every write
 	return mac.Sum(nil)
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -48,6 +48,12 @@
 	Depart Kind = 19
 	// DemandPull asks a member of the zone for its load by service.
 	DemandPull Kind = 20
+	// RelayState spreads a relay's totals and loads.
+	RelayState Kind = 21
+	// RelayCrash tells that a content crashed a backend server.
+	RelayCrash Kind = 22
+	// RelayCleared tells that a marked content was answered.
+	RelayCleared Kind = 23
 )
 
 var kindNames = map[Kind]string{
@@ -57,7 +63,8 @@
 	InventoryAnnounce: "inventory-announce", TableAnnounce: "table-announce", TablePull: "table-pull",
 	GossipCompare: "gossip-compare", CrashMark: "crash-mark", CrashClear: "crash-clear",
 	TrialBegin: "trial-begin", TrialEnd: "trial-end", Depart: "depart",
-	DemandPull: "demand-pull",
+	DemandPull: "demand-pull", RelayState: "relay-state", RelayCrash: "relay-crash",
+	RelayCleared: "relay-cleared",
 }
 
 // String returns the kind's name, or its number if it has none.
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -6,8 +6,12 @@
 type Options struct {
 	// ListenAddress is the listener's "host:port"; default the node's Address.
 	ListenAddress string
-	// Secret is shared by all nodes of the site; it must not be empty.
+	// Secret is shared by all nodes of the site; it must not be empty unless
+	// SecretSource is set.
 	Secret []byte
+	// SecretSource gives the secret once it is known, and nil before; handshakes
+	// fail until then.
+	SecretSource func() []byte
 	// MaxFrameBytes bounds one message; default 8 MiB.
 	MaxFrameBytes int
 	// Window bounds the messages in flight per stream and direction; all
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -102,7 +102,7 @@
 // Run accepts connections on the node's address until ctx ends. All goroutines
 // have ended when it returns. It can be called once.
 func (t *Transport) Run(ctx context.Context) error {
-	if len(t.options.Secret) == 0 {
+	if len(t.options.Secret) == 0 && t.options.SecretSource == nil {
 		return fault.New(fault.Invalid, "peer.run", "", "the shared secret is empty")
 	}
 	listener, err := t.network.Listen(cmp.Or(t.options.ListenAddress, t.self.Address))
@@ -185,7 +185,11 @@
 	ctx, cancel := context.WithTimeout(ctx, t.options.DialTimeout)
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
-	theirs, err := side(nc)
+	var theirs hello
+	err := t.requireSecret()
+	if err == nil {
+		theirs, err = side(nc)
+	}
 	if !stop() && err == nil {
 		err = fault.Wrap(ctx.Err(), fault.Unavailable, "peer.handshake", theirs.ID, "too late")
 	}
@@ -197,6 +201,23 @@
 	return theirs, err
 }
 
+// secret returns the shared secret, nil if it is not known yet.
+func (t *Transport) secret() []byte {
+	if len(t.options.Secret) == 0 && t.options.SecretSource != nil {
+		return t.options.SecretSource()
+	}
+	return t.options.Secret
+}
+
+// requireSecret keeps two nodes that both lack the secret from trusting each
+// other.
+func (t *Transport) requireSecret() error {
+	if len(t.secret()) == 0 {
+		return fault.New(fault.Unavailable, "peer.handshake", "", "the shared secret is not known yet")
+	}
+	return nil
+}
+
 // serve registers the connection and runs it to its end.
 func (t *Transport) serve(ctx context.Context, c *conn) {
 	t.register(c)
--- a/internal/planner/events.go
+++ b/internal/planner/events.go
@@ -8,12 +8,6 @@
 
 // Events of a planner.
 var (
-	EvActing = telemetry.Register(1970, "planner-acting", slog.LevelInfo,
-		"This planner took the zone's lease and acts for the zone; the token fences its orders.")
-	EvLeaseLost = telemetry.Register(1971, "planner-lease-lost", slog.LevelWarn,
-		"The zone's lease lapsed or was taken by another planner; this one no longer acts.")
-	EvLeaseFailed = telemetry.Register(1972, "planner-lease-failed", slog.LevelWarn,
-		"A call to take or renew the zone's lease failed; it is repeated.")
 	EvCycleFailed = telemetry.Register(1973, "plan-failed", slog.LevelWarn,
 		"A round of planning ended early; the next round begins from what the store holds.")
 	EvPlanned = telemetry.Register(1974, "fleet-planned", slog.LevelInfo,
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -15,6 +15,7 @@
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/fleet"
 	"buckthornpick/internal/kv"
+	"buckthornpick/internal/lease"
 	"buckthornpick/internal/provider"
 	"buckthornpick/internal/telemetry"
 	"buckthornpick/internal/wait"
@@ -32,12 +33,15 @@
 	Registry metrics.Registry
 }
 
+// leasePrefix holds one key for each zone, bound to the holder's lease.
+const leasePrefix = "bp/planner/"
+
 // Planner plans for one zone while it holds the zone's lease.
 type Planner struct {
 	cfg       Config
 	deps      Deps
 	log       *telemetry.Logger
-	lease     *Lease
+	lease     *lease.Lease
 	documents *confstore.Store
 	notices   notices
 	wake      chan struct{} // capacity 1: plan now
@@ -73,7 +77,9 @@
 func New(cfg Config, deps Deps) *Planner {
 	cfg = cfg.withDefaults()
 	p := &Planner{cfg: cfg, deps: deps, log: deps.Log, wake: make(chan struct{}, 1)}
-	p.lease = newLease(cfg, deps.Store, deps.Log)
+	p.lease = lease.New(lease.Config{
+		Key: leasePrefix + cfg.Zone, Holder: cfg.ID, TTL: cfg.LeaseTTL, Margin: cfg.DriftMargin, Standby: cfg.StandbyInterval,
+	}, deps.Store, deps.Log)
 	p.notices.deadlines = map[string]time.Time{}
 	p.documents = confstore.New(confstore.Config{Self: cfg.ID, WatchesStore: p.Acting}, deps.Store, deps.Log, deps.Registry)
 	p.forget()
@@ -90,11 +96,11 @@
 // stop it gives the zone up after its last act.
 func (p *Planner) Run(ctx context.Context) error {
 	var g errgroup.Group
-	for _, duty := range []func(context.Context) error{p.lease.run, p.documents.Run, p.followNotices, p.plan} {
+	for _, duty := range []func(context.Context) error{p.lease.Run, p.documents.Run, p.followNotices, p.plan} {
 		g.Go(func() error { return duty(ctx) })
 	}
 	err := g.Wait()
-	p.lease.release(ctx)
+	p.lease.Release(ctx)
 	if ctx.Err() != nil {
 		return nil
 	}
--- a/internal/planner/site.go
+++ b/internal/planner/site.go
@@ -143,7 +143,7 @@
 		return nil
 	}
 	key := fleet.StatePrefix + p.cfg.Zone
-	guards := []kv.Compare{p.lease.guard(p.token), {Key: key, ModRevision: s.ownRevision}}
+	guards := []kv.Compare{p.lease.Guard(p.token), {Key: key, ModRevision: s.ownRevision}}
 	result, err := p.deps.Store.Txn(ctx, guards, []kv.Op{kv.Put(key, value)})
 	if err != nil {
 		return err // the next round reads what came of it
@@ -158,12 +158,12 @@
 // explainLostSave finds out whether the lease or an earlier late write was the
 // reason.
 func (p *Planner) explainLostSave(ctx context.Context) error {
-	entry, found, err := p.deps.Store.Get(ctx, p.lease.key)
+	entry, found, err := p.deps.Store.Get(ctx, p.lease.Key())
 	if err != nil {
 		return err
 	}
 	if !found || entry.ModRevision != p.token {
-		p.lease.lose(p.token, "the store names another holder")
+		p.lease.Lose(p.token, "the store names another holder")
 	}
 	return fault.New(fault.Conflict, "planner.save", p.cfg.Zone, "the zone's state was changed meanwhile")
 }
--- /dev/null
+++ b/internal/relayd/relayd.go
@@ -0,0 +1,324 @@
+package relayd
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"buckthornpick/internal/cli"
+	"buckthornpick/internal/clock"
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/duty"
+	"buckthornpick/internal/exchange"
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/follow"
+	"buckthornpick/internal/lease"
+	"buckthornpick/internal/netx"
+	"buckthornpick/internal/peer"
+	"buckthornpick/internal/quota"
+	"buckthornpick/internal/relay"
+	"buckthornpick/internal/upstream"
+	"buckthornpick/internal/usage"
+)
+
+// Adapter is what a relay needs of the platform that it runs on.
+type Adapter struct {
+	Codec         relay.Codec
+	Store         func(s Settings, client *http.Client, p *cli.Process) follow.Store
+	Cloud         func(s Settings, client *http.Client) duty.Cloud
+	ReadinessPath string
+
+	DocumentKey    string
+	DecodeDocument func([]byte) (*config.Document, error)
+	ServersPrefix  string
+	DecodeServer   func(key string, value []byte) (follow.Server, error)
+}
+
+// Daemon returns the description of the buckthornpick-relay binary.
+func Daemon(a Adapter) cli.Daemon[Settings] {
+	return cli.Daemon[Settings]{
+		Name:  "buckthornpick-relay",
+		Usage: "forward requests that name each attempt, and share quotas and duties with the other entries",
+		Node: func(s *Settings) (config.NodeSettings, *config.LogSettings) {
+			return s.Node, &s.Log
+		},
+		Run: func(ctx context.Context, s Settings, p *cli.Process) error {
+			return newProcess(a, s, p, netx.TCP{}, clock.Boot).run(ctx)
+		},
+	}
+}
+
+const (
+	// documentWait is how often the document is confirmed without changes: keys
+	// are refused when it was not confirmed for most of the revocation time.
+	documentWait = 700 * time.Millisecond
+	// serversWait and serversPause let the registry's heartbeats gather; leaving
+	// servers must get nothing from 2 s after the store's acknowledgement.
+	serversWait  = 2 * time.Second
+	serversPause = 650 * time.Millisecond
+	// entriesWait is the wait for changes of the site's entries.
+	entriesWait = 8 * time.Second
+
+	// revokeMargin is taken off the revocation time: a watch may hear nothing
+	// for a second while changes are made, and a call takes its time.
+	revokeMargin = 1200 * time.Millisecond
+
+	storeTimeout = 1500 * time.Millisecond
+	// dutyStandby is the mean time between looks at duties that another entry
+	// holds: usage is due 10 s after its window.
+	dutyStandby = 2 * time.Second
+	leaseMargin = 300 * time.Millisecond
+
+	// peerSilence and peerTimeout find connections that went silent; messages
+	// come five times a second.
+	peerSilence = 700 * time.Millisecond
+	peerTimeout = 700 * time.Millisecond
+
+	maxHeaderBytes    = 64 << 10
+	maxBodyBytes      = 4 << 20
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout is above any that the operators' document gives callers.
+	idleTimeout = 2 * time.Minute
+	// maxIdleToPlatform bounds kept connections to the store or the cloud API.
+	maxIdleToPlatform = 8
+)
+
+// DutyKey is bound to the lease of the duties' holder.
+const DutyKey = "buckthornpick/duties"
+
+// process is a relay with everything that it works with.
+type process struct {
+	adapter Adapter
+	s       Settings
+	p       *cli.Process
+	network netx.Network
+	clock   clock.Clock
+
+	store     follow.Store
+	cloud     duty.Cloud
+	documents *follow.Documents
+	document  *follow.Follower
+	servers   *follow.Servers
+	registry  *follow.Follower
+	entries   *follow.Entries
+	members   *follow.Follower
+	secret    *follow.Secret
+	transport *peer.Transport
+	exchange  *exchange.Exchange
+	counts    *usage.Counts
+	fleet     *relay.Fleet
+	relay     *relay.Relay
+	lease     *lease.Lease
+	drain     drainState
+}
+
+func newProcess(a Adapter, s Settings, p *cli.Process, n netx.Network, c clock.Clock) *process {
+	x := &process{adapter: a, s: s, p: p, network: n, clock: c}
+	client := netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: maxIdleToPlatform, DialTimeout: storeTimeout})
+	x.store = a.Store(s, client, p)
+	if s.Cloud != "" {
+		x.cloud = a.Cloud(s, client)
+	}
+	x.provisionViews()
+	x.provisionRelay()
+	return x
+}
+
+func (x *process) provisionViews() {
+	a, log := x.adapter, x.p.Log
+	x.documents = follow.NewDocuments(a.DocumentKey, a.DecodeDocument, log, func(d *follow.Document) { x.fleet.SetDocument(d) })
+	x.document = follow.New(follow.Options{Name: "document", Prefix: a.DocumentKey, Wait: documentWait}, x.store, x.documents, x.clock, log)
+	x.documents.Bind(x.document)
+	x.servers = follow.NewServers(a.ServersPrefix, a.DecodeServer, x.clock, log, func(list []follow.Server) { x.fleet.SetServers(list) })
+	x.registry = follow.New(follow.Options{Name: "servers", Prefix: a.ServersPrefix, Wait: serversWait, Pause: serversPause}, x.store, x.servers, x.clock, log)
+	self := peer.Node{ID: x.s.Node.ID, Zone: x.s.Node.Zone, Address: x.s.Peers}
+	x.entries = follow.NewEntries(self, log)
+	x.members = follow.New(follow.Options{Name: "entries", Prefix: follow.EntriesPrefix, Wait: entriesWait}, x.store, x.entries, x.clock, log)
+	x.secret = follow.NewSecret(log)
+	x.transport = peer.New(self, x.network, log, x.p.Metrics, peer.Options{
+		SecretSource: x.secret.Bytes, PingInterval: peerSilence, IdlePingInterval: peerSilence, PingTimeout: peerTimeout,
+	})
+}
+
+func (x *process) provisionRelay() {
+	b, log := x.s.Bounds, x.p.Log
+	pool := upstream.NewPool(x.network, x.p.Metrics)
+	x.fleet = relay.NewFleet(x.s.Node.ID, x.s.Node.Zone, x.clock, pool)
+	x.counts = usage.NewCounts(seconds(b.UsageWindowSeconds), clock.NewWall(x.clock, time.Now))
+	quotas := relay.NewQuotas(seconds(b.QuotaWindowSeconds), x.clock)
+	crashes := relay.NewCrashes(x.clock)
+	x.exchange = exchange.New(exchange.Config{
+		Transport: x.transport, Entries: x.entries, Fleet: x.fleet, Quotas: quotas, Crashes: crashes,
+		Counts: x.counts, Clock: x.clock, Log: log,
+	}, x.s.Node.ID, time.Now())
+	x.relay = relay.New(relay.Config{
+		Codec: x.adapter.Codec, Documents: x.documents, Fleet: x.fleet, Pool: pool, Quotas: quotas, Crashes: crashes,
+		Peers: x.exchange, Counts: x.counts, Zone: x.s.Node.Zone, Clock: x.clock, Log: log, Metrics: x.p.Metrics,
+		Bounds: relay.Bounds{
+			KeyLife: millis(b.RevokeMillis) - revokeMargin, QuotaWindow: seconds(b.QuotaWindowSeconds),
+			Repeats:        quota.RepeatLimits{Ratio: b.RepeatRatio, Slack: b.RepeatSlack, Span: seconds(b.RepeatWindowSeconds)},
+			MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes,
+		},
+	})
+	x.lease = lease.New(lease.Config{
+		Key: DutyKey, Holder: x.s.Node.ID, TTL: millis(b.LeaseMillis), Margin: leaseMargin, Standby: dutyStandby,
+	}, x.store, log)
+}
+
+// run serves until ctx ends, and then finishes what it has begun.
+func (x *process) run(ctx context.Context) error {
+	listeners, err := x.listen()
+	if err != nil {
+		return err
+	}
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	g, life := errgroup.WithContext(life)
+	for _, duty := range x.duties() {
+		g.Go(func() error { return duty(life) })
+	}
+	callers := x.callerServer()
+	for l, server := range map[net.Listener]*http.Server{listeners.callers: callers, listeners.readiness: x.readinessServer()} {
+		g.Go(func() error { return serve(server, l) })
+		defer func() { _ = server.Close() }()
+	}
+	if x.s.Metrics != "" {
+		pages := &cli.Pages{Metrics: x.p.Metrics, Ready: x.ready}
+		admin, err := cli.ListenAdmin(x.network, x.s.Metrics, nil, pages.Handler(), x.p.Log)
+		if err != nil {
+			return err
+		}
+		g.Go(func() error { return admin.Run(life) })
+	}
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			x.stop(callers)
+		case <-life.Done():
+		}
+		end()
+		_ = callers.Close()
+		return errStopped
+	})
+	if err := g.Wait(); !errors.Is(err, errStopped) {
+		return err
+	}
+	return nil
+}
+
+// errStopped ends the run group after a planned stop.
+var errStopped = errors.New("stopped")
+
+// duties are the goroutines of the process besides its listeners.
+func (x *process) duties() []func(context.Context) error {
+	list := []func(context.Context) error{
+		x.document.Run, x.registry.Run, x.members.Run, x.transport.Run, x.exchange.Run, x.reloadOnSignal,
+		func(ctx context.Context) error { return x.entries.Register(ctx, x.store) },
+		func(ctx context.Context) error { return x.secret.Learn(ctx, x.store) },
+	}
+	if x.cloud == nil {
+		return list
+	}
+	list = append(list, func(ctx context.Context) error {
+		err := x.lease.Run(ctx)
+		x.lease.Release(context.WithoutCancel(ctx))
+		return err
+	})
+	if slices.Contains(x.s.Duties, DutyUsage) {
+		reporter := &duty.Reporter{Lease: x.lease, Store: x.store, Cloud: x.cloud, Counts: x.counts, Log: x.p.Log}
+		list = append(list, reporter.Run)
+	}
+	return list
+}
+
+type listeners struct{ callers, readiness net.Listener }
+
+func (x *process) listen() (listeners, error) {
+	var l listeners
+	var err error
+	if l.callers, err = x.open("callers", x.s.Callers); err != nil {
+		return l, err
+	}
+	l.callers = netx.LimitListener(l.callers, x.s.Bounds.MaxConnections)
+	l.readiness, err = x.open("readiness", x.s.Readiness)
+	return l, err
+}
+
+func (x *process) open(name, address string) (net.Listener, error) {
+	l, err := x.network.Listen(address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, name+".listen", address, "cannot listen")
+	}
+	x.p.Log.Log(cli.EvListening, "listener", name, "address", address)
+	return l, nil
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (x *process) callerServer() *http.Server {
+	return &http.Server{
+		Handler: x.relay, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+func (x *process) readinessServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+x.adapter.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		if err := x.ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	})
+	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+}
+
+// ready returns why callers should go to other entries, nil if they need not.
+func (x *process) ready() error {
+	doc, age := x.documents.Current()
+	switch {
+	case x.drain.isDraining.Load():
+		return errors.New("draining")
+	case doc == nil:
+		return errors.New("no document yet")
+	case age > millis(x.s.Bounds.RevokeMillis)-revokeMargin:
+		return errors.New("the document was not confirmed for too long")
+	}
+	return nil
+}
+
+// reloadOnSignal reads the settings again at SIGHUP. Addresses and bounds are
+// those of the start; the log tells whether a restart is due.
+func (x *process) reloadOnSignal(ctx context.Context) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-signals:
+			x.reload()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (x *process) reload() {
+	next, err := config.Load[Settings](os.Getenv(cli.EnvSettings))
+	if err != nil {
+		x.p.Log.Log(EvReloadFailed, "error", err.Error())
+		return
+	}
+	x.p.Log.Log(EvReloaded, "restart_due", next.Node != x.s.Node || next.Callers != x.s.Callers || next.Store != x.s.Store || next.Bounds != x.s.Bounds)
+}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -149,6 +149,9 @@
 		if i == home {
 			cached = max(cached, int(homeHit*float64(q.PromptTokens)))
 		}
+		if q.SharedTokens > 0 {
+			cached = min(cached, q.SharedTokens)
+		}
 		informed = informed || cached > 0
 		p.cost(q, c, cached)
 	}
--- a/internal/route/types.go
+++ b/internal/route/types.go
@@ -57,6 +57,9 @@
 	// Context is the hash of the conversation or shared prefix; 0 is none.
 	Context      uint64
 	PromptTokens int
+	// SharedTokens bounds the tokens that a server can hold of the prompt; 0 is
+	// all of it.
+	SharedTokens int
 	MaxTokens    int
 	// PrefixHashes are chained hashes of the prompt's blocks, Config.BlockTokens
 	// each; hash i stands for blocks 0 to i. Empty if unknown.
--- a/internal/rules/cover.go
+++ b/internal/rules/cover.go
@@ -29,6 +29,8 @@
 func covers(a, b *compiled) bool {
 	x, y := &a.when, &b.when
 	return b.hours&^a.hours == 0 &&
+		listCovers(x.Hosts, y.Hosts, 0) &&
+		prefixesCover(x.PathPrefixes, y.PathPrefixes) &&
 		listCovers(x.Organisations, y.Organisations, 0) &&
 		listCovers(x.Services, y.Services, 0) &&
 		listCovers(x.Models, y.Models, 0) &&
@@ -67,6 +69,20 @@
 	return true
 }
 
+// prefixesCover reports whether every path that begins with one of b begins
+// with one of a.
+func prefixesCover(a, b []string) bool {
+	if len(a) == 0 {
+		return true
+	}
+	for _, p := range b {
+		if !beginsWithAny(p, a) {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
 func boundCovers(a, b *float64) bool {
 	return a == nil || (b != nil && *b >= *a)
 }
--- a/internal/rules/explain.go
+++ b/internal/rules/explain.go
@@ -28,6 +28,10 @@
 
 func mismatches(w *config.When, in *Input) []string {
 	e := &explainer{}
+	e.list("host", w.Hosts, in.Host)
+	if !beginsWithAny(in.Path, w.PathPrefixes) {
+		e.add("path %q begins with none of %q", in.Path, w.PathPrefixes)
+	}
 	e.list("organisation", w.Organisations, in.Organisation)
 	e.list("service", w.Services, in.Service)
 	e.list("model", w.Models, in.Model)
--- a/internal/rules/input.go
+++ b/internal/rules/input.go
@@ -25,6 +25,10 @@
 	RequestID string
 	// Zone is the availability zone of the entry that took the request.
 	Zone string
+	// Host is the host that the caller named, in lower case and without a port.
+	Host string
+	// Path is the call's path.
+	Path string
 	// Now gives the hour of the day, UTC.
 	Now time.Time
 	// Load is the load of Service, 0 to 1 and above.
--- a/internal/rules/set.go
+++ b/internal/rules/set.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"buckthornpick/internal/config"
 )
@@ -37,6 +38,12 @@
 	return s, nil
 }
 
+// CompileAccepted compiles a document that was checked and accepted elsewhere:
+// faults are returned beside the set and do not keep it from being used.
+func CompileAccepted(doc *config.Document) (*Set, config.Problems) {
+	return newSet(doc.Rules), config.Check(doc)
+}
+
 func newSet(list []config.Rule) *Set {
 	s := &Set{noMatch: config.Then{Refuse: &config.Refuse{Reason: "no rule matches this request"}}}
 	for _, r := range list {
@@ -71,7 +78,9 @@
 // matches evaluates all conditions but the hours.
 func (r *compiled) matches(in *Input) bool {
 	w := &r.when
-	return contains(w.Services, in.Service) &&
+	return contains(w.Hosts, in.Host) &&
+		beginsWithAny(in.Path, w.PathPrefixes) &&
+		contains(w.Services, in.Service) &&
 		contains(w.Organisations, in.Organisation) &&
 		contains(w.Models, in.Model) &&
 		contains(w.Kinds, in.Kind) &&
@@ -90,6 +99,13 @@
 	return len(list) == 0 || slices.Contains(list, v)
 }
 
+// beginsWithAny reports whether path begins with a listed prefix; an empty list
+// allows every path.
+func beginsWithAny(path string, prefixes []string) bool {
+	return len(prefixes) == 0 ||
+		slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(path, p) })
+}
+
 const (
 	hoursPerDay = 24
 	allHours    = 1<<hoursPerDay - 1
--- /dev/null
+++ b/internal/upstream/call.go
@@ -0,0 +1,223 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"buckthornpick/internal/fault"
+)
+
+// Call is one call of a backend server.
+type Call struct {
+	Method string
+	// URI is the path with the query, as the caller sent it.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// IsAnswer reports whether an answer belongs to this call; nil takes any.
+	IsAnswer func(status int, h http.Header) bool
+}
+
+const (
+	// concurrentWrite is the size of a call from which it is written beside the
+	// reading of the answer: a server may answer a long call early.
+	concurrentWrite = 8 << 10
+	// maxForeign bounds the answers to earlier calls that are skipped.
+	maxForeign = 4
+	// maxForeignBytes bounds the body of a skipped answer.
+	maxForeignBytes = 1 << 20
+)
+
+// ErrNotSent marks calls of which no byte left this process.
+var ErrNotSent = errors.New("not sent")
+
+// ErrInUse marks calls that were not sent because all connections are in use.
+var ErrInUse = errors.New("all connections are in use")
+
+// Answer is the head of an answer and its body, which must be closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length is the declared length of the body, -1 if it is not declared.
+	Length int64
+	// Framed is false if the body ends with its connection.
+	Framed bool
+	Body   io.ReadCloser
+}
+
+// Do sends a call and reads the head of its answer. The end of ctx closes the
+// connection. An error that wraps ErrNotSent says that the server has not seen
+// the call; after any other it may have run.
+func (p *Pool) Do(ctx context.Context, t Target, call *Call) (*Answer, error) {
+	c, err := p.get(ctx, t)
+	if err != nil {
+		return nil, fault.Wrap(errors.Join(ErrNotSent, err), fault.Unavailable, "upstream.dial", t.ID, "not sent")
+	}
+	x := &exchange{pool: p, conn: c, call: call}
+	x.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
+	sent, err := x.send()
+	if err != nil && sent == 0 {
+		x.abandon()
+		return nil, fault.Wrap(errors.Join(ErrNotSent, err), fault.Unavailable, "upstream.send", t.ID, "not sent")
+	}
+	if err != nil {
+		x.abandon()
+		return nil, fault.Wrap(err, fault.Ambiguous, "upstream.send", t.ID, "sent in part")
+	}
+	answer, err := x.receive()
+	if err != nil {
+		x.abandon()
+		return nil, fault.Wrap(err, fault.Ambiguous, "upstream.receive", t.ID, "no answer")
+	}
+	return answer, nil
+}
+
+// past is a deadline that ends reads and writes at once.
+var past = time.Unix(1, 0)
+
+// exchange is one call on a connection. It ends with finish or abandon.
+type exchange struct {
+	pool *Pool
+	conn *conn
+	call *Call
+	stop func() bool
+	// written is closed when a concurrent write has ended; nil if there is none.
+	written  chan struct{}
+	writeErr error
+	once     sync.Once
+}
+
+// send writes the call. A long one is written beside the reading of its answer,
+// and sent is then the length of the whole.
+func (x *exchange) send() (sent int, err error) {
+	b := &bytes.Buffer{}
+	x.encode(b)
+	x.conn.used = true
+	if b.Len() < concurrentWrite {
+		return x.conn.Write(b.Bytes())
+	}
+	x.written = make(chan struct{})
+	go func() {
+		defer close(x.written)
+		_, x.writeErr = x.conn.Write(b.Bytes())
+	}()
+	return b.Len(), nil
+}
+
+func (x *exchange) encode(b *bytes.Buffer) {
+	call := x.call
+	b.Grow(512 + len(call.Body))
+	b.WriteString(call.Method + " " + call.URI + " HTTP/1.1\r\nHost: " + call.Host + "\r\n")
+	_ = call.Header.Write(b) // a buffer takes every write
+	if len(call.Body) > 0 || (call.Method != http.MethodGet && call.Method != http.MethodHead) {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(call.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(call.Body)
+}
+
+// receive reads answers until one belongs to the call.
+func (x *exchange) receive() (*Answer, error) {
+	request := &http.Request{Method: x.call.Method}
+	for range maxForeign {
+		resp, err := http.ReadResponse(x.conn.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+			continue
+		}
+		if x.call.IsAnswer == nil || x.call.IsAnswer(resp.StatusCode, resp.Header) {
+			framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+			return &Answer{
+				Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framed: framed,
+				Body: &body{exchange: x, from: resp.Body, keep: keepFor(resp), framed: framed},
+			}, nil
+		}
+		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBytes)); err != nil || n == maxForeignBytes {
+			return nil, errors.New("answer to another call without an end")
+		}
+	}
+	return nil, errors.New("only answers to other calls")
+}
+
+// keepFor returns how long the connection may be kept idle, 0 if not at all.
+func keepFor(resp *http.Response) time.Duration {
+	if resp.Close {
+		return 0
+	}
+	for part := range strings.SplitSeq(resp.Header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			return max(0, time.Duration(seconds)*time.Second-idleMargin)
+		}
+	}
+	return defaultIdle
+}
+
+// finish gives the connection back after a whole answer.
+func (x *exchange) finish(keep time.Duration) {
+	x.once.Do(func() {
+		if !x.stop() {
+			keep = 0
+		}
+		if x.written != nil {
+			select {
+			case <-x.written:
+				if x.writeErr != nil {
+					keep = 0
+				}
+			default:
+				keep = 0 // answered early: the rest is not sent
+			}
+		}
+		if x.conn.reader.Buffered() > 0 {
+			keep = 0
+		}
+		x.pool.put(x.conn, keep)
+	})
+}
+
+// abandon closes the connection; most servers then drop the call.
+func (x *exchange) abandon() {
+	x.once.Do(func() {
+		x.stop()
+		x.pool.put(x.conn, 0)
+	})
+}
+
+// body is an answer's body. At its end the connection goes back to the pool; if
+// it is closed before, the connection is closed.
+type body struct {
+	exchange *exchange
+	from     io.Reader
+	keep     time.Duration
+	framed   bool
+}
+
+// Read implements io.Reader. io.EOF is the whole end of the answer.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.from.Read(p)
+	if err == io.EOF {
+		keep := b.keep
+		if !b.framed {
+			keep = 0
+		}
+		b.exchange.finish(keep)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *body) Close() error {
+	b.exchange.abandon()
+	return nil
+}
