follow: a quiet registry is no outage; entries written before are skipped

An outage is now what the follower saw fail, the time is 1.6 s and ends by a timer. Writes of a server that are carried out late no longer undo later ones. Tests: internal/follow/servers_test.go; the first one failed before.

--- a/internal/follow/document.go
+++ b/internal/follow/document.go
@@ -87,6 +87,9 @@
 // Confirmed implements Sink.
 func (d *Documents) Confirmed() {}
 
+// Regained implements Sink.
+func (d *Documents) Regained(time.Duration) {}
+
 func (d *Documents) take(e kv.Entry) {
 	if e.Key != d.key {
 		return
--- a/internal/follow/entries.go
+++ b/internal/follow/entries.go
@@ -89,6 +89,9 @@
 // Confirmed implements Sink.
 func (e *Entries) Confirmed() {}
 
+// Regained implements Sink.
+func (e *Entries) Regained(time.Duration) {}
+
 func (e *Entries) putLocked(entry kv.Entry) {
 	var node peer.Node
 	if err := json.Unmarshal(entry.Value, &node); err != nil || node.ID == "" || node.Address == "" {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -37,6 +37,8 @@
 	Apply(events []kv.Event)
 	// Confirmed is told that the store answered and nothing has changed.
 	Confirmed()
+	// Regained is told that the store answers again after failures for lost.
+	Regained(lost time.Duration)
 }
 
 // Follower reads a prefix of the store and then its changes.
@@ -114,7 +116,6 @@
 			backoff = min(2*backoff, retryMost)
 			continue
 		}
-		f.noteAnswer()
 		backoff = retryFirst
 		if isListed {
 			wait.For(ctx, f.pause)
@@ -129,6 +130,7 @@
 	if err != nil {
 		return err
 	}
+	f.noteAnswer()
 	f.sink.Replace(snapshot.Entries)
 	f.revision.Store(snapshot.Revision)
 	f.confirmed.Store(int64(sent))
@@ -143,6 +145,7 @@
 	if err != nil {
 		return true, err
 	}
+	f.noteAnswer()
 	if batch.Compacted {
 		f.log.Log(EvCompacted, "view", f.name, "revision", f.revision.Load())
 		return false, nil
@@ -172,5 +175,6 @@
 		return
 	}
 	f.lost = false
+	f.sink.Regained(f.clock() - f.lostAt)
 	f.log.Log(EvStoreRegained, "view", f.name, "revision", f.revision.Load(), "lost_ms", (f.clock() - f.lostAt).Milliseconds())
 }
--- a/internal/follow/servers.go
+++ b/internal/follow/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"buckthornpick/internal/clock"
 	"buckthornpick/internal/kv"
 	"buckthornpick/internal/telemetry"
+	"buckthornpick/internal/wait"
 )
 
 // Server is a backend server as the registry shows it.
@@ -22,25 +24,34 @@
 	Slots int
 	// Born is the Unix millisecond of its start; 0 is unknown. A server that
 	// starts again under its ID knows nothing of before.
-	Born        int64
+	Born int64
+	// Beat rises with every write of the server's entry; 0 is unknown.
+	Beat        int64
 	Reclaimable bool
 	// Leaving servers get no new work.
 	Leaving bool
 }
 
+// departure is how a server left.
+type departure struct {
+	born, beat int64
+	// isAnnounced: the server said itself that it leaves.
+	isAnnounced bool
+}
+
 const (
 	// returnGrace is how long after the store's return a backend server whose
-	// entry has lapsed is kept: living ones are back in about 2 s.
-	returnGrace = 1900 * time.Millisecond
-	// outageLeast is the gap between confirmations from which the store counts
-	// as having been away: entries lapse after three heartbeats of about 1 s.
-	outageLeast = 2500 * time.Millisecond
+	// entry has lapsed is kept: living ones are back in about 2 s, and one that
+	// left must get nothing 2 s after the store said so.
+	returnGrace = 1600 * time.Millisecond
+	// outageLeast is the shortest outage in which entries may lapse.
+	outageLeast = time.Second
 )
 
 // Servers is the view of the registry of backend servers.
 //
-// Invariant: a server that was seen leaving or removed gets no new work again
-// unless it was born anew.
+// Invariant: a server that was seen leaving gets no new work again unless it was
+// born anew; one whose entry was removed only if it has written since.
 type Servers struct {
 	decode   func(key string, value []byte) (Server, error)
 	prefix   string
@@ -50,12 +61,13 @@
 
 	mu      sync.Mutex
 	servers map[string]Server
-	// left holds the birth of each server that was seen leaving or gone.
-	left map[string]int64
+	// left holds the servers that were seen leaving or gone.
+	left map[string]departure
 	// missing holds servers that lapsed during an outage, until when they stay.
 	missing map[string]time.Duration
 	bad     map[string]bool
-	read    time.Duration // clock of the last read
+	// graceTo is the clock up to which entries that are missing after an outage
+	// may return.
 	graceTo time.Duration
 }
 
@@ -63,7 +75,7 @@
 func NewServers(prefix string, decode func(string, []byte) (Server, error), c clock.Clock, log *telemetry.Logger, onChange func([]Server)) *Servers {
 	return &Servers{
 		prefix: prefix, decode: decode, clock: c, log: log, onChange: onChange,
-		servers: map[string]Server{}, left: map[string]int64{}, missing: map[string]time.Duration{}, bad: map[string]bool{},
+		servers: map[string]Server{}, left: map[string]departure{}, missing: map[string]time.Duration{}, bad: map[string]bool{},
 	}
 }
 
@@ -86,7 +98,7 @@
 // Replace implements Sink.
 func (s *Servers) Replace(entries []kv.Entry) {
 	s.mu.Lock()
-	s.noteReadLocked()
+	s.expireLocked()
 	present := map[string]bool{}
 	for _, e := range entries {
 		id := e.Key[len(s.prefix):]
@@ -110,7 +122,6 @@
 // Apply implements Sink.
 func (s *Servers) Apply(events []kv.Event) {
 	s.mu.Lock()
-	s.noteReadLocked()
 	changed := false
 	for _, e := range events {
 		if e.Deleted {
@@ -122,6 +133,7 @@
 		}
 		changed = s.putLocked(e.Entry) || changed
 	}
+	changed = s.expireLocked() || changed
 	list := s.listLocked()
 	s.mu.Unlock()
 	if changed {
@@ -129,11 +141,23 @@
 	}
 }
 
-// Confirmed notes that the store answered without changes, and drops servers
-// whose grace has ended.
-func (s *Servers) Confirmed() {
+// Confirmed implements Sink.
+func (s *Servers) Confirmed() {}
+
+// expireInterval is the time between looks at servers that were given time to
+// return.
+const expireInterval = 100 * time.Millisecond
+
+// Run drops servers whose time to return has ended, until ctx ends.
+func (s *Servers) Run(ctx context.Context) error {
+	for wait.For(ctx, expireInterval) {
+		s.expire()
+	}
+	return nil
+}
+
+func (s *Servers) expire() {
 	s.mu.Lock()
-	s.noteReadLocked()
 	changed := s.expireLocked()
 	list := s.listLocked()
 	s.mu.Unlock()
@@ -142,13 +166,15 @@
 	}
 }
 
-// noteReadLocked opens the time of grace after an outage of the store.
-func (s *Servers) noteReadLocked() {
-	now := s.clock()
-	if s.read != 0 && now-s.read > outageLeast {
-		s.graceTo = now + returnGrace
+// Regained implements Sink: entries that lapsed during an outage get time to
+// return.
+func (s *Servers) Regained(lost time.Duration) {
+	if lost < outageLeast {
+		return
 	}
-	s.read = now
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.graceTo = s.clock() + returnGrace
 }
 
 // putLocked takes one entry and reports whether the view changed.
@@ -168,22 +194,36 @@
 	}
 	delete(s.bad, id)
 	delete(s.missing, id)
-	if born, hasLeft := s.left[id]; hasLeft && born == next.Born {
+	old, known := s.servers[id]
+	if s.isOutdated(next, old, known) {
+		s.log.Log(EvServerOld, "server", id, "born", next.Born, "beat", next.Beat, "revision", e.ModRevision)
+		return false
+	}
+	if gone, hasLeft := s.left[id]; hasLeft && gone.isAnnounced && gone.born == next.Born {
 		next.Leaving = true
 	}
 	if next.Leaving {
-		s.left[id] = next.Born
+		s.left[id] = departure{born: next.Born, beat: next.Beat, isAnnounced: true}
 	}
-	old, known := s.servers[id]
-	if known && old == next {
+	s.servers[id] = next
+	if old.Beat = next.Beat; known && old == next {
 		return false
 	}
-	s.servers[id] = next
 	s.log.Log(EvServer, "server", id, "service", next.Service, "server_zone", next.Zone, "address", next.Address,
 		"state", stateWord(next), "born", next.Born, "revision", e.ModRevision)
 	return true
 }
 
+// isOutdated reports whether an entry was written before what is known: a write
+// of the server may be carried out late, also after its entry was removed.
+func (s *Servers) isOutdated(next, old Server, known bool) bool {
+	if known {
+		return next.Born < old.Born || (next.Born == old.Born && next.Beat < old.Beat)
+	}
+	gone, hasLeft := s.left[next.ID]
+	return hasLeft && (next.Born < gone.born || (next.Born == gone.born && next.Beat <= gone.beat))
+}
+
 func stateWord(s Server) string {
 	if s.Leaving {
 		return "leaving"
@@ -206,7 +246,7 @@
 
 func (s *Servers) dropLocked(id, state string) {
 	old := s.servers[id]
-	s.left[id] = old.Born
+	s.left[id] = departure{born: old.Born, beat: old.Beat, isAnnounced: old.Leaving}
 	delete(s.servers, id)
 	delete(s.missing, id)
 	s.log.Log(EvServer, "server", id, "service", old.Service, "server_zone", old.Zone, "state", state, "born", old.Born)
--- /dev/null
+++ b/internal/follow/servers_test.go
@@ -0,0 +1,116 @@
+package follow
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/kv"
+	"buckthornpick/internal/telemetry"
+)
+
+// registryRig is a view of a registry whose clock the test moves.
+type registryRig struct {
+	now  time.Duration
+	view *Servers
+	list []Server
+}
+
+func newRegistryRig() *registryRig {
+	r := &registryRig{now: time.Hour}
+	decode := func(_ string, value []byte) (Server, error) {
+		var s Server
+		err := json.Unmarshal(value, &s)
+		return s, fault.Wrap(err, fault.Invalid, "test", "", "unreadable")
+	}
+	r.view = NewServers("s/", decode, func() time.Duration { return r.now }, telemetry.Discard(), func(l []Server) { r.list = l })
+	return r
+}
+
+func (r *registryRig) entry(s Server) kv.Entry {
+	value, _ := json.Marshal(s)
+	return kv.Entry{Key: "s/" + s.ID, Value: value}
+}
+
+func (r *registryRig) put(s Server) { r.view.Apply([]kv.Event{{Entry: r.entry(s)}}) }
+
+func (r *registryRig) remove(id string) {
+	r.view.Apply([]kv.Event{{Entry: kv.Entry{Key: "s/" + id}, Deleted: true}})
+}
+
+func (r *registryRig) ready() []string {
+	ids := []string{}
+	for _, s := range r.list {
+		if !s.Leaving {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
+// A registry without changes for longer than entries take to lapse is no
+// outage: a server that is then removed gets no new work at once.
+func TestRemovedServerIsGoneAtOnceAfterAQuietTime(t *testing.T) {
+	r := newRegistryRig()
+	r.put(Server{ID: "a"})
+	for range 5 {
+		r.now += 3 * time.Second
+		r.view.expire()
+	}
+	r.remove("a")
+	require.Empty(t, r.ready())
+}
+
+func TestLapsedServersGetTimeToReturnAfterAnOutage(t *testing.T) {
+	r := newRegistryRig()
+	r.put(Server{ID: "a"})
+	r.put(Server{ID: "b"})
+	r.view.Regained(5 * time.Second)
+	r.view.Replace(nil)
+	require.Equal(t, []string{"a", "b"}, r.ready())
+	r.put(Server{ID: "a"})
+	r.now += returnGrace
+	r.view.expire()
+	require.Equal(t, []string{"a"}, r.ready())
+}
+
+func TestLeavingServerNeverReturnsUnderOneBirth(t *testing.T) {
+	r := newRegistryRig()
+	r.put(Server{ID: "a", Born: 7, Beat: 1})
+	r.put(Server{ID: "a", Born: 7, Beat: 2, Leaving: true})
+	r.put(Server{ID: "a", Born: 7, Beat: 3})
+	require.Empty(t, r.ready())
+	r.remove("a")
+	r.put(Server{ID: "a", Born: 7, Beat: 4})
+	require.Empty(t, r.ready())
+	r.put(Server{ID: "a", Born: 8, Beat: 1})
+	require.Equal(t, []string{"a"}, r.ready(), "it was born anew")
+}
+
+func TestRemovedServerReturnsOnlyWithALaterWrite(t *testing.T) {
+	r := newRegistryRig()
+	r.put(Server{ID: "a", Beat: 5})
+	r.remove("a")
+	r.put(Server{ID: "a", Beat: 5})
+	require.Empty(t, r.ready(), "the write was carried out late")
+	r.put(Server{ID: "a", Beat: 6})
+	require.Equal(t, []string{"a"}, r.ready(), "the server writes again")
+}
+
+func TestLateWriteDoesNotUndoALaterOne(t *testing.T) {
+	r := newRegistryRig()
+	r.put(Server{ID: "a", Beat: 5, Address: "new"})
+	r.put(Server{ID: "a", Beat: 4, Address: "old"})
+	require.Equal(t, "new", r.list[0].Address)
+}
+
+func TestUnreadableEntryNamesNoServerAndTheOthersHold(t *testing.T) {
+	r := newRegistryRig()
+	r.put(Server{ID: "a"})
+	r.put(Server{ID: "b"})
+	r.view.Apply([]kv.Event{{Entry: kv.Entry{Key: "s/a", Value: []byte("{")}}, {Entry: kv.Entry{Key: "s/c", Value: []byte("?")}}})
+	require.Equal(t, []string{"b"}, r.ready())
+}
