quota: spending is kept even around a start of the whole site

A restarted entry beside running ones learns their spending of the window, and no longer counts their totals since start (it refused for a window after each restart).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -31,10 +31,12 @@
 
 // state is one message.
 type state struct {
-	Run   string                `msgpack:"r"`
-	Spent map[string]float64    `msgpack:"q,omitempty"`
-	Loads map[string]relay.Load `msgpack:"l,omitempty"`
-	Usage usage.Windows         `msgpack:"u,omitempty"`
+	Run string `msgpack:"r"`
+	// Uptime is the time since the run's start.
+	Uptime time.Duration             `msgpack:"u"`
+	Spent  map[string]relay.Spending `msgpack:"q,omitempty"`
+	Loads  map[string]relay.Load     `msgpack:"l,omitempty"`
+	Usage  usage.Windows             `msgpack:"w,omitempty"`
 }
 
 // cleared tells that a content was answered.
@@ -100,7 +102,7 @@
 }
 
 func (x *Exchange) tell(withUsage bool) {
-	message := state{Run: x.run, Spent: x.Quotas.Spent(), Loads: x.Fleet.Loads()}
+	message := state{Run: x.run, Uptime: x.Quotas.Uptime(), Spent: x.Quotas.Spent(), Loads: x.Fleet.Loads()}
 	if withUsage {
 		message.Usage = x.Counts.Own()
 	}
@@ -122,7 +124,7 @@
 	if decode(&message) != nil {
 		return // the transport has logged it
 	}
-	x.Quotas.Report(message.Run, message.Spent)
+	x.Quotas.Report(message.Run, message.Uptime, message.Spent)
 	if message.Usage != nil {
 		x.Counts.Report(message.Run, message.Usage)
 	}
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,180 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	window = 8 * time.Second
+	tick   = 10 * time.Millisecond
+	// overshoot and slack are what the users allow beyond the limit.
+	overshoot = 0.1
+	slack     = 110_000.0
+)
+
+var limits = Limits{PerSecond: 87_000, Burst: 87_000, Window: window}
+
+// allowed is the bound that the users set for any window.
+func allowed() float64 {
+	return (limits.PerSecond*window.Seconds()+limits.Burst)*(1+overshoot) + slack
+}
+
+// spendRig plays entries that share a quota and hear from each other with a lag.
+type spendRig struct {
+	now     time.Duration
+	entries []*spendEntry
+	// spent holds every amount with its time.
+	spent []slotSum
+	rng   *rand.Rand
+}
+
+type spendEntry struct {
+	run     string
+	counter *Counter
+	total   float64
+	site    Site
+	started time.Duration
+}
+
+func newSpendRig(n int) *spendRig {
+	r := &spendRig{now: time.Hour, rng: rand.New(rand.NewPCG(1, 2))}
+	for i := range n {
+		r.entries = append(r.entries, &spendEntry{site: Site{n, n}})
+		r.restart(i)
+	}
+	return r
+}
+
+func (r *spendRig) restart(i int) {
+	e := r.entries[i]
+	e.run, e.counter, e.total = strconv.Itoa(i)+"/"+r.now.String(), NewCounter(window, r.now), 0
+	e.started = r.now
+}
+
+// play offers rate units a second to random entries for d, in requests of cost;
+// messages pass every 200 ms between entries that hear each other.
+func (r *spendRig) play(d time.Duration, rate, cost float64, hears func(a, b int) bool) {
+	due := 0.0
+	for end := r.now + d; r.now < end; r.now += tick {
+		for due += rate * tick.Seconds(); due >= cost; due -= cost {
+			e := r.entries[r.rng.IntN(len(r.entries))]
+			if e.counter.Spend(r.now, limits, e.site, cost).Allowed {
+				e.total += cost
+				r.spent = append(r.spent, slotSum{r.now, cost})
+			}
+		}
+		if r.now%(200*time.Millisecond) == 0 {
+			r.exchange(hears)
+		}
+	}
+}
+
+func (r *spendRig) exchange(hears func(a, b int) bool) {
+	for i, to := range r.entries {
+		heard := 1
+		for j, from := range r.entries {
+			if i != j && hears(i, j) {
+				heard++
+				if r.now-from.started >= window {
+					to.counter.Warm()
+				}
+				to.counter.Report(r.now, from.run, from.total, from.counter.Own(r.now))
+			}
+		}
+		to.site = Site{len(r.entries), heard}
+	}
+}
+
+// worst is the most that was spent in any window.
+func (r *spendRig) worst() float64 {
+	sum, most, first := 0.0, 0.0, 0
+	for _, s := range r.spent {
+		sum += s.amount
+		for r.spent[first].start <= s.start-window {
+			sum -= r.spent[first].amount
+			first++
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+func all(int, int) bool { return true }
+
+func TestHotOrganisationStaysWithinItsQuota(t *testing.T) {
+	r := newSpendRig(7)
+	r.play(40*time.Second, 6*limits.PerSecond, 3000, all)
+	require.LessOrEqual(t, r.worst(), allowed())
+	require.GreaterOrEqual(t, r.worst(), 0.9*(limits.PerSecond*window.Seconds()+limits.Burst), "the quota can be used")
+}
+
+func TestQuotaHoldsBetweenEntriesOutOfTouch(t *testing.T) {
+	r := newSpendRig(7)
+	r.play(10*time.Second, 6*limits.PerSecond, 3000, all)
+	r.play(20*time.Second, 6*limits.PerSecond, 3000, func(a, b int) bool { return (a < 3) == (b < 3) })
+	r.play(10*time.Second, 6*limits.PerSecond, 3000, all)
+	require.LessOrEqual(t, r.worst(), allowed())
+}
+
+func TestQuotaHoldsOverARestartOfAllEntries(t *testing.T) {
+	for _, at := range []time.Duration{2, 4, 6, 8, 10} {
+		r := newSpendRig(7)
+		r.play(12*time.Second, 0.2*limits.PerSecond, 3000, all)
+		r.play(at*time.Second, 6*limits.PerSecond, 3000, all)
+		r.now += 500 * time.Millisecond
+		for i := range r.entries {
+			r.restart(i)
+		}
+		r.play(12*time.Second, 6*limits.PerSecond, 3000, all)
+		require.LessOrEqual(t, r.worst(), allowed(), "restart after %d s", at)
+	}
+}
+
+// An entry that starts beside others learns what they spent, and no more.
+func TestRestartedEntryDoesNotCountTheOthersTwice(t *testing.T) {
+	r := newSpendRig(3)
+	r.play(60*time.Second, 0.5*limits.PerSecond, 3000, all)
+	before := len(r.spent)
+	r.restart(0)
+	r.play(10*time.Second, 0.5*limits.PerSecond, 3000, all)
+	asked := 10 * 0.5 * limits.PerSecond / 3000
+	require.InDelta(t, asked, len(r.spent)-before, 0.02*asked)
+}
+
+func TestRequestAboveTheBurstIsServedWhenNothingIsOwed(t *testing.T) {
+	c := NewCounter(window, time.Hour)
+	l := Limits{PerSecond: 1000, Burst: 1000, Window: window}
+	site := Site{1, 1}
+	require.False(t, c.Spend(time.Hour, l, site, 5000).Allowed, "what was spent before the start is not known")
+	require.True(t, c.Spend(time.Hour+window, l, site, 5000).Allowed)
+	v := c.Spend(time.Hour+window, l, site, 5000)
+	require.False(t, v.Allowed)
+	require.Greater(t, v.RetryAfter, time.Second)
+}
+
+func TestRepeatsStayWithinTheBudgetOfAllEntries(t *testing.T) {
+	limits := RepeatLimits{Ratio: 0.2, Slack: 54, Span: 10 * time.Second}
+	var entries []*Repeats
+	for range 7 {
+		entries = append(entries, NewRepeats(limits))
+	}
+	requests, repeats := 0, 0
+	for now := time.Hour; now < time.Hour+10*time.Second; now += tick {
+		for i, e := range entries {
+			if int(now/tick)%(i+1) == 0 {
+				e.Request(now)
+				requests++
+				for e.Take(now, len(entries)) {
+					repeats++
+				}
+			}
+		}
+	}
+	require.LessOrEqual(t, float64(repeats), limits.Ratio*float64(requests)+limits.Slack)
+	require.Positive(t, repeats)
+}
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -54,34 +54,3 @@
 		w.sum = 0 // ends the drift of floating-point sums
 	}
 }
-
-// Counter is a sum over all entries of a site: the own amounts, and those of
-// others told as totals since their start. A lost message does no harm, since
-// the next one carries the total.
-type Counter struct {
-	window *Window
-	// totals are the latest by entry and start of the entry.
-	totals map[string]float64
-}
-
-// NewCounter returns an empty counter.
-func NewCounter(span time.Duration) *Counter {
-	return &Counter{window: NewWindow(span), totals: map[string]float64{}}
-}
-
-// Add adds an own amount.
-func (c *Counter) Add(now time.Duration, amount float64) { c.window.Add(now, amount) }
-
-// Report takes the total of another entry's run.
-func (c *Counter) Report(now time.Duration, run string, total float64) {
-	if rise := total - c.totals[run]; rise != 0 {
-		c.window.Add(now, rise)
-		c.totals[run] = total
-	}
-}
-
-// Forget drops the total of a run that has ended.
-func (c *Counter) Forget(run string) { delete(c.totals, run) }
-
-// Sum returns the site's amount in the span before now.
-func (c *Counter) Sum(now time.Duration) float64 { return c.window.Sum(now) }
--- a/internal/relay/quotas.go
+++ b/internal/relay/quotas.go
@@ -15,6 +15,7 @@
 	window  time.Duration
 	clock   clock.Clock
 	started time.Duration
+	isWarm  bool
 
 	mu       sync.Mutex
 	counters map[string]*quota.Counter
@@ -30,7 +31,10 @@
 func (q *Quotas) counterLocked(organisation string) *quota.Counter {
 	c, ok := q.counters[organisation]
 	if !ok {
-		c = quota.NewCounter(q.window)
+		c = quota.NewCounter(q.window, q.started)
+		if q.isWarm {
+			c.Warm()
+		}
 		q.counters[organisation] = c
 	}
 	return c
@@ -52,11 +56,8 @@
 	limits := quota.Limits{PerSecond: o.Quota.PerSecond, Burst: o.Quota.Burst, Window: q.window}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := q.clock()
-	counter := q.counterLocked(o.Name)
-	v := quota.Decide(limits, quota.Allowance(limits, site, now-q.started), counter.Sum(now), amount)
+	v := q.counterLocked(o.Name).Spend(q.clock(), limits, site, amount)
 	if v.Allowed {
-		counter.Add(now, amount)
 		q.spent[o.Name] += amount
 	}
 	return v
@@ -66,28 +67,46 @@
 func (q *Quotas) Refund(organisation string, amount float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.counterLocked(organisation).Add(q.clock(), -amount)
+	q.counterLocked(organisation).Refund(q.clock(), amount)
 	q.spent[organisation] -= amount
 }
 
-// Spent returns this entry's totals.
-func (q *Quotas) Spent() map[string]float64 {
+// Spending is one entry's spending of one organisation's quota.
+type Spending struct {
+	// Total since the entry's start, and within the latest window.
+	Total  float64 `msgpack:"t"`
+	Recent float64 `msgpack:"r"`
+}
+
+// Spent returns this entry's spending by organisation.
+func (q *Quotas) Spent() map[string]Spending {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	totals := make(map[string]float64, len(q.spent))
-	for o, amount := range q.spent {
-		totals[o] = amount
+	now := q.clock()
+	spending := make(map[string]Spending, len(q.spent))
+	for o, total := range q.spent {
+		spending[o] = Spending{Total: total, Recent: q.counterLocked(o).Own(now)}
 	}
-	return totals
+	return spending
 }
 
-// Report takes the totals of another entry's run.
-func (q *Quotas) Report(run string, totals map[string]float64) {
+// Uptime is the time since this entry started.
+func (q *Quotas) Uptime() time.Duration { return q.clock() - q.started }
+
+// Report takes the spending of another entry's run, and the time since that
+// entry started.
+func (q *Quotas) Report(run string, uptime time.Duration, spending map[string]Spending) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock()
-	for o, total := range totals {
-		q.counterLocked(o).Report(now, run, total)
+	if !q.isWarm && uptime >= q.window {
+		q.isWarm = true
+		for _, c := range q.counters {
+			c.Warm()
+		}
+	}
+	for o, s := range spending {
+		q.counterLocked(o).Report(now, run, s.Total, s.Recent)
 	}
 }
 
