--- a/cmd/buckthornpick-relay/main.go
+++ b/cmd/buckthornpick-relay/main.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"buckthornpick/internal/cli"
+	"buckthornpick/internal/config"
 	"buckthornpick/internal/duty"
 	"buckthornpick/internal/follow"
 	"buckthornpick/internal/relayd"
@@ -22,10 +23,10 @@
 func main() {
 	relayd.Daemon(relayd.Adapter{
 		Codec: platform.Codec{},
-		Store: func(s relayd.Settings, client *http.Client, p *cli.Process) follow.Store {
+		Store: func(s config.RelaySettings, client *http.Client, p *cli.Process) follow.Store {
 			return platform.NewStore(platform.StoreConfig{Address: s.Store, Timeout: storeTimeout}, client, p.Metrics)
 		},
-		Cloud: func(s relayd.Settings, client *http.Client) duty.Cloud {
+		Cloud: func(s config.RelaySettings, client *http.Client) duty.Cloud {
 			return &platform.Cloud{Address: s.Cloud, Holder: s.Node.ID, Timeout: cloudTimeout, Client: client}
 		},
 		ReadinessPath: platform.ReadinessPath,
--- a/internal/config/settings_doc_test.go
+++ b/internal/config/settings_doc_test.go
@@ -38,11 +38,14 @@
 	var entry EntrySettings
 	var planner PlannerSettings
 	var control ControlSettings
+	var relay RelaySettings
 	entry.SetDefaults()
 	planner.SetDefaults()
 	control.SetDefaults()
+	relay.SetDefaults()
 	for heading, settings := range map[string]any{
 		"buckthornpick-entry": entry, "buckthornpick-planner": planner, "bpctl": control,
+		"buckthornpick-relay": relay,
 	} {
 		fields := map[string]string{}
 		leafFields("", reflect.ValueOf(settings), fields)
--- a/internal/config/settings_relay.go
+++ b/internal/config/settings_relay.go
@@ -1,16 +1,10 @@
-// Package relayd makes a relay process from its settings file.
-package relayd
+package config
 
-import (
-	"net"
-	"time"
+import "time"
 
-	"buckthornpick/internal/config"
-)
-
-// Settings is the settings file of buckthornpick-relay.
-type Settings struct {
-	Node config.NodeSettings `json:"node"`
+// RelaySettings is the settings file of buckthornpick-relay.
+type RelaySettings struct {
+	Node NodeSettings `json:"node"`
 	// Callers is the "host:port" of the listener for callers.
 	Callers string `json:"callers"`
 	// Readiness is the "host:port" at which the balancer asks for readiness.
@@ -23,10 +17,10 @@
 	Store string `json:"store"`
 	// Cloud is the "host:port" of the platform's cloud API; default none, and
 	// then no duty is carried out.
-	Cloud  string             `json:"cloud"`
-	Duties []string           `json:"duties"`
-	Bounds BoundSettings      `json:"bounds"`
-	Log    config.LogSettings `json:"log"`
+	Cloud  string      `json:"cloud"`
+	Duties []string    `json:"duties"`
+	Bounds RelayBounds `json:"bounds"`
+	Log    LogSettings `json:"log"`
 }
 
 // Duties that an entry may carry out.
@@ -35,8 +29,8 @@
 	DutyScaling = "scaling"
 )
 
-// BoundSettings are what the site is promised.
-type BoundSettings struct {
+// RelayBounds are what the site is promised.
+type RelayBounds struct {
 	// RevokeMillis is the time within which a key that was taken away is
 	// refused; default 5000.
 	RevokeMillis float64 `json:"revokeMillis"`
@@ -59,55 +53,78 @@
 	MaxConnections int `json:"maxConnections"`
 }
 
-const (
-	defaultMaxConnections = 3000
-	defaultRegion         = "default"
-)
+// defaultRelayConnections leaves descriptors for backend servers and peers.
+const defaultRelayConnections = 3000
 
 // SetDefaults fills in the documented defaults.
-func (s *Settings) SetDefaults() {
+func (s *RelaySettings) SetDefaults() {
 	s.Node.Region = defaultRegion
-	s.Log.Level = "info"
-	s.Bounds = BoundSettings{
+	s.Log.Level = defaultLogLevel
+	s.Bounds = RelayBounds{
 		RevokeMillis: 5000, GraceSeconds: 8, QuotaWindowSeconds: 8, UsageWindowSeconds: 5,
-		RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindowSeconds: 10, LeaseMillis: 3000, MaxConnections: defaultMaxConnections,
+		RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindowSeconds: 10, LeaseMillis: 3000, MaxConnections: defaultRelayConnections,
 	}
 }
 
 // Validate returns every fault of the values.
-func (s *Settings) Validate() config.Problems {
-	var ps config.Problems
-	add := func(field, message string) {
-		ps = append(ps, config.Problem{Field: field, Message: message})
-	}
-	if s.Node.ID == "" {
-		add("node.id", "expected a value, got none")
+func (s *RelaySettings) Validate() Problems {
+	var ps Problems
+	s.Node.validate(&ps)
+	address(&ps, "callers", s.Callers)
+	address(&ps, "readiness", s.Readiness)
+	address(&ps, "peers", s.Peers)
+	address(&ps, "store", s.Store)
+	if s.Cloud != "" {
+		address(&ps, "cloud", s.Cloud)
 	}
-	if s.Node.Zone == "" {
-		add("node.zone", "expected a value, got none")
+	if s.Metrics != "" {
+		address(&ps, "metrics", s.Metrics)
 	}
-	for field, address := range map[string]string{
-		"callers": s.Callers, "readiness": s.Readiness, "peers": s.Peers, "store": s.Store,
-	} {
-		if _, _, err := net.SplitHostPort(address); err != nil {
-			add(field, "expected \"host:port\", got \""+address+"\"")
-		}
-	}
-	for field, value := range map[string]float64{
-		"bounds.revokeMillis": s.Bounds.RevokeMillis, "bounds.graceSeconds": s.Bounds.GraceSeconds,
-		"bounds.quotaWindowSeconds": s.Bounds.QuotaWindowSeconds, "bounds.usageWindowSeconds": s.Bounds.UsageWindowSeconds,
-		"bounds.repeatWindowSeconds": s.Bounds.RepeatWindowSeconds, "bounds.leaseMillis": s.Bounds.LeaseMillis,
+	s.Bounds.validate(&ps)
+	s.Log.validate(&ps)
+	return ps
+}
+
+func (b *RelayBounds) validate(ps *Problems) {
+	for _, bound := range []struct {
+		field string
+		value float64
+	}{
+		{"bounds.revokeMillis", b.RevokeMillis}, {"bounds.graceSeconds", b.GraceSeconds},
+		{"bounds.quotaWindowSeconds", b.QuotaWindowSeconds}, {"bounds.usageWindowSeconds", b.UsageWindowSeconds},
+		{"bounds.repeatWindowSeconds", b.RepeatWindowSeconds}, {"bounds.leaseMillis", b.LeaseMillis},
 	} {
-		if !(value > 0) {
-			add(field, "expected a number above 0")
+		if !(bound.value > 0) {
+			ps.add(bound.field, "", "expected a number above 0, got %v", bound.value)
 		}
 	}
-	if s.Bounds.MaxConnections < 1 {
-		add("bounds.maxConnections", "expected 1 or more")
-	}
-	return ps
+	atLeast(ps, "bounds.maxConnections", int64(b.MaxConnections), 1)
 }
 
-func millis(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+// Revoke is RevokeMillis as a duration.
+func (b *RelayBounds) Revoke() time.Duration { return floatDuration(b.RevokeMillis, time.Millisecond) }
+
+// Grace is GraceSeconds as a duration.
+func (b *RelayBounds) Grace() time.Duration { return floatDuration(b.GraceSeconds, time.Second) }
 
-func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+// QuotaWindow is QuotaWindowSeconds as a duration.
+func (b *RelayBounds) QuotaWindow() time.Duration {
+	return floatDuration(b.QuotaWindowSeconds, time.Second)
+}
+
+// UsageWindow is UsageWindowSeconds as a duration.
+func (b *RelayBounds) UsageWindow() time.Duration {
+	return floatDuration(b.UsageWindowSeconds, time.Second)
+}
+
+// RepeatWindow is RepeatWindowSeconds as a duration.
+func (b *RelayBounds) RepeatWindow() time.Duration {
+	return floatDuration(b.RepeatWindowSeconds, time.Second)
+}
+
+// Lease is LeaseMillis as a duration.
+func (b *RelayBounds) Lease() time.Duration { return floatDuration(b.LeaseMillis, time.Millisecond) }
+
+func floatDuration(n float64, unit time.Duration) time.Duration {
+	return time.Duration(n * float64(unit))
+}
--- a/internal/devsite/events.go
+++ b/internal/devsite/events.go
@@ -12,6 +12,7 @@
 	_ "buckthornpick/internal/entryd"
 	_ "buckthornpick/internal/experiment"
 	_ "buckthornpick/internal/fleet"
+	_ "buckthornpick/internal/relayd"
 
 	"buckthornpick/internal/telemetry"
 )
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -32,8 +32,8 @@
 // Adapter is what a relay needs of the platform that it runs on.
 type Adapter struct {
 	Codec         relay.Codec
-	Store         func(s Settings, client *http.Client, p *cli.Process) follow.Store
-	Cloud         func(s Settings, client *http.Client) duty.Cloud
+	Store         func(s config.RelaySettings, client *http.Client, p *cli.Process) follow.Store
+	Cloud         func(s config.RelaySettings, client *http.Client) duty.Cloud
 	ReadinessPath string
 
 	DocumentKey    string
@@ -43,14 +43,14 @@
 }
 
 // Daemon returns the description of the buckthornpick-relay binary.
-func Daemon(a Adapter) cli.Daemon[Settings] {
-	return cli.Daemon[Settings]{
+func Daemon(a Adapter) cli.Daemon[config.RelaySettings] {
+	return cli.Daemon[config.RelaySettings]{
 		Name:  "buckthornpick-relay",
 		Usage: "forward requests that name each attempt, and share quotas and duties with the other entries",
-		Node: func(s *Settings) (config.NodeSettings, *config.LogSettings) {
+		Node: func(s *config.RelaySettings) (config.NodeSettings, *config.LogSettings) {
 			return s.Node, &s.Log
 		},
-		Run: func(ctx context.Context, s Settings, p *cli.Process) error {
+		Run: func(ctx context.Context, s config.RelaySettings, p *cli.Process) error {
 			return newProcess(a, s, p, netx.TCP{}, clock.Boot).run(ctx)
 		},
 	}
@@ -63,7 +63,7 @@
 	// serversWait and serversPause let the registry's heartbeats gather; leaving
 	// servers must get nothing from 2 s after the store's acknowledgement.
 	serversWait  = 2 * time.Second
-	serversPause = 650 * time.Millisecond
+	serversPause = 250 * time.Millisecond
 	// entriesWait is the wait for changes of the site's entries.
 	entriesWait = 8 * time.Second
 
@@ -97,7 +97,7 @@
 // process is a relay with everything that it works with.
 type process struct {
 	adapter Adapter
-	s       Settings
+	s       config.RelaySettings
 	p       *cli.Process
 	network netx.Network
 	clock   clock.Clock
@@ -120,7 +120,7 @@
 	drain     drainState
 }
 
-func newProcess(a Adapter, s Settings, p *cli.Process, n netx.Network, c clock.Clock) *process {
+func newProcess(a Adapter, s config.RelaySettings, p *cli.Process, n netx.Network, c clock.Clock) *process {
 	x := &process{adapter: a, s: s, p: p, network: n, clock: c}
 	client := netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: maxIdleToPlatform, DialTimeout: storeTimeout})
 	x.store = a.Store(s, client, p)
@@ -152,8 +152,8 @@
 	b, log := x.s.Bounds, x.p.Log
 	pool := upstream.NewPool(x.network, x.p.Metrics)
 	x.fleet = relay.NewFleet(x.s.Node.ID, x.s.Node.Zone, x.clock, pool)
-	x.counts = usage.NewCounts(seconds(b.UsageWindowSeconds), clock.NewWall(x.clock, time.Now))
-	quotas := relay.NewQuotas(seconds(b.QuotaWindowSeconds), x.clock)
+	x.counts = usage.NewCounts(b.UsageWindow(), clock.NewWall(x.clock, time.Now))
+	quotas := relay.NewQuotas(b.QuotaWindow(), x.clock)
 	crashes := relay.NewCrashes(x.clock)
 	x.exchange = exchange.New(exchange.Config{
 		Transport: x.transport, Entries: x.entries, Fleet: x.fleet, Quotas: quotas, Crashes: crashes,
@@ -163,13 +163,13 @@
 		Codec: x.adapter.Codec, Documents: x.documents, Fleet: x.fleet, Pool: pool, Quotas: quotas, Crashes: crashes,
 		Peers: x.exchange, Counts: x.counts, Zone: x.s.Node.Zone, Clock: x.clock, Log: log, Metrics: x.p.Metrics,
 		Bounds: relay.Bounds{
-			KeyLife: millis(b.RevokeMillis) - revokeMargin, QuotaWindow: seconds(b.QuotaWindowSeconds),
-			Repeats:        quota.RepeatLimits{Ratio: b.RepeatRatio, Slack: b.RepeatSlack, Span: seconds(b.RepeatWindowSeconds)},
+			KeyLife: b.Revoke() - revokeMargin, QuotaWindow: b.QuotaWindow(),
+			Repeats:        quota.RepeatLimits{Ratio: b.RepeatRatio, Slack: b.RepeatSlack, Span: b.RepeatWindow()},
 			MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes,
 		},
 	})
 	x.lease = lease.New(lease.Config{
-		Key: DutyKey, Holder: x.s.Node.ID, TTL: millis(b.LeaseMillis), Margin: leaseMargin, Standby: dutyStandby,
+		Key: DutyKey, Holder: x.s.Node.ID, TTL: b.Lease(), Margin: leaseMargin, Standby: dutyStandby,
 	}, x.store, log)
 }
 
@@ -220,7 +220,7 @@
 // duties are the goroutines of the process besides its listeners.
 func (x *process) duties() []func(context.Context) error {
 	list := []func(context.Context) error{
-		x.document.Run, x.registry.Run, x.members.Run, x.transport.Run, x.exchange.Run, x.reloadOnSignal,
+		x.document.Run, x.registry.Run, x.servers.Run, x.members.Run, x.transport.Run, x.exchange.Run, x.reloadOnSignal,
 		func(ctx context.Context) error { return x.entries.Register(ctx, x.store) },
 		func(ctx context.Context) error { return x.secret.Learn(ctx, x.store) },
 	}
@@ -232,7 +232,7 @@
 		x.lease.Release(context.WithoutCancel(ctx))
 		return err
 	})
-	if slices.Contains(x.s.Duties, DutyUsage) {
+	if slices.Contains(x.s.Duties, config.DutyUsage) {
 		reporter := &duty.Reporter{Lease: x.lease, Store: x.store, Cloud: x.cloud, Counts: x.counts, Log: x.p.Log}
 		list = append(list, reporter.Run)
 	}
@@ -292,7 +292,7 @@
 		return errors.New("draining")
 	case doc == nil:
 		return errors.New("no document yet")
-	case age > millis(x.s.Bounds.RevokeMillis)-revokeMargin:
+	case age > x.s.Bounds.Revoke()-revokeMargin:
 		return errors.New("the document was not confirmed for too long")
 	}
 	return nil
@@ -315,7 +315,7 @@
 }
 
 func (x *process) reload() {
-	next, err := config.Load[Settings](os.Getenv(cli.EnvSettings))
+	next, err := config.Load[config.RelaySettings](os.Getenv(cli.EnvSettings))
 	if err != nil {
 		x.p.Log.Log(EvReloadFailed, "error", err.Error())
 		return
--- a/internal/relayd/stop.go
+++ b/internal/relayd/stop.go
@@ -25,7 +25,7 @@
 // connections as they are answered, then the listener; requests that were read
 // are finished within the grace period.
 func (x *process) stop(callers *http.Server) {
-	grace := seconds(x.s.Bounds.GraceSeconds) - stopMargin
+	grace := x.s.Bounds.Grace() - stopMargin
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	x.drain.isDraining.Store(true)
