quota: starting entries learn the spending of all; orders by load (off)

The scaler orders backend servers from the prompt tokens to read and the rate at which servers read them.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -27,16 +27,19 @@
 	// usageEvery is the number of messages for each one that carries counts of
 	// usage, which change slowly.
 	usageEvery = 2
+	// knownEvery is the number of messages for each one that tells starting
+	// entries the spending of all.
+	knownEvery = 3
 )
 
 // state is one message.
 type state struct {
-	Run string `msgpack:"r"`
-	// Uptime is the time since the run's start.
-	Uptime time.Duration             `msgpack:"u"`
-	Spent  map[string]relay.Spending `msgpack:"q,omitempty"`
-	Loads  map[string]relay.Load     `msgpack:"l,omitempty"`
-	Usage  usage.Windows             `msgpack:"w,omitempty"`
+	// Work is the entry's work by service.
+	Work  map[string]relay.Work `msgpack:"k,omitempty"`
+	Run   string                `msgpack:"r"`
+	Spent map[string]quota.Told `msgpack:"q,omitempty"`
+	Loads map[string]relay.Load `msgpack:"l,omitempty"`
+	Usage usage.Windows         `msgpack:"w,omitempty"`
 }
 
 // cleared tells that a content was answered.
@@ -70,6 +73,7 @@
 type entryState struct {
 	at        time.Duration
 	loads     map[string]relay.Load
+	work      map[string]relay.Work
 	isInTouch bool
 }
 
@@ -97,14 +101,16 @@
 			return nil
 		}
 		x.judge()
-		x.tell(n%usageEvery == 0)
+		x.tell(n)
 	}
 }
 
-func (x *Exchange) tell(withUsage bool) {
-	message := state{Run: x.run, Uptime: x.Quotas.Uptime(), Spent: x.Quotas.Spent(), Loads: x.Fleet.Loads()}
-	if withUsage {
+// tell sends the n-th message.
+func (x *Exchange) tell(n int) {
+	message := state{Run: x.run, Spent: x.Quotas.Tell(n%knownEvery == 0), Loads: x.Fleet.Loads()}
+	if n%usageEvery == 0 {
 		message.Usage = x.Counts.Own()
+		message.Work = x.Fleet.Works()
 	}
 	x.notify(peer.RelayState, message)
 }
@@ -124,7 +130,7 @@
 	if decode(&message) != nil {
 		return // the transport has logged it
 	}
-	x.Quotas.Report(message.Run, message.Uptime, message.Spent)
+	x.Quotas.Report(message.Run, message.Spent)
 	if message.Usage != nil {
 		x.Counts.Report(message.Run, message.Usage)
 	}
@@ -136,6 +142,9 @@
 		x.heard[from.ID] = known
 	}
 	known.at, known.loads = x.Clock(), message.Loads
+	if message.Work != nil {
+		known.work = message.Work
+	}
 }
 
 // judge decides which entries are in touch, and sums their loads.
@@ -187,6 +196,19 @@
 	return x.site
 }
 
+// Works returns the work of all entries for a service, by entry.
+func (x *Exchange) Works(service string) map[string]relay.Work {
+	works := map[string]relay.Work{x.run: x.Fleet.Works()[service]}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for id, known := range x.heard {
+		if w, ok := known.work[service]; ok {
+			works[id] = w
+		}
+	}
+	return works
+}
+
 // TellCrash implements relay.Peers.
 func (x *Exchange) TellCrash(c relay.Crash) { x.notify(peer.RelayCrash, c) }
 
@@ -214,6 +236,6 @@
 
 // Flush tells the other entries the last totals before a stop.
 func (x *Exchange) Flush() {
-	x.tell(true)
+	x.tell(0)
 	time.Sleep(flushTime)
 }
--- /dev/null
+++ b/internal/fleet/replicas.go
@@ -0,0 +1,92 @@
+package fleet
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// ReplicaZone is a zone in which backend servers can be ordered.
+type ReplicaZone struct {
+	Name string
+	// Price is relative to the other zones.
+	Price float64
+}
+
+// ReplicaInput is what the number of a service's backend servers depends on.
+type ReplicaInput struct {
+	// Demand is the work in servers: 1 keeps one server busy all the time.
+	Demand float64
+	// Running is the number of requests that are running.
+	Running int
+	// Zones are those of the service; Min and Max bound each.
+	Zones    []ReplicaZone
+	Min, Max int
+}
+
+const (
+	// replicaUse is the part of a server's time that the demand may fill: long
+	// prompts of a burst, and those of a lost server, must be read meanwhile.
+	replicaUse = 0.4
+	// replicaRunning is the number of running requests of a server from which
+	// each further one makes the tokens of all noticeably slower.
+	replicaRunning = 20.0
+)
+
+// Replicas returns the wanted number of backend servers by zone. They are spread
+// evenly, since each zone must serve its own callers when it is cut off; what
+// does not divide goes to the cheaper zones. It answers the day's wave and
+// bursts of long prompts.
+func Replicas(in ReplicaInput) map[string]int {
+	if len(in.Zones) == 0 {
+		return nil
+	}
+	total := int(math.Ceil(max(in.Demand/replicaUse, float64(in.Running)/replicaRunning)))
+	zones := slices.Clone(in.Zones)
+	slices.SortFunc(zones, func(a, b ReplicaZone) int {
+		return cmp.Or(cmp.Compare(a.Price, b.Price), cmp.Compare(a.Name, b.Name))
+	})
+	want := make(map[string]int, len(zones))
+	for i, z := range zones {
+		n := total / len(zones)
+		if i < total%len(zones) {
+			n++
+		}
+		want[z.Name] = min(max(n, in.Min), in.Max)
+	}
+	return want
+}
+
+// Trend smooths a demand for orders: it follows a rise at once and a fall only
+// after it has lasted, because a server takes seconds to boot and ending one
+// breaks off long streams.
+type Trend struct {
+	// Hold is how long a fall must last.
+	Hold    time.Duration
+	samples []demandSample
+}
+
+type demandSample struct {
+	at    time.Duration
+	value float64
+}
+
+// Add takes a value and returns the highest of the time of hold.
+func (t *Trend) Add(now time.Duration, value float64) float64 {
+	t.samples = append(t.samples, demandSample{now, value})
+	for len(t.samples) > 0 && t.samples[0].at < now-t.Hold {
+		t.samples = t.samples[1:]
+	}
+	highest := 0.0
+	for _, s := range t.samples {
+		highest = max(highest, s.value)
+	}
+	return highest
+}
+
+// IsFull reports whether samples cover the time of hold.
+func (t *Trend) IsFull(now time.Duration) bool {
+	const tolerance = 0.8
+	return len(t.samples) > 0 && now-t.samples[0].at >= time.Duration(tolerance*float64(t.Hold))
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -53,8 +53,8 @@
 	// evenRate and evenBurst bound spending within the window, as parts of the
 	// rate and the burst: above them, so that the limit of the window decides
 	// under steady load.
-	evenRate  = 1.1
-	evenBurst = 3
+	evenRate  = 1.3
+	evenBurst = 1.5
 	// coldRate is the part of the rate that entries spend in the first window
 	// after a start of the whole site, when the spending before it is not known.
 	// With the bounds above, the spending around the start stays within what the
@@ -67,7 +67,6 @@
 // message does no harm, since the next one carries the total.
 type Counter struct {
 	window *Window
-	own    *Window
 	// totals are the latest by run of an entry.
 	totals map[string]float64
 	// debt is what was spent beyond the even rate, as of debtAt.
@@ -75,22 +74,20 @@
 	debtAt time.Duration
 	// coldTo is the end of the first window after a start; 0 once another entry
 	// told what was spent.
-	coldTo    time.Duration
+	coldTo time.Duration
+	// unknown is the part of the debt that stands for spending before the start.
+	unknown   float64
 	isSettled bool
 }
 
 // NewCounter returns a counter of an entry that started at the given time.
 func NewCounter(span, started time.Duration) *Counter {
 	return &Counter{
-		window: NewWindow(span), own: NewWindow(span), totals: map[string]float64{},
+		window: NewWindow(span), totals: map[string]float64{},
 		debtAt: started, coldTo: started + span,
 	}
 }
 
-// Warm notes that another entry has run for longer than a window: what it tells
-// is all that was spent.
-func (c *Counter) Warm() { c.coldTo = 0 }
-
 // Spend takes an own amount if it fits.
 func (c *Counter) Spend(now time.Duration, l Limits, s Site, amount float64) Verdict {
 	share := s.share()
@@ -99,7 +96,7 @@
 	if isCold {
 		rate = share * coldRate * l.PerSecond
 	}
-	c.settle(now, rate, burst, isCold)
+	c.settle(now, rate, evenBurst*l.Burst, isCold)
 	spent := c.window.Sum(now)
 	v := Verdict{Spent: spent, Limit: share * (l.PerSecond*l.Window.Seconds() + l.Burst)}
 	excess := max(spent+amount-v.Limit, 0)
@@ -108,7 +105,6 @@
 	if excess == 0 && uneven == 0 {
 		v.Allowed = true
 		c.add(now, amount)
-		c.own.Add(now, amount)
 		return v
 	}
 	wait := seconds(max(excess, uneven) / max(rate, 1))
@@ -119,6 +115,9 @@
 // settle takes off what the even rate has paid since.
 func (c *Counter) settle(now time.Duration, rate, burst float64, isCold bool) {
 	if !c.isSettled && isCold {
+		// The whole burst, whatever part of it is this entry's now: the part grows
+		// as other entries are heard.
+		c.unknown = burst
 		c.debt += burst
 	}
 	c.isSettled = true
@@ -134,23 +133,45 @@
 // Refund gives back an own amount that was not used.
 func (c *Counter) Refund(now time.Duration, amount float64) {
 	c.add(now, -amount)
-	c.own.Add(now, -amount)
 }
 
-// Own returns this entry's spending in the window.
-func (c *Counter) Own(now time.Duration) float64 { return c.own.Sum(now) }
+// Told is what an entry tells the others of its spending.
+type Told struct {
+	// Total since the entry's start.
+	Total float64 `msgpack:"t"`
+	// Known is the spending of all entries in the window, as known there, in
+	// equal parts of the window from the oldest; nil in most messages.
+	Known []float64 `msgpack:"k,omitempty"`
+	// Uptime is the time since the entry's start.
+	Uptime time.Duration `msgpack:"u"`
+}
+
+// Tell returns what this entry tells the others; total is its spending since it
+// started, uptime ago. WithKnown adds what a starting entry needs.
+func (c *Counter) Tell(now time.Duration, total float64, uptime time.Duration, withKnown bool) Told {
+	t := Told{Total: total, Uptime: uptime}
+	if withKnown && uptime >= c.window.span {
+		t.Known = c.window.Parts(now)
+	}
+	return t
+}
 
-// Report takes the total of another entry's run, and its spending in the window,
-// which counts when the run is heard for the first time.
-func (c *Counter) Report(now time.Duration, run string, total, recent float64) {
+// Report takes what another entry's run tells. An entry that has just started
+// learns from one that has run for a whole window what all entries spent.
+func (c *Counter) Report(now time.Duration, run string, t Told) {
 	known, ok := c.totals[run]
-	if !ok {
-		known = total - min(recent, total)
+	c.totals[run] = t.Total
+	switch {
+	case ok && t.Total != known:
+		c.add(now, t.Total-known)
+	case !ok && t.Uptime < c.window.span:
+		c.add(now, t.Total)
 	}
-	if rise := total - known; rise != 0 {
-		c.add(now, rise)
+	if now < c.coldTo && t.Known != nil {
+		c.coldTo = 0
+		c.debt = max(0, c.debt-c.unknown)
+		c.window.SetParts(now, t.Known)
 	}
-	c.totals[run] = total
 }
 
 // Forget drops the totals of runs that are not listed.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -44,9 +44,11 @@
 func newSpendRig(n int) *spendRig {
 	r := &spendRig{now: time.Hour, rng: rand.New(rand.NewPCG(1, 2))}
 	for i := range n {
-		r.entries = append(r.entries, &spendEntry{site: Site{n, n}})
+		r.entries = append(r.entries, &spendEntry{})
 		r.restart(i)
 	}
+	r.now += window
+	r.exchange(all)
 	return r
 }
 
@@ -54,6 +56,7 @@
 	e := r.entries[i]
 	e.run, e.counter, e.total = strconv.Itoa(i)+"/"+r.now.String(), NewCounter(window, r.now), 0
 	e.started = r.now
+	e.site = Site{len(r.entries), 1} // nobody was heard yet
 }
 
 // play offers rate units a second to random entries for d, in requests of cost;
@@ -80,10 +83,7 @@
 		for j, from := range r.entries {
 			if i != j && hears(i, j) {
 				heard++
-				if r.now-from.started >= window {
-					to.counter.Warm()
-				}
-				to.counter.Report(r.now, from.run, from.total, from.counter.Own(r.now))
+				to.counter.Report(r.now, from.run, from.counter.Tell(r.now, from.total, r.now-from.started, true))
 			}
 		}
 		to.site = Site{len(r.entries), heard}
@@ -135,6 +135,21 @@
 	}
 }
 
+// The one that stays knows what all have spent.
+func TestQuotaHoldsOverARestartOfAllEntriesButOne(t *testing.T) {
+	for _, at := range []time.Duration{2, 4, 6, 8, 10} {
+		r := newSpendRig(7)
+		r.play(12*time.Second, 0.2*limits.PerSecond, 3000, all)
+		r.play(at*time.Second, 6*limits.PerSecond, 3000, all)
+		r.now += 500 * time.Millisecond
+		for i := range len(r.entries) - 1 {
+			r.restart(i)
+		}
+		r.play(12*time.Second, 6*limits.PerSecond, 3000, all)
+		require.LessOrEqual(t, r.worst(), allowed(), "restart after %d s", at)
+	}
+}
+
 // An entry that starts beside others learns what they spent, and no more.
 func TestRestartedEntryDoesNotCountTheOthersTwice(t *testing.T) {
 	r := newSpendRig(3)
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Window sums what was added in a sliding span. Amounts fall into slots, so that
 // the sum covers the span and at most one slot more.
@@ -25,14 +28,49 @@
 
 // Add adds an amount, which may be negative to take one back.
 func (w *Window) Add(now time.Duration, amount float64) {
-	start := now - now%w.slot
-	if n := len(w.slots); n > 0 && w.slots[n-1].start >= start {
-		w.slots[n-1].amount += amount
+	w.put(now, amount)
+	w.expire(now)
+}
+
+// windowParts is the number of parts in which a window is told.
+const windowParts = 8
+
+// Parts returns the amounts in equal parts of the span before now, the oldest
+// first.
+func (w *Window) Parts(now time.Duration) []float64 {
+	w.expire(now)
+	parts := make([]float64, windowParts)
+	for _, s := range w.slots {
+		age := min(max(now-s.start, 0), w.span-1)
+		parts[windowParts-1-int(age*windowParts/w.span)] += s.amount
+	}
+	return parts
+}
+
+// SetParts raises the window to the amounts that another one told now. Each part
+// counts at its end, so that it expires no sooner than what it stands for.
+func (w *Window) SetParts(now time.Duration, parts []float64) {
+	own := w.Parts(now)
+	for i := range min(len(parts), windowParts) {
+		if missing := parts[i] - own[i]; missing > 0 {
+			w.put(now-w.span+time.Duration(i+1)*w.span/windowParts-w.slot, missing)
+		}
+	}
+}
+
+// put adds to the slot of a time, which may lie before later slots.
+func (w *Window) put(at time.Duration, amount float64) {
+	start := at - at%w.slot
+	i := len(w.slots)
+	for i > 0 && w.slots[i-1].start > start {
+		i--
+	}
+	if i > 0 && w.slots[i-1].start == start {
+		w.slots[i-1].amount += amount
 	} else {
-		w.slots = append(w.slots, slotSum{start, amount})
+		w.slots = slices.Insert(w.slots, i, slotSum{start, amount})
 	}
 	w.sum += amount
-	w.expire(now)
 }
 
 // Sum returns the amount added since now less the span.
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -31,6 +31,7 @@
 
 	mu      sync.Mutex
 	pickers map[string]*route.Picker
+	meters  map[string]*workMeter
 	servers map[string]*server
 	doc     *follow.Document
 	list    []follow.Server
@@ -50,7 +51,7 @@
 
 // NewFleet returns a fleet without servers.
 func NewFleet(self, zone string, c clock.Clock, pool *upstream.Pool) *Fleet {
-	return &Fleet{self: self, zone: zone, clock: c, pool: pool, pickers: map[string]*route.Picker{}, servers: map[string]*server{}, entries: 1}
+	return &Fleet{self: self, zone: zone, clock: c, pool: pool, pickers: map[string]*route.Picker{}, meters: map[string]*workMeter{}, servers: map[string]*server{}, entries: 1}
 }
 
 // SetDocument takes the services of a new version of the document.
@@ -168,6 +169,7 @@
 	target upstream.Target
 	zone   string
 	picked route.Choice
+	own    int
 	query  route.Query
 	picker *route.Picker
 	sentAt time.Time
@@ -212,8 +214,9 @@
 		return nil, &route.ErrNoServer{Service: service}
 	}
 	s.running++
+	f.meterLocked(service).sent(facts.PromptTokens - picked.ExpectedCachedTokens)
 	picker.Dispatched(q.Now, s.ID, q)
-	return &choice{target: s.target, zone: s.Zone, picked: picked, query: q, picker: picker, sentAt: q.Now}, nil
+	return &choice{target: s.target, zone: s.Zone, picked: picked, own: facts.PromptTokens - facts.SharedTokens(), query: q, picker: picker, sentAt: q.Now}, nil
 }
 
 // contextOf names the longest prefix that other requests may share.
@@ -227,7 +230,31 @@
 // firstToken tells the fleet when the first token of a call came.
 func (f *Fleet) firstToken(c *choice) {
 	now := time.Now()
-	c.picker.FirstToken(now, c.target.ID, now.Sub(c.sentAt), c.picked)
+	took := now.Sub(c.sentAt)
+	c.picker.FirstToken(now, c.target.ID, took, c.picked)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.meterLocked(c.query.Service).firstToken(c.own, took)
+}
+
+func (f *Fleet) meterLocked(service string) *workMeter {
+	m, ok := f.meters[service]
+	if !ok {
+		m = &workMeter{}
+		f.meters[service] = m
+	}
+	return m
+}
+
+// Works returns the own work by service.
+func (f *Fleet) Works() map[string]Work {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	works := make(map[string]Work, len(f.meters))
+	for service, m := range f.meters {
+		works[service] = m.work()
+	}
+	return works
 }
 
 // outcome of a call as it bears on its server's health.
--- a/internal/relay/quotas.go
+++ b/internal/relay/quotas.go
@@ -15,7 +15,6 @@
 	window  time.Duration
 	clock   clock.Clock
 	started time.Duration
-	isWarm  bool
 
 	mu       sync.Mutex
 	counters map[string]*quota.Counter
@@ -32,9 +31,6 @@
 	c, ok := q.counters[organisation]
 	if !ok {
 		c = quota.NewCounter(q.window, q.started)
-		if q.isWarm {
-			c.Warm()
-		}
 		q.counters[organisation] = c
 	}
 	return c
@@ -71,42 +67,26 @@
 	q.spent[organisation] -= amount
 }
 
-// Spending is one entry's spending of one organisation's quota.
-type Spending struct {
-	// Total since the entry's start, and within the latest window.
-	Total  float64 `msgpack:"t"`
-	Recent float64 `msgpack:"r"`
-}
-
-// Spent returns this entry's spending by organisation.
-func (q *Quotas) Spent() map[string]Spending {
+// Tell returns what this entry tells the others, by organisation; withKnown adds
+// what starting entries need.
+func (q *Quotas) Tell(withKnown bool) map[string]quota.Told {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock()
-	spending := make(map[string]Spending, len(q.spent))
-	for o, total := range q.spent {
-		spending[o] = Spending{Total: total, Recent: q.counterLocked(o).Own(now)}
+	told := make(map[string]quota.Told, len(q.counters))
+	for o, c := range q.counters {
+		told[o] = c.Tell(now, q.spent[o], now-q.started, withKnown)
 	}
-	return spending
+	return told
 }
 
-// Uptime is the time since this entry started.
-func (q *Quotas) Uptime() time.Duration { return q.clock() - q.started }
-
-// Report takes the spending of another entry's run, and the time since that
-// entry started.
-func (q *Quotas) Report(run string, uptime time.Duration, spending map[string]Spending) {
+// Report takes what another entry's run tells.
+func (q *Quotas) Report(run string, told map[string]quota.Told) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock()
-	if !q.isWarm && uptime >= q.window {
-		q.isWarm = true
-		for _, c := range q.counters {
-			c.Warm()
-		}
-	}
-	for o, s := range spending {
-		q.counterLocked(o).Report(now, run, s.Total, s.Recent)
+	for o, t := range told {
+		q.counterLocked(o).Report(now, run, t)
 	}
 }
 
--- /dev/null
+++ b/internal/relay/work.go
@@ -0,0 +1,61 @@
+package relay
+
+import (
+	"slices"
+	"time"
+)
+
+// Work is one entry's work for a service.
+type Work struct {
+	// Tokens is the total of prompt tokens that servers had to read.
+	Tokens float64 `msgpack:"t"`
+	// Rate is the number of prompt tokens that a server reads in a second; 0 is
+	// unknown.
+	Rate float64 `msgpack:"r"`
+}
+
+const (
+	// rateSamples is the number of observations that a rate is taken from.
+	rateSamples = 64
+	// leastRateTokens is the size of prompts that tell the rate: below it the
+	// way to the server and its steps weigh too much.
+	leastRateTokens = 2000
+	// rateQuantile of the observations is the rate: most prompts wait for others
+	// and look slower, and a few were cached and look faster.
+	rateQuantile = 0.9
+	// leastRates is the number of observations before a rate is told.
+	leastRates = 12
+)
+
+// workMeter measures the work for one service.
+type workMeter struct {
+	tokens float64
+	rates  []float64
+	next   int
+}
+
+func (m *workMeter) sent(tokens int) { m.tokens += float64(max(tokens, 0)) }
+
+// firstToken takes the time that the prompt's own part, which no server holds,
+// took to be read.
+func (m *workMeter) firstToken(own int, took time.Duration) {
+	if own < leastRateTokens || took <= 0 {
+		return
+	}
+	rate := float64(own) / took.Seconds()
+	if len(m.rates) < rateSamples {
+		m.rates = append(m.rates, rate)
+		return
+	}
+	m.rates[m.next] = rate
+	m.next = (m.next + 1) % rateSamples
+}
+
+func (m *workMeter) work() Work {
+	w := Work{Tokens: m.tokens}
+	if len(m.rates) >= leastRates {
+		sorted := slices.Sorted(slices.Values(m.rates))
+		w.Rate = sorted[int(rateQuantile*float64(len(sorted)-1))]
+	}
+	return w
+}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -236,6 +236,13 @@
 		reporter := &duty.Reporter{Lease: x.lease, Store: x.store, Cloud: x.cloud, Counts: x.counts, Log: x.p.Log}
 		list = append(list, reporter.Run)
 	}
+	if slices.Contains(x.s.Duties, config.DutyScaling) {
+		scaler := &duty.Scaler{
+			Lease: x.lease, Cloud: x.cloud, Documents: x.documents, Servers: x.servers, Fleet: x.fleet,
+			Demand: x.exchange, Clock: x.clock, Log: x.p.Log,
+		}
+		list = append(list, scaler.Run)
+	}
 	return list
 }
 
