Orders of backend servers follow the work; a cut zone is avoided as one

The rate of a server is the highest that prompts' own parts were read at (95 in 100); the median fell with every queue, and orders then rose with the load that they were to relieve.

--- a/internal/duty/scaler.go
+++ b/internal/duty/scaler.go
@@ -27,7 +27,7 @@
 	holdFall = 8 * time.Second
 	// fallInterval is the time between the ends of servers in a zone: each one
 	// moves prompts to servers that have to read them anew.
-	fallInterval = 4 * time.Second
+	fallInterval = 3 * time.Second
 )
 
 // Demand tells the load of a service over all entries.
@@ -165,29 +165,25 @@
 // measure returns the demand in servers and the rate of one server; 0 is
 // unknown.
 func (s *serviceScale) measure(now time.Duration, works map[string]relay.Work) (demand, rate float64) {
-	rise, rates, known := 0.0, 0.0, 0
+	rise := 0.0
 	for entry, work := range works {
 		if last, ok := s.totals[entry]; ok && work.Tokens > last {
 			rise += work.Tokens - last
 		}
 		s.totals[entry] = work.Tokens
-		if work.Rate > 0 {
-			rates += work.Rate
-			known++
-		}
+		rate = max(rate, work.Rate)
 	}
 	s.samples = append(s.samples, workSample{now, rise})
 	for s.samples[0].at < now-rateSpan {
 		s.samples = s.samples[1:]
 	}
-	if known == 0 {
+	if rate == 0 {
 		return 0, 0
 	}
 	sum := 0.0
 	for _, sample := range s.samples {
 		sum += sample.tokens
 	}
-	rate = rates / float64(known)
 	return sum / rateSpan.Seconds() / rate, rate
 }
 
--- a/internal/fleet/replicas.go
+++ b/internal/fleet/replicas.go
@@ -28,10 +28,16 @@
 const (
 	// replicaUse is the part of a server's time that the demand may fill: long
 	// prompts of a burst, and those of a lost server, must be read meanwhile.
-	replicaUse = 0.4
+	replicaUse = 0.6
 	// replicaRunning is the number of running requests of a server from which
 	// each further one makes the tokens of all noticeably slower.
-	replicaRunning = 20.0
+	replicaRunning = 40.0
+	// growShare is the part of the allowed number that load alone orders: a burst
+	// is over before further servers have booted and read the shared prompts.
+	growShare = 0.5
+	// zoneFloor is the least number in a zone: one that is cut off serves its own
+	// callers, also if a server crashes meanwhile.
+	zoneFloor = 2
 )
 
 // Replicas returns the wanted number of backend servers by zone. They are spread
@@ -47,13 +53,14 @@
 	slices.SortFunc(zones, func(a, b ReplicaZone) int {
 		return cmp.Or(cmp.Compare(a.Price, b.Price), cmp.Compare(a.Name, b.Name))
 	})
+	most := max(in.Min, int(math.Ceil(growShare*float64(in.Max))))
 	want := make(map[string]int, len(zones))
 	for i, z := range zones {
 		n := total / len(zones)
 		if i < total%len(zones) {
 			n++
 		}
-		want[z.Name] = min(max(n, in.Min), in.Max)
+		want[z.Name] = min(max(n, in.Min, zoneFloor), most)
 	}
 	return want
 }
--- /dev/null
+++ b/internal/fleet/replicas_test.go
@@ -0,0 +1,47 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var threeZones = []ReplicaZone{{"a", 0.85}, {"b", 1.2}, {"c", 1.0}}
+
+func TestReplicasFollowTheDemandWithinBounds(t *testing.T) {
+	in := ReplicaInput{Zones: threeZones, Min: 1, Max: 6}
+	for _, tc := range []struct {
+		name    string
+		demand  float64
+		running int
+		want    map[string]int
+	}{
+		{"idle: each zone serves its own callers when it is cut off", 0, 0, map[string]int{"a": 2, "b": 2, "c": 2}},
+		{"what does not divide goes to the cheaper zones", 4, 0, map[string]int{"a": 3, "b": 2, "c": 2}},
+		{"long running streams", 0, 300, map[string]int{"a": 3, "b": 2, "c": 3}},
+		{"a burst does not order more than it can use", 50, 2000, map[string]int{"a": 3, "b": 3, "c": 3}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			in.Demand, in.Running = tc.demand, tc.running
+			require.Equal(t, tc.want, Replicas(in))
+		})
+	}
+	in.Min, in.Max = 4, 4
+	require.Equal(t, map[string]int{"a": 4, "b": 4, "c": 4}, Replicas(in), "the operators' bounds go first")
+	require.Empty(t, Replicas(ReplicaInput{Min: 1, Max: 6}))
+}
+
+func TestReplicasRespectALowMaximum(t *testing.T) {
+	require.Equal(t, map[string]int{"a": 1}, Replicas(ReplicaInput{Zones: threeZones[:1], Min: 0, Max: 1, Demand: 9}))
+}
+
+func TestTrendFollowsARiseAtOnceAndAFallLate(t *testing.T) {
+	trend := Trend{Hold: 4 * time.Second}
+	require.InDelta(t, 1, trend.Add(0, 1), 0)
+	require.False(t, trend.IsFull(0))
+	require.InDelta(t, 5, trend.Add(2*time.Second, 5), 0)
+	require.InDelta(t, 5, trend.Add(5*time.Second, 1), 0)
+	require.InDelta(t, 1, trend.Add(7*time.Second, 1), 0)
+	require.True(t, trend.IsFull(9*time.Second))
+}
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -287,6 +287,44 @@
 		s.health.observe(now, o == served)
 	case unreachable:
 		s.health.unreachable(now)
+		f.judgeZoneLocked(s.Zone, now)
+	}
+}
+
+const (
+	// zoneEvidence is the number of unreachable servers of another zone, and
+	// zoneShare their part of the zone's, from which the whole zone counts as
+	// cut off.
+	zoneEvidence = 2
+	zoneShare    = 0.4
+	// zoneAvoided is the time for which the zone's servers are avoided; a cut
+	// lasts for seconds, and each try costs a caller the time of a connection.
+	zoneAvoided = 1500 * time.Millisecond
+)
+
+// judgeZoneLocked avoids all servers of a zone of which several cannot be
+// reached. It answers a partition between zones, in which each server would
+// otherwise be tried in turn.
+func (f *Fleet) judgeZoneLocked(zone string, now time.Duration) {
+	if zone == f.zone {
+		return
+	}
+	all, lost := 0, 0
+	for _, s := range f.servers {
+		if s.Zone == zone && !s.Leaving {
+			all++
+			if s.health.backoff > 0 && s.health.isSuspect(now) {
+				lost++
+			}
+		}
+	}
+	if lost < zoneEvidence || float64(lost) < zoneShare*float64(all) {
+		return
+	}
+	for _, s := range f.servers {
+		if s.Zone == zone {
+			s.health.avoid(now + zoneAvoided)
+		}
 	}
 }
 
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -50,5 +50,8 @@
 	h.avoidedTo = max(h.avoidedTo, now+h.backoff)
 }
 
+// avoid avoids the server until the given time.
+func (h *health) avoid(until time.Duration) { h.avoidedTo = max(h.avoidedTo, until) }
+
 // isSuspect reports whether the server is to be avoided.
 func (h *health) isSuspect(now time.Duration) bool { return now < h.avoidedTo }
--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -15,16 +15,16 @@
 }
 
 const (
-	// rateSamples is the number of observations that a rate is taken from.
-	rateSamples = 64
 	// leastRateTokens is the size of prompts that tell the rate: below it the
 	// way to the server and its steps weigh too much.
 	leastRateTokens = 2000
+	// rateSamples is the number of observations that a rate is taken from.
+	rateSamples = 256
 	// rateQuantile of the observations is the rate: most prompts wait for others
 	// and look slower, and a few were cached and look faster.
-	rateQuantile = 0.9
+	rateQuantile = 0.95
 	// leastRates is the number of observations before a rate is told.
-	leastRates = 12
+	leastRates = 20
 )
 
 // workMeter measures the work for one service.
@@ -32,6 +32,8 @@
 	tokens float64
 	rates  []float64
 	next   int
+	// rate is the highest that was told: a server is no slower for being busy.
+	rate float64
 }
 
 func (m *workMeter) sent(tokens int) { m.tokens += float64(max(tokens, 0)) }
@@ -52,10 +54,9 @@
 }
 
 func (m *workMeter) work() Work {
-	w := Work{Tokens: m.tokens}
 	if len(m.rates) >= leastRates {
 		sorted := slices.Sorted(slices.Values(m.rates))
-		w.Rate = sorted[int(rateQuantile*float64(len(sorted)-1))]
+		m.rate = max(m.rate, sorted[int(rateQuantile*float64(len(sorted)-1))])
 	}
-	return w
+	return Work{Tokens: m.tokens, Rate: m.rate}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -14,7 +14,7 @@
 const (
 	// dialTimeout bounds the opening of a connection: a few round trips between
 	// zones, and one lost packet is sent again after a second.
-	dialTimeout = 700 * time.Millisecond
+	dialTimeout = 300 * time.Millisecond
 	// defaultIdle is how long a connection is kept if the server does not say.
 	defaultIdle = 3 * time.Second
 	// idleMargin is taken off the time that the server says, for the way there.
