--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -46,7 +46,7 @@
 	if len(data) == maxWhole {
 		return q.pass(c, a, data)
 	}
-	if isServerFailure(a.Status) {
+	if isServerFailure(a.Status) || promisesNotRun(a.Status) {
 		q.relay.Fleet.done(c, failed)
 		return q.failedAnswer(c, a, data)
 	}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -117,7 +117,7 @@
 	defer cancel()
 	q.server = c.target.ID
 	answer, err := q.relay.Pool.Do(ctx, c.target, q.encode(c, "", left))
-	if errors.Is(err, upstream.ErrNotSent) {
+	if err != nil && !upstream.WasSent(err) {
 		q.relay.Fleet.done(c, unsentOutcome(ctx, err))
 		return result{fate: fateUnsent, refusal: notRun(reasonUnsent, retryBusy), err: err}
 	}
@@ -133,7 +133,7 @@
 // unsentOutcome judges a server that was not reached: the caller may have left,
 // or this entry may have no connection free.
 func unsentOutcome(ctx context.Context, err error) outcome {
-	if ctx.Err() != nil || errors.Is(err, upstream.ErrInUse) {
+	if ctx.Err() != nil || fault.Is(err, fault.Exhausted) {
 		return neutral
 	}
 	return unreachable
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -146,7 +146,7 @@
 		q.tried[c.target.ID] = true
 		left := time.Until(q.deadline)
 		a, err := q.relay.Pool.Do(ctx, c.target, q.encode(c, s.lastID, left))
-		if errors.Is(err, upstream.ErrNotSent) {
+		if err != nil && !upstream.WasSent(err) {
 			q.relay.Fleet.done(c, unsentOutcome(ctx, err))
 			continue
 		}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -51,7 +51,10 @@
 			return s.Node, &s.Log
 		},
 		Run: func(ctx context.Context, s config.RelaySettings, p *cli.Process) error {
-			return newProcess(a, s, p, netx.TCP{}, clock.Boot).run(ctx)
+			x := New(a, s, p, netx.TCP{}, clock.Boot)
+			stop := x.reloadOnSignal()
+			defer stop()
+			return x.Run(ctx)
 		},
 	}
 }
@@ -94,14 +97,16 @@
 // DutyKey is bound to the lease of the duties' holder.
 const DutyKey = "buckthornpick/duties"
 
-// process is a relay with everything that it works with.
-type process struct {
+// Process is a relay with everything that it works with.
+type Process struct {
 	adapter Adapter
 	s       config.RelaySettings
 	p       *cli.Process
 	network netx.Network
 	clock   clock.Clock
 
+	client    *http.Client // for the store and the cloud API
+	pool      *upstream.Pool
 	store     follow.Store
 	cloud     duty.Cloud
 	documents *follow.Documents
@@ -120,19 +125,20 @@
 	drain     drainState
 }
 
-func newProcess(a Adapter, s config.RelaySettings, p *cli.Process, n netx.Network, c clock.Clock) *process {
-	x := &process{adapter: a, s: s, p: p, network: n, clock: c}
-	client := netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: maxIdleToPlatform, DialTimeout: storeTimeout})
-	x.store = a.Store(s, client, p)
+// New provisions a process that opens its listeners and connections on n.
+func New(a Adapter, s config.RelaySettings, p *cli.Process, n netx.Network, c clock.Clock) *Process {
+	x := &Process{adapter: a, s: s, p: p, network: n, clock: c}
+	x.client = netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: maxIdleToPlatform, DialTimeout: storeTimeout})
+	x.store = a.Store(s, x.client, p)
 	if s.Cloud != "" {
-		x.cloud = a.Cloud(s, client)
+		x.cloud = a.Cloud(s, x.client)
 	}
 	x.provisionViews()
 	x.provisionRelay()
 	return x
 }
 
-func (x *process) provisionViews() {
+func (x *Process) provisionViews() {
 	a, log := x.adapter, x.p.Log
 	x.documents = follow.NewDocuments(a.DocumentKey, a.DecodeDocument, log, func(d *follow.Document) { x.fleet.SetDocument(d) })
 	x.document = follow.New(follow.Options{Name: "document", Prefix: a.DocumentKey, Wait: documentWait}, x.store, x.documents, x.clock, log)
@@ -148,10 +154,10 @@
 	})
 }
 
-func (x *process) provisionRelay() {
+func (x *Process) provisionRelay() {
 	b, log := x.s.Bounds, x.p.Log
-	pool := upstream.NewPool(x.network, x.p.Metrics)
-	x.fleet = relay.NewFleet(x.s.Node.ID, x.s.Node.Zone, x.clock, pool)
+	x.pool = upstream.NewPool(x.network, x.p.Metrics)
+	x.fleet = relay.NewFleet(x.s.Node.ID, x.s.Node.Zone, x.clock, x.pool)
 	x.counts = usage.NewCounts(b.UsageWindow(), clock.NewWall(x.clock, time.Now))
 	quotas := relay.NewQuotas(b.QuotaWindow(), x.clock)
 	crashes := relay.NewCrashes(x.clock)
@@ -160,7 +166,7 @@
 		Counts: x.counts, Clock: x.clock, Log: log,
 	}, x.s.Node.ID, time.Now())
 	x.relay = relay.New(relay.Config{
-		Codec: x.adapter.Codec, Documents: x.documents, Fleet: x.fleet, Pool: pool, Quotas: quotas, Crashes: crashes,
+		Codec: x.adapter.Codec, Documents: x.documents, Fleet: x.fleet, Pool: x.pool, Quotas: quotas, Crashes: crashes,
 		Peers: x.exchange, Counts: x.counts, Zone: x.s.Node.Zone, Clock: x.clock, Log: log, Metrics: x.p.Metrics,
 		Bounds: relay.Bounds{
 			KeyLife: b.Revoke() - revokeMargin, QuotaWindow: b.QuotaWindow(),
@@ -173,8 +179,10 @@
 	}, x.store, log)
 }
 
-// run serves until ctx ends, and then finishes what it has begun.
-func (x *process) run(ctx context.Context) error {
+// Run serves until ctx ends, and then finishes what it has begun.
+func (x *Process) Run(ctx context.Context) error {
+	defer x.client.CloseIdleConnections()
+	defer x.pool.Close()
 	listeners, err := x.listen()
 	if err != nil {
 		return err
@@ -182,13 +190,16 @@
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	g, life := errgroup.WithContext(life)
-	for _, duty := range x.duties() {
-		g.Go(func() error { return duty(life) })
+	for _, run := range x.duties() {
+		g.Go(func() error { return run(life) })
 	}
 	callers := x.callerServer()
 	for l, server := range map[net.Listener]*http.Server{listeners.callers: callers, listeners.readiness: x.readinessServer()} {
 		g.Go(func() error { return serve(server, l) })
-		defer func() { _ = server.Close() }()
+		g.Go(func() error {
+			<-life.Done()
+			return server.Close()
+		})
 	}
 	if x.s.Metrics != "" {
 		pages := &cli.Pages{Metrics: x.p.Metrics, Ready: x.ready}
@@ -204,8 +215,6 @@
 			x.stop(callers)
 		case <-life.Done():
 		}
-		end()
-		_ = callers.Close()
 		return errStopped
 	})
 	if err := g.Wait(); !errors.Is(err, errStopped) {
@@ -218,9 +227,9 @@
 var errStopped = errors.New("stopped")
 
 // duties are the goroutines of the process besides its listeners.
-func (x *process) duties() []func(context.Context) error {
+func (x *Process) duties() []func(context.Context) error {
 	list := []func(context.Context) error{
-		x.document.Run, x.registry.Run, x.servers.Run, x.members.Run, x.transport.Run, x.exchange.Run, x.reloadOnSignal,
+		x.document.Run, x.registry.Run, x.servers.Run, x.members.Run, x.transport.Run, x.exchange.Run,
 		func(ctx context.Context) error { return x.entries.Register(ctx, x.store) },
 		func(ctx context.Context) error { return x.secret.Learn(ctx, x.store) },
 	}
@@ -248,7 +257,7 @@
 
 type listeners struct{ callers, readiness net.Listener }
 
-func (x *process) listen() (listeners, error) {
+func (x *Process) listen() (listeners, error) {
 	var l listeners
 	var err error
 	if l.callers, err = x.open("callers", x.s.Callers); err != nil {
@@ -259,7 +268,7 @@
 	return l, err
 }
 
-func (x *process) open(name, address string) (net.Listener, error) {
+func (x *Process) open(name, address string) (net.Listener, error) {
 	l, err := x.network.Listen(address)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, name+".listen", address, "cannot listen")
@@ -275,13 +284,13 @@
 	return nil
 }
 
-func (x *process) callerServer() *http.Server {
+func (x *Process) callerServer() *http.Server {
 	return &http.Server{
 		Handler: x.relay, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 }
 
-func (x *process) readinessServer() *http.Server {
+func (x *Process) readinessServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+x.adapter.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
 		if err := x.ready(); err != nil {
@@ -292,7 +301,7 @@
 }
 
 // ready returns why callers should go to other entries, nil if they need not.
-func (x *process) ready() error {
+func (x *Process) ready() error {
 	doc, age := x.documents.Current()
 	switch {
 	case x.drain.isDraining.Load():
@@ -305,23 +314,30 @@
 	return nil
 }
 
-// reloadOnSignal reads the settings again at SIGHUP. Addresses and bounds are
-// those of the start; the log tells whether a restart is due.
-func (x *process) reloadOnSignal(ctx context.Context) error {
+// reloadOnSignal reads the settings again at each SIGHUP, until the returned
+// function is called. Addresses and bounds are those of the start; the log tells
+// whether a restart is due.
+func (x *Process) reloadOnSignal() (stop func()) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-signals:
-			x.reload()
-		case <-ctx.Done():
-			return nil
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-signals:
+				x.reload()
+			case <-done:
+				return
+			}
 		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(done)
 	}
 }
 
-func (x *process) reload() {
+func (x *Process) reload() {
 	next, err := config.Load[config.RelaySettings](os.Getenv(cli.EnvSettings))
 	if err != nil {
 		x.p.Log.Log(EvReloadFailed, "error", err.Error())
--- a/internal/relayd/stop.go
+++ b/internal/relayd/stop.go
@@ -24,7 +24,7 @@
 // stop ends the service in order: readiness first, then the callers' kept
 // connections as they are answered, then the listener; requests that were read
 // are finished within the grace period.
-func (x *process) stop(callers *http.Server) {
+func (x *Process) stop(callers *http.Server) {
 	grace := x.s.Bounds.Grace() - stopMargin
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -36,11 +36,11 @@
 	maxForeignBytes = 1 << 20
 )
 
-// ErrNotSent marks calls of which no byte left this process.
-var ErrNotSent = errors.New("not sent")
-
-// ErrInUse marks calls that were not sent because all connections are in use.
-var ErrInUse = errors.New("all connections are in use")
+// WasSent reports whether a call that ended with err may have reached its
+// server.
+func WasSent(err error) bool {
+	return !fault.Is(err, fault.Unavailable) && !fault.Is(err, fault.Exhausted)
+}
 
 // Answer is the head of an answer and its body, which must be closed.
 type Answer struct {
@@ -54,19 +54,20 @@
 }
 
 // Do sends a call and reads the head of its answer. The end of ctx closes the
-// connection. An error that wraps ErrNotSent says that the server has not seen
-// the call; after any other it may have run.
+// connection. Errors: fault.Unavailable means that the server was not reached,
+// fault.Exhausted that no connection was free; in both cases nothing was sent.
+// After fault.Ambiguous the call may have run.
 func (p *Pool) Do(ctx context.Context, t Target, call *Call) (*Answer, error) {
 	c, err := p.get(ctx, t)
 	if err != nil {
-		return nil, fault.Wrap(errors.Join(ErrNotSent, err), fault.Unavailable, "upstream.dial", t.ID, "not sent")
+		return nil, err
 	}
 	x := &exchange{pool: p, conn: c, call: call}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
 	sent, err := x.send()
 	if err != nil && sent == 0 {
 		x.abandon()
-		return nil, fault.Wrap(errors.Join(ErrNotSent, err), fault.Unavailable, "upstream.send", t.ID, "not sent")
+		return nil, fault.Wrap(err, fault.Unavailable, "upstream.send", t.ID, "not sent")
 	}
 	if err != nil {
 		x.abandon()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -112,7 +112,7 @@
 	}
 	if t.MaxConnections > 0 && s.open >= t.MaxConnections {
 		p.mu.Unlock()
-		return nil, fault.Wrap(ErrInUse, fault.Exhausted, "upstream.dial", t.ID, "%d connections are open", t.MaxConnections)
+		return nil, fault.New(fault.Exhausted, "upstream.dial", t.ID, "all %d connections are in use", t.MaxConnections)
 	}
 	s.open++
 	p.mu.Unlock()
