--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -16,14 +17,20 @@
 	"buckthornpick/internal/relay"
 	"buckthornpick/internal/telemetry"
 	"buckthornpick/internal/usage"
+	"buckthornpick/internal/wait"
 )
 
 const (
 	// interval between messages: what an organisation spends beyond its quota is
 	// what all entries take in this time.
 	interval = 200 * time.Millisecond
-	// silence after which an entry is out of touch: five messages.
-	silence = time.Second
+	// maxInterval and entriesPerInterval bound the messages of large sites: an
+	// entry sends and takes no more than those of so many entries at interval.
+	maxInterval        = time.Second
+	entriesPerInterval = 16
+	// silentMessages is the number of messages that an entry out of touch has
+	// missed.
+	silentMessages = 5
 	// usageEvery is the number of messages for each one that carries counts of
 	// usage, which change slowly.
 	usageEvery = 2
@@ -92,19 +99,22 @@
 
 // Run sends messages until ctx ends.
 func (x *Exchange) Run(ctx context.Context) error {
-	t := time.NewTicker(interval)
-	defer t.Stop()
 	for n := 0; ; n++ {
-		select {
-		case <-t.C:
-		case <-ctx.Done():
+		every := intervalFor(len(x.Entries.Others()))
+		// Spread, so that the entries of a large site do not all send at once.
+		if !wait.For(ctx, every/2+rand.N(every)) {
 			return nil
 		}
-		x.judge()
+		x.judge(every)
 		x.tell(n)
 	}
 }
 
+// intervalFor returns the mean time between messages to so many other entries.
+func intervalFor(others int) time.Duration {
+	return min(max(interval, interval*time.Duration(others)/entriesPerInterval), maxInterval)
+}
+
 // tell sends the n-th message.
 func (x *Exchange) tell(n int) {
 	message := state{Run: x.run, Spent: x.Quotas.Tell(n%knownEvery == 0), Loads: x.Fleet.Loads()}
@@ -147,13 +157,14 @@
 	}
 }
 
-// judge decides which entries are in touch, and sums their loads.
-func (x *Exchange) judge() {
+// judge decides by the time between messages which entries are in touch, and sums their loads.
+func (x *Exchange) judge(every time.Duration) {
 	others := x.Entries.Others()
 	loads := map[string]int{}
 	x.mu.Lock()
 	now := x.Clock()
-	site := quota.Site{Entries: 1 + len(others), Heard: 1}
+	site := quota.Site{Entries: 1 + len(others), Heard: 1, Lag: every - interval}
+	silence := silentMessages * every
 	present := map[string]bool{}
 	for _, node := range others {
 		present[node.ID] = true
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -52,6 +52,8 @@
 	// wait is the longest wait of a poll; pause is the time between polls, which
 	// lets changes gather.
 	wait, pause time.Duration
+	// changes keeps what was read for other entries; nil keeps nothing.
+	changes *changeLog
 
 	revision  atomic.Int64
 	confirmed atomic.Int64 // clock.Clock nanoseconds; 0 is never
@@ -133,7 +135,10 @@
 	f.noteAnswer()
 	f.sink.Replace(snapshot.Entries)
 	f.revision.Store(snapshot.Revision)
-	f.confirmed.Store(int64(sent))
+	f.confirm(sent, sent)
+	if f.changes != nil {
+		f.changes.reset(snapshot.Revision, sent)
+	}
 	f.log.Log(EvListed, "view", f.name, "revision", snapshot.Revision, "entries", len(snapshot.Entries))
 	return nil
 }
@@ -156,10 +161,22 @@
 		f.sink.Confirmed()
 	}
 	f.revision.Store(max(f.revision.Load(), batch.Revision))
-	f.confirmed.Store(int64(sent))
+	f.confirm(sent, sent-batch.Age)
+	if f.changes != nil {
+		f.changes.add(batch.Events, f.revision.Load(), sent-batch.Age)
+	}
 	return true, nil
 }
 
+// confirm notes that the view was that of the store at a time, which is not
+// later than the sending of the call that told so.
+func (f *Follower) confirm(sent, at time.Duration) {
+	at = min(at, sent)
+	if known := time.Duration(f.confirmed.Load()); at > known || known == 0 {
+		f.confirmed.Store(int64(at))
+	}
+}
+
 // noteLoss logs the first of a row of failures.
 func (f *Follower) noteLoss(ctx context.Context, err error) {
 	if f.lost || ctx.Err() != nil {
--- /dev/null
+++ b/internal/follow/zone.go
@@ -0,0 +1,167 @@
+package follow
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"buckthornpick/internal/clock"
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/kv"
+	"buckthornpick/internal/peer"
+	"buckthornpick/internal/telemetry"
+)
+
+const (
+	// zoneWatchers is the number of entries of a zone that poll the store; the
+	// others ask them. With no more entries than that nobody asks.
+	zoneWatchers = 4
+	// maxToldAge is the age of an answer, beyond the wait of the asked entry's own
+	// polls, from which the store is asked instead.
+	maxToldAge = 1500 * time.Millisecond
+	// askMargin is what an answer may take beyond the wait that is asked for.
+	askMargin = 400 * time.Millisecond
+)
+
+// ZoneStore is a store whose changes come from entries of the same zone that
+// follow it, so that calls to the store grow with the zones and not with the
+// entries. Without an answer from one it asks the store itself.
+type ZoneStore struct {
+	Store
+	self      peer.Node
+	transport *peer.Transport
+	entries   *Entries
+	clock     clock.Clock
+	log       *telemetry.Logger
+	logs      map[string]*changeLog
+}
+
+// pollRequest asks for changes of a prefix.
+type pollRequest struct {
+	Prefix string        `msgpack:"p"`
+	After  int64         `msgpack:"a"`
+	Wait   time.Duration `msgpack:"w"`
+}
+
+// pollAnswer holds changes, or says that the asked entry cannot tell.
+type pollAnswer struct {
+	Unknown  bool          `msgpack:"n,omitempty"`
+	Events   []pollEvent   `msgpack:"e,omitempty"`
+	Revision int64         `msgpack:"r"`
+	Age      time.Duration `msgpack:"g"`
+}
+
+type pollEvent struct {
+	Key      string `msgpack:"k"`
+	Value    []byte `msgpack:"v,omitempty"`
+	Revision int64  `msgpack:"r"`
+	Deleted  bool   `msgpack:"d,omitempty"`
+}
+
+// NewZoneStore returns a store in front of direct, and answers other entries'
+// polls of the prefixes.
+func NewZoneStore(direct Store, self peer.Node, t *peer.Transport, entries *Entries, c clock.Clock, log *telemetry.Logger, prefixes ...string) *ZoneStore {
+	z := &ZoneStore{Store: direct, self: self, transport: t, entries: entries, clock: c, log: log, logs: map[string]*changeLog{}}
+	for _, prefix := range prefixes {
+		z.logs[prefix] = newChangeLog()
+	}
+	t.Handle(peer.RelayPoll, peer.HandleCall(z.answer))
+	return z
+}
+
+// Keep makes the follower of a prefix keep its changes for other entries.
+func (z *ZoneStore) Keep(f *Follower) { f.changes = z.logs[f.prefix] }
+
+// AsksStore reports whether this entry is one of its zone's that poll the store.
+func (z *ZoneStore) AsksStore() bool {
+	_, asksPeer := z.watcher()
+	return !asksPeer
+}
+
+// watcher returns the entry to ask; ok is false if this one asks the store.
+func (z *ZoneStore) watcher() (node peer.Node, ok bool) {
+	zone := []peer.Node{z.self}
+	for _, n := range z.entries.Others() {
+		if n.Zone == z.self.Zone {
+			zone = append(zone, n)
+		}
+	}
+	if len(zone) <= zoneWatchers {
+		return peer.Node{}, false
+	}
+	slices.SortFunc(zone, func(a, b peer.Node) int { return cmp.Compare(a.ID, b.ID) })
+	watchers := zone[:zoneWatchers]
+	if slices.ContainsFunc(watchers, func(n peer.Node) bool { return n.ID == z.self.ID }) {
+		return peer.Node{}, false
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(z.self.ID))
+	return watchers[h.Sum32()%zoneWatchers], true
+}
+
+// Poll implements kv.Poller.
+func (z *ZoneStore) Poll(ctx context.Context, prefix string, after int64, wait time.Duration) (kv.WatchBatch, error) {
+	if node, ok := z.watcher(); ok {
+		batch, err := z.ask(ctx, node, pollRequest{prefix, after, wait})
+		if err == nil {
+			return batch, nil
+		}
+		z.log.Log(EvAskedStore, "entry", node.ID, "prefix", prefix, "revision", after, "error", err.Error())
+	}
+	return z.Store.Poll(ctx, prefix, after, wait)
+}
+
+func (z *ZoneStore) ask(ctx context.Context, node peer.Node, r pollRequest) (kv.WatchBatch, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.Wait+askMargin)
+	defer cancel()
+	a, err := peer.Call[pollAnswer](ctx, z.transport, node, peer.RelayPoll, r)
+	if err != nil {
+		return kv.WatchBatch{}, err
+	}
+	if a.Unknown || a.Age > r.Wait+maxToldAge {
+		return kv.WatchBatch{}, fault.New(fault.Unavailable, "zone.poll", node.ID, "its view is %s old", a.Age)
+	}
+	batch := kv.WatchBatch{Revision: a.Revision, Age: a.Age}
+	for _, e := range a.Events {
+		batch.Events = append(batch.Events, kv.Event{
+			Entry: kv.Entry{Key: e.Key, Value: e.Value, ModRevision: e.Revision}, Deleted: e.Deleted,
+		})
+	}
+	return batch, nil
+}
+
+// answer serves another entry's poll from this entry's own view.
+func (z *ZoneStore) answer(ctx context.Context, _ peer.Node, r pollRequest) (pollAnswer, error) {
+	log, ok := z.logs[r.Prefix]
+	if !ok {
+		return pollAnswer{Unknown: true}, nil
+	}
+	timeout := time.NewTimer(r.Wait)
+	defer timeout.Stop()
+	for isOver := false; ; {
+		batch, confirmed, changed, ok := log.after(r.After)
+		if !ok {
+			return pollAnswer{Unknown: true}, nil
+		}
+		if len(batch.Events) > 0 || isOver {
+			return toAnswer(batch, z.clock()-confirmed), nil
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			isOver = true
+		case <-ctx.Done():
+			return pollAnswer{Unknown: true}, nil
+		}
+	}
+}
+
+func toAnswer(batch kv.WatchBatch, age time.Duration) pollAnswer {
+	a := pollAnswer{Revision: batch.Revision, Age: age}
+	for _, e := range batch.Events {
+		a.Events = append(a.Events, pollEvent{Key: e.Entry.Key, Value: e.Entry.Value, Revision: e.Entry.ModRevision, Deleted: e.Deleted})
+	}
+	return a
+}
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -75,6 +75,9 @@
 	// Compacted is set when the requested revision is gone; the watcher must
 	// read the range again.
 	Compacted bool
+	// Age is the age of what another process answered from its own view; 0 is the
+	// store itself.
+	Age time.Duration
 }
 
 // Poller is a store whose changes can be asked for call by call.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -27,6 +27,9 @@
 	Margin time.Duration
 	// Standby is the mean time between looks at a key that another one holds.
 	Standby time.Duration
+	// IsCandidate reports whether this process may take the lease; nil is always.
+	// In a large site few processes ask the store for it.
+	IsCandidate func() bool
 }
 
 const (
@@ -114,6 +117,9 @@
 
 // campaign takes the lease if nobody holds it.
 func (l *Lease) campaign(ctx context.Context) (held bool, err error) {
+	if l.cfg.IsCandidate != nil && !l.cfg.IsCandidate() {
+		return false, nil
+	}
 	if _, found, err := l.store.Get(ctx, l.cfg.Key); err != nil || found {
 		return false, err
 	}
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -54,6 +54,8 @@
 	RelayCrash Kind = 22
 	// RelayCleared tells that a marked content was answered.
 	RelayCleared Kind = 23
+	// RelayPoll asks an entry of the zone for changes that it has read.
+	RelayPoll Kind = 24
 )
 
 var kindNames = map[Kind]string{
@@ -64,7 +66,7 @@
 	GossipCompare: "gossip-compare", CrashMark: "crash-mark", CrashClear: "crash-clear",
 	TrialBegin: "trial-begin", TrialEnd: "trial-end", Depart: "depart",
 	DemandPull: "demand-pull", RelayState: "relay-state", RelayCrash: "relay-crash",
-	RelayCleared: "relay-cleared",
+	RelayCleared: "relay-cleared", RelayPoll: "relay-poll",
 }
 
 // String returns the kind's name, or its number if it has none.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -27,6 +27,8 @@
 	// Heard is the number of those whose spending is known up to now, this one
 	// included.
 	Heard int
+	// Lag is by how much messages are older than on a small site.
+	Lag time.Duration
 }
 
 // share is the part of a quota that the entries which hear from each other may
@@ -67,6 +69,8 @@
 // message does no harm, since the next one carries the total.
 type Counter struct {
 	window *Window
+	// others is the recent spending of the other entries.
+	others *Window
 	// totals are the latest by run of an entry.
 	totals map[string]float64
 	// debt is what was spent beyond the even rate, as of debtAt.
@@ -83,7 +87,7 @@
 // NewCounter returns a counter of an entry that started at the given time.
 func NewCounter(span, started time.Duration) *Counter {
 	return &Counter{
-		window: NewWindow(span), totals: map[string]float64{},
+		window: NewWindow(span), others: NewWindow(othersSpan), totals: map[string]float64{},
 		debtAt: started, coldTo: started + span,
 	}
 }
@@ -97,7 +101,7 @@
 		rate = share * coldRate * l.PerSecond
 	}
 	c.settle(now, rate, evenBurst*l.Burst, isCold)
-	spent := c.window.Sum(now)
+	spent := c.window.Sum(now) + c.unseen(now, s.Lag)
 	v := Verdict{Spent: spent, Limit: share * (l.PerSecond*l.Window.Seconds() + l.Burst)}
 	excess := max(spent+amount-v.Limit, 0)
 	// A request above the whole burst waits until nothing is owed.
@@ -112,6 +116,17 @@
 	return v
 }
 
+// othersSpan is the span over which the rate of the other entries is taken.
+const othersSpan = 2 * time.Second
+
+// unseen estimates what the other entries have spent since their messages.
+func (c *Counter) unseen(now, lag time.Duration) float64 {
+	if lag <= 0 {
+		return 0
+	}
+	return c.others.Sum(now) * lag.Seconds() / othersSpan.Seconds()
+}
+
 // settle takes off what the even rate has paid since.
 func (c *Counter) settle(now time.Duration, rate, burst float64, isCold bool) {
 	if !c.isSettled && isCold {
@@ -164,6 +179,7 @@
 	switch {
 	case ok && t.Total != known:
 		c.add(now, t.Total-known)
+		c.others.Add(now, t.Total-known)
 	case !ok && t.Uptime < c.window.span:
 		c.add(now, t.Total)
 	}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -108,6 +108,7 @@
 	client    *http.Client // for the store and the cloud API
 	pool      *upstream.Pool
 	store     follow.Store
+	zone      *follow.ZoneStore
 	cloud     duty.Cloud
 	documents *follow.Documents
 	document  *follow.Follower
@@ -140,18 +141,24 @@
 
 func (x *Process) provisionViews() {
 	a, log := x.adapter, x.p.Log
-	x.documents = follow.NewDocuments(a.DocumentKey, a.DecodeDocument, log, func(d *follow.Document) { x.fleet.SetDocument(d) })
-	x.document = follow.New(follow.Options{Name: "document", Prefix: a.DocumentKey, Wait: documentWait}, x.store, x.documents, x.clock, log)
-	x.documents.Bind(x.document)
-	x.servers = follow.NewServers(a.ServersPrefix, a.DecodeServer, x.clock, log, func(list []follow.Server) { x.fleet.SetServers(list) })
-	x.registry = follow.New(follow.Options{Name: "servers", Prefix: a.ServersPrefix, Wait: serversWait, Pause: serversPause}, x.store, x.servers, x.clock, log)
 	self := peer.Node{ID: x.s.Node.ID, Zone: x.s.Node.Zone, Address: x.s.Peers}
 	x.entries = follow.NewEntries(self, log)
-	x.members = follow.New(follow.Options{Name: "entries", Prefix: follow.EntriesPrefix, Wait: entriesWait}, x.store, x.entries, x.clock, log)
 	x.secret = follow.NewSecret(log)
 	x.transport = peer.New(self, x.network, log, x.p.Metrics, peer.Options{
 		SecretSource: x.secret.Bytes, PingInterval: peerSilence, IdlePingInterval: peerSilence, PingTimeout: peerTimeout,
 	})
+	x.documents = follow.NewDocuments(a.DocumentKey, a.DecodeDocument, log, func(d *follow.Document) { x.fleet.SetDocument(d) })
+	x.servers = follow.NewServers(a.ServersPrefix, a.DecodeServer, x.clock, log, func(list []follow.Server) { x.fleet.SetServers(list) })
+	x.zone = follow.NewZoneStore(x.store, self, x.transport, x.entries, x.clock, log, a.DocumentKey, a.ServersPrefix, follow.EntriesPrefix)
+	follower := func(o follow.Options, sink follow.Sink) *follow.Follower {
+		f := follow.New(o, x.zone, sink, x.clock, log)
+		x.zone.Keep(f)
+		return f
+	}
+	x.document = follower(follow.Options{Name: "document", Prefix: a.DocumentKey, Wait: documentWait}, x.documents)
+	x.documents.Bind(x.document)
+	x.registry = follower(follow.Options{Name: "servers", Prefix: a.ServersPrefix, Wait: serversWait, Pause: serversPause}, x.servers)
+	x.members = follower(follow.Options{Name: "entries", Prefix: follow.EntriesPrefix, Wait: entriesWait}, x.entries)
 }
 
 func (x *Process) provisionRelay() {
@@ -176,6 +183,7 @@
 	})
 	x.lease = lease.New(lease.Config{
 		Key: DutyKey, Holder: x.s.Node.ID, TTL: b.Lease(), Margin: leaseMargin, Standby: dutyStandby,
+		IsCandidate: x.zone.AsksStore,
 	}, x.store, log)
 }
 
