--- a/internal/cli/signal.go
+++ b/internal/cli/signal.go
@@ -10,7 +10,7 @@
 )
 
 // WithSignals returns a context that ends at the first SIGTERM or SIGINT. The
-// second ends the process at once with ExitFailure.
+// process ends at once with ExitFailure at a SIGINT after that.
 func WithSignals(parent context.Context, log *telemetry.Logger) (context.Context, func()) {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -21,6 +21,26 @@
 	}
 }
 
+// awaitInterrupt ends the process at an interrupt from the keyboard. A platform
+// may send SIGTERM more than once, and that asks for no more than the first.
+func awaitInterrupt(signals <-chan os.Signal, stopped <-chan struct{}, log *telemetry.Logger, exit func(int)) {
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGINT {
+				log.Log(EvStopRepeated, "signal", s.String())
+				continue
+			}
+			log.Log(EvKilled, "signal", s.String())
+			log.Flush()
+			exit(ExitFailure)
+			return
+		case <-stopped:
+			return
+		}
+	}
+}
+
 func handleSignals(parent context.Context, signals <-chan os.Signal, log *telemetry.Logger, exit func(int)) (context.Context, func()) {
 	ctx, cancel := context.WithCancel(parent)
 	stopped := make(chan struct{})
@@ -34,13 +54,7 @@
 		case <-stopped:
 			return
 		}
-		select {
-		case s := <-signals:
-			log.Log(EvKilled, "signal", s.String())
-			log.Flush()
-			exit(ExitFailure)
-		case <-stopped:
-		}
+		awaitInterrupt(signals, stopped, log, exit)
 	}()
 	return ctx, func() {
 		close(stopped)
