usage: counts outlive the death of all entries

The holder stores the counts of windows that are not reported yet once a second, by run; the next holder takes them, and for runs that still live the higher counts hold.

--- a/internal/duty/reporter.go
+++ b/internal/duty/reporter.go
@@ -30,7 +30,13 @@
 	OrderServers(ctx context.Context, token int64, service, zone string, n int) error
 }
 
+// SnapshotKey holds the counts of windows that are not reported yet, by run.
+const SnapshotKey = "buckthornpick/usage-snapshot"
+
 const (
+	// snapshotInterval is the time between snapshots: what is counted in it is
+	// lost if all entries die at once.
+	snapshotInterval = time.Second
 	// reportInterval is the time between looks at windows that are due.
 	reportInterval = 300 * time.Millisecond
 	// settleTime is how long after its end a window is reported: the last
@@ -55,6 +61,8 @@
 	// next is the first window that is not reported, by the holder with token.
 	next  int64
 	token int64
+	// snapshotAt is when the last snapshot was written.
+	snapshotAt time.Time
 }
 
 // Run reports until ctx ends.
@@ -66,6 +74,10 @@
 		}
 		window, into := r.Counts.Now()
 		if token != r.token {
+			if err := r.restore(ctx); err != nil {
+				r.Log.Log(EvSnapshotFailed, "token", token, "step", fault.Step(err), "peer", fault.Peer(err), "error", err.Error())
+				continue
+			}
 			r.token, r.next = token, window-catchUp
 		}
 		last := window - 1
@@ -76,10 +88,46 @@
 		for r.next <= last && ctx.Err() == nil && r.report(ctx, r.next) {
 			r.next++
 		}
+		if time.Since(r.snapshotAt) >= snapshotInterval {
+			r.snapshotAt = time.Now()
+			r.snapshot(ctx)
+		}
+	}
+	return nil
+}
+
+// restore takes what the holder before had counted.
+func (r *Reporter) restore(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entry, found, err := r.Store.Get(ctx, SnapshotKey)
+	if err != nil || !found {
+		return err
 	}
+	runs := map[string]usage.Windows{}
+	if err := json.Unmarshal(entry.Value, &runs); err != nil {
+		// A new snapshot replaces it; the counts of living entries are known.
+		r.Log.Log(EvSnapshotFailed, "step", "usage.restore", "revision", entry.ModRevision, "error", err.Error())
+		return nil
+	}
+	r.Counts.Restore(runs)
 	return nil
 }
 
+// snapshot stores the counts of windows that are not reported yet. A failure
+// costs nothing unless all entries die before the next one.
+func (r *Reporter) snapshot(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	value, err := json.Marshal(r.Counts.Snapshot())
+	if err == nil {
+		_, err = r.Store.Txn(ctx, []kv.Compare{r.Lease.Guard(r.token)}, []kv.Op{kv.Put(SnapshotKey, value)})
+	}
+	if err != nil && ctx.Err() == nil {
+		r.Log.Log(EvSnapshotFailed, "token", r.token, "step", fault.Step(err), "peer", fault.Peer(err), "error", err.Error())
+	}
+}
+
 // report brings one window's counts to the cloud and reports whether it did.
 func (r *Reporter) report(ctx context.Context, window int64) bool {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -84,11 +84,16 @@
 	isInTouch bool
 }
 
-// New returns an exchange and registers its handlers with the transport. Start
-// tells runs of the entry apart.
-func New(c Config, self string, start time.Time) *Exchange {
+// RunName names a run of an entry.
+func RunName(entry string, start time.Time) string {
+	return entry + "/" + strconv.FormatInt(start.UnixNano(), 36)
+}
+
+// New returns an exchange for a run and registers its handlers with the
+// transport.
+func New(c Config, run string) *Exchange {
 	x := &Exchange{
-		Config: c, run: self + "/" + strconv.FormatInt(start.UnixNano(), 36),
+		Config: c, run: run,
 		heard: map[string]*entryState{}, site: quota.Site{Entries: 1, Heard: 1},
 	}
 	c.Transport.HandleNotify(peer.RelayState, x.receive)
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -165,13 +165,14 @@
 	b, log := x.s.Bounds, x.p.Log
 	x.pool = upstream.NewPool(x.network, x.p.Metrics)
 	x.fleet = relay.NewFleet(x.s.Node.ID, x.s.Node.Zone, x.clock, x.pool)
-	x.counts = usage.NewCounts(b.UsageWindow(), clock.NewWall(x.clock, time.Now))
+	run := exchange.RunName(x.s.Node.ID, time.Now())
+	x.counts = usage.NewCounts(run, b.UsageWindow(), clock.NewWall(x.clock, time.Now))
 	quotas := relay.NewQuotas(b.QuotaWindow(), x.clock)
 	crashes := relay.NewCrashes(x.clock)
 	x.exchange = exchange.New(exchange.Config{
 		Transport: x.transport, Entries: x.entries, Fleet: x.fleet, Quotas: quotas, Crashes: crashes,
 		Counts: x.counts, Clock: x.clock, Log: log,
-	}, x.s.Node.ID, time.Now())
+	}, run)
 	x.relay = relay.New(relay.Config{
 		Codec: x.adapter.Codec, Documents: x.documents, Fleet: x.fleet, Pool: x.pool, Quotas: quotas, Crashes: crashes,
 		Peers: x.exchange, Counts: x.counts, Zone: x.s.Node.Zone, Clock: x.clock, Log: log, Metrics: x.p.Metrics,
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -5,6 +5,7 @@
 package usage
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 
 // Counts holds the counts of all entries. It is safe for concurrent use.
 type Counts struct {
+	// run names this entry's run.
+	run    string
 	length time.Duration
 	wall   *clock.Wall
 
@@ -27,9 +30,9 @@
 	others map[string]Windows // by the run of an entry
 }
 
-// NewCounts returns counts for windows of the given length.
-func NewCounts(length time.Duration, wall *clock.Wall) *Counts {
-	return &Counts{length: length, wall: wall, own: Windows{}, others: map[string]Windows{}}
+// NewCounts returns counts of a run for windows of the given length.
+func NewCounts(run string, length time.Duration, wall *clock.Wall) *Counts {
+	return &Counts{run: run, length: length, wall: wall, own: Windows{}, others: map[string]Windows{}}
 }
 
 // Now returns the number of the present window and the time since its start.
@@ -61,16 +64,51 @@
 	defer c.mu.Unlock()
 	window, _ := c.nowLocked()
 	expire(c.own, window)
-	windows := make(Windows, len(c.own))
-	for n, counts := range c.own {
-		windows[n] = map[string]int{}
-		for o, count := range counts {
-			windows[n][o] = count
+	return c.own.since(0)
+}
+
+// since returns a copy of the windows from first on.
+func (w Windows) since(first int64) Windows {
+	windows := Windows{}
+	for n, counts := range w {
+		if n >= first {
+			windows[n] = maps.Clone(counts)
 		}
 	}
 	return windows
 }
 
+// snapshotWindows is the number of ended windows in a snapshot.
+const snapshotWindows = 2
+
+// Snapshot returns the recent counts of all runs, so that they outlive all
+// entries.
+func (c *Counts) Snapshot() map[string]Windows {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	window, _ := c.nowLocked()
+	runs := map[string]Windows{}
+	add := func(run string, w Windows) {
+		if recent := w.since(window - snapshotWindows); len(recent) > 0 {
+			runs[run] = recent
+		}
+	}
+	add(c.run, c.own)
+	for run, w := range c.others {
+		add(run, w)
+	}
+	return runs
+}
+
+// Restore takes a snapshot: for runs that are known too the higher counts hold.
+func (c *Counts) Restore(runs map[string]Windows) {
+	for run, windows := range runs {
+		if run != c.run {
+			c.Report(run, windows)
+		}
+	}
+}
+
 // Report takes the counts of another entry's run.
 func (c *Counts) Report(run string, windows Windows) {
 	c.mu.Lock()
@@ -82,7 +120,7 @@
 		c.others[run] = known
 	}
 	for n, counts := range windows {
-		known[n] = counts
+		known.raise(n, counts)
 	}
 	for run, windows := range c.others {
 		if expire(windows, window); len(windows) == 0 {
@@ -91,6 +129,16 @@
 	}
 }
 
+// raise takes counts of a window, which never fall within a run.
+func (w Windows) raise(n int64, counts map[string]int) {
+	if w[n] == nil {
+		w[n] = map[string]int{}
+	}
+	for o, count := range counts {
+		w[n][o] = max(w[n][o], count)
+	}
+}
+
 func expire(windows Windows, now int64) {
 	for n := range windows {
 		if n < now-kept {
