--- a/internal/duty/reporter.go
+++ b/internal/duty/reporter.go
@@ -36,7 +36,7 @@
 const (
 	// snapshotInterval is the time between snapshots: what is counted in it is
 	// lost if all entries die at once.
-	snapshotInterval = time.Second
+	snapshotInterval = 500 * time.Millisecond
 	// reportInterval is the time between looks at windows that are due.
 	reportInterval = 300 * time.Millisecond
 	// settleTime is how long after its end a window is reported: the last
