--- a/internal/duty/scaler.go
+++ b/internal/duty/scaler.go
@@ -41,7 +41,7 @@
 	Cloud     Cloud
 	Documents *follow.Documents
 	Servers   *follow.Servers
-	Fleet     *relay.Fleet
+	Balancer  *relay.Balancer
 	Demand    Demand
 	Clock     clock.Clock
 	Log       *telemetry.Logger
@@ -153,7 +153,7 @@
 // servers by zone.
 func (s *Scaler) running(service string) (running int, ready map[string]int) {
 	ready = map[string]int{}
-	for _, load := range s.Fleet.ServiceLoads() {
+	for _, load := range s.Balancer.ServiceLoads() {
 		if load.Service == service {
 			running += load.Running
 			ready[load.Zone] += load.Ready
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -58,7 +58,7 @@
 type Config struct {
 	Transport *peer.Transport
 	Entries   *follow.Entries
-	Fleet     *relay.Fleet
+	Balancer  *relay.Balancer
 	Quotas    *relay.Quotas
 	Crashes   *relay.Crashes
 	Counts    *usage.Counts
@@ -122,10 +122,10 @@
 
 // tell sends the n-th message.
 func (x *Exchange) tell(n int) {
-	message := state{Run: x.run, Spent: x.Quotas.Tell(n%knownEvery == 0), Loads: x.Fleet.Loads()}
+	message := state{Run: x.run, Spent: x.Quotas.Tell(n%knownEvery == 0), Loads: x.Balancer.Loads()}
 	if n%usageEvery == 0 {
 		message.Usage = x.Counts.Own()
-		message.Work = x.Fleet.Works()
+		message.Work = x.Balancer.Works()
 	}
 	x.notify(peer.RelayState, message)
 }
@@ -193,8 +193,8 @@
 	}
 	x.site = site
 	x.mu.Unlock()
-	x.Fleet.SetOthers(loads)
-	x.Fleet.SetEntries(site.Entries)
+	x.Balancer.SetOthers(loads)
+	x.Balancer.SetEntries(site.Entries)
 }
 
 func (x *Exchange) logTouch(id string, inTouch bool, age time.Duration) {
@@ -214,7 +214,7 @@
 
 // Works returns the work of all entries for a service, by entry.
 func (x *Exchange) Works(service string) map[string]relay.Work {
-	works := map[string]relay.Work{x.run: x.Fleet.Works()[service]}
+	works := map[string]relay.Work{x.run: x.Balancer.Works()[service]}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for id, known := range x.heard {
--- a/internal/follow/servers.go
+++ b/internal/follow/servers.go
@@ -35,6 +35,7 @@
 // departure is how a server left.
 type departure struct {
 	born, beat int64
+	at         time.Duration
 	// isAnnounced: the server said itself that it leaves.
 	isAnnounced bool
 }
@@ -44,6 +45,9 @@
 	// entry has lapsed is kept: living ones are back in about 2 s, and one that
 	// left must get nothing 2 s after the store said so.
 	returnGrace = 1600 * time.Millisecond
+	// departureMemory is how long a server that left is remembered; writes that
+	// are carried out late come within seconds.
+	departureMemory = 10 * time.Minute
 	// outageLeast is the shortest outage in which entries may lapse.
 	outageLeast = time.Second
 )
@@ -203,7 +207,7 @@
 		next.Leaving = true
 	}
 	if next.Leaving {
-		s.left[id] = departure{born: next.Born, beat: next.Beat, isAnnounced: true}
+		s.left[id] = departure{born: next.Born, beat: next.Beat, at: s.clock(), isAnnounced: true}
 	}
 	s.servers[id] = next
 	if old.Beat = next.Beat; known && old == next {
@@ -246,7 +250,7 @@
 
 func (s *Servers) dropLocked(id, state string) {
 	old := s.servers[id]
-	s.left[id] = departure{born: old.Born, beat: old.Beat, isAnnounced: old.Leaving}
+	s.left[id] = departure{born: old.Born, beat: old.Beat, at: s.clock(), isAnnounced: old.Leaving}
 	delete(s.servers, id)
 	delete(s.missing, id)
 	s.log.Log(EvServer, "server", id, "service", old.Service, "server_zone", old.Zone, "state", state, "born", old.Born)
@@ -255,6 +259,11 @@
 func (s *Servers) expireLocked() bool {
 	now := s.clock()
 	changed := false
+	for id, d := range s.left {
+		if _, known := s.servers[id]; !known && now-d.at > departureMemory {
+			delete(s.left, id)
+		}
+	}
 	for id, until := range s.missing {
 		if now >= until {
 			s.dropLocked(id, "gone")
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -72,7 +72,7 @@
 	// others is the recent spending of the other entries.
 	others *Window
 	// totals are the latest by run of an entry.
-	totals map[string]float64
+	totals map[string]runTotal
 	// debt is what was spent beyond the even rate, as of debtAt.
 	debt   float64
 	debtAt time.Duration
@@ -84,10 +84,20 @@
 	isSettled bool
 }
 
+// runTotal is the total of a run and when it was told.
+type runTotal struct {
+	amount float64
+	at     time.Duration
+}
+
+// runMemory is how long the total of a run is kept after its last message: an
+// entry that was cut off for that long counts as a new one.
+const runMemory = 10 * time.Minute
+
 // NewCounter returns a counter of an entry that started at the given time.
 func NewCounter(span, started time.Duration) *Counter {
 	return &Counter{
-		window: NewWindow(span), others: NewWindow(othersSpan), totals: map[string]float64{},
+		window: NewWindow(span), others: NewWindow(othersSpan), totals: map[string]runTotal{},
 		debtAt: started, coldTo: started + span,
 	}
 }
@@ -175,11 +185,14 @@
 // learns from one that has run for a whole window what all entries spent.
 func (c *Counter) Report(now time.Duration, run string, t Told) {
 	known, ok := c.totals[run]
-	c.totals[run] = t.Total
+	if !ok {
+		c.forget(now)
+	}
+	c.totals[run] = runTotal{t.Total, now}
 	switch {
-	case ok && t.Total != known:
-		c.add(now, t.Total-known)
-		c.others.Add(now, t.Total-known)
+	case ok && t.Total != known.amount:
+		c.add(now, t.Total-known.amount)
+		c.others.Add(now, t.Total-known.amount)
 	case !ok && t.Uptime < c.window.span:
 		c.add(now, t.Total)
 	}
@@ -190,10 +203,10 @@
 	}
 }
 
-// Forget drops the totals of runs that are not listed.
-func (c *Counter) Forget(isPresent func(run string) bool) {
-	for run := range c.totals {
-		if !isPresent(run) {
+// forget drops runs that ended long ago.
+func (c *Counter) forget(now time.Duration) {
+	for run, t := range c.totals {
+		if now-t.at > runMemory {
 			delete(c.totals, run)
 		}
 	}
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -47,10 +47,10 @@
 		return q.pass(c, a, data)
 	}
 	if isServerFailure(a.Status) || promisesNotRun(a.Status) {
-		q.relay.Fleet.done(c, failed)
+		q.relay.Balancer.done(c, failed)
 		return q.failedAnswer(c, a, data)
 	}
-	q.relay.Fleet.done(c, served)
+	q.relay.Balancer.done(c, served)
 	q.answered()
 	q.writeWhole(a.Status, a.Header, data)
 	return ended
@@ -143,10 +143,10 @@
 		_, err = io.Copy(q.w, a.Body)
 	}
 	if err != nil {
-		q.relay.Fleet.done(c, neutral)
+		q.relay.Balancer.done(c, neutral)
 		q.breakOff(err)
 	}
-	q.relay.Fleet.done(c, served)
+	q.relay.Balancer.done(c, served)
 	q.answered()
 	q.reason = reasonServed
 	return ended
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -15,7 +15,6 @@
 	EvCleared     = telemetry.Register(3104, "content-cleared", slog.LevelInfo, "A marked content was answered; its mark is dropped.")
 	EvDraining    = telemetry.Register(3105, "relay-draining", slog.LevelInfo, "The relay fails readiness, asks callers to close their connections and finishes its requests.")
 	EvDrained     = telemetry.Register(3106, "relay-drained", slog.LevelInfo, "The relay has no requests any more, or its grace period is over.")
-	EvBadRequest  = telemetry.Register(3107, "bad-request", slog.LevelInfo, "A request is not of the protocol and was refused.")
 	EvNotTold     = telemetry.Register(3108, "entry-not-told", slog.LevelInfo, "A message to another entry could not be sent; the next one carries the same totals.")
 	EvOutOfTouch  = telemetry.Register(3109, "entry-out-of-touch", slog.LevelWarn, "Another entry is registered but was not heard from; quotas are divided until it is heard again.")
 	EvBackInTouch = telemetry.Register(3110, "entry-in-touch", slog.LevelInfo, "Another entry is heard from again.")
--- a/internal/relay/facts.go
+++ b/internal/relay/facts.go
@@ -57,9 +57,6 @@
 	NotRun bool
 	// Genuine: the head bears the server's signature.
 	Genuine bool
-	// Busy is the load that the head tells, if HasLoad.
-	Running, Waiting, Slots int
-	HasLoad                 bool
 }
 
 // Codec translates between a protocol of callers and backend servers and the
@@ -73,6 +70,4 @@
 	IsAnswer(id string, status int, h http.Header) bool
 	// Verdict reads an answer's head.
 	Verdict(status int, h http.Header) Verdict
-	// Unsign removes the backend server's signature from answers of the relay.
-	Unsign(h http.Header)
 }
--- /dev/null
+++ b/internal/relay/load.go
@@ -0,0 +1,84 @@
+package relay
+
+import (
+	"cmp"
+	"time"
+
+	"buckthornpick/internal/backend"
+)
+
+// Load is the work of one entry at a backend server.
+type Load struct {
+	Running int `msgpack:"r"`
+}
+
+// Loads returns the own calls at each server.
+func (b *Balancer) Loads() map[string]Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	loads := map[string]Load{}
+	for id, s := range b.servers {
+		if s.running > 0 {
+			loads[id] = Load{Running: s.running}
+		}
+	}
+	return loads
+}
+
+// SetOthers takes the calls of the other entries at each server.
+func (b *Balancer) SetOthers(others map[string]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	for id, s := range b.servers {
+		s.others = others[id]
+		b.pickerLocked(s.Service).Report(now, id, backend.Load{Running: s.others + s.running, MeasuredAt: now})
+	}
+}
+
+// ServiceLoad is the state of a service in one zone.
+type ServiceLoad struct {
+	Service, Zone string
+	Ready         int
+	// Running is the number of calls of all entries.
+	Running int
+	// Slots is the number of calls that a server runs at once.
+	Slots int
+}
+
+// ServiceLoads returns the load by service and zone.
+func (b *Balancer) ServiceLoads() []ServiceLoad {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sums := map[[2]string]*ServiceLoad{}
+	for _, s := range b.servers {
+		if s.Leaving {
+			continue
+		}
+		key := [2]string{s.Service, s.Zone}
+		sum, ok := sums[key]
+		if !ok {
+			sum = &ServiceLoad{Service: s.Service, Zone: s.Zone}
+			sums[key] = sum
+		}
+		sum.Ready++
+		sum.Running += s.running + s.others
+		sum.Slots = cmp.Or(s.Slots, sum.Slots)
+	}
+	list := make([]ServiceLoad, 0, len(sums))
+	for _, sum := range sums {
+		list = append(list, *sum)
+	}
+	return list
+}
+
+// Works returns the own work by service.
+func (b *Balancer) Works() map[string]Work {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	works := make(map[string]Work, len(b.meters))
+	for service, m := range b.meters {
+		works[service] = m.work()
+	}
+	return works
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,10 +26,8 @@
 	QuotaWindow time.Duration
 	// Repeats bound further sends of a service's requests.
 	Repeats quota.RepeatLimits
-	// MaxHeaderBytes and MaxBodyBytes bound requests where the document does
-	// not.
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
+	// MaxBodyBytes bounds requests where the document does not.
+	MaxBodyBytes int64
 }
 
 // Peers are the other entries of the site.
@@ -51,7 +49,7 @@
 type Config struct {
 	Codec     Codec
 	Documents *follow.Documents
-	Fleet     *Fleet
+	Balancer  *Balancer
 	Pool      *upstream.Pool
 	Quotas    *Quotas
 	Crashes   *Crashes
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -32,7 +32,7 @@
 			return q.refuseUnsent(reasonStale, retryElsewhere)
 		}
 		left := time.Until(q.deadline)
-		c, err := q.relay.Fleet.pick(q.service, &q.facts, firstTokenWithin(q.call, left), q.tried)
+		c, err := q.relay.Balancer.pick(q.service, &q.facts, firstTokenWithin(q.call, left), q.tried)
 		if err != nil {
 			return q.noChoice(err)
 		}
@@ -118,7 +118,7 @@
 	q.server = c.target.ID
 	answer, err := q.relay.Pool.Do(ctx, c.target, q.encode(c, "", left))
 	if err != nil && !upstream.WasSent(err) {
-		q.relay.Fleet.done(c, unsentOutcome(ctx, err))
+		q.relay.Balancer.done(c, unsentOutcome(ctx, err))
 		return result{fate: fateUnsent, refusal: notRun(reasonUnsent, retryBusy), err: err}
 	}
 	q.sends++
@@ -158,11 +158,11 @@
 func (q *request) lost(ctx context.Context, c *choice, err error) result {
 	switch {
 	case q.r.Context().Err() != nil:
-		q.relay.Fleet.done(c, neutral)
+		q.relay.Balancer.done(c, neutral)
 	case ctx.Err() != nil:
-		q.relay.Fleet.done(c, failed)
+		q.relay.Balancer.done(c, failed)
 	default:
-		q.relay.Fleet.done(c, failed)
+		q.relay.Balancer.done(c, failed)
 		q.relay.suspects.broke(c.target, brokenRun{content: q.content, attempt: q.facts.ID})
 	}
 	return result{fate: fateUnknown, refusal: unknown(reasonLost), err: err}
@@ -173,7 +173,7 @@
 	verdict := q.relay.Codec.Verdict(a.Status, a.Header)
 	if verdict.NotRun {
 		discard(a)
-		q.relay.Fleet.done(c, neutral)
+		q.relay.Balancer.done(c, neutral)
 		return result{fate: fateNotRun, refusal: notRun(reasonNotRun, retryBusy), err: statusError(c, a.Status)}
 	}
 	q.mayHaveRun = true
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -30,13 +30,13 @@
 	for {
 		err := s.copy(ctx, c, a)
 		if err == nil {
-			q.relay.Fleet.done(c, served)
+			q.relay.Balancer.done(c, served)
 			q.answered()
 			q.reason = reasonServed
 			return ended
 		}
 		if s.callerGone {
-			q.relay.Fleet.done(c, neutral)
+			q.relay.Balancer.done(c, neutral)
 			q.breakOff(err)
 		}
 		res := q.lost(ctx, c, fault.Wrap(err, fault.Ambiguous, "relay.stream", c.target.ID, "the stream broke"))
@@ -77,7 +77,7 @@
 			if isFirst {
 				isFirst = false
 				s.request.began()
-				s.request.relay.Fleet.firstToken(c)
+				s.request.relay.Balancer.firstToken(c)
 			}
 			if err := s.write(pending[:end]); err != nil {
 				s.callerGone = true
@@ -136,10 +136,10 @@
 	q := s.request
 	q.tried[from.target.ID] = true
 	for ctx.Err() == nil && q.call.Repetition == resumable && s.lastID != "" && q.sends < q.call.Attempts && !q.isStale() {
-		c, err := q.relay.Fleet.pick(q.service, &q.facts, 0, q.tried)
+		c, err := q.relay.Balancer.pick(q.service, &q.facts, 0, q.tried)
 		if err != nil || !q.relay.repeats.take(q.service, q.relay.Peers.Site().Entries) {
 			if err == nil {
-				q.relay.Fleet.done(c, neutral)
+				q.relay.Balancer.done(c, neutral)
 			}
 			return nil, nil
 		}
@@ -147,7 +147,7 @@
 		left := time.Until(q.deadline)
 		a, err := q.relay.Pool.Do(ctx, c.target, q.encode(c, s.lastID, left))
 		if err != nil && !upstream.WasSent(err) {
-			q.relay.Fleet.done(c, unsentOutcome(ctx, err))
+			q.relay.Balancer.done(c, unsentOutcome(ctx, err))
 			continue
 		}
 		q.sends++
@@ -159,7 +159,7 @@
 		if err == nil {
 			discard(a)
 		}
-		q.relay.Fleet.done(c, failed)
+		q.relay.Balancer.done(c, failed)
 	}
 	return nil, nil
 }
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -120,7 +120,7 @@
 	transport *peer.Transport
 	exchange  *exchange.Exchange
 	counts    *usage.Counts
-	fleet     *relay.Fleet
+	balancer  *relay.Balancer
 	relay     *relay.Relay
 	lease     *lease.Lease
 	drain     drainState
@@ -147,8 +147,8 @@
 	x.transport = peer.New(self, x.network, log, x.p.Metrics, peer.Options{
 		SecretSource: x.secret.Bytes, PingInterval: peerSilence, IdlePingInterval: peerSilence, PingTimeout: peerTimeout,
 	})
-	x.documents = follow.NewDocuments(a.DocumentKey, a.DecodeDocument, log, func(d *follow.Document) { x.fleet.SetDocument(d) })
-	x.servers = follow.NewServers(a.ServersPrefix, a.DecodeServer, x.clock, log, func(list []follow.Server) { x.fleet.SetServers(list) })
+	x.documents = follow.NewDocuments(a.DocumentKey, a.DecodeDocument, log, func(d *follow.Document) { x.balancer.SetDocument(d) })
+	x.servers = follow.NewServers(a.ServersPrefix, a.DecodeServer, x.clock, log, func(list []follow.Server) { x.balancer.SetServers(list) })
 	x.zone = follow.NewZoneStore(x.store, self, x.transport, x.entries, x.clock, log, a.DocumentKey, a.ServersPrefix, follow.EntriesPrefix)
 	follower := func(o follow.Options, sink follow.Sink) *follow.Follower {
 		f := follow.New(o, x.zone, sink, x.clock, log)
@@ -164,22 +164,22 @@
 func (x *Process) provisionRelay() {
 	b, log := x.s.Bounds, x.p.Log
 	x.pool = upstream.NewPool(x.network, x.p.Metrics)
-	x.fleet = relay.NewFleet(x.s.Node.ID, x.s.Node.Zone, x.clock, x.pool)
+	x.balancer = relay.NewBalancer(x.s.Node.ID, x.s.Node.Zone, x.clock, x.pool)
 	run := exchange.RunName(x.s.Node.ID, time.Now())
 	x.counts = usage.NewCounts(run, b.UsageWindow(), clock.NewWall(x.clock, time.Now))
 	quotas := relay.NewQuotas(b.QuotaWindow(), x.clock)
 	crashes := relay.NewCrashes(x.clock)
 	x.exchange = exchange.New(exchange.Config{
-		Transport: x.transport, Entries: x.entries, Fleet: x.fleet, Quotas: quotas, Crashes: crashes,
+		Transport: x.transport, Entries: x.entries, Balancer: x.balancer, Quotas: quotas, Crashes: crashes,
 		Counts: x.counts, Clock: x.clock, Log: log,
 	}, run)
 	x.relay = relay.New(relay.Config{
-		Codec: x.adapter.Codec, Documents: x.documents, Fleet: x.fleet, Pool: x.pool, Quotas: quotas, Crashes: crashes,
+		Codec: x.adapter.Codec, Documents: x.documents, Balancer: x.balancer, Pool: x.pool, Quotas: quotas, Crashes: crashes,
 		Peers: x.exchange, Counts: x.counts, Zone: x.s.Node.Zone, Clock: x.clock, Log: log, Metrics: x.p.Metrics,
 		Bounds: relay.Bounds{
 			KeyLife: b.Revoke() - revokeMargin, QuotaWindow: b.QuotaWindow(),
-			Repeats:        quota.RepeatLimits{Ratio: b.RepeatRatio, Slack: b.RepeatSlack, Span: b.RepeatWindow()},
-			MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes,
+			Repeats:      quota.RepeatLimits{Ratio: b.RepeatRatio, Slack: b.RepeatSlack, Span: b.RepeatWindow()},
+			MaxBodyBytes: maxBodyBytes,
 		},
 	})
 	x.lease = lease.New(lease.Config{
@@ -256,7 +256,7 @@
 	}
 	if slices.Contains(x.s.Duties, config.DutyScaling) {
 		scaler := &duty.Scaler{
-			Lease: x.lease, Cloud: x.cloud, Documents: x.documents, Servers: x.servers, Fleet: x.fleet,
+			Lease: x.lease, Cloud: x.cloud, Documents: x.documents, Servers: x.servers, Balancer: x.balancer,
 			Demand: x.exchange, Clock: x.clock, Log: x.p.Log,
 		}
 		list = append(list, scaler.Run)
