follow: entries leave a watcher that lost the store

Watchers now poll with waits of 0.4 s, refuse at once when their view is older than 1.2 s, and the others wait 0.4 s. TestEntriesLeaveThoseThatLostTheStore failed before. The test of calls compares sites that both have watchers, 5 and 15 entries, since watchers poll more often than the entries of a small zone; its bound is the same.

--- a/internal/follow/zone.go
+++ b/internal/follow/zone.go
@@ -18,9 +18,18 @@
 	// zoneWatchers is the number of entries of a zone that poll the store; the
 	// others ask them. With no more entries than that nobody asks.
 	zoneWatchers = 4
-	// maxToldAge is the age of an answer, beyond the wait of the asked entry's own
-	// polls, from which the store is asked instead.
-	maxToldAge = 1500 * time.Millisecond
+	// watcherWait is the longest wait of the polls of those that others ask, and
+	// askWait that of the others' polls. maxToldAge is the age of an answer from
+	// which the store is asked instead: two waits and a pause, since a view is as
+	// old as the sending of its last poll. A server that leaves must get nothing
+	// 2 s later, also from entries whose watcher has just lost the store: they
+	// learn of it after maxToldAge, askWait and a pause.
+	watcherWait = 400 * time.Millisecond
+	askWait     = 400 * time.Millisecond
+	maxToldAge  = 1200 * time.Millisecond
+	// slowWait is the wait from which a prefix is followed at leisure: its views
+	// may be as old as two such waits.
+	slowWait = 5 * time.Second
 	// askMargin is what an answer may take beyond the wait that is asked for.
 	askMargin = 400 * time.Millisecond
 )
@@ -43,6 +52,8 @@
 	Prefix string        `msgpack:"p"`
 	After  int64         `msgpack:"a"`
 	Wait   time.Duration `msgpack:"w"`
+	// MaxAge is the greatest age of an answer that helps.
+	MaxAge time.Duration `msgpack:"g"`
 }
 
 // pollAnswer holds changes, or says that the asked entry cannot tell.
@@ -76,12 +87,18 @@
 
 // AsksStore reports whether this entry is one of its zone's that poll the store.
 func (z *ZoneStore) AsksStore() bool {
-	_, asksPeer := z.watcher()
-	return !asksPeer
+	return z.role().watcher == nil
 }
 
-// watcher returns the entry to ask; ok is false if this one asks the store.
-func (z *ZoneStore) watcher() (node peer.Node, ok bool) {
+// role is what an entry does in its zone.
+type role struct {
+	// watcher is the entry to ask; nil is the store.
+	watcher *peer.Node
+	// isAsked is true if others ask this entry.
+	isAsked bool
+}
+
+func (z *ZoneStore) role() role {
 	zone := []peer.Node{z.self}
 	for _, n := range z.entries.Others() {
 		if n.Zone == z.self.Zone {
@@ -89,28 +106,37 @@
 		}
 	}
 	if len(zone) <= zoneWatchers {
-		return peer.Node{}, false
+		return role{}
 	}
 	slices.SortFunc(zone, func(a, b peer.Node) int { return cmp.Compare(a.ID, b.ID) })
 	watchers := zone[:zoneWatchers]
 	if slices.ContainsFunc(watchers, func(n peer.Node) bool { return n.ID == z.self.ID }) {
-		return peer.Node{}, false
+		return role{isAsked: true}
 	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(z.self.ID))
-	return watchers[h.Sum32()%zoneWatchers], true
+	return role{watcher: &watchers[h.Sum32()%zoneWatchers]}
 }
 
 // Poll implements kv.Poller.
 func (z *ZoneStore) Poll(ctx context.Context, prefix string, after int64, wait time.Duration) (kv.WatchBatch, error) {
-	if node, ok := z.watcher(); ok {
-		batch, err := z.ask(ctx, node, pollRequest{prefix, after, wait})
-		if err == nil {
-			return batch, nil
-		}
-		z.log.Log(EvAskedStore, "entry", node.ID, "prefix", prefix, "revision", after, "error", err.Error())
+	role := z.role()
+	maxAge := 2*wait + maxToldAge
+	if wait < slowWait {
+		maxAge = maxToldAge
+	}
+	if role.isAsked && wait < slowWait {
+		wait = watcherWait
 	}
-	return z.Store.Poll(ctx, prefix, after, wait)
+	if role.watcher == nil {
+		return z.Store.Poll(ctx, prefix, after, wait)
+	}
+	batch, err := z.ask(ctx, *role.watcher, pollRequest{prefix, after, min(wait, askWait), maxAge})
+	if err == nil {
+		return batch, nil
+	}
+	z.log.Log(EvAskedStore, "entry", role.watcher.ID, "prefix", prefix, "revision", after, "error", err.Error())
+	return z.Store.Poll(ctx, prefix, after, min(wait, askWait))
 }
 
 func (z *ZoneStore) ask(ctx context.Context, node peer.Node, r pollRequest) (kv.WatchBatch, error) {
@@ -120,7 +146,7 @@
 	if err != nil {
 		return kv.WatchBatch{}, err
 	}
-	if a.Unknown || a.Age > r.Wait+maxToldAge {
+	if a.Unknown || a.Age > r.MaxAge {
 		return kv.WatchBatch{}, fault.New(fault.Unavailable, "zone.poll", node.ID, "its view is %s old", a.Age)
 	}
 	batch := kv.WatchBatch{Revision: a.Revision, Age: a.Age}
@@ -142,11 +168,12 @@
 	defer timeout.Stop()
 	for isOver := false; ; {
 		batch, confirmed, changed, ok := log.after(r.After)
-		if !ok {
-			return pollAnswer{Unknown: true}, nil
+		age := z.clock() - confirmed
+		if !ok || age > r.MaxAge {
+			return pollAnswer{Unknown: true, Age: age}, nil
 		}
 		if len(batch.Events) > 0 || isOver {
-			return toAnswer(batch, z.clock()-confirmed), nil
+			return toAnswer(batch, age), nil
 		}
 		select {
 		case <-changed:
