--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -1,5 +1,5 @@
 // Package exchange keeps the entries of a site informed of each other: several
-// times a second each tells the others its totals and loads. All values are
+// times a second each reports its totals and loads to the others. All values are
 // totals or states, so that a lost message is made good by the next one.
 package exchange
 
@@ -34,7 +34,7 @@
 	// usageEvery is the number of messages for each one that carries counts of
 	// usage, which change slowly.
 	usageEvery = 2
-	// knownEvery is the number of messages for each one that tells starting
+	// knownEvery is the number of messages for each one that informs starting
 	// entries the spending of all.
 	knownEvery = 3
 )
@@ -42,14 +42,14 @@
 // state is one message.
 type state struct {
 	// Work is the entry's work by service.
-	Work  map[string]relay.Work `msgpack:"k,omitempty"`
-	Run   string                `msgpack:"r"`
-	Spent map[string]quota.Told `msgpack:"q,omitempty"`
-	Loads map[string]relay.Load `msgpack:"l,omitempty"`
-	Usage usage.Windows         `msgpack:"w,omitempty"`
+	Work  map[string]relay.Work           `msgpack:"k,omitempty"`
+	Run   string                          `msgpack:"r"`
+	Spent map[string]quota.SpendingReport `msgpack:"q,omitempty"`
+	Loads map[string]relay.Load           `msgpack:"l,omitempty"`
+	Usage usage.Windows                   `msgpack:"w,omitempty"`
 }
 
-// cleared tells that a content was answered.
+// cleared reports that a content was answered.
 type cleared struct {
 	Content uint64 `msgpack:"c"`
 }
@@ -71,9 +71,9 @@
 	Config
 	run string
 
-	mu    sync.Mutex
-	heard map[string]*entryState
-	site  quota.Site
+	mu     sync.Mutex
+	states map[string]*entryState
+	site   quota.Site
 }
 
 // entryState is what is known of another entry.
@@ -94,7 +94,7 @@
 func New(c Config, run string) *Exchange {
 	x := &Exchange{
 		Config: c, run: run,
-		heard: map[string]*entryState{}, site: quota.Site{Entries: 1, Heard: 1},
+		states: map[string]*entryState{}, site: quota.Site{Entries: 1, Reachable: 1},
 	}
 	c.Transport.HandleNotify(peer.RelayState, x.receive)
 	c.Transport.HandleNotify(peer.RelayCrash, x.receiveCrash)
@@ -111,7 +111,7 @@
 			return nil
 		}
 		x.judge(every)
-		x.tell(n)
+		x.broadcast(n)
 	}
 }
 
@@ -120,9 +120,9 @@
 	return min(max(interval, interval*time.Duration(others)/entriesPerInterval), maxInterval)
 }
 
-// tell sends the n-th message.
-func (x *Exchange) tell(n int) {
-	message := state{Run: x.run, Spent: x.Quotas.Tell(n%knownEvery == 0), Loads: x.Balancer.Loads()}
+// broadcast sends the n-th message.
+func (x *Exchange) broadcast(n int) {
+	message := state{Run: x.run, Spent: x.Quotas.Reports(n%knownEvery == 0), Loads: x.Balancer.Loads()}
 	if n%usageEvery == 0 {
 		message.Usage = x.Counts.Own()
 		message.Work = x.Balancer.Works()
@@ -135,7 +135,7 @@
 func (x *Exchange) notify(kind peer.Kind, message any) {
 	for _, node := range x.Entries.Others() {
 		if err := x.Transport.Notify(node, kind, message); err != nil && kind != peer.RelayState {
-			x.Log.Log(relay.EvNotTold, "entry", node.ID, "kind", kind.String(), "error", err.Error())
+			x.Log.Log(relay.EvNotifyFailed, "entry", node.ID, "kind", kind.String(), "error", err.Error())
 		}
 	}
 }
@@ -145,16 +145,16 @@
 	if decode(&message) != nil {
 		return // the transport has logged it
 	}
-	x.Quotas.Report(message.Run, message.Spent)
+	x.Quotas.Merge(message.Run, message.Spent)
 	if message.Usage != nil {
-		x.Counts.Report(message.Run, message.Usage)
+		x.Counts.Merge(message.Run, message.Usage)
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	known, ok := x.heard[from.ID]
+	known, ok := x.states[from.ID]
 	if !ok {
 		known = &entryState{}
-		x.heard[from.ID] = known
+		x.states[from.ID] = known
 	}
 	known.at, known.loads = x.Clock(), message.Loads
 	if message.Work != nil {
@@ -168,15 +168,15 @@
 	loads := map[string]int{}
 	x.mu.Lock()
 	now := x.Clock()
-	site := quota.Site{Entries: 1 + len(others), Heard: 1, Lag: every - interval}
+	site := quota.Site{Entries: 1 + len(others), Reachable: 1, Lag: every - interval}
 	silence := silentMessages * every
 	present := map[string]bool{}
 	for _, node := range others {
 		present[node.ID] = true
-		known := x.heard[node.ID]
+		known := x.states[node.ID]
 		inTouch := known != nil && now-known.at < silence
 		if inTouch {
-			site.Heard++
+			site.Reachable++
 			for server, load := range known.loads {
 				loads[server] += load.Running
 			}
@@ -186,9 +186,9 @@
 			x.logTouch(node.ID, inTouch, now-known.at)
 		}
 	}
-	for id := range x.heard {
-		if !present[id] && now-x.heard[id].at > silence {
-			delete(x.heard, id)
+	for id := range x.states {
+		if !present[id] && now-x.states[id].at > silence {
+			delete(x.states, id)
 		}
 	}
 	x.site = site
@@ -217,7 +217,7 @@
 	works := map[string]relay.Work{x.run: x.Balancer.Works()[service]}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for id, known := range x.heard {
+	for id, known := range x.states {
 		if w, ok := known.work[service]; ok {
 			works[id] = w
 		}
@@ -225,11 +225,11 @@
 	return works
 }
 
-// TellCrash implements relay.Peers.
-func (x *Exchange) TellCrash(c relay.Crash) { x.notify(peer.RelayCrash, c) }
+// NotifyCrash implements relay.Peers.
+func (x *Exchange) NotifyCrash(c relay.Crash) { x.notify(peer.RelayCrash, c) }
 
-// TellCleared implements relay.Peers.
-func (x *Exchange) TellCleared(content uint64) { x.notify(peer.RelayCleared, cleared{content}) }
+// NotifyCleared implements relay.Peers.
+func (x *Exchange) NotifyCleared(content uint64) { x.notify(peer.RelayCleared, cleared{content}) }
 
 func (x *Exchange) receiveCrash(from peer.Node, decode func(any) error) {
 	var c relay.Crash
@@ -250,8 +250,8 @@
 // flushTime is how long the last message gets to leave the process.
 const flushTime = 100 * time.Millisecond
 
-// Flush tells the other entries the last totals before a stop.
+// Flush sends the last totals to the other entries before a stop.
 func (x *Exchange) Flush() {
-	x.tell(0)
+	x.broadcast(0)
 	time.Sleep(flushTime)
 }
--- a/internal/follow/events.go
+++ b/internal/follow/events.go
@@ -22,7 +22,7 @@
 	EvRegistered     = telemetry.Register(3011, "registered", slog.LevelInfo, "This process is registered in the store, under a new lease.")
 	EvRegisterFailed = telemetry.Register(3012, "register-failed", slog.LevelWarn, "This process could not register or renew its registration and tries again.")
 	EvSecretFailed   = telemetry.Register(3014, "secret-unknown", slog.LevelWarn, "The secret of the site could not be read or created; peers cannot be reached until it is.")
-	EvAskedStore     = telemetry.Register(3016, "zone-told-nothing", slog.LevelInfo, "An entry of the zone that follows the store could not tell of changes; the store is asked itself.")
+	EvWatcherStale   = telemetry.Register(3016, "zone-watcher-unusable", slog.LevelInfo, "An entry of the zone that follows the store could not answer a poll; the store is asked itself.")
 	EvServerOld      = telemetry.Register(3015, "server-outdated", slog.LevelInfo, "An entry of the registry was written before what is known of its server, and is skipped.")
 	EvServerKept     = telemetry.Register(3013, "servers-kept", slog.LevelInfo, "Backend servers are missing in the registry after an outage of the store; they stay in use until they had time to return.")
 )
--- a/internal/follow/zone.go
+++ b/internal/follow/zone.go
@@ -19,14 +19,14 @@
 	// others ask them. With no more entries than that nobody asks.
 	zoneWatchers = 4
 	// watcherWait is the longest wait of the polls of those that others ask, and
-	// askWait that of the others' polls. maxToldAge is the age of an answer from
+	// askWait that of the others' polls. maxViewAge is the age of an answer from
 	// which the store is asked instead: two waits and a pause, since a view is as
 	// old as the sending of its last poll. A server that leaves must get nothing
 	// 2 s later, also from entries whose watcher has just lost the store: they
-	// learn of it after maxToldAge, askWait and a pause.
+	// learn of it after maxViewAge, askWait and a pause.
 	watcherWait = 400 * time.Millisecond
 	askWait     = 400 * time.Millisecond
-	maxToldAge  = 1200 * time.Millisecond
+	maxViewAge  = 1200 * time.Millisecond
 	// slowWait is the wait from which a prefix is followed at leisure: its views
 	// may be as old as two such waits.
 	slowWait = 5 * time.Second
@@ -121,9 +121,9 @@
 // Poll implements kv.Poller.
 func (z *ZoneStore) Poll(ctx context.Context, prefix string, after int64, wait time.Duration) (kv.WatchBatch, error) {
 	role := z.role()
-	maxAge := 2*wait + maxToldAge
+	maxAge := 2*wait + maxViewAge
 	if wait < slowWait {
-		maxAge = maxToldAge
+		maxAge = maxViewAge
 	}
 	if role.isAsked && wait < slowWait {
 		wait = watcherWait
@@ -135,7 +135,7 @@
 	if err == nil {
 		return batch, nil
 	}
-	z.log.Log(EvAskedStore, "entry", role.watcher.ID, "prefix", prefix, "revision", after, "error", err.Error())
+	z.log.Log(EvWatcherStale, "entry", role.watcher.ID, "prefix", prefix, "revision", after, "error", err.Error())
 	return z.Store.Poll(ctx, prefix, after, min(wait, askWait))
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -24,9 +24,9 @@
 type Site struct {
 	// Entries is the number of entries, this one included.
 	Entries int
-	// Heard is the number of those whose spending is known up to now, this one
+	// Reachable is the number of those whose spending is known up to now, this one
 	// included.
-	Heard int
+	Reachable int
 	// Lag is by how much messages are older than on a small site.
 	Lag time.Duration
 }
@@ -34,10 +34,10 @@
 // share is the part of a quota that the entries which hear from each other may
 // spend.
 func (s Site) share() float64 {
-	if s.Entries <= s.Heard || s.Entries < 1 {
+	if s.Entries <= s.Reachable || s.Entries < 1 {
 		return 1
 	}
-	return float64(s.Heard) / float64(s.Entries)
+	return float64(s.Reachable) / float64(s.Entries)
 }
 
 // Verdict is a decision with its inputs.
@@ -65,7 +65,7 @@
 )
 
 // Counter is the spending of one organisation over all entries of a site: the
-// own amounts, and those of others told as totals since their start. A lost
+// own amounts, and those of others reported as totals since their start. A lost
 // message does no harm, since the next one carries the total.
 type Counter struct {
 	window *Window
@@ -77,14 +77,14 @@
 	debt   float64
 	debtAt time.Duration
 	// coldTo is the end of the first window after a start; 0 once another entry
-	// told what was spent.
+	// reported what was spent.
 	coldTo time.Duration
 	// unknown is the part of the debt that stands for spending before the start.
 	unknown   float64
 	isSettled bool
 }
 
-// runTotal is the total of a run and when it was told.
+// runTotal is the total of a run and when it was last reported.
 type runTotal struct {
 	amount float64
 	at     time.Duration
@@ -160,8 +160,8 @@
 	c.add(now, -amount)
 }
 
-// Told is what an entry tells the others of its spending.
-type Told struct {
+// SpendingReport is what an entry reports to the others of its spending.
+type SpendingReport struct {
 	// Total since the entry's start.
 	Total float64 `msgpack:"t"`
 	// Known is the spending of all entries in the window, as known there, in
@@ -171,19 +171,19 @@
 	Uptime time.Duration `msgpack:"u"`
 }
 
-// Tell returns what this entry tells the others; total is its spending since it
+// Report returns what this entry reports to the others; total is its spending since it
 // started, uptime ago. WithKnown adds what a starting entry needs.
-func (c *Counter) Tell(now time.Duration, total float64, uptime time.Duration, withKnown bool) Told {
-	t := Told{Total: total, Uptime: uptime}
+func (c *Counter) Report(now time.Duration, total float64, uptime time.Duration, withKnown bool) SpendingReport {
+	t := SpendingReport{Total: total, Uptime: uptime}
 	if withKnown && uptime >= c.window.span {
 		t.Known = c.window.Parts(now)
 	}
 	return t
 }
 
-// Report takes what another entry's run tells. An entry that has just started
+// Merge takes what another entry's run reports. An entry that has just started
 // learns from one that has run for a whole window what all entries spent.
-func (c *Counter) Report(now time.Duration, run string, t Told) {
+func (c *Counter) Merge(now time.Duration, run string, t SpendingReport) {
 	known, ok := c.totals[run]
 	if !ok {
 		c.forget(now)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -56,7 +56,7 @@
 	e := r.entries[i]
 	e.run, e.counter, e.total = strconv.Itoa(i)+"/"+r.now.String(), NewCounter(window, r.now), 0
 	e.started = r.now
-	e.site = Site{Entries: len(r.entries), Heard: 1} // nobody was heard yet
+	e.site = Site{Entries: len(r.entries), Reachable: 1} // nobody was heard yet
 }
 
 // play offers rate units a second to random entries for d, in requests of cost;
@@ -83,10 +83,10 @@
 		for j, from := range r.entries {
 			if i != j && hears(i, j) {
 				heard++
-				to.counter.Report(r.now, from.run, from.counter.Tell(r.now, from.total, r.now-from.started, true))
+				to.counter.Merge(r.now, from.run, from.counter.Report(r.now, from.total, r.now-from.started, true))
 			}
 		}
-		to.site = Site{Entries: len(r.entries), Heard: heard}
+		to.site = Site{Entries: len(r.entries), Reachable: heard}
 	}
 }
 
@@ -164,7 +164,7 @@
 func TestRequestAboveTheBurstIsServedWhenNothingIsOwed(t *testing.T) {
 	c := NewCounter(window, time.Hour)
 	l := Limits{PerSecond: 1000, Burst: 1000, Window: window}
-	site := Site{Entries: 1, Heard: 1}
+	site := Site{Entries: 1, Reachable: 1}
 	require.False(t, c.Spend(time.Hour, l, site, 5000).Allowed, "what was spent before the start is not known")
 	require.True(t, c.Spend(time.Hour+window, l, site, 5000).Allowed)
 	v := c.Spend(time.Hour+window, l, site, 5000)
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -86,7 +86,7 @@
 	q.began()
 	if q.relay.Crashes.Answered(q.content) {
 		q.relay.Log.Log(EvCleared, "request", q.facts.ID, "content", q.content)
-		q.relay.Peers.TellCleared(q.content)
+		q.relay.Peers.NotifyCleared(q.content)
 	}
 }
 
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -105,7 +105,7 @@
 	return max(uneven, uneven*s.MaxConnectionsPerServer/b.entries)
 }
 
-// feedLocked tells the pickers the servers with their states.
+// feedLocked passes the servers with their states to the pickers.
 func (b *Balancer) feedLocked() {
 	now := b.clock()
 	byService := map[string][]route.Server{}
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -73,7 +73,7 @@
 	return max(1, xxhash.Sum64String(f.Parts[len(f.Parts)-2].ID))
 }
 
-// firstToken tells the balancer when the first token of a call came.
+// firstToken records when the first token of a call came.
 func (b *Balancer) firstToken(c *choice) {
 	now := time.Now()
 	took := now.Sub(c.sentAt)
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -18,11 +18,11 @@
 	maxContents = 4096
 )
 
-// Crash tells that a backend server crashed while it ran a content.
+// Crash reports that a backend server crashed while it ran a content.
 type Crash struct {
 	Content uint64 `msgpack:"c"`
 	Server  string `msgpack:"s"`
-	// Run names the run of the content, so that a crash told twice counts once.
+	// Run names the run of the content, so that a crash reported twice counts once.
 	Run string `msgpack:"r"`
 }
 
--- a/internal/relay/crashwatch.go
+++ b/internal/relay/crashwatch.go
@@ -12,11 +12,11 @@
 const (
 	// probeDelay leaves a crashing process time to be gone.
 	probeDelay = 50 * time.Millisecond
-	// probeTimeout bounds the connection that tells whether a server lives.
+	// probeTimeout bounds the connection that shows whether a server lives.
 	probeTimeout = 500 * time.Millisecond
 )
 
-// crashWatch tells crashes from answers that were lost: a break of a connection
+// crashWatch distinguishes crashes from lost answers: a break of a connection
 // is a crash if the server takes no connection just after it.
 type crashWatch struct {
 	relay *Relay
@@ -63,6 +63,6 @@
 		crash := Crash{Content: run.content, Server: t.ID, Run: t.ID + "/" + strconv.FormatInt(t.Run, 10) + "/" + run.attempt}
 		n := w.relay.Crashes.Note(crash)
 		w.relay.Log.Log(EvCrashed, "request", run.attempt, "content", run.content, "server", t.ID, "crashes", n)
-		w.relay.Peers.TellCrash(crash)
+		w.relay.Peers.NotifyCrash(crash)
 	}
 }
--- a/internal/relay/quotas.go
+++ b/internal/relay/quotas.go
@@ -67,26 +67,26 @@
 	q.spent[organisation] -= amount
 }
 
-// Tell returns what this entry tells the others, by organisation; withKnown adds
+// Reports returns what this entry reports to the others, by organisation; withKnown adds
 // what starting entries need.
-func (q *Quotas) Tell(withKnown bool) map[string]quota.Told {
+func (q *Quotas) Reports(withKnown bool) map[string]quota.SpendingReport {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock()
-	told := make(map[string]quota.Told, len(q.counters))
+	reports := make(map[string]quota.SpendingReport, len(q.counters))
 	for o, c := range q.counters {
-		told[o] = c.Tell(now, q.spent[o], now-q.started, withKnown)
+		reports[o] = c.Report(now, q.spent[o], now-q.started, withKnown)
 	}
-	return told
+	return reports
 }
 
-// Report takes what another entry's run tells.
-func (q *Quotas) Report(run string, told map[string]quota.Told) {
+// Merge takes what another entry's run reports.
+func (q *Quotas) Merge(run string, reports map[string]quota.SpendingReport) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock()
-	for o, t := range told {
-		q.counterLocked(o).Report(now, run, t)
+	for o, t := range reports {
+		q.counterLocked(o).Merge(now, run, t)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,9 +35,9 @@
 	// Site returns the number of the site's entries and of those heard from,
 	// this one included.
 	Site() quota.Site
-	// TellCrash and TellCleared spread the marks of contents.
-	TellCrash(Crash)
-	TellCleared(content uint64)
+	// NotifyCrash and NotifyCleared spread the marks of contents.
+	NotifyCrash(Crash)
+	NotifyCleared(content uint64)
 }
 
 // Counts takes the requests that began to run.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -192,7 +192,7 @@
 	return fault.New(fault.Unavailable, "relay.receive", c.target.ID, "not run, status %d", status)
 }
 
-// logAttempt tells why a send did not end the request.
+// logAttempt logs why a send did not end the request.
 func (q *request) logAttempt(c *choice, res *result) {
 	text := ""
 	if res.err != nil {
--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -23,7 +23,7 @@
 	// rateQuantile of the observations is the rate: most prompts wait for others
 	// and look slower, and a few were cached and look faster.
 	rateQuantile = 0.95
-	// leastRates is the number of observations before a rate is told.
+	// leastRates is the number of observations before a rate is reported.
 	leastRates = 20
 )
 
@@ -32,7 +32,7 @@
 	tokens float64
 	rates  []float64
 	next   int
-	// rate is the highest that was told: a server is no slower for being busy.
+	// rate is the highest that was reported: a server is no slower for being busy.
 	rate float64
 }
 
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -104,13 +104,13 @@
 func (c *Counts) Restore(runs map[string]Windows) {
 	for run, windows := range runs {
 		if run != c.run {
-			c.Report(run, windows)
+			c.Merge(run, windows)
 		}
 	}
 }
 
-// Report takes the counts of another entry's run.
-func (c *Counts) Report(run string, windows Windows) {
+// Merge takes the counts of another entry's run.
+func (c *Counts) Merge(run string, windows Windows) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	window, _ := c.nowLocked()
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -15,15 +15,15 @@
 	c := NewCounts("a/1", 5*time.Second, wall)
 	c.Began("o")
 	window, _ := c.Now()
-	c.Report("b/1", Windows{window: {"o": 2, "p": 1}})
-	c.Report("b/1", Windows{window: {"o": 3, "p": 1}}) // totals, not differences
-	c.Report("b/2", Windows{window: {"o": 10}})        // b was started again
+	c.Merge("b/1", Windows{window: {"o": 2, "p": 1}})
+	c.Merge("b/1", Windows{window: {"o": 3, "p": 1}}) // totals, not differences
+	c.Merge("b/2", Windows{window: {"o": 10}})        // b was started again
 	require.Equal(t, map[string]int{"o": 14, "p": 1}, c.Sum(window))
 	own := c.Own()
 	own[window]["o"] = 99
 	require.Equal(t, 14, c.Sum(window)["o"], "Own is a copy")
 	now += (kept + 2) * 5 * time.Second
-	c.Report("c/1", Windows{})
+	c.Merge("c/1", Windows{})
 	require.Empty(t, c.Own())
 	require.Empty(t, c.others, "old runs are dropped")
 }
@@ -37,12 +37,12 @@
 	a := NewCounts("a/1", 5*time.Second, wall())
 	window, _ := a.Now()
 	a.Began("o")
-	a.Report("b/1", Windows{window: {"o": 2}, window - 4: {"o": 50}})
+	a.Merge("b/1", Windows{window: {"o": 2}, window - 4: {"o": 50}})
 	snapshot := a.Snapshot()
 	a.Began("o")
 	next := NewCounts("a/2", 5*time.Second, wall())
 	next.Began("o")
-	next.Report("b/1", Windows{window: {"o": 5}}) // b lives and has counted on
+	next.Merge("b/1", Windows{window: {"o": 5}}) // b lives and has counted on
 	next.Restore(snapshot)
 	require.Equal(t, map[string]int{"o": 1 + 1 + 5}, next.Sum(window))
 	require.Empty(t, next.Sum(window-4))
