--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -25,12 +25,14 @@
 	// what all entries take in this time.
 	interval = 200 * time.Millisecond
 	// maxInterval and entriesPerInterval bound the messages of large sites: an
-	// entry sends and takes no more than those of so many entries at interval.
-	maxInterval        = time.Second
+	// entry sends and takes no more than those of so many entries at interval, but
+	// quotas do not hold with rarer messages than those of maxInterval.
+	maxInterval        = 400 * time.Millisecond
 	entriesPerInterval = 16
-	// silentMessages is the number of messages that an entry out of touch has
-	// missed.
-	silentMessages = 5
+	// silence after which an entry is out of touch: longer than the time between
+	// two messages, and short, since until then both sides of a cut spend the whole
+	// quota.
+	silence = time.Second
 	// usageEvery is the number of messages for each one that carries counts of
 	// usage, which change slowly.
 	usageEvery = 2
@@ -162,14 +164,14 @@
 	}
 }
 
-// judge decides by the time between messages which entries are in touch, and sums their loads.
+// judge decides which entries are in touch and sums their loads; every is the
+// time between messages.
 func (x *Exchange) judge(every time.Duration) {
 	others := x.Entries.Others()
 	loads := map[string]int{}
 	x.mu.Lock()
 	now := x.Clock()
 	site := quota.Site{Entries: 1 + len(others), Reachable: 1, Lag: every - interval}
-	silence := silentMessages * every
 	present := map[string]bool{}
 	for _, node := range others {
 		present[node.ID] = true
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -31,6 +31,9 @@
 	// spent holds every amount with its time.
 	spent []slotSum
 	rng   *rand.Rand
+	// every is the time between messages; silence is how long an entry may be
+	// silent and still counts as reachable.
+	every, silence time.Duration
 }
 
 type spendEntry struct {
@@ -39,10 +42,12 @@
 	total   float64
 	site    Site
 	started time.Duration
+	// heard is when each other entry was last heard.
+	heard map[int]time.Duration
 }
 
 func newSpendRig(n int) *spendRig {
-	r := &spendRig{now: time.Hour, rng: rand.New(rand.NewPCG(1, 2))}
+	r := &spendRig{now: time.Hour, rng: rand.New(rand.NewPCG(1, 2)), every: 200 * time.Millisecond}
 	for i := range n {
 		r.entries = append(r.entries, &spendEntry{})
 		r.restart(i)
@@ -56,6 +61,7 @@
 	e := r.entries[i]
 	e.run, e.counter, e.total = strconv.Itoa(i)+"/"+r.now.String(), NewCounter(window, r.now), 0
 	e.started = r.now
+	e.heard = map[int]time.Duration{}
 	e.site = Site{Entries: len(r.entries), Reachable: 1} // nobody was heard yet
 }
 
@@ -71,7 +77,7 @@
 				r.spent = append(r.spent, slotSum{r.now, cost})
 			}
 		}
-		if r.now%(200*time.Millisecond) == 0 {
+		if r.now%r.every == 0 {
 			r.exchange(hears)
 		}
 	}
@@ -79,14 +85,20 @@
 
 func (r *spendRig) exchange(hears func(a, b int) bool) {
 	for i, to := range r.entries {
-		heard := 1
+		reachable := 1
 		for j, from := range r.entries {
-			if i != j && hears(i, j) {
-				heard++
+			if i == j {
+				continue
+			}
+			if last, ok := to.heard[j]; hears(i, j) || (ok && r.now-last < r.silence) {
+				reachable++
+			}
+			if hears(i, j) {
+				to.heard[j] = r.now
 				to.counter.Merge(r.now, from.run, from.counter.Report(r.now, from.total, r.now-from.started, true))
 			}
 		}
-		to.site = Site{Entries: len(r.entries), Reachable: heard}
+		to.site = Site{Entries: len(r.entries), Reachable: reachable, Lag: r.every - 200*time.Millisecond}
 	}
 }
 
@@ -121,6 +133,21 @@
 	require.LessOrEqual(t, r.worst(), allowed())
 }
 
+// On a large site messages are rarer, and a cut is noticed after a while.
+func TestQuotaHoldsThroughACutOfALargeSite(t *testing.T) {
+	small := limits
+	limits = Limits{PerSecond: 455_000, Burst: 455_000, Window: window}
+	defer func() { limits = small }()
+	for _, load := range []float64{1.5, 3, 6} {
+		r := newSpendRig(40)
+		r.every, r.silence = 400*time.Millisecond, time.Second
+		r.play(10*time.Second, load*limits.PerSecond, 3000, all)
+		r.play(10*time.Second, load*limits.PerSecond, 3000, func(a, b int) bool { return (a < 10) == (b < 10) })
+		r.play(10*time.Second, load*limits.PerSecond, 3000, all)
+		require.LessOrEqual(t, r.worst(), allowed(), "%v times the quota", load)
+	}
+}
+
 func TestQuotaHoldsOverARestartOfAllEntries(t *testing.T) {
 	for _, at := range []time.Duration{2, 4, 6, 8, 10} {
 		r := newSpendRig(7)
