Dead code of the relay is gone

AwaitIdle, Follower.Revision, Servers.List, the scaler's view of the registry and the mark of used connections had no callers; the draining flag is one field. Behaviour is as before.

--- a/internal/duty/scaler.go
+++ b/internal/duty/scaler.go
@@ -40,7 +40,6 @@
 	Lease     *lease.Lease
 	Cloud     Cloud
 	Documents *follow.Documents
-	Servers   *follow.Servers
 	Balancer  *relay.Balancer
 	Demand    Demand
 	Clock     clock.Clock
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -78,24 +78,14 @@
 	return &Follower{name: o.Name, prefix: o.Prefix, wait: o.Wait, pause: o.Pause, store: store, sink: sink, clock: c, log: log}
 }
 
-// Revision returns the store's revision of the view.
-func (f *Follower) Revision() int64 { return f.revision.Load() }
-
-// ConfirmedAt returns when the call that last confirmed the view was sent; ok
-// is false if none was answered yet.
-func (f *Follower) ConfirmedAt() (at time.Duration, ok bool) {
-	n := f.confirmed.Load()
-	return time.Duration(n), n != 0
-}
-
-// Age returns the time since the view was confirmed, and a very long time if it
-// never was.
+// Age returns the time since the call that last confirmed the view was sent, and
+// a very long time if none was answered yet.
 func (f *Follower) Age() time.Duration {
-	at, ok := f.ConfirmedAt()
-	if !ok {
+	confirmed := f.confirmed.Load()
+	if confirmed == 0 {
 		return neverConfirmed
 	}
-	return f.clock() - at
+	return f.clock() - time.Duration(confirmed)
 }
 
 const neverConfirmed = 1000 * time.Hour
--- a/internal/follow/servers.go
+++ b/internal/follow/servers.go
@@ -83,13 +83,6 @@
 	}
 }
 
-// List returns the known servers by ID.
-func (s *Servers) List() []Server {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.listLocked()
-}
-
 func (s *Servers) listLocked() []Server {
 	list := make([]Server, 0, len(s.servers))
 	for _, server := range s.servers {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,7 +4,6 @@
 package relay
 
 import (
-	"context"
 	"sync/atomic"
 	"time"
 
@@ -85,17 +84,3 @@
 
 // Drain asks callers to close their connections with the next answer.
 func (r *Relay) Drain() { r.isDraining.Store(true) }
-
-// AwaitIdle returns when no request is active or ctx ends.
-func (r *Relay) AwaitIdle(ctx context.Context) {
-	const interval = 20 * time.Millisecond
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for r.Active() > 0 {
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -74,7 +75,7 @@
 	// for a second while changes are made, and a call takes its time.
 	revokeMargin = 1200 * time.Millisecond
 
-	storeTimeout = 1500 * time.Millisecond
+	dialTimeout = 1500 * time.Millisecond
 	// dutyStandby is the mean time between looks at duties that another entry
 	// holds: usage is due 10 s after its window.
 	dutyStandby = 2 * time.Second
@@ -123,13 +124,14 @@
 	balancer  *relay.Balancer
 	relay     *relay.Relay
 	lease     *lease.Lease
-	drain     drainState
+	// isDraining fails readiness during a planned stop.
+	isDraining atomic.Bool
 }
 
 // New provisions a process that opens its listeners and connections on n.
 func New(a Adapter, s config.RelaySettings, p *cli.Process, n netx.Network, c clock.Clock) *Process {
 	x := &Process{adapter: a, s: s, p: p, network: n, clock: c}
-	x.client = netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: maxIdleToPlatform, DialTimeout: storeTimeout})
+	x.client = netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: maxIdleToPlatform, DialTimeout: dialTimeout})
 	x.store = a.Store(s, x.client, p)
 	if s.Cloud != "" {
 		x.cloud = a.Cloud(s, x.client)
@@ -256,7 +258,7 @@
 	}
 	if slices.Contains(x.s.Duties, config.DutyScaling) {
 		scaler := &duty.Scaler{
-			Lease: x.lease, Cloud: x.cloud, Documents: x.documents, Servers: x.servers, Balancer: x.balancer,
+			Lease: x.lease, Cloud: x.cloud, Documents: x.documents, Balancer: x.balancer,
 			Demand: x.exchange, Clock: x.clock, Log: x.p.Log,
 		}
 		list = append(list, scaler.Run)
@@ -313,7 +315,7 @@
 func (x *Process) ready() error {
 	doc, age := x.documents.Current()
 	switch {
-	case x.drain.isDraining.Load():
+	case x.isDraining.Load():
 		return errors.New("draining")
 	case doc == nil:
 		return errors.New("no document yet")
--- a/internal/relayd/stop.go
+++ b/internal/relayd/stop.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"buckthornpick/internal/relay"
@@ -18,9 +17,6 @@
 	stopMargin = 500 * time.Millisecond
 )
 
-// drainState tells readiness of a planned stop.
-type drainState struct{ isDraining atomic.Bool }
-
 // stop ends the service in order: readiness first, then the callers' kept
 // connections as they are answered, then the listener; requests that were read
 // are finished within the grace period.
@@ -28,7 +24,7 @@
 	grace := x.s.Bounds.Grace() - stopMargin
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
-	x.drain.isDraining.Store(true)
+	x.isDraining.Store(true)
 	x.relay.Drain()
 	x.p.Log.Log(relay.EvDraining, "active", x.relay.Active(), "grace_ms", grace.Milliseconds())
 	time.Sleep(min(balancerNotice, grace/2))
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -101,7 +101,6 @@
 func (x *exchange) send() (sent int, err error) {
 	b := &bytes.Buffer{}
 	x.encode(b)
-	x.conn.used = true
 	if b.Len() < concurrentWrite {
 		return x.conn.Write(b.Bytes())
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -25,7 +25,6 @@
 	reader    *bufio.Reader
 	server    *serverConns
 	idleUntil time.Time
-	used      bool
 }
 
 func newConn(nc net.Conn, s *serverConns) *conn {
