A deadline that passes during a send ends the request with 504

Cause: the send has a timer of its own for the same instant. If it fired before that of the request, the time left was 0 and the request ended as a lost answer, 502. Ruled out: a wrong status of the engine or a connection timer; both end in the same place. Before: next() answered stepEnd with no time left; the two new cases failed. After: stepTimeout; 150 runs with the race detector passed.

--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -45,6 +45,8 @@
 
 const (
 	stepEnd step = iota
+	// stepTimeout ends the request because its deadline has passed.
+	stepTimeout
 	// stepAgain sends once more without taking from the budget: nothing has
 	// arrived anywhere.
 	stepAgain
@@ -57,6 +59,9 @@
 // failing servers and lost answers: the budget, and not this decision, keeps
 // repeats from multiplying the load.
 func next(s situation) step {
+	if s.left <= 0 {
+		return stepTimeout
+	}
 	if s.left < leastLeft {
 		return stepEnd
 	}
--- a/internal/relay/decide_test.go
+++ b/internal/relay/decide_test.go
@@ -29,6 +29,10 @@
 		{"no time left", func(s *situation) {
 			s.fate, s.repetition, s.attempts, s.left = fateUnknown, config.Repeatable, 2, leastLeft-1
 		}, stepEnd},
+		{"the deadline has passed", func(s *situation) { s.fate, s.left = fateUnknown, 0 }, stepTimeout},
+		{"the deadline has passed before a server was reached", func(s *situation) {
+			s.fate, s.sends, s.unsent, s.left = fateUnsent, 0, 1, -time.Microsecond
+		}, stepTimeout},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s := base
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -53,6 +53,9 @@
 		}) {
 		case stepEnd:
 			return q.end(&res)
+		case stepTimeout:
+			// The send's own timer may fire just before that of ctx.
+			return q.outOfTime(&res)
 		case stepRepeat:
 			if !q.relay.repeats.take(q.service, q.relay.Peers.Site().Entries) {
 				return q.end(&res)
