Quota: an entry without a registration keeps its part while it may still serve

Now: an entry that is out of touch counts for KeyLife and one window after it was last heard, unless its last message said that it leaves.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -29,10 +29,6 @@
 	// quotas do not hold with rarer messages than those of maxInterval.
 	maxInterval        = 400 * time.Millisecond
 	entriesPerInterval = 16
-	// silence after which an entry is out of touch: longer than the time between
-	// two messages, and short, since until then both sides of a cut spend the whole
-	// quota.
-	silence = time.Second
 	// usageEvery is the number of messages for each one that carries counts of
 	// usage, which change slowly.
 	usageEvery = 2
@@ -49,6 +45,8 @@
 	Spent map[string]quota.SpendingReport `msgpack:"q,omitempty"`
 	Loads map[string]relay.Load           `msgpack:"l,omitempty"`
 	Usage usage.Windows                   `msgpack:"w,omitempty"`
+	// IsLeaving marks the last message of an entry that stops.
+	IsLeaving bool `msgpack:"x,omitempty"`
 }
 
 // cleared reports that a content was answered.
@@ -66,6 +64,9 @@
 	Counts    *usage.Counts
 	Clock     clock.Clock
 	Log       *telemetry.Logger
+	// MayServe is how long the spending of an entry without a registration counts
+	// after the entry was last heard.
+	MayServe time.Duration
 }
 
 // Exchange implements relay.Peers. It is safe for concurrent use.
@@ -74,18 +75,10 @@
 	run string
 
 	mu     sync.Mutex
-	states map[string]*entryState
+	others *attendance
 	site   quota.Site
 }
 
-// entryState is what is known of another entry.
-type entryState struct {
-	at        time.Duration
-	loads     map[string]relay.Load
-	work      map[string]relay.Work
-	isInTouch bool
-}
-
 // RunName names a run of an entry.
 func RunName(entry string, start time.Time) string {
 	return entry + "/" + strconv.FormatInt(start.UnixNano(), 36)
@@ -96,7 +89,7 @@
 func New(c Config, run string) *Exchange {
 	x := &Exchange{
 		Config: c, run: run,
-		states: map[string]*entryState{}, site: quota.Site{Entries: 1, Reachable: 1},
+		others: newAttendance(c.MayServe), site: quota.Site{Entries: 1, Reachable: 1},
 	}
 	c.Transport.HandleNotify(peer.RelayState, x.receive)
 	c.Transport.HandleNotify(peer.RelayCrash, x.receiveCrash)
@@ -113,7 +106,7 @@
 			return nil
 		}
 		x.judge(every)
-		x.broadcast(n)
+		x.broadcast(x.message(n))
 	}
 }
 
@@ -122,16 +115,18 @@
 	return min(max(interval, interval*time.Duration(others)/entriesPerInterval), maxInterval)
 }
 
-// broadcast sends the n-th message.
-func (x *Exchange) broadcast(n int) {
+// message returns the n-th message.
+func (x *Exchange) message(n int) state {
 	message := state{Run: x.run, Spent: x.Quotas.Reports(n%knownEvery == 0), Loads: x.Balancer.Loads()}
 	if n%usageEvery == 0 {
 		message.Usage = x.Counts.Own()
 		message.Work = x.Balancer.Works()
 	}
-	x.notify(peer.RelayState, message)
+	return message
 }
 
+func (x *Exchange) broadcast(message state) { x.notify(peer.RelayState, message) }
+
 // notify sends a message to every other entry. One that cannot be reached is
 // seen by its silence.
 func (x *Exchange) notify(kind peer.Kind, message any) {
@@ -153,61 +148,38 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	known, ok := x.states[from.ID]
-	if !ok {
-		known = &entryState{}
-		x.states[from.ID] = known
-	}
-	known.at, known.loads = x.Clock(), message.Loads
-	if message.Work != nil {
-		known.work = message.Work
-	}
+	x.others.heard(from.ID, x.Clock(), &message)
 }
 
 // judge decides which entries are in touch and sums their loads; every is the
 // time between messages.
 func (x *Exchange) judge(every time.Duration) {
 	others := x.Entries.Others()
-	loads := map[string]int{}
-	x.mu.Lock()
-	now := x.Clock()
-	site := quota.Site{Entries: 1 + len(others), Reachable: 1}
-	present := map[string]bool{}
-	for _, node := range others {
-		present[node.ID] = true
-		known := x.states[node.ID]
-		inTouch := known != nil && now-known.at < silence
-		if inTouch {
-			site.Reachable++
-			for server, load := range known.loads {
-				loads[server] += load.Running
-			}
-		}
-		if known != nil && known.isInTouch != inTouch {
-			known.isInTouch = inTouch
-			x.logTouch(node.ID, inTouch, now-known.at)
-		}
-	}
-	for id := range x.states {
-		if !present[id] && now-x.states[id].at > silence {
-			delete(x.states, id)
-		}
+	registered := make([]string, len(others))
+	for i, node := range others {
+		registered[i] = node.ID
 	}
+	x.mu.Lock()
+	site, changes := x.others.judge(x.Clock(), registered)
 	if site.Reachable > 1 {
 		site.Lag = every * 3 / 2 // Run spreads the messages by so much
 	}
 	x.site = site
+	loads := x.others.loads()
 	x.mu.Unlock()
+	for _, t := range changes {
+		x.logTouch(t)
+	}
 	x.Balancer.SetOthers(loads)
-	x.Balancer.SetEntries(site.Entries)
+	x.Balancer.SetEntries(1 + len(others))
 }
 
-func (x *Exchange) logTouch(id string, inTouch bool, age time.Duration) {
-	if inTouch {
-		x.Log.Log(relay.EvBackInTouch, "entry", id)
+func (x *Exchange) logTouch(t touch) {
+	if t.inTouch {
+		x.Log.Log(relay.EvBackInTouch, "entry", t.id)
 		return
 	}
-	x.Log.Log(relay.EvOutOfTouch, "entry", id, "age_ms", age.Milliseconds())
+	x.Log.Log(relay.EvOutOfTouch, "entry", t.id, "age_ms", t.age.Milliseconds())
 }
 
 // Site implements relay.Peers.
@@ -222,7 +194,7 @@
 	works := map[string]relay.Work{x.run: x.Balancer.Works()[service]}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for id, known := range x.states {
+	for id, known := range x.others.states {
 		if w, ok := known.work[service]; ok {
 			works[id] = w
 		}
@@ -257,6 +229,8 @@
 
 // Flush sends the last totals to the other entries before a stop.
 func (x *Exchange) Flush() {
-	x.broadcast(0)
+	last := x.message(0)
+	last.IsLeaving = true
+	x.broadcast(last)
 	time.Sleep(flushTime)
 }
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -171,15 +171,16 @@
 	x.counts = usage.NewCounts(run, b.UsageWindow(), clock.NewWall(x.clock, time.Now))
 	quotas := relay.NewQuotas(b.QuotaWindow(), x.clock)
 	crashes := relay.NewCrashes(x.clock)
+	keyLife := b.Revoke() - revokeMargin
 	x.exchange = exchange.New(exchange.Config{
 		Transport: x.transport, Entries: x.entries, Balancer: x.balancer, Quotas: quotas, Crashes: crashes,
-		Counts: x.counts, Clock: x.clock, Log: log,
+		Counts: x.counts, Clock: x.clock, Log: log, MayServe: keyLife + b.QuotaWindow(),
 	}, run)
 	x.relay = relay.New(relay.Config{
 		Codec: x.adapter.Codec, Documents: x.documents, Balancer: x.balancer, Pool: x.pool, Quotas: quotas, Crashes: crashes,
 		Peers: x.exchange, Counts: x.counts, Zone: x.s.Node.Zone, Clock: x.clock, Log: log, Metrics: x.p.Metrics,
 		Bounds: relay.Bounds{
-			KeyLife: b.Revoke() - revokeMargin, QuotaWindow: b.QuotaWindow(),
+			KeyLife: keyLife, QuotaWindow: b.QuotaWindow(),
 			Repeats:      quota.RepeatLimits{Ratio: b.RepeatRatio, Slack: b.RepeatSlack, Span: b.RepeatWindow()},
 			MaxBodyBytes: maxBodyBytes,
 		},
