An owner does not say not-run while an earlier owner is silent

Ruled out: the stand-in for an unreachable owner (it says unknown already) and partitions left by dead owners (counted as dirty already). Now: a search that an earlier owner did not answer leaves the outcome of a refused repeatable request unknown.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -249,7 +249,7 @@
 	if d.isClosed {
 		return nil, fault.New(fault.Unavailable, "dispatch.submit", "", "node is stopping")
 	}
-	hasEarlier := false
+	hasEarlier := r.Repeatable && received.MayHaveRun
 	if rec, ok := d.records[r.ID]; ok {
 		if rec.Request.Fingerprint != r.Fingerprint {
 			return nil, fault.New(fault.Invalid, "dispatch.submit", "",
@@ -258,7 +258,7 @@
 		if !mayRunAgain(rec) {
 			return rec, nil
 		}
-		hasEarlier = r.Repeatable && mayHaveRun(rec)
+		hasEarlier = hasEarlier || r.Repeatable && mayHaveRun(rec)
 	}
 	rec := request.NewRecord(r, d.cfg.AnswerBytes)
 	if err := rec.Restore(0, received.Head, received.Events); err != nil {
--- a/internal/entry/locate.go
+++ b/internal/entry/locate.go
@@ -18,28 +18,38 @@
 	locateHops = 2
 )
 
+// lookup is the result of the search for a record at earlier owners.
+type lookup struct {
+	at    peer.Node
+	found bool
+	// isUnsure is set if an earlier owner that may have the record did not answer.
+	isUnsure bool
+}
+
 // openAtEarlierOwner follows a request that an earlier owner of its partition
-// still has.
-func (n *Node) openAtEarlierOwner(ctx context.Context, m attachMsg) (source, request.Info, bool) {
-	at, ok := n.locate(ctx, m.ID, locateHops)
-	if !ok {
-		return nil, request.Info{}, false
+// still has. Its last result is as in lookup.
+func (n *Node) openAtEarlierOwner(ctx context.Context, m attachMsg) (s source, info request.Info, found, isUnsure bool) {
+	l := n.locate(ctx, m.ID, locateHops)
+	if !l.found {
+		return nil, request.Info{}, false, l.isUnsure
 	}
 	m.IsLocal = true
-	s, info, err := n.openRemote(ctx, at, peer.Attach, m)
-	return s, info, err == nil
+	s, info, err := n.openRemote(ctx, l.at, peer.Attach, m)
+	return s, info, err == nil, err != nil
 }
 
 // locate asks the earlier owners of the request's partition for its record.
 // They ask further with one hop less.
-func (n *Node) locate(ctx context.Context, id request.ID, hops int) (peer.Node, bool) {
-	for _, earlier := range n.earlierOwners(id.Partition()) {
+func (n *Node) locate(ctx context.Context, id request.ID, hops int) lookup {
+	owners, isUnsure := n.earlierOwners(id.Partition())
+	for _, earlier := range owners {
 		reply, err := n.askWhere(ctx, earlier, locateMsg{ID: id, Hops: hops - 1})
 		if err == nil && reply.Found && reply.At.ID != n.cfg.Self.ID {
-			return reply.At, true
+			return lookup{at: reply.At, found: true}
 		}
+		isUnsure = isUnsure || err != nil || reply.IsUnsure
 	}
-	return peer.Node{}, false
+	return lookup{isUnsure: isUnsure}
 }
 
 func (n *Node) askWhere(ctx context.Context, to peer.Node, m locateMsg) (locateReply, error) {
@@ -56,20 +66,19 @@
 	if m.Hops <= 0 || !m.ID.Valid() {
 		return locateReply{}, nil
 	}
-	at, ok := n.locate(ctx, m.ID, m.Hops)
-	return locateReply{Found: ok, At: at}, nil
+	l := n.locate(ctx, m.ID, m.Hops)
+	return locateReply{Found: l.found, At: l.at, IsUnsure: l.isUnsure}, nil
 }
 
 // earlierOwners returns the other nodes that owned the partition by this table
-// or earlier ones, latest first, without those known to be unreachable. A node
-// that has not seen the earlier tables adds those that would own the partition
-// without it.
-func (n *Node) earlierOwners(partition int) []peer.Node {
+// or earlier ones, latest first, without those known to be unreachable, and
+// whether a member is among these. A node that has not seen the earlier tables
+// adds those that would own the partition without it.
+func (n *Node) earlierOwners(partition int) (out []peer.Node, isOneSilent bool) {
 	tables := append([]member.Table{n.members.Table()}, n.members.Previous()...)
 	if time.Since(n.provisionedAt) < newcomerTime {
 		tables = append(tables, n.tablesBeforeJoining(partition)...)
 	}
-	var out []peer.Node
 	seen := map[string]bool{n.cfg.Self.ID: true}
 	for _, table := range tables {
 		m, ok := table.Owner(partition)
@@ -79,9 +88,11 @@
 		seen[m.ID] = true
 		if isAlive, isKnown := n.transport.Reachable(m.ID); isAlive || !isKnown {
 			out = append(out, nodeOf(m))
+		} else if _, isMember := n.members.Table().Find(m.ID); isMember {
+			isOneSilent = true
 		}
 	}
-	return out
+	return out, isOneSilent
 }
 
 const (
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -104,9 +104,11 @@
 // still has it.
 func (n *Node) submitHere(ctx context.Context, r *request.Request, received request.Received, after int) (source, request.Info, error) {
 	if _, ok := n.owner.Find(r.ID); !ok && !r.Minted {
-		if s, info, ok := n.openAtEarlierOwner(ctx, attachMsg{Organisation: r.Organisation, ID: r.ID, After: after}); ok {
+		s, info, ok, isUnsure := n.openAtEarlierOwner(ctx, attachMsg{Organisation: r.Organisation, ID: r.ID, After: after})
+		if ok {
 			return s, info, nil
 		}
+		received.MayHaveRun = isUnsure
 	}
 	rec, err := n.owner.Submit(r, received)
 	if err != nil {
@@ -134,7 +136,7 @@
 	if ok && owner.ID != n.cfg.Self.ID {
 		return n.openRemote(ctx, owner, peer.Attach, m)
 	}
-	if s, info, ok := n.openAtEarlierOwner(ctx, m); ok {
+	if s, info, ok, _ := n.openAtEarlierOwner(ctx, m); ok {
 		return s, info, nil
 	}
 	return nil, request.Info{}, fault.New(fault.Invalid, "entry.attach", "", "no such request")
--- a/internal/entry/truth_test.go
+++ b/internal/entry/truth_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -130,6 +131,33 @@
 	})
 }
 
+// A new owner cannot rule out what the earlier owner, which is silent, has run.
+func TestNewOwnerDoesNotSayNotRunWhileTheEarlierOwnerIsSilent(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		const keys = 12
+		old := s.Entries()
+		call := func(e *site.Entry, key int) string {
+			header := map[string]string{gateway.HeaderIdempotencyKey: fmt.Sprint("moved", key)}
+			r, err := s.send(e, "GET", fmt.Sprint("/services/report/pages/", key), header, nil)
+			require.NoError(t, err)
+			return r.outcome()
+		}
+		for key := range keys {
+			require.Equal(t, "completed", call(old[0], key))
+		}
+		fresh, err := s.StartEntry("a")
+		require.NoError(t, err)
+		s.eventually("the new entry serves", func() bool { return fresh.Node.Ready() == nil })
+		s.setPlainFaults(plainservice.Faults{Refuse: true})
+		for _, e := range old {
+			s.network.PauseHost(e.ID)
+		}
+		for key := range keys {
+			require.NotEqual(t, "not-run", call(fresh, key), "key %d", key)
+		}
+	})
+}
+
 func withOlderSystem(o *site.Options) {
 	o.Document = testDocument()
 	o.Document.OlderSystem = &config.OlderSystem{}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -177,4 +177,7 @@
 type Received struct {
 	Head   *Head   `msgpack:"h,omitempty"`
 	Events []Event `msgpack:"e,omitempty"`
+	// MayHaveRun is set if an earlier submission may have run at a node that
+	// could not be asked.
+	MayHaveRun bool `msgpack:"r,omitempty"`
 }
