A successor's refusal is unknown while a submission may still arrive

Cause, from the shrunk: a submission lay in a connection to an owner that was cut off; the owner was removed, its successor refused the call as not-run, and the cut healed: the old owner got the submission and ran it. Ruled out: a late write of the claim (none was made before the refusal). Now: after a submission that may have arrived somewhere, a follower passes not-run on as unknown.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -28,6 +28,8 @@
 	// it if the old one is lost.
 	received request.Received
 	wasSent  bool
+	// isAstray is set once the request may still run at an owner that was lost.
+	isAstray bool
 	src      source
 	// searching is when the search for the owner began, zero while there is a
 	// source. A search may take several calls of Next, each with a context of
@@ -77,11 +79,13 @@
 	for {
 		step, err := f.src.next(ctx)
 		if err == nil && !step.HandedOver {
+			step.End = f.honest(step.End)
 			return step, f.note(step)
 		}
 		if ctx.Err() != nil {
 			return request.Step{}, ctx.Err()
 		}
+		f.isAstray = f.isAstray || err != nil
 		f.node.log.Log(EvOwnerLost, "request", f.id, "after", f.after, "error", err)
 		if lost.IsZero() {
 			lost = time.Now()
@@ -176,12 +180,32 @@
 		f.wasSent = true
 	}
 	if err != nil {
+		f.isAstray = f.isAstray || f.req != nil && mayHaveArrived(err)
 		return err
 	}
 	f.use(src, info)
 	return nil
 }
 
+// mayHaveArrived reports whether a submission that failed may reach its owner,
+// now or later, and run there.
+func mayHaveArrived(err error) bool {
+	var refused *peer.RemoteError
+	_, isAnswer := remoteEnd(err)
+	return !isAnswer && !errors.As(err, &refused) && !fault.Is(err, fault.Unavailable) && !fault.Is(err, fault.Invalid)
+}
+
+// honest returns an end that does not say not-run of a request that may still
+// run elsewhere.
+func (f *follower) honest(end *request.End) *request.End {
+	if end == nil || end.Outcome != request.NotRun || !f.isAstray {
+		return end
+	}
+	unsure := *end
+	unsure.Outcome = request.Unknown
+	return &unsure
+}
+
 // submission returns the request; once it may have reached an owner it no
 // longer counts as never submitted before.
 func (f *follower) submission() *request.Request {
@@ -223,7 +247,7 @@
 // else nil.
 func (f *follower) finalError(err error) error {
 	if end, ok := remoteEnd(err); ok {
-		return end
+		return &gateway.EndError{End: *f.honest(&end.End)}
 	}
 	var remote *peer.RemoteError
 	isRemoteInvalid := errors.As(err, &remote) && fault.Is(err, fault.Invalid)
--- a/internal/entry/truth_test.go
+++ b/internal/entry/truth_test.go
@@ -158,6 +158,26 @@
 	})
 }
 
+// A submission may still be on its way to an owner that was cut off when its
+// successor refuses the call.
+func TestSuccessorDoesNotSayNotRunOfWhatWasSentToTheOwnerBefore(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		owner := s.Entries()[0]
+		key := s.keyOwnedBy(owner, "sent-")
+		other := s.heirOf(owner, key)
+		header := map[string]string{gateway.HeaderNonRepeatable: "true", gateway.HeaderIdempotencyKey: key}
+		outcome := make(chan string)
+		s.setPlainFaults(plainservice.Faults{Refuse: true})
+		s.network.CutHost(owner.ID)
+		go func() {
+			r, err := s.send(other, "POST", exportPath, header, []byte("x"))
+			require.NoError(t, err)
+			outcome <- r.outcome()
+		}()
+		require.Equal(t, "unknown", <-outcome)
+	})
+}
+
 func withOlderSystem(o *site.Options) {
 	o.Document = testDocument()
 	o.Document.OlderSystem = &config.OlderSystem{}
