Answers that a newcomer began before its first table are found

Once it is a member another node owns the request's partition, and nobody asks the newcomer: an attach elsewhere gets "no such request". Ruled out: handovers (there was none) and the wait of an attach (too short for nobody; no node would ask). Now: an attach that is found nowhere else asks the members that joined last, at most 4.

--- a/internal/entry/locate.go
+++ b/internal/entry/locate.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -38,6 +39,46 @@
 	return s, info, err == nil, err != nil
 }
 
+// openAtNewcomer follows a request that a member which joined lately began
+// before it had a table.
+func (n *Node) openAtNewcomer(ctx context.Context, m attachMsg) (source, request.Info, bool) {
+	m.IsLocal = true
+	for _, newcomer := range n.newcomers() {
+		if reply, err := n.askWhere(ctx, newcomer, locateMsg{ID: m.ID}); err != nil || !reply.Found {
+			continue
+		}
+		if s, info, err := n.openRemote(ctx, newcomer, peer.Attach, m); err == nil {
+			return s, info, true
+		}
+	}
+	return nil, request.Info{}, false
+}
+
+// maxNewcomers bounds the nodes that are asked for what they began before they
+// had a table.
+const maxNewcomers = 4
+
+// newcomers returns the other members that are not in the earliest table kept,
+// the latest first.
+func (n *Node) newcomers() []peer.Node {
+	previous := n.members.Previous()
+	if len(previous) == 0 {
+		return nil
+	}
+	var joined []member.Member
+	for _, m := range n.members.Table().Members {
+		if _, ok := previous[len(previous)-1].Find(m.ID); !ok && m.ID != n.cfg.Self.ID {
+			joined = append(joined, m)
+		}
+	}
+	slices.SortFunc(joined, func(a, b member.Member) int { return cmp.Compare(b.Incarnation, a.Incarnation) })
+	var out []peer.Node
+	for _, m := range joined[:min(len(joined), maxNewcomers)] {
+		out = append(out, nodeOf(m))
+	}
+	return out
+}
+
 // locate asks the earlier owners of the request's partition for its record.
 // They ask further with one hop less.
 func (n *Node) locate(ctx context.Context, id request.ID, hops int) lookup {
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -139,6 +139,9 @@
 	if s, info, ok, _ := n.openAtEarlierOwner(ctx, m); ok {
 		return s, info, nil
 	}
+	if s, info, ok := n.openAtNewcomer(ctx, m); ok {
+		return s, info, nil
+	}
 	return nil, request.Info{}, fault.New(fault.Invalid, "entry.attach", "", "no such request")
 }
 
--- a/internal/entry/truth_test.go
+++ b/internal/entry/truth_test.go
@@ -178,6 +178,45 @@
 	})
 }
 
+// An entry serves what only it can know of before it has a table of members;
+// the others find the answers later.
+func TestAnswerBegunBeforeTheFirstTableIsFound(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		old := s.Entries()
+		early := 0
+		for range 12 {
+			fresh, err := s.StartEntry("a")
+			require.NoError(t, err)
+			id, isEarly := s.firstAnswer(fresh)
+			s.eventually("the new entry is a member", func() bool { return fresh.Node.Ready() == nil })
+			if !isEarly {
+				continue
+			}
+			early++
+			for _, e := range old {
+				again, err := s.send(e, "GET", "/v1/requests/"+id, nil, nil)
+				require.NoError(t, err)
+				require.Equal(t, "completed", again.outcome(), "%s", again.tail())
+			}
+		}
+		require.NotZero(t, early, "no entry answered before it had a table")
+	})
+}
+
+// firstAnswer sends calls to an entry that starts until one is answered, and
+// returns the ID of that and whether the entry had no table when it took it.
+func (s *testSite) firstAnswer(fresh *site.Entry) (id string, isEarly bool) {
+	for {
+		isEarly = len(fresh.Node.Members().Table().Members) == 0
+		r, err := s.send(fresh, "POST", chatPath, nil, chatBody("check the shop", 5, false))
+		require.NoError(s.t, err)
+		if r.outcome() == "completed" {
+			return r.header.Get(gateway.HeaderRequestID), isEarly
+		}
+		time.Sleep(100 * time.Microsecond)
+	}
+}
+
 func withOlderSystem(o *site.Options) {
 	o.Document = testDocument()
 	o.Document.OlderSystem = &config.OlderSystem{}
