fuzz: the time to spread begins after the last change was answered

The history ended 4 s after its callers, also while an operator still waited for an answer; a change accepted in that time was then missed after less than the 4 s allowed. The check is as before, and now covers those changes too.

--- a/test/fuzz/history.go
+++ b/test/fuzz/history.go
@@ -32,6 +32,7 @@
 	w.heal()
 	w.seen.Recovered = w.recovered()
 	w.awaitCallers()
+	w.awaitOperators()
 	stopWatching()
 	w.collect()
 	w.close()
--- a/test/fuzz/operators.go
+++ b/test/fuzz/operators.go
@@ -58,10 +58,12 @@
 }
 
 func (w *world) propose(c *change, e *site.Entry) {
+	w.proposals.Add(1)
 	w.background(func() {
 		ctx, cancel := context.WithTimeout(w.ctx, operatorPatience)
 		defer cancel()
 		revision, err := w.site.Propose(ctx, e, c.document, c.expected, c.operation)
+		w.proposals.Add(-1)
 		w.trace("  %s at %s on %d: revision %d, %v", c.operation, e.ID, c.expected, revision, err)
 		if err != nil {
 			return
@@ -74,6 +76,12 @@
 	})
 }
 
+// awaitOperators waits for the answers to all changes, so that the time to spread
+// begins after the last acceptance.
+func (w *world) awaitOperators() {
+	eventually(operatorPatience, func() bool { return w.proposals.Load() == 0 })
+}
+
 // checkSpread notes the nodes that could be reached all the time since the
 // acceptance and do not have it SpreadTime later.
 func (w *world) checkSpread(a Acceptance) {
--- a/test/fuzz/world.go
+++ b/test/fuzz/world.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"buckthornpick/internal/config"
@@ -41,6 +42,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	work    sync.WaitGroup
+	// proposals counts the changes that wait for an answer.
+	proposals atomic.Int64
 
 	mu       sync.Mutex
 	calls    []*call
