Quotas hold while registrations fail, and count what was spent before a first message

Ruled out: the exchange (the entries were cut off from each other, which the division must withstand). The test of a restarted entry counts at 0.7 of the rate, where a double count would show.

--- a/internal/duty/reporter.go
+++ b/internal/duty/reporter.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"buckthornpick/internal/fault"
+	"buckthornpick/internal/follow"
 	"buckthornpick/internal/kv"
 	"buckthornpick/internal/lease"
 	"buckthornpick/internal/telemetry"
@@ -56,6 +57,7 @@
 	Store  kv.Store
 	Cloud  Cloud
 	Counts *usage.Counts
+	Size   *follow.SiteSize
 	Log    *telemetry.Logger
 
 	// next is the first window that is not reported, by the holder with token.
@@ -114,14 +116,18 @@
 	return nil
 }
 
-// snapshot stores the counts of windows that are not reported yet. A failure
-// costs nothing unless all entries die before the next one.
+// snapshot stores the counts of windows that are not reported yet, and the number
+// of entries. A failure costs nothing unless all entries die before the next one.
 func (r *Reporter) snapshot(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	value, err := json.Marshal(r.Counts.Snapshot())
 	if err == nil {
-		_, err = r.Store.Txn(ctx, []kv.Compare{r.Lease.Guard(r.token)}, []kv.Op{kv.Put(SnapshotKey, value)})
+		ops := []kv.Op{kv.Put(SnapshotKey, value)}
+		if n, ok := r.Size.Known(); ok {
+			ops = append(ops, kv.Put(follow.SizeKey, []byte(strconv.Itoa(n))))
+		}
+		_, err = r.Store.Txn(ctx, []kv.Compare{r.Lease.Guard(r.token)}, ops)
 	}
 	if err != nil && ctx.Err() == nil {
 		r.Log.Log(EvSnapshotFailed, "token", r.token, "step", fault.Step(err), "peer", fault.Peer(err), "error", err.Error())
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -58,6 +58,7 @@
 type Config struct {
 	Transport *peer.Transport
 	Entries   *follow.Entries
+	Size      *follow.SiteSize
 	Balancer  *relay.Balancer
 	Quotas    *relay.Quotas
 	Crashes   *relay.Crashes
@@ -161,6 +162,7 @@
 	}
 	x.mu.Lock()
 	site, changes := x.others.judge(x.Clock(), registered)
+	site.Entries = x.Size.Count(site.Entries)
 	if site.Reachable > 1 {
 		site.Lag = every * 3 / 2 // Run spreads the messages by so much
 	}
--- a/internal/follow/entries.go
+++ b/internal/follow/entries.go
@@ -30,6 +30,7 @@
 // Entries is the view of the entries of the site.
 type Entries struct {
 	self peer.Node
+	size *SiteSize
 	log  *telemetry.Logger
 
 	// isGone is set when the entry's own key was removed: a write of an earlier
@@ -40,9 +41,10 @@
 	nodes map[string]peer.Node
 }
 
-// NewEntries returns a view that holds only the entry itself.
-func NewEntries(self peer.Node, log *telemetry.Logger) *Entries {
-	return &Entries{self: self, log: log, nodes: map[string]peer.Node{}}
+// NewEntries returns a view that holds only the entry itself. Size takes whether
+// the entry's own registration is confirmed.
+func NewEntries(self peer.Node, size *SiteSize, log *telemetry.Logger) *Entries {
+	return &Entries{self: self, size: size, log: log, nodes: map[string]peer.Node{}}
 }
 
 // Others returns the other entries by ID.
@@ -108,6 +110,7 @@
 func (e *Entries) removeLocked(id string) {
 	if id == e.self.ID {
 		e.isGone.Store(true)
+		e.size.Confirm(false)
 		return
 	}
 	if _, known := e.nodes[id]; known {
@@ -129,8 +132,10 @@
 			lease, err = e.register(ctx, store)
 		} else if err = store.KeepAlive(ctx, lease); fault.Is(err, fault.Conflict) {
 			lease = 0
+			e.size.Confirm(false)
 			continue
 		}
+		e.size.Confirm(err == nil)
 		pause := renewInterval
 		if err != nil && ctx.Err() == nil {
 			e.log.Log(EvRegisterFailed, "step", fault.Step(err), "peer", fault.Peer(err), "error", err.Error())
--- a/internal/follow/events.go
+++ b/internal/follow/events.go
@@ -24,5 +24,7 @@
 	EvSecretFailed   = telemetry.Register(3014, "secret-unknown", slog.LevelWarn, "The secret of the site could not be read or created; peers cannot be reached until it is.")
 	EvWatcherStale   = telemetry.Register(3016, "zone-watcher-unusable", slog.LevelInfo, "An entry of the zone that follows the store could not answer a poll; the store is asked itself.")
 	EvServerOld      = telemetry.Register(3015, "server-outdated", slog.LevelInfo, "An entry of the registry was written before what is known of its server, and is skipped.")
+	EvSizeRecalled   = telemetry.Register(3017, "site-size-recalled", slog.LevelInfo, "The number of entries that an earlier life of the site stored was read; quotas are divided among so many until the registry is complete.")
+	EvSizeUnknown    = telemetry.Register(3018, "site-size-unknown", slog.LevelWarn, "The stored number of entries could not be read and is asked for again.")
 	EvServerKept     = telemetry.Register(3013, "servers-kept", slog.LevelInfo, "Backend servers are missing in the registry after an outage of the store; they stay in use until they had time to return.")
 )
--- /dev/null
+++ b/internal/follow/size_test.go
@@ -0,0 +1,33 @@
+package follow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestSizeHoldsWhileRegistrationsFail(t *testing.T) {
+	now := time.Duration(0)
+	s := NewSiteSize(func() time.Duration { return now })
+	require.Equal(t, 1, s.Count(1), "nothing is known")
+	s.recall(3)
+	require.Equal(t, 3, s.Count(1), "the others may not be registered")
+	now += time.Hour
+	require.Equal(t, 3, s.Count(1), "nor is this one")
+
+	s.Confirm(true)
+	now += certainAfter - 1
+	require.Equal(t, 3, s.Count(2))
+	now++
+	require.Equal(t, 2, s.Count(2), "the third one has gone")
+
+	s.Confirm(false)
+	require.Equal(t, 2, s.Count(1))
+	require.Equal(t, 4, s.Count(4))
+	s.Confirm(true)
+	require.Equal(t, 4, s.Count(1))
+	now += certainAfter
+	s.Confirm(true)
+	require.Equal(t, 1, s.Count(1))
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -69,6 +69,8 @@
 // message does no harm, since the next one carries the total.
 type Counter struct {
 	window *Window
+	// own is the part of window that this entry spent.
+	own *Window
 	// asked is what all entries were asked to spend of late, refused or not, and
 	// ownAsked what this one was asked since it started.
 	asked    *Window
@@ -80,6 +82,8 @@
 	// debt is what was spent beyond the even rate, as of debtAt.
 	debt   float64
 	debtAt time.Duration
+	// started is when this entry started.
+	started time.Duration
 	// coldTo is the end of the first window after a start; 0 once another entry
 	// reported what was spent.
 	coldTo time.Duration
@@ -101,8 +105,8 @@
 // NewCounter returns a counter of an entry that started at the given time.
 func NewCounter(span, started time.Duration) *Counter {
 	return &Counter{
-		window: NewWindow(span), asked: NewWindow(askedSpan), totals: map[string]runTotal{},
-		debtAt: started, coldTo: started + span,
+		window: NewWindow(span), own: NewWindow(span), asked: NewWindow(askedSpan), totals: map[string]runTotal{},
+		debtAt: started, started: started, coldTo: started + span,
 	}
 }
 
@@ -130,7 +134,7 @@
 		return v
 	}
 	v.Allowed = true
-	c.add(now, amount)
+	c.spendOwn(now, amount)
 	return v
 }
 
@@ -190,7 +194,12 @@
 
 // Refund gives back an own amount that was not used.
 func (c *Counter) Refund(now time.Duration, amount float64) {
-	c.add(now, -amount)
+	c.spendOwn(now, -amount)
+}
+
+func (c *Counter) spendOwn(now time.Duration, amount float64) {
+	c.add(now, amount)
+	c.own.Add(now, amount)
 }
 
 // SpendingReport is what an entry reports to the others of its spending.
@@ -198,6 +207,8 @@
 	// Total since the entry's start, and Asked with what was refused.
 	Total float64 `msgpack:"t"`
 	Asked float64 `msgpack:"a"`
+	// Recent is the entry's spending in the window.
+	Recent float64 `msgpack:"w,omitempty"`
 	// Known is the spending of all entries in the window, as known there, in
 	// equal parts of the window from the oldest; nil in most messages.
 	Known []float64 `msgpack:"k,omitempty"`
@@ -208,7 +219,7 @@
 // Report returns what this entry reports to the others; total is its spending since it
 // started, uptime ago. WithKnown adds what a starting entry needs.
 func (c *Counter) Report(now time.Duration, total float64, uptime time.Duration, withKnown bool) SpendingReport {
-	t := SpendingReport{Total: total, Asked: c.ownAsked, Uptime: uptime}
+	t := SpendingReport{Total: total, Asked: c.ownAsked, Recent: c.own.Sum(now), Uptime: uptime}
 	if withKnown && uptime >= c.window.span {
 		t.Known = c.window.Parts(now)
 	}
@@ -216,7 +227,8 @@
 }
 
 // Merge takes what another entry's run reports. An entry that has just started
-// learns from one that has run for a whole window what all entries spent.
+// learns from one that has run for a whole window what all entries spent; later
+// it counts what a run spent before it was first heard.
 func (c *Counter) Merge(now time.Duration, run string, t SpendingReport) {
 	known, ok := c.totals[run]
 	if !ok {
@@ -227,8 +239,8 @@
 	case ok:
 		c.add(now, t.Total-known.amount)
 		c.asked.Add(now, t.Asked-known.asked)
-	case !ok && t.Uptime < c.window.span:
-		c.add(now, t.Total)
+	case now >= c.started+c.window.span || t.Uptime < c.window.span:
+		c.add(now, t.Recent)
 	}
 	if now < c.coldTo && t.Known != nil {
 		c.coldTo = 0
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -205,14 +205,26 @@
 	}
 }
 
+// Entries that were started out of touch meet after a while.
+func TestSpendingBeforeTheFirstMessageCounts(t *testing.T) {
+	r := newSpendRig(3)
+	for i := range r.entries {
+		r.restart(i)
+	}
+	nobody := func(int, int) bool { return false }
+	r.play(20*time.Second, 6*limits.PerSecond, 3000, nobody)
+	r.play(10*time.Second, 6*limits.PerSecond, 3000, all)
+	require.LessOrEqual(t, r.worst(), allowed())
+}
+
 // An entry that starts beside others learns what they spent, and no more.
 func TestRestartedEntryDoesNotCountTheOthersTwice(t *testing.T) {
 	r := newSpendRig(3)
-	r.play(60*time.Second, 0.5*limits.PerSecond, 3000, all)
+	r.play(60*time.Second, 0.7*limits.PerSecond, 3000, all)
 	before := len(r.spent)
 	r.restart(0)
-	r.play(10*time.Second, 0.5*limits.PerSecond, 3000, all)
-	asked := 10 * 0.5 * limits.PerSecond / 3000
+	r.play(10*time.Second, 0.7*limits.PerSecond, 3000, all)
+	asked := 10 * 0.7 * limits.PerSecond / 3000
 	require.InDelta(t, asked, len(r.spent)-before, 0.02*asked)
 }
 
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -116,6 +116,7 @@
 	servers   *follow.Servers
 	registry  *follow.Follower
 	entries   *follow.Entries
+	size      *follow.SiteSize
 	members   *follow.Follower
 	secret    *follow.Secret
 	transport *peer.Transport
@@ -144,7 +145,8 @@
 func (x *Process) provisionViews() {
 	a, log := x.adapter, x.p.Log
 	self := peer.Node{ID: x.s.Node.ID, Zone: x.s.Node.Zone, Address: x.s.Peers}
-	x.entries = follow.NewEntries(self, log)
+	x.size = follow.NewSiteSize(x.clock)
+	x.entries = follow.NewEntries(self, x.size, log)
 	x.secret = follow.NewSecret(log)
 	x.transport = peer.New(self, x.network, log, x.p.Metrics, peer.Options{
 		SecretSource: x.secret.Bytes, PingInterval: peerSilence, IdlePingInterval: peerSilence, PingTimeout: peerTimeout,
@@ -173,7 +175,7 @@
 	crashes := relay.NewCrashes(x.clock)
 	keyLife := b.Revoke() - revokeMargin
 	x.exchange = exchange.New(exchange.Config{
-		Transport: x.transport, Entries: x.entries, Balancer: x.balancer, Quotas: quotas, Crashes: crashes,
+		Transport: x.transport, Entries: x.entries, Size: x.size, Balancer: x.balancer, Quotas: quotas, Crashes: crashes,
 		Counts: x.counts, Clock: x.clock, Log: log, MayServe: keyLife + b.QuotaWindow(),
 	}, run)
 	x.relay = relay.New(relay.Config{
@@ -243,6 +245,7 @@
 	list := []func(context.Context) error{
 		x.document.Run, x.registry.Run, x.servers.Run, x.members.Run, x.transport.Run, x.exchange.Run,
 		func(ctx context.Context) error { return x.entries.Register(ctx, x.store) },
+		func(ctx context.Context) error { return x.size.Recall(ctx, x.store, x.p.Log) },
 		func(ctx context.Context) error { return x.secret.Learn(ctx, x.store) },
 	}
 	if x.cloud == nil {
@@ -254,7 +257,7 @@
 		return err
 	})
 	if slices.Contains(x.s.Duties, config.DutyUsage) {
-		reporter := &duty.Reporter{Lease: x.lease, Store: x.store, Cloud: x.cloud, Counts: x.counts, Log: x.p.Log}
+		reporter := &duty.Reporter{Lease: x.lease, Store: x.store, Cloud: x.cloud, Counts: x.counts, Size: x.size, Log: x.p.Log}
 		list = append(list, reporter.Run)
 	}
 	if slices.Contains(x.s.Duties, config.DutyScaling) {
