Reclaimable servers carry what exceeds one on-demand server a zone

A reclaim takes all of a zone at once, 2 s or more after its notice. Change: a zone keeps one on-demand server; reclaimable ones carry the rest and one more; on-demand ones stand in for those that do not serve, from the notice on. A refusal of reclaimable servers does not cost the lease.

--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -118,6 +118,9 @@
 	Max int `json:"max" msgpack:"mx"`
 	// BootSeconds is the time from an order to a serving backend server.
 	BootSeconds float64 `json:"bootSeconds,omitempty" msgpack:"b,omitempty"`
+	// ReclaimablePrice is the price of a reclaimable backend server as a part of
+	// that of another one; 0 if there are none.
+	ReclaimablePrice float64 `json:"reclaimablePrice,omitempty" msgpack:"r,omitempty"`
 	// ZonePrices are relative prices of one backend server by zone.
 	ZonePrices map[string]float64 `json:"zonePrices,omitempty" msgpack:"z,omitempty"`
 }
--- a/internal/duty/reporter.go
+++ b/internal/duty/reporter.go
@@ -28,7 +28,15 @@
 // fault.Ambiguous that it may have had one.
 type Cloud interface {
 	ReportUsage(ctx context.Context, token, window int64, counts map[string]int) error
-	OrderServers(ctx context.Context, token int64, service, zone string, n int) error
+	OrderServers(ctx context.Context, token int64, o ServerOrder) error
+}
+
+// ServerOrder is the wanted number of a service's backend servers of one kind in
+// a zone.
+type ServerOrder struct {
+	Service, Zone string
+	IsReclaimable bool
+	Count         int
 }
 
 // SnapshotKey holds the counts of windows that are not reported yet, by run.
--- a/internal/duty/scaler.go
+++ b/internal/duty/scaler.go
@@ -28,6 +28,12 @@
 	// fallInterval is the time between the ends of servers in a zone: each one
 	// moves prompts to servers that have to read them anew.
 	fallInterval = 3 * time.Second
+	// refusedPause is the time to the next order after reclaimable servers were
+	// refused in a zone: a shortage lasts for seconds.
+	refusedPause = 4 * time.Second
+	// bootsUntilLost is the number of boot times after which an order for
+	// reclaimable servers that did not come is given again.
+	bootsUntilLost = 2
 )
 
 // Demand tells the load of a service over all entries.
@@ -55,10 +61,22 @@
 	// totals are the latest of each entry, samples the sums of their rises.
 	totals  map[string]float64
 	samples []workSample
-	// ordered is the number that was ordered by zone.
-	ordered map[string]int
-	// fellAt is when the number in a zone was last lowered.
-	fellAt map[string]time.Duration
+	pools   map[poolKey]*pool
+}
+
+// poolKey names the servers of one kind in a zone.
+type poolKey struct {
+	zone          string
+	isReclaimable bool
+}
+
+// pool is what was ordered of one kind in a zone.
+type pool struct {
+	ordered   int
+	orderedAt time.Duration
+	// fellAt is when the number was last lowered, refusedAt when an order was
+	// last refused.
+	fellAt, refusedAt time.Duration
 }
 
 type workSample struct {
@@ -95,7 +113,7 @@
 	if !ok {
 		state = &serviceScale{
 			demand: fleet.Trend{Hold: holdFall}, running: fleet.Trend{Hold: holdFall},
-			totals: map[string]float64{}, ordered: map[string]int{}, fellAt: map[string]time.Duration{},
+			totals: map[string]float64{}, pools: map[poolKey]*pool{},
 		}
 		s.services[service.Name] = state
 	}
@@ -109,33 +127,63 @@
 	}
 	want := fleet.Replicas(fleet.ReplicaInput{
 		Demand: demand, Running: int(busy), Zones: zonesOf(service), Min: service.Scaling.Min, Max: service.Scaling.Max,
+		ReclaimablePrice: service.Scaling.ReclaimablePrice, ReadyReclaimable: reclaimable(ready),
 	})
+	load := loadFacts{demand: demand, running: busy, rate: rate}
+	boot := time.Duration(service.Scaling.BootSeconds * float64(time.Second))
 	for _, zone := range zonesOf(service) {
-		n, last := want[zone.Name], state.orderedOr(zone.Name, ready[zone.Name])
-		if n < last {
-			n = last - 1
-			if now-state.fellAt[zone.Name] < fallInterval {
-				continue
+		for _, isReclaimable := range []bool{true, false} {
+			key := poolKey{zone.Name, isReclaimable}
+			n := want[zone.Name].OnDemand
+			if isReclaimable {
+				n = want[zone.Name].Reclaimable
+			}
+			p, ok := state.pools[key]
+			if !ok {
+				p = &pool{ordered: ready[key], fellAt: -fallInterval, refusedAt: -refusedPause}
+				state.pools[key] = p
+			}
+			if n, isDue := p.next(now, n, ready[key], boot, isReclaimable); isDue {
+				o := ServerOrder{Service: service.Name, Zone: zone.Name, IsReclaimable: isReclaimable, Count: n}
+				p.note(now, n, s.order(ctx, o, ready[key], load))
 			}
 		}
-		if n == last {
-			continue
-		}
-		if n < last {
-			state.fellAt[zone.Name] = now
-		}
-		if s.order(ctx, service.Name, zone.Name, n, ready[zone.Name], demand, busy, rate) {
-			state.ordered[zone.Name] = n
+	}
+}
+
+func reclaimable(ready map[poolKey]int) map[string]int {
+	byZone := map[string]int{}
+	for key, n := range ready {
+		if key.isReclaimable {
+			byZone[key.zone] += n
 		}
 	}
+	return byZone
+}
+
+// next returns the number to order now. Servers end one at a time, and an order
+// for reclaimable ones that did not come is given again.
+func (p *pool) next(now time.Duration, want, ready int, boot time.Duration, isReclaimable bool) (n int, isDue bool) {
+	if now-p.refusedAt < refusedPause {
+		return 0, false
+	}
+	if want < p.ordered {
+		return p.ordered - 1, now-p.fellAt >= fallInterval
+	}
+	isLost := isReclaimable && ready < want && now-p.orderedAt >= bootsUntilLost*boot
+	return want, want > p.ordered || isLost
 }
 
-// orderedOr returns the number that was ordered in a zone, or what was found.
-func (s *serviceScale) orderedOr(zone string, found int) int {
-	if n, ok := s.ordered[zone]; ok {
-		return n
+// note takes the result of an order.
+func (p *pool) note(now time.Duration, n int, isTaken bool) {
+	switch {
+	case !isTaken:
+		p.refusedAt = now
+		return
+	case n < p.ordered:
+		p.fellAt = now
 	}
-	return found
+	p.ordered, p.orderedAt = n, now
 }
 
 // zonesOf returns the zones in which the service can be ordered.
@@ -149,13 +197,14 @@
 }
 
 // running returns the requests of all entries at the service, and its ready
-// servers by zone.
-func (s *Scaler) running(service string) (running int, ready map[string]int) {
-	ready = map[string]int{}
+// servers.
+func (s *Scaler) running(service string) (running int, ready map[poolKey]int) {
+	ready = map[poolKey]int{}
 	for _, load := range s.Balancer.ServiceLoads() {
 		if load.Service == service {
 			running += load.Running
-			ready[load.Zone] += load.Ready
+			ready[poolKey{load.Zone, true}] += load.ReadyReclaimable
+			ready[poolKey{load.Zone, false}] += load.Ready - load.ReadyReclaimable
 		}
 	}
 	return running, ready
@@ -186,23 +235,28 @@
 	return sum / rateSpan.Seconds() / rate, rate
 }
 
-// order gives one order and reports whether it was taken.
-func (s *Scaler) order(ctx context.Context, service, zone string, n, ready int, demand, running, rate float64) bool {
+// loadFacts are what an order was decided by.
+type loadFacts struct{ demand, running, rate float64 }
+
+// order gives one order and reports whether it was taken. A refusal of
+// reclaimable servers may mean that there are none, and that of others that a
+// later holder has acted.
+func (s *Scaler) order(ctx context.Context, o ServerOrder, ready int, load loadFacts) bool {
 	if _, _, err := s.Lease.Check(); err != nil {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := s.Cloud.OrderServers(ctx, s.token, service, zone, n)
+	err := s.Cloud.OrderServers(ctx, s.token, o)
 	if err != nil {
-		s.Log.Log(EvOrderFailed, "service", service, "server_zone", zone, "servers", n, "token", s.token,
-			"step", fault.Step(err), "peer", fault.Peer(err), "error", err.Error())
-		if fault.Is(err, fault.Conflict) {
+		s.Log.Log(EvOrderFailed, "service", o.Service, "server_zone", o.Zone, "reclaimable", o.IsReclaimable, "servers", o.Count,
+			"token", s.token, "step", fault.Step(err), "peer", fault.Peer(err), "error", err.Error())
+		if fault.Is(err, fault.Conflict) && !o.IsReclaimable {
 			s.Lease.Lose(s.token, "a later holder has acted")
 		}
 		return false
 	}
-	s.Log.Log(EvOrdered, "service", service, "server_zone", zone, "servers", n, "ready", ready, "token", s.token,
-		"demand", demand, "running", running, "tokens_per_second", rate)
+	s.Log.Log(EvOrdered, "service", o.Service, "server_zone", o.Zone, "reclaimable", o.IsReclaimable, "servers", o.Count,
+		"ready", ready, "token", s.token, "demand", load.demand, "running", load.running, "tokens_per_second", load.rate)
 	return true
 }
--- a/internal/fleet/replicas.go
+++ b/internal/fleet/replicas.go
@@ -23,8 +23,16 @@
 	// Zones are those of the service; Min and Max bound each.
 	Zones    []ReplicaZone
 	Min, Max int
+	// ReclaimablePrice is the price of a reclaimable server as a part of that of
+	// another one; 0 if there are none.
+	ReclaimablePrice float64
+	// ReadyReclaimable is the number of reclaimable servers that serve, by zone.
+	ReadyReclaimable map[string]int
 }
 
+// ReplicaCount is a number of backend servers by kind.
+type ReplicaCount struct{ OnDemand, Reclaimable int }
+
 const (
 	// replicaUse is the part of a server's time that the demand may fill: long
 	// prompts of a burst, and those of a lost server, must be read meanwhile.
@@ -38,13 +46,23 @@
 	// zoneFloor is the least number in a zone: one that is cut off serves its own
 	// callers, also if a server crashes meanwhile.
 	zoneFloor = 2
+	// onDemandBase is the number of servers in a zone that cannot be reclaimed:
+	// a reclaim takes all the others of the zone at once.
+	onDemandBase = 1
+	// reclaimableSpare is the number of reclaimable servers in a zone beyond the
+	// need, for the time in which other zones are without theirs.
+	reclaimableSpare = 1
+	// reclaimableWorth is the price from which reclaimable servers are not worth
+	// the prompts that are read again after a reclaim.
+	reclaimableWorth = 0.5
 )
 
 // Replicas returns the wanted number of backend servers by zone. They are spread
 // evenly, since each zone must serve its own callers when it is cut off; what
-// does not divide goes to the cheaper zones. It answers the day's wave and
-// bursts of long prompts.
-func Replicas(in ReplicaInput) map[string]int {
+// does not divide goes to the cheaper zones. Cheap reclaimable servers carry what
+// exceeds the base of a zone, and others stand in for those that do not serve.
+// It answers the day's wave, bursts of long prompts and reclaims of a zone.
+func Replicas(in ReplicaInput) map[string]ReplicaCount {
 	if len(in.Zones) == 0 {
 		return nil
 	}
@@ -54,17 +72,29 @@
 		return cmp.Or(cmp.Compare(a.Price, b.Price), cmp.Compare(a.Name, b.Name))
 	})
 	most := max(in.Min, int(math.Ceil(growShare*float64(in.Max))))
-	want := make(map[string]int, len(zones))
+	want := make(map[string]ReplicaCount, len(zones))
 	for i, z := range zones {
 		n := total / len(zones)
 		if i < total%len(zones) {
 			n++
 		}
-		want[z.Name] = min(max(n, in.Min, zoneFloor), most)
+		want[z.Name] = byKind(min(max(n, in.Min, zoneFloor), most), in.ReadyReclaimable[z.Name], in)
 	}
 	return want
 }
 
+// byKind divides the number of servers in a zone.
+func byKind(n, ready int, in ReplicaInput) ReplicaCount {
+	if in.ReclaimablePrice <= 0 || in.ReclaimablePrice >= reclaimableWorth {
+		return ReplicaCount{OnDemand: n}
+	}
+	onDemand := max(min(onDemandBase, n), n-ready)
+	return ReplicaCount{
+		OnDemand:    onDemand,
+		Reclaimable: max(0, min(n-onDemandBase+reclaimableSpare, in.Max-onDemand)),
+	}
+}
+
 // Trend smooths a demand for orders: it follows a rise at once and a fall only
 // after it has lasted, because a server takes seconds to boot and ending one
 // breaks off long streams.
--- a/internal/fleet/replicas_test.go
+++ b/internal/fleet/replicas_test.go
@@ -15,12 +15,12 @@
 		name    string
 		demand  float64
 		running int
-		want    map[string]int
+		want    map[string]ReplicaCount
 	}{
-		{"idle: each zone serves its own callers when it is cut off", 0, 0, map[string]int{"a": 2, "b": 2, "c": 2}},
-		{"what does not divide goes to the cheaper zones", 4, 0, map[string]int{"a": 3, "b": 2, "c": 2}},
-		{"long running streams", 0, 300, map[string]int{"a": 3, "b": 2, "c": 3}},
-		{"a burst does not order more than it can use", 50, 2000, map[string]int{"a": 3, "b": 3, "c": 3}},
+		{"idle: each zone serves its own callers when it is cut off", 0, 0, map[string]ReplicaCount{"a": {OnDemand: 2}, "b": {OnDemand: 2}, "c": {OnDemand: 2}}},
+		{"what does not divide goes to the cheaper zones", 4, 0, map[string]ReplicaCount{"a": {OnDemand: 3}, "b": {OnDemand: 2}, "c": {OnDemand: 2}}},
+		{"long running streams", 0, 300, map[string]ReplicaCount{"a": {OnDemand: 3}, "b": {OnDemand: 2}, "c": {OnDemand: 3}}},
+		{"a burst does not order more than it can use", 50, 2000, map[string]ReplicaCount{"a": {OnDemand: 3}, "b": {OnDemand: 3}, "c": {OnDemand: 3}}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			in.Demand, in.Running = tc.demand, tc.running
@@ -28,12 +28,28 @@
 		})
 	}
 	in.Min, in.Max = 4, 4
-	require.Equal(t, map[string]int{"a": 4, "b": 4, "c": 4}, Replicas(in), "the operators' bounds go first")
+	require.Equal(t, map[string]ReplicaCount{"a": {OnDemand: 4}, "b": {OnDemand: 4}, "c": {OnDemand: 4}}, Replicas(in), "the operators' bounds go first")
 	require.Empty(t, Replicas(ReplicaInput{Min: 1, Max: 6}))
 }
 
+func TestReclaimableServersCarryWhatExceedsTheBase(t *testing.T) {
+	in := ReplicaInput{Zones: threeZones, Min: 1, Max: 6, ReclaimablePrice: 0.2, Demand: 4}
+	require.Equal(t, ReplicaCount{OnDemand: 3, Reclaimable: 3}, Replicas(in)["a"], "none of them serves yet")
+	in.ReadyReclaimable = map[string]int{"a": 2, "b": 3}
+	want := Replicas(in)
+	require.Equal(t, ReplicaCount{OnDemand: 1, Reclaimable: 3}, want["a"])
+	require.Equal(t, ReplicaCount{OnDemand: 1, Reclaimable: 2}, want["b"])
+	require.Equal(t, ReplicaCount{OnDemand: 2, Reclaimable: 2}, want["c"], "the zone was reclaimed")
+	in.Max = 2
+	for _, n := range Replicas(in) {
+		require.LessOrEqual(t, n.OnDemand+n.Reclaimable, in.Max)
+	}
+	in.ReclaimablePrice = 0.9
+	require.Zero(t, Replicas(in)["a"].Reclaimable, "too dear for what a reclaim costs")
+}
+
 func TestReplicasRespectALowMaximum(t *testing.T) {
-	require.Equal(t, map[string]int{"a": 1}, Replicas(ReplicaInput{Zones: threeZones[:1], Min: 0, Max: 1, Demand: 9}))
+	require.Equal(t, map[string]ReplicaCount{"a": {OnDemand: 1}}, Replicas(ReplicaInput{Zones: threeZones[:1], Min: 0, Max: 1, Demand: 9}))
 }
 
 func TestTrendFollowsARiseAtOnceAndAFallLate(t *testing.T) {
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -40,6 +40,8 @@
 type ServiceLoad struct {
 	Service, Zone string
 	Ready         int
+	// ReadyReclaimable is the part of Ready that may be reclaimed.
+	ReadyReclaimable int
 	// Running is the number of calls of all entries.
 	Running int
 	// Slots is the number of calls that a server runs at once.
@@ -62,6 +64,9 @@
 			sums[key] = sum
 		}
 		sum.Ready++
+		if s.Reclaimable {
+			sum.ReadyReclaimable++
+		}
 		sum.Running += s.running + s.others
 		sum.Slots = cmp.Or(s.Slots, sum.Slots)
 	}
