The load is measured without the lease too

Cause: an entry that took the duties over looked at the load for 6.4 s before its first order. Change: each candidate measures; only orders need the lease.

--- a/internal/duty/scaler.go
+++ b/internal/duty/scaler.go
@@ -41,8 +41,17 @@
 	Works(service string) map[string]relay.Work
 }
 
-// Scaler orders backend servers while it holds the lease.
+// Scaler orders backend servers while it holds the lease. It measures the load
+// also without, so that it can act as soon as it takes over.
 type Scaler struct {
+	ScalerConfig
+
+	token    int64
+	services map[string]*serviceScale
+}
+
+// ScalerConfig is what a scaler works with.
+type ScalerConfig struct {
 	Lease     *lease.Lease
 	Cloud     Cloud
 	Documents *follow.Documents
@@ -50,9 +59,11 @@
 	Demand    Demand
 	Clock     clock.Clock
 	Log       *telemetry.Logger
+}
 
-	token    int64
-	services map[string]*serviceScale
+// NewScaler returns a scaler that knows no load yet.
+func NewScaler(c ScalerConfig) *Scaler {
+	return &Scaler{ScalerConfig: c, services: map[string]*serviceScale{}}
 }
 
 // serviceScale is what the scaler remembers of a service.
@@ -92,23 +103,28 @@
 			continue
 		}
 		token, _, err := s.Lease.Check()
-		if err != nil {
-			s.services = nil
-			continue
-		}
-		if token != s.token || s.services == nil {
-			s.token, s.services = token, map[string]*serviceScale{}
+		isHolder := err == nil
+		if !isHolder || token != s.token {
+			s.forgetOrders()
 		}
+		s.token = token
 		for i := range doc.Services {
 			if doc.Services[i].Scaling != nil {
-				s.scale(ctx, &doc.Services[i])
+				s.scale(ctx, &doc.Services[i], isHolder)
 			}
 		}
 	}
 	return nil
 }
 
-func (s *Scaler) scale(ctx context.Context, service *config.Service) {
+// forgetOrders ends what is known of orders: another holder may have ordered.
+func (s *Scaler) forgetOrders() {
+	for _, state := range s.services {
+		state.pools = map[poolKey]*pool{}
+	}
+}
+
+func (s *Scaler) scale(ctx context.Context, service *config.Service, isHolder bool) {
 	state, ok := s.services[service.Name]
 	if !ok {
 		state = &serviceScale{
@@ -122,6 +138,9 @@
 	running, ready := s.running(service.Name)
 	demand = state.demand.Add(now, demand)
 	busy := state.running.Add(now, float64(running))
+	if !isHolder {
+		return
+	}
 	if rate == 0 || !state.demand.IsFull(now) {
 		return // the load is not known yet: what was found stays
 	}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -261,10 +261,10 @@
 		list = append(list, reporter.Run)
 	}
 	if slices.Contains(x.s.Duties, config.DutyScaling) {
-		scaler := &duty.Scaler{
+		scaler := duty.NewScaler(duty.ScalerConfig{
 			Lease: x.lease, Cloud: x.cloud, Documents: x.documents, Balancer: x.balancer,
 			Demand: x.exchange, Clock: x.clock, Log: x.p.Log,
-		}
+		})
 		list = append(list, scaler.Run)
 	}
 	return list
