--- a/internal/fleet/replicas.go
+++ b/internal/fleet/replicas.go
@@ -51,7 +51,7 @@
 	onDemandBase = 1
 	// reclaimableSpare is the number of reclaimable servers in a zone beyond the
 	// need, for the time in which other zones are without theirs.
-	reclaimableSpare = 1
+	reclaimableSpare = 2
 	// reclaimableWorth is the price from which reclaimable servers are not worth
 	// the prompts that are read again after a reclaim.
 	reclaimableWorth = 0.5
