relayd: the operators' limits on new and idle connections of callers

Cause: header_timeout_ms and idle_timeout_ms of the document were not read; the process's own bounds of 10 s and 2 min held. Before: the new test's silent connection was closed after 10 s where 3 s were allowed. After: 3 s, and 5 s for an idle one, also with the document changing.

--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -22,6 +22,10 @@
 type CallerLimits struct {
 	MaxHeaderBytes int   `json:"maxHeaderBytes,omitempty" msgpack:"h,omitempty"`
 	MaxBodyBytes   int64 `json:"maxBodyBytes,omitempty" msgpack:"b,omitempty"`
+	// HeaderTimeoutMillis bounds the time to the first request of a connection,
+	// IdleTimeoutMillis that between two; 0 is the relay's own bound.
+	HeaderTimeoutMillis int `json:"headerTimeoutMillis,omitempty" msgpack:"ht,omitempty"`
+	IdleTimeoutMillis   int `json:"idleTimeoutMillis,omitempty" msgpack:"it,omitempty"`
 }
 
 // Organisation is a customer whose callers hold bearer keys.
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -300,8 +300,15 @@
 }
 
 func (x *Process) callerServer() *http.Server {
+	limits := newConnLimits(func() config.CallerLimits {
+		if doc, _ := x.documents.Current(); doc != nil {
+			return doc.CallerLimits
+		}
+		return config.CallerLimits{}
+	})
 	return &http.Server{
 		Handler: x.relay, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: limits.track,
 	}
 }
 
