--- a/internal/duty/scaler.go
+++ b/internal/duty/scaler.go
@@ -25,15 +25,6 @@
 	rateSpan = 3 * time.Second
 	// holdFall is how long the load must have fallen before servers are ended.
 	holdFall = 8 * time.Second
-	// fallInterval is the time between the ends of servers in a zone: each one
-	// moves prompts to servers that have to read them anew.
-	fallInterval = 3 * time.Second
-	// refusedPause is the time to the next order after reclaimable servers were
-	// refused in a zone: a shortage lasts for seconds.
-	refusedPause = 4 * time.Second
-	// bootsUntilLost is the number of boot times after which an order for
-	// reclaimable servers that did not come is given again.
-	bootsUntilLost = 2
 )
 
 // Demand tells the load of a service over all entries.
@@ -75,21 +66,6 @@
 	pools   map[poolKey]*pool
 }
 
-// poolKey names the servers of one kind in a zone.
-type poolKey struct {
-	zone          string
-	isReclaimable bool
-}
-
-// pool is what was ordered of one kind in a zone.
-type pool struct {
-	ordered   int
-	orderedAt time.Duration
-	// fellAt is when the number was last lowered, refusedAt when an order was
-	// last refused.
-	fellAt, refusedAt time.Duration
-}
-
 type workSample struct {
 	at     time.Duration
 	tokens float64
@@ -149,27 +125,36 @@
 		ReclaimablePrice: service.Scaling.ReclaimablePrice, ReadyReclaimable: reclaimable(ready),
 	})
 	load := loadFacts{demand: demand, running: busy, rate: rate}
-	boot := time.Duration(service.Scaling.BootSeconds * float64(time.Second))
 	for _, zone := range zonesOf(service) {
-		for _, isReclaimable := range []bool{true, false} {
-			key := poolKey{zone.Name, isReclaimable}
-			n := want[zone.Name].OnDemand
-			if isReclaimable {
-				n = want[zone.Name].Reclaimable
-			}
-			p, ok := state.pools[key]
-			if !ok {
-				p = &pool{ordered: ready[key], fellAt: -fallInterval, refusedAt: -refusedPause}
-				state.pools[key] = p
-			}
-			if n, isDue := p.next(now, n, ready[key], boot, isReclaimable); isDue {
-				o := ServerOrder{Service: service.Name, Zone: zone.Name, IsReclaimable: isReclaimable, Count: n}
-				p.note(now, n, s.order(ctx, o, ready[key], load))
-			}
-		}
+		n := want[zone.Name]
+		s.adjust(ctx, service, state.pool(poolKey{zone.Name, true}, ready), n.Reclaimable, ready, load)
+		s.adjust(ctx, service, state.pool(poolKey{zone.Name, false}, ready), n.OnDemand, ready, load)
 	}
 }
 
+// pool returns what is known of the servers of one kind in a zone; those that
+// were found count as ordered.
+func (s *serviceScale) pool(key poolKey, ready map[poolKey]int) *pool {
+	p, ok := s.pools[key]
+	if !ok {
+		p = newPool(key, ready[key])
+		s.pools[key] = p
+	}
+	return p
+}
+
+// adjust orders a number of servers of one kind in a zone if that is due.
+func (s *Scaler) adjust(ctx context.Context, service *config.Service, p *pool, want int, ready map[poolKey]int, load loadFacts) {
+	now := s.Clock()
+	boot := time.Duration(service.Scaling.BootSeconds * float64(time.Second))
+	n, isDue := p.next(now, want, ready[p.key], boot)
+	if !isDue {
+		return
+	}
+	o := ServerOrder{Service: service.Name, Zone: p.key.zone, IsReclaimable: p.key.isReclaimable, Count: n}
+	p.note(now, n, s.order(ctx, o, ready[p.key], load))
+}
+
 func reclaimable(ready map[poolKey]int) map[string]int {
 	byZone := map[string]int{}
 	for key, n := range ready {
@@ -180,31 +165,6 @@
 	return byZone
 }
 
-// next returns the number to order now. Servers end one at a time, and an order
-// for reclaimable ones that did not come is given again.
-func (p *pool) next(now time.Duration, want, ready int, boot time.Duration, isReclaimable bool) (n int, isDue bool) {
-	if now-p.refusedAt < refusedPause {
-		return 0, false
-	}
-	if want < p.ordered {
-		return p.ordered - 1, now-p.fellAt >= fallInterval
-	}
-	isLost := isReclaimable && ready < want && now-p.orderedAt >= bootsUntilLost*boot
-	return want, want > p.ordered || isLost
-}
-
-// note takes the result of an order.
-func (p *pool) note(now time.Duration, n int, isTaken bool) {
-	switch {
-	case !isTaken:
-		p.refusedAt = now
-		return
-	case n < p.ordered:
-		p.fellAt = now
-	}
-	p.ordered, p.orderedAt = n, now
-}
-
 // zonesOf returns the zones in which the service can be ordered.
 func zonesOf(service *config.Service) []fleet.ReplicaZone {
 	zones := make([]fleet.ReplicaZone, 0, len(service.Scaling.ZonePrices))
