quota: an entry's totals lie with its counter; nothing is done for totals that did not change

Totals and uptime were kept beside the counter and passed in, and the end of the cold window could be derived from the start. A message of unchanged totals, which most are, went through two windows for each organisation.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -69,8 +69,10 @@
 // message does no harm, since the next one carries the total.
 type Counter struct {
 	window *Window
-	// own is the part of window that this entry spent.
-	own *Window
+	// own is the part of window that this entry spent, ownSpent what it spent since
+	// it started.
+	own      *Window
+	ownSpent float64
 	// asked is what all entries were asked to spend of late, refused or not, and
 	// ownAsked what this one was asked since it started.
 	asked    *Window
@@ -84,9 +86,9 @@
 	debtAt time.Duration
 	// started is when this entry started.
 	started time.Duration
-	// coldTo is the end of the first window after a start; 0 once another entry
-	// reported what was spent.
-	coldTo time.Duration
+	// isInformed is set once another entry reported what was spent before this one
+	// started.
+	isInformed bool
 	// unknown is the part of the debt that stands for spending before the start.
 	unknown   float64
 	isSettled bool
@@ -106,14 +108,14 @@
 func NewCounter(span, started time.Duration) *Counter {
 	return &Counter{
 		window: NewWindow(span), own: NewWindow(span), asked: NewWindow(askedSpan), totals: map[string]runTotal{},
-		debtAt: started, started: started, coldTo: started + span,
+		debtAt: started, started: started,
 	}
 }
 
 // Spend takes an own amount if it fits.
 func (c *Counter) Spend(now time.Duration, l Limits, s Site, amount float64) Verdict {
 	share := s.share()
-	isCold := now < c.coldTo
+	isCold := c.isNew(now) && !c.isInformed
 	rate, burst := share*evenRate*l.PerSecond, share*evenBurst*l.Burst
 	if isCold {
 		rate = share * coldRate * l.PerSecond
@@ -138,6 +140,9 @@
 	return v
 }
 
+// isNew reports whether this entry has run for less than a window.
+func (c *Counter) isNew(now time.Duration) bool { return now < c.started+c.window.span }
+
 // askedSpan is the span over which the demand of all entries is taken: several
 // messages of each.
 const askedSpan = 2 * time.Second
@@ -200,6 +205,7 @@
 func (c *Counter) spendOwn(now time.Duration, amount float64) {
 	c.add(now, amount)
 	c.own.Add(now, amount)
+	c.ownSpent += amount
 }
 
 // SpendingReport is what an entry reports to the others of its spending.
@@ -216,11 +222,11 @@
 	Uptime time.Duration `msgpack:"u"`
 }
 
-// Report returns what this entry reports to the others; total is its spending since it
-// started, uptime ago. WithKnown adds what a starting entry needs.
-func (c *Counter) Report(now time.Duration, total float64, uptime time.Duration, withKnown bool) SpendingReport {
-	t := SpendingReport{Total: total, Asked: c.ownAsked, Recent: c.own.Sum(now), Uptime: uptime}
-	if withKnown && uptime >= c.window.span {
+// Report returns what this entry reports to the others. WithKnown adds what a
+// starting entry needs.
+func (c *Counter) Report(now time.Duration, withKnown bool) SpendingReport {
+	t := SpendingReport{Total: c.ownSpent, Asked: c.ownAsked, Recent: c.own.Sum(now), Uptime: now - c.started}
+	if withKnown && !c.isNew(now) {
 		t.Known = c.window.Parts(now)
 	}
 	return t
@@ -239,11 +245,11 @@
 	case ok:
 		c.add(now, t.Total-known.amount)
 		c.asked.Add(now, t.Asked-known.asked)
-	case now >= c.started+c.window.span || t.Uptime < c.window.span:
+	case !c.isNew(now) || t.Uptime < c.window.span:
 		c.add(now, t.Recent)
 	}
-	if now < c.coldTo && t.Known != nil {
-		c.coldTo = 0
+	if c.isNew(now) && !c.isInformed && t.Known != nil {
+		c.isInformed = true
 		c.debt = max(0, c.debt-c.unknown)
 		c.window.SetParts(now, t.Known)
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -41,9 +41,7 @@
 type spendEntry struct {
 	run     string
 	counter *Counter
-	total   float64
 	site    Site
-	started time.Duration
 	// heard is when each other entry was last heard.
 	heard map[int]time.Duration
 }
@@ -61,8 +59,7 @@
 
 func (r *spendRig) restart(i int) {
 	e := r.entries[i]
-	e.run, e.counter, e.total = strconv.Itoa(i)+"/"+r.now.String(), NewCounter(window, r.now), 0
-	e.started = r.now
+	e.run, e.counter = strconv.Itoa(i)+"/"+r.now.String(), NewCounter(window, r.now)
 	e.heard = map[int]time.Duration{}
 	e.site = Site{Entries: len(r.entries), Reachable: 1} // nobody was heard yet
 }
@@ -75,7 +72,6 @@
 		for due += rate * tick.Seconds(); due >= cost; due -= cost {
 			e := r.entries[r.rng.IntN(len(r.entries))]
 			if e.counter.Spend(r.now, limits, e.site, cost).Allowed {
-				e.total += cost
 				r.spent = append(r.spent, slotSum{r.now, cost})
 			}
 		}
@@ -98,7 +94,7 @@
 			}
 			if hears(i, j) {
 				to.heard[j] = r.now
-				to.counter.Merge(r.now, from.run, from.counter.Report(r.now, from.total, r.now-from.started, true))
+				to.counter.Merge(r.now, from.run, from.counter.Report(r.now, true))
 			}
 		}
 		to.site = Site{Entries: entries, Reachable: reachable, Lag: r.every}
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -28,9 +28,10 @@
 
 // Add adds an amount, which may be negative to take one back.
 func (w *Window) Add(now time.Duration, amount float64) {
-	if amount != 0 {
-		w.put(now, amount)
+	if amount == 0 {
+		return
 	}
+	w.put(now, amount)
 	w.expire(now)
 }
 
--- a/internal/relay/quotas.go
+++ b/internal/relay/quotas.go
@@ -18,13 +18,11 @@
 
 	mu       sync.Mutex
 	counters map[string]*quota.Counter
-	// spent is this entry's total by organisation.
-	spent map[string]float64
 }
 
 // NewQuotas returns counters without spending.
 func NewQuotas(window time.Duration, c clock.Clock) *Quotas {
-	return &Quotas{window: window, clock: c, started: c(), counters: map[string]*quota.Counter{}, spent: map[string]float64{}}
+	return &Quotas{window: window, clock: c, started: c(), counters: map[string]*quota.Counter{}}
 }
 
 func (q *Quotas) counterLocked(organisation string) *quota.Counter {
@@ -52,11 +50,7 @@
 	limits := quota.Limits{PerSecond: o.Quota.PerSecond, Burst: o.Quota.Burst, Window: q.window}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	v := q.counterLocked(o.Name).Spend(q.clock(), limits, site, amount)
-	if v.Allowed {
-		q.spent[o.Name] += amount
-	}
-	return v
+	return q.counterLocked(o.Name).Spend(q.clock(), limits, site, amount)
 }
 
 // Refund gives back the amount of a request that did not run.
@@ -64,7 +58,6 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.counterLocked(organisation).Refund(q.clock(), amount)
-	q.spent[organisation] -= amount
 }
 
 // Reports returns what this entry reports to the others, by organisation; withKnown adds
@@ -75,7 +68,7 @@
 	now := q.clock()
 	reports := make(map[string]quota.SpendingReport, len(q.counters))
 	for o, c := range q.counters {
-		reports[o] = c.Report(now, q.spent[o], now-q.started, withKnown)
+		reports[o] = c.Report(now, withKnown)
 	}
 	return reports
 }
