--- a/internal/follow/document.go
+++ b/internal/follow/document.go
@@ -84,9 +84,6 @@
 	}
 }
 
-// Confirmed implements Sink.
-func (d *Documents) Confirmed() {}
-
 // Regained implements Sink.
 func (d *Documents) Regained(time.Duration) {}
 
--- a/internal/follow/entries.go
+++ b/internal/follow/entries.go
@@ -88,9 +88,6 @@
 	}
 }
 
-// Confirmed implements Sink.
-func (e *Entries) Confirmed() {}
-
 // Regained implements Sink.
 func (e *Entries) Regained(time.Duration) {}
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -35,8 +35,6 @@
 	Replace(entries []kv.Entry)
 	// Apply takes changes in the order of their revisions.
 	Apply(events []kv.Event)
-	// Confirmed is told that the store answered and nothing has changed.
-	Confirmed()
 	// Regained is told that the store answers again after failures for lost.
 	Regained(lost time.Duration)
 }
@@ -147,8 +145,6 @@
 	}
 	if len(batch.Events) > 0 {
 		f.sink.Apply(batch.Events)
-	} else {
-		f.sink.Confirmed()
 	}
 	f.revision.Store(max(f.revision.Load(), batch.Revision))
 	f.confirm(sent, sent-batch.Age)
--- a/internal/follow/servers.go
+++ b/internal/follow/servers.go
@@ -111,6 +111,15 @@
 	if kept > 0 {
 		s.log.Log(EvServerKept, "servers", kept, "grace_ms", returnGrace.Milliseconds())
 	}
+	s.unlock(true)
+}
+
+// unlock ends a change of the view, and tells of it if there was one.
+func (s *Servers) unlock(isChanged bool) {
+	if !isChanged {
+		s.mu.Unlock()
+		return
+	}
 	list := s.listLocked()
 	s.mu.Unlock()
 	s.onChange(list)
@@ -130,17 +139,9 @@
 		}
 		changed = s.putLocked(e.Entry) || changed
 	}
-	changed = s.expireLocked() || changed
-	list := s.listLocked()
-	s.mu.Unlock()
-	if changed {
-		s.onChange(list)
-	}
+	s.unlock(s.expireLocked() || changed)
 }
 
-// Confirmed implements Sink.
-func (s *Servers) Confirmed() {}
-
 // expireInterval is the time between looks at servers that were given time to
 // return.
 const expireInterval = 100 * time.Millisecond
@@ -155,12 +156,7 @@
 
 func (s *Servers) expire() {
 	s.mu.Lock()
-	changed := s.expireLocked()
-	list := s.listLocked()
-	s.mu.Unlock()
-	if changed {
-		s.onChange(list)
-	}
+	s.unlock(s.expireLocked())
 }
 
 // Regained implements Sink: entries that lapsed during an outage get time to
