netx: one copy of what makes headers end-to-end

The relay's adapter and the client of plain services each had the list of hop-by-hop headers and the loop over Connection. The relay's own list for answers stays: it is shorter on purpose, answers pass as they are.

--- a/internal/backend/plain.go
+++ b/internal/backend/plain.go
@@ -4,43 +4,20 @@
 	"context"
 	"io"
 	"net/http"
-	"strings"
 
 	"buckthornpick/internal/fault"
+	"buckthornpick/internal/netx"
 	"buckthornpick/internal/request"
 )
 
-// hopByHop are the headers of one connection (RFC 9110, section 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // answerHeaders returns the headers of an answer that callers get: load reports
 // are meant for the entry.
 func answerHeaders(h http.Header) http.Header {
-	out := endToEnd(h)
+	out := netx.EndToEnd(h)
 	out.Del(LoadHeader)
 	return out
 }
 
-// endToEnd returns a copy of h without hop-by-hop headers.
-func endToEnd(h http.Header) http.Header {
-	out := h.Clone()
-	if out == nil {
-		out = http.Header{}
-	}
-	for _, line := range h.Values("Connection") {
-		for _, name := range strings.Split(line, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		out.Del(name)
-	}
-	return out
-}
-
 // startPlain calls a plain service and reads its whole answer.
 func (c *HTTPClient) startPlain(ctx context.Context, t Target, r *request.Request, attempt AttemptID) (Answer, error) {
 	const step = "plain.start"
@@ -48,7 +25,7 @@
 	if err != nil {
 		return nil, c.failed(r.ID, &AttemptError{Reached: NotSent, Target: t, Err: err})
 	}
-	req.Header = endToEnd(r.Header)
+	req.Header = netx.EndToEnd(r.Header)
 	req.Header.Del("Content-Length")
 	setIdentity(req, r, attempt)
 	resp, hadConn, err := c.do(req)
