--- a/internal/duty/scaler.go
+++ b/internal/duty/scaler.go
@@ -120,12 +120,13 @@
 	if rate == 0 || !state.demand.IsFull(now) {
 		return // the load is not known yet: what was found stays
 	}
+	zones := zonesOf(service)
 	want := fleet.Replicas(fleet.ReplicaInput{
-		Demand: demand, Running: int(busy), Zones: zonesOf(service), Min: service.Scaling.Min, Max: service.Scaling.Max,
+		Demand: demand, Running: int(busy), Zones: zones, Min: service.Scaling.Min, Max: service.Scaling.Max,
 		ReclaimablePrice: service.Scaling.ReclaimablePrice, ReadyReclaimable: reclaimable(ready),
 	})
 	load := loadFacts{demand: demand, running: busy, rate: rate}
-	for _, zone := range zonesOf(service) {
+	for _, zone := range zones {
 		n := want[zone.Name]
 		s.adjust(ctx, service, state.pool(poolKey{zone.Name, true}, ready), n.Reclaimable, ready, load)
 		s.adjust(ctx, service, state.pool(poolKey{zone.Name, false}, ready), n.OnDemand, ready, load)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -66,7 +66,7 @@
 func (l *Lease) Key() string { return l.cfg.Key }
 
 // Check returns the token and the end of the lease; an error of type
-// fault.Conflict means that this planner must not act.
+// fault.Conflict means that this process must not act.
 func (l *Lease) Check() (token int64, until time.Time, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"encoding/binary"
 	"errors"
 	"io"
 	"net"
@@ -77,7 +78,7 @@
 		prefix = xxhash.Sum64String(id)
 	}
 	const points = 1 << 16
-	point := float64(xxhash.Sum64(bytesOf(prefix))%points) / points * total
+	point := float64(xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, prefix))%points) / points * total
 	for _, part := range then.Call.Split {
 		if point -= part.Weight; point < 0 {
 			return part.Service
@@ -86,15 +87,6 @@
 	return then.Service
 }
 
-func bytesOf(n uint64) []byte {
-	const size = 8
-	b := make([]byte, size)
-	for i := range b {
-		b[i] = byte(n >> (size * i))
-	}
-	return b
-}
-
 func (q *request) authenticate() *refusal {
 	if q.facts.KeyHash != "" {
 		q.org, _ = q.doc.Organisation(q.facts.KeyHash)
--- a/internal/relay/load.go
+++ b/internal/relay/load.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"time"
 
 	"buckthornpick/internal/backend"
@@ -44,8 +43,6 @@
 	ReadyReclaimable int
 	// Running is the number of calls of all entries.
 	Running int
-	// Slots is the number of calls that a server runs at once.
-	Slots int
 }
 
 // ServiceLoads returns the load by service and zone.
@@ -68,7 +65,6 @@
 			sum.ReadyReclaimable++
 		}
 		sum.Running += s.running + s.others
-		sum.Slots = cmp.Or(s.Slots, sum.Slots)
 	}
 	list := make([]ServiceLoad, 0, len(sums))
 	for _, sum := range sums {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,8 +21,6 @@
 	// KeyLife is how long a key may be used after the document was last
 	// confirmed.
 	KeyLife time.Duration
-	// QuotaWindow is the span of organisations' quotas.
-	QuotaWindow time.Duration
 	// Repeats bound further sends of a service's requests.
 	Repeats quota.RepeatLimits
 	// MaxBodyBytes bounds requests where the document does not.
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -173,16 +173,15 @@
 	x.counts = usage.NewCounts(run, b.UsageWindow(), clock.NewWall(x.clock, time.Now))
 	quotas := relay.NewQuotas(b.QuotaWindow(), x.clock)
 	crashes := relay.NewCrashes(x.clock)
-	keyLife := b.Revoke() - revokeMargin
 	x.exchange = exchange.New(exchange.Config{
 		Transport: x.transport, Entries: x.entries, Size: x.size, Balancer: x.balancer, Quotas: quotas, Crashes: crashes,
-		Counts: x.counts, Clock: x.clock, Log: log, MayServe: keyLife + b.QuotaWindow(),
+		Counts: x.counts, Clock: x.clock, Log: log, MayServe: x.keyLife() + b.QuotaWindow(),
 	}, run)
 	x.relay = relay.New(relay.Config{
 		Codec: x.adapter.Codec, Documents: x.documents, Balancer: x.balancer, Pool: x.pool, Quotas: quotas, Crashes: crashes,
 		Peers: x.exchange, Counts: x.counts, Zone: x.s.Node.Zone, Clock: x.clock, Log: log, Metrics: x.p.Metrics,
 		Bounds: relay.Bounds{
-			KeyLife: keyLife, QuotaWindow: b.QuotaWindow(),
+			KeyLife:      x.keyLife(),
 			Repeats:      quota.RepeatLimits{Ratio: b.RepeatRatio, Slack: b.RepeatSlack, Span: b.RepeatWindow()},
 			MaxBodyBytes: maxBodyBytes,
 		},
@@ -193,6 +192,9 @@
 	}, x.store, log)
 }
 
+// keyLife is how long keys may be used after the document was last confirmed.
+func (x *Process) keyLife() time.Duration { return x.s.Bounds.Revoke() - revokeMargin }
+
 // Run serves until ctx ends, and then finishes what it has begun.
 func (x *Process) Run(ctx context.Context) error {
 	defer x.client.CloseIdleConnections()
@@ -330,7 +332,7 @@
 		return errors.New("draining")
 	case doc == nil:
 		return errors.New("no document yet")
-	case age > x.s.Bounds.Revoke()-revokeMargin:
+	case age > x.keyLife():
 		return errors.New("the document was not confirmed for too long")
 	}
 	return nil
