--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -20,9 +20,11 @@
 
 // Process is what a binary's Run gets besides its settings.
 type Process struct {
-	Log     *telemetry.Logger
-	Metrics metrics.Registry
-	Stdout  io.Writer
+	// Settings is the path of the settings file.
+	Settings string
+	Log      *telemetry.Logger
+	Metrics  metrics.Registry
+	Stdout   io.Writer
 }
 
 // Daemon describes a binary that runs until it is told to stop. T is its
@@ -81,7 +83,7 @@
 	}
 	log, stopLog := startLog(c.Root().Writer, level, node)
 	defer stopLog()
-	return d.run(ctx, settings, &Process{Log: log, Metrics: metrics.NewRegistry(), Stdout: c.Root().Writer})
+	return d.run(ctx, settings, &Process{Settings: c.String("config"), Log: log, Metrics: metrics.NewRegistry(), Stdout: c.Root().Writer})
 }
 
 func (d Daemon[T]) run(ctx context.Context, settings T, p *Process) error {
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -362,7 +362,7 @@
 }
 
 func (x *Process) reload() {
-	next, err := config.Load[config.RelaySettings](os.Getenv(cli.EnvSettings))
+	next, err := config.Load[config.RelaySettings](x.p.Settings)
 	if err != nil {
 		x.p.Log.Log(EvReloadFailed, "error", err.Error())
 		return
--- /dev/null
+++ b/internal/relayd/reload_test.go
@@ -0,0 +1,34 @@
+package relayd
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"buckthornpick/internal/cli"
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/telemetry"
+)
+
+// The file that was named at the start is the one that is read again.
+func TestReloadReadsTheFileOfTheStart(t *testing.T) {
+	t.Setenv(cli.EnvSettings, "")
+	path := filepath.Join(t.TempDir(), "relay.json")
+	write := func(callers string) {
+		text := `{"node": {"id": "a", "zone": "z"}, "callers": "` + callers + `", "readiness": "a:2", "peers": "a:3", "store": "s:1"}`
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	}
+	write("a:1")
+	settings, err := config.Load[config.RelaySettings](path)
+	require.NoError(t, err)
+	var log bytes.Buffer
+	x := &Process{s: settings, p: &cli.Process{Settings: path, Log: telemetry.NewLogger(&log, 0, "a", "z")}}
+	x.reload()
+	require.Contains(t, log.String(), `"restart_due":false`)
+	write("a:9")
+	x.reload()
+	require.Contains(t, log.String(), `"restart_due":true`)
+}
