quota: callers who come at one instant share what is free

An entry now takes at most its part of the rest, and a twentieth of the limit, before the next message. An organisation with all its callers at one entry gets 0.7 of its quota unrefused.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -62,6 +62,9 @@
 	// With the bounds above, the spending around the start stays within what the
 	// users allow beyond the limit; the usual load of an organisation fits.
 	coldRate = 0.5
+	// unheardPart of a limit is what all entries together may spend beyond it
+	// before they hear of each other: half of what the users allow beyond it.
+	unheardPart = 0.05
 )
 
 // Counter is the spending of one organisation over all entries of a site: the
@@ -131,6 +134,10 @@
 		v.RetryAfter = min(max(wait, minRetryAfter), l.Window)
 		return v
 	}
+	if c.exceedsUnheard(now, v, s, amount) {
+		v.RetryAfter = max(s.Lag, minRetryAfter)
+		return v
+	}
 	if part := c.ration(now, v.Limit-v.Spent, s.Lag); !c.take(part, amount) {
 		v.RetryAfter = min(max(seconds(s.Lag.Seconds()/part), minRetryAfter), l.Window)
 		return v
@@ -140,6 +147,19 @@
 	return v
 }
 
+// exceedsUnheard reports whether an amount exceeds the part of the rest that this
+// entry may take before the others hear of it. It answers callers who come
+// together at several entries, whose demand before says nothing of them. An
+// amount larger than the part passes if it is the only one.
+func (c *Counter) exceedsUnheard(now time.Duration, v Verdict, s Site, amount float64) bool {
+	if s.Reachable <= 1 {
+		return false
+	}
+	unheard := c.own.Latest(now, s.Lag)
+	part := (v.Limit - v.Spent + unheard + unheardPart*v.Limit) / float64(s.Reachable)
+	return unheard > 0 && unheard+amount > part
+}
+
 // isNew reports whether this entry has run for less than a window.
 func (c *Counter) isNew(now time.Duration) bool { return now < c.started+c.window.span }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -34,6 +34,8 @@
 	// every is the time between messages; silence is how long an entry may be
 	// silent and still counts as reachable.
 	every, silence time.Duration
+	// asked is the number of entries that callers come to; 0 is all.
+	asked int
 	// isOut reports whether an entry has lost its registration.
 	isOut func(i int) bool
 }
@@ -70,10 +72,7 @@
 	due := 0.0
 	for end := r.now + d; r.now < end; r.now += tick {
 		for due += rate * tick.Seconds(); due >= cost; due -= cost {
-			e := r.entries[r.rng.IntN(len(r.entries))]
-			if e.counter.Spend(r.now, limits, e.site, cost).Allowed {
-				r.spent = append(r.spent, slotSum{r.now, cost})
-			}
+			r.offer(cost)
 		}
 		if r.now%r.every == 0 {
 			r.exchange(hears)
@@ -81,6 +80,18 @@
 	}
 }
 
+// offer asks a random entry for an amount.
+func (r *spendRig) offer(cost float64) {
+	n := len(r.entries)
+	if r.asked > 0 {
+		n = r.asked
+	}
+	e := r.entries[r.rng.IntN(n)]
+	if e.counter.Spend(r.now, limits, e.site, cost).Allowed {
+		r.spent = append(r.spent, slotSum{r.now, cost})
+	}
+}
+
 func (r *spendRig) exchange(hears func(a, b int) bool) {
 	for i, to := range r.entries {
 		entries, reachable := 1, 1
@@ -213,6 +224,37 @@
 	require.LessOrEqual(t, r.worst(), allowed())
 }
 
+// Callers who come together find the same rest free at every entry.
+func TestQuotaHoldsWhenBurstsComeAtOneInstant(t *testing.T) {
+	small := limits
+	limits = Limits{PerSecond: 1500, Burst: 1500, Window: window}
+	defer func() { limits = small }()
+	const calls, cost = 40, 100
+	for seed := range uint64(40) {
+		r := newSpendRig(3)
+		r.rng = rand.New(rand.NewPCG(seed, 3))
+		for range 60 {
+			r.play(time.Duration(r.rng.IntN(2500))*time.Millisecond, 0, cost, all)
+			for range calls {
+				r.offer(cost)
+			}
+		}
+		limit := limits.PerSecond*window.Seconds() + limits.Burst
+		require.LessOrEqual(t, r.worst(), (1+overshoot)*limit, "seed %d", seed)
+		require.GreaterOrEqual(t, r.worst(), 0.9*limit, "the quota can be used")
+	}
+}
+
+// Callers keep their connections, so an organisation may come to one entry only.
+func TestQuotaIsNotDividedByWhoIsAsked(t *testing.T) {
+	const load = 0.7
+	r := newSpendRig(7)
+	r.asked = 1
+	r.play(20*time.Second, load*limits.PerSecond, 3000, all)
+	asked := 20 * load * limits.PerSecond / 3000
+	require.InDelta(t, asked, len(r.spent), 0.01*asked)
+}
+
 // An entry that starts beside others learns what they spent, and no more.
 func TestRestartedEntryDoesNotCountTheOthersTwice(t *testing.T) {
 	r := newSpendRig(3)
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -82,6 +82,16 @@
 	return w.sum
 }
 
+// Latest returns the amount added since now less d, at most the span, and what fell
+// into the slot of that time.
+func (w *Window) Latest(now, d time.Duration) float64 {
+	sum := 0.0
+	for i := len(w.slots) - 1; i >= 0 && w.slots[i].start+w.slot > now-d; i-- {
+		sum += w.slots[i].amount
+	}
+	return sum
+}
+
 func (w *Window) expire(now time.Duration) {
 	n := 0
 	for n < len(w.slots) && w.slots[n].start+w.slot <= now-w.span {
