entry: members that do not answer are no watchers of their zone

Cause: a zone's two first members by the table watch the store for it.

Members that the transport knows to be dead no longer count.

--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -62,9 +62,9 @@
 	return peer.Node{ID: m.ID, Zone: m.Zone, Address: m.Address}
 }
 
-// rankInZone returns the position of the member among those of its zone; -1 if
-// it is not in the table.
-func rankInZone(t member.Table, id string) int {
+// rankInZone returns the position of the member among those of its zone, without
+// those that isDead names; -1 if the table does not have it.
+func rankInZone(t member.Table, id string, isDead func(id string) bool) int {
 	self, ok := t.Find(id)
 	if !ok {
 		return -1
@@ -74,7 +74,7 @@
 		if m.ID == id {
 			return rank
 		}
-		if m.Zone == self.Zone {
+		if m.Zone == self.Zone && !isDead(m.ID) {
 			rank++
 		}
 	}
