exchange: hubs sum spending and loads by zone on large sites

Cause: messages among entries were a mesh.

Beyond 16 entries each reports to two hubs of its zone. Hubs pass sums on to the hubs of the other zones and tell their zone's entries the sum of the others. An entry counts the hub that knows most, so that nothing is counted twice when a hub dies or returns. The duties' holder is a hub; one that is none any more gives the lease up. Marks of contents go by the same ways.

--- a/internal/exchange/attendance_test.go
+++ b/internal/exchange/attendance_test.go
@@ -13,19 +13,19 @@
 	a := newAttendance(mayServe)
 	a.heard("b", 0, &state{})
 	a.heard("c", 0, &state{})
-	site, changes := a.judge(100*time.Millisecond, []string{"b", "c"})
+	site, changes := a.judge(100*time.Millisecond, []string{"b", "c"}, false)
 	require.Equal(t, 3, site.Entries)
 	require.Equal(t, 3, site.Reachable)
 	require.Len(t, changes, 2)
 
 	for now := 2 * time.Second; now < mayServe; now += time.Second {
 		a.heard("c", now, &state{})
-		site, _ = a.judge(now, []string{"c"})
+		site, _ = a.judge(now, []string{"c"}, false)
 		require.Equal(t, 3, site.Entries, "b may still serve after %v", now)
 		require.Equal(t, 2, site.Reachable)
 	}
 	a.heard("c", mayServe, &state{})
-	site, _ = a.judge(mayServe, []string{"c"})
+	site, _ = a.judge(mayServe, []string{"c"}, false)
 	require.Equal(t, 2, site.Entries)
 	require.Equal(t, 2, site.Reachable)
 }
@@ -33,10 +33,10 @@
 func TestEntryThatSaidThatItLeavesKeepsNothing(t *testing.T) {
 	a := newAttendance(mayServe)
 	a.heard("b", 0, &state{IsLeaving: true})
-	site, _ := a.judge(100*time.Millisecond, nil)
+	site, _ := a.judge(100*time.Millisecond, nil, false)
 	require.Equal(t, 1, site.Entries)
 	a.heard("b", 5*time.Second, &state{})
-	site, _ = a.judge(5*time.Second, []string{"b"})
+	site, _ = a.judge(5*time.Second, []string{"b"}, false)
 	require.Equal(t, 2, site.Entries, "started again")
 	require.Equal(t, 2, site.Reachable)
 }
@@ -44,13 +44,13 @@
 func TestEntriesOutOfTouchAndBack(t *testing.T) {
 	a := newAttendance(mayServe)
 	a.heard("b", 0, &state{})
-	_, changes := a.judge(0, []string{"b"})
+	_, changes := a.judge(0, []string{"b"}, false)
 	require.Equal(t, []touch{{"b", true, 0}}, changes)
-	site, changes := a.judge(silence, []string{"b"})
+	site, changes := a.judge(silence, []string{"b"}, false)
 	require.Equal(t, []touch{{"b", false, silence}}, changes)
 	require.Equal(t, 1, site.Reachable)
 	require.Equal(t, 2, site.Entries)
 	a.heard("b", 3*time.Second, &state{})
-	_, changes = a.judge(3*time.Second, []string{"b"})
+	_, changes = a.judge(3*time.Second, []string{"b"}, false)
 	require.Equal(t, []touch{{"b", true, 0}}, changes)
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -1,6 +1,7 @@
 // Package exchange keeps the entries of a site informed of each other: several
-// times a second each reports its totals and loads to the others. All values are
-// totals or states, so that a lost message is made good by the next one.
+// times a second each reports its totals and loads, to the others of a small site
+// and to the hubs of its zone in a large one. All values are totals or states, so
+// that a lost message is made good by the next one.
 package exchange
 
 import (
@@ -24,11 +25,13 @@
 	// interval between messages: what an organisation spends beyond its quota is
 	// what all entries take in this time.
 	interval = 200 * time.Millisecond
-	// maxInterval and entriesPerInterval bound the messages of large sites: an
-	// entry sends and takes no more than those of so many entries at interval, but
-	// quotas do not hold with rarer messages than those of maxInterval.
-	maxInterval        = 400 * time.Millisecond
-	entriesPerInterval = 16
+	// hubRounds is the number of rounds of a hub in the time between its messages:
+	// each goes to the other hubs, so that the way by hubs takes little longer.
+	hubRounds = 2
+	// treeLag is how old the spending of others is at most, in intervals: one and a
+	// half to the hub and from the hub, less the time that the three ways seldom
+	// take together.
+	treeLag = 3
 	// usageEvery is the number of messages for each one that carries counts of
 	// usage, which change slowly.
 	usageEvery = 2
@@ -73,11 +76,26 @@
 // Exchange implements relay.Peers. It is safe for concurrent use.
 type Exchange struct {
 	Config
-	run string
+	run  string
+	self peer.Node
 
 	mu     sync.Mutex
 	others *attendance
 	site   quota.Site
+	// place is this entry's since placedAt.
+	place    position
+	placedAt time.Duration
+	// sums are what hubs tell, works the work of entries of other zones by run.
+	sums  summary
+	works map[string]heardWork
+	// heardAt is when a hub or, for a hub, an entry of its zone was last heard.
+	heardAt time.Duration
+}
+
+// heardWork is an entry's work by service.
+type heardWork struct {
+	at   time.Duration
+	work map[string]relay.Work
 }
 
 // RunName names a run of an entry.
@@ -89,10 +107,12 @@
 // transport.
 func New(c Config, run string) *Exchange {
 	x := &Exchange{
-		Config: c, run: run,
+		Config: c, run: run, self: c.Transport.Self(),
 		others: newAttendance(c.MayServe), site: quota.Site{Entries: 1, Reachable: 1},
+		sums: summary{}, works: map[string]heardWork{},
 	}
 	c.Transport.HandleNotify(peer.RelayState, x.receive)
+	c.Transport.HandleNotify(peer.RelaySums, x.receiveSums)
 	c.Transport.HandleNotify(peer.RelayCrash, x.receiveCrash)
 	c.Transport.HandleNotify(peer.RelayCleared, x.receiveCleared)
 	return x
@@ -100,22 +120,25 @@
 
 // Run sends messages until ctx ends.
 func (x *Exchange) Run(ctx context.Context) error {
+	rounds := 1
 	for n := 0; ; n++ {
-		every := intervalFor(len(x.Entries.Others()))
-		// Spread, so that the entries of a large site do not all send at once.
+		// Spread, so that the entries of a site do not all send at once.
+		every := interval / time.Duration(rounds)
 		if !wait.For(ctx, every/2+rand.N(every)) {
 			return nil
 		}
-		x.judge(every)
-		x.broadcast(x.message(n))
+		p := x.judge()
+		rounds = 1
+		if p.isHub {
+			rounds = hubRounds
+			x.sendSums(p, n)
+		}
+		if n%rounds == 0 {
+			x.sendTo(p.uplinks, peer.RelayState, x.message(n/rounds))
+		}
 	}
 }
 
-// intervalFor returns the mean time between messages to so many other entries.
-func intervalFor(others int) time.Duration {
-	return min(max(interval, interval*time.Duration(others)/entriesPerInterval), maxInterval)
-}
-
 // message returns the n-th message.
 func (x *Exchange) message(n int) state {
 	message := state{Run: x.run, Spent: x.Quotas.Reports(n%knownEvery == 0), Loads: x.Balancer.Loads()}
@@ -126,15 +149,18 @@
 	return message
 }
 
-func (x *Exchange) broadcast(message state) { x.notify(peer.RelayState, message) }
+func (x *Exchange) sendTo(nodes []peer.Node, kind peer.Kind, message any) {
+	for _, node := range nodes {
+		x.send(node, kind, message)
+	}
+}
 
-// notify sends a message to every other entry. One that cannot be reached is
-// seen by its silence.
-func (x *Exchange) notify(kind peer.Kind, message any) {
-	for _, node := range x.Entries.Others() {
-		if err := x.Transport.Notify(node, kind, message); err != nil && kind != peer.RelayState {
-			x.Log.Log(relay.EvNotifyFailed, "entry", node.ID, "kind", kind.String(), "error", err.Error())
-		}
+// send sends a message. An entry that cannot be reached is seen by its silence,
+// so that only the loss of marks is logged.
+func (x *Exchange) send(node peer.Node, kind peer.Kind, message any) {
+	err := x.Transport.Notify(node, kind, message)
+	if err != nil && kind != peer.RelayState && kind != peer.RelaySums {
+		x.Log.Log(relay.EvNotifyFailed, "entry", node.ID, "kind", kind.String(), "error", err.Error())
 	}
 }
 
@@ -143,37 +169,99 @@
 	if decode(&message) != nil {
 		return // the transport has logged it
 	}
-	x.Quotas.Merge(message.Run, message.Spent)
 	if message.Usage != nil {
 		x.Counts.Merge(message.Run, message.Usage)
 	}
 	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.others.heard(from.ID, x.Clock(), &message)
+	if x.place.isTree && (!x.place.isHub || from.Zone != x.self.Zone) {
+		x.mu.Unlock() // told by sums
+		return
+	}
+	now := x.Clock()
+	isKnown := x.others.heard(from.ID, now, &message)
+	isCovered := x.isCoveredLocked(now)
+	x.mu.Unlock()
+	x.Quotas.Merge(quota.Origin{Name: from.ID, Run: message.Run, IsCovered: isCovered, WasZero: isKnown}, message.Spent)
 }
 
-// judge decides which entries are in touch and sums their loads; every is the
-// time between messages.
-func (x *Exchange) judge(every time.Duration) {
+// judge places this entry, decides which others are in touch, and sums their
+// loads.
+func (x *Exchange) judge() position {
 	others := x.Entries.Others()
 	registered := make([]string, len(others))
 	for i, node := range others {
 		registered[i] = node.ID
 	}
 	x.mu.Lock()
-	site, changes := x.others.judge(x.Clock(), registered)
+	now := x.Clock()
+	site, changes := x.others.judge(now, registered, x.place.isTree)
+	isMoved := x.moveLocked(now, positionOf(x.self, others, site.Entries, x.isDead))
+	loads := x.others.loads()
+	lag := interval * 3 / 2 // Run spreads the messages by so much
+	if x.place.isTree {
+		site, loads = x.judgeTreeLocked(now, site)
+		lag = treeLag * interval
+	}
+	if now-x.placedAt < regroupTime {
+		site.Reachable = max(site.Reachable, x.site.Reachable)
+	}
 	site.Entries = x.Size.Count(site.Entries)
+	site.Reachable = min(site.Reachable, site.Entries)
 	if site.Reachable > 1 {
-		site.Lag = every * 3 / 2 // Run spreads the messages by so much
+		site.Lag = lag
 	}
+	isChanged := x.place.isTree && (site.Entries != x.site.Entries || site.Reachable != x.site.Reachable)
 	x.site = site
-	loads := x.others.loads()
+	place := x.place
 	x.mu.Unlock()
+	x.logJudgement(place, site, isMoved, isChanged, changes)
+	x.Balancer.SetOthers(loads)
+	x.Balancer.SetEntries(1 + len(others))
+	return place
+}
+
+// isDead reports whether an entry is known not to answer.
+func (x *Exchange) isDead(id string) bool {
+	isAlive, isKnown := x.Transport.Reachable(id)
+	return isKnown && !isAlive
+}
+
+// moveLocked takes a new place and reports whether it differs.
+func (x *Exchange) moveLocked(now time.Duration, p position) bool {
+	isMoved := !p.isSame(x.place)
+	if isMoved {
+		x.placedAt = now
+	}
+	x.place = p
+	return isMoved
+}
+
+// IsHub reports whether this entry hears of all others: each of a small site, and
+// the hubs of a large one.
+func (x *Exchange) IsHub() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return !x.place.isTree || x.place.isHub
+}
+
+func (x *Exchange) logJudgement(p position, site quota.Site, isMoved, isChanged bool, changes []touch) {
+	if isMoved {
+		x.Log.Log(relay.EvPlaced, "large_site", p.isTree, "hub", p.isHub, "uplinks", idsOf(p.uplinks), "entries", site.Entries)
+	}
+	if isChanged {
+		x.Log.Log(relay.EvSite, "entries", site.Entries, "reachable", site.Reachable)
+	}
 	for _, t := range changes {
 		x.logTouch(t)
 	}
-	x.Balancer.SetOthers(loads)
-	x.Balancer.SetEntries(1 + len(others))
+}
+
+func idsOf(nodes []peer.Node) []string {
+	ids := make([]string, len(nodes))
+	for i, n := range nodes {
+		ids[i] = n.ID
+	}
+	return ids
 }
 
 func (x *Exchange) logTouch(t touch) {
@@ -191,7 +279,8 @@
 	return x.site
 }
 
-// Works returns the work of all entries for a service, by entry.
+// Works returns the work of all entries for a service, by entry or its run; only
+// a hub knows it.
 func (x *Exchange) Works(service string) map[string]relay.Work {
 	works := map[string]relay.Work{x.run: x.Balancer.Works()[service]}
 	x.mu.Lock()
@@ -201,28 +290,65 @@
 			works[id] = w
 		}
 	}
+	now := x.Clock()
+	for run, known := range x.works {
+		if now-known.at >= x.MayServe {
+			delete(x.works, run)
+		} else if w, ok := known.work[service]; ok {
+			works[run] = w
+		}
+	}
 	return works
 }
 
 // NotifyCrash implements relay.Peers.
-func (x *Exchange) NotifyCrash(c relay.Crash) { x.notify(peer.RelayCrash, c) }
+func (x *Exchange) NotifyCrash(c relay.Crash) { x.spread(peer.RelayCrash, c, peer.Node{}) }
 
 // NotifyCleared implements relay.Peers.
-func (x *Exchange) NotifyCleared(content uint64) { x.notify(peer.RelayCleared, cleared{content}) }
+func (x *Exchange) NotifyCleared(content uint64) {
+	x.spread(peer.RelayCleared, cleared{content}, peer.Node{})
+}
+
+// spread sends a mark to those that this entry exchanges messages with, but not
+// back. From is where it came from; an entry's own marks come from nowhere.
+func (x *Exchange) spread(kind peer.Kind, mark any, from peer.Node) {
+	x.mu.Lock()
+	p := x.place
+	x.mu.Unlock()
+	isOwn := from.ID == ""
+	if isOwn {
+		x.sendTo(p.uplinks, kind, mark)
+	}
+	if !p.isHub {
+		return
+	}
+	if isOwn || from.Zone == x.self.Zone {
+		x.sendTo(p.remoteHubs, kind, mark)
+	}
+	for _, member := range x.members(p) {
+		if member.ID != from.ID {
+			x.send(member, kind, mark)
+		}
+	}
+}
 
 func (x *Exchange) receiveCrash(from peer.Node, decode func(any) error) {
 	var c relay.Crash
 	if decode(&c) != nil {
 		return
 	}
-	n := x.Crashes.Note(c)
+	n, isNews := x.Crashes.Note(c)
+	if !isNews {
+		return
+	}
 	x.Log.Log(relay.EvCrashed, "content", c.Content, "server", c.Server, "crashes", n, "told_by", from.ID)
+	x.spread(peer.RelayCrash, c, from)
 }
 
-func (x *Exchange) receiveCleared(_ peer.Node, decode func(any) error) {
+func (x *Exchange) receiveCleared(from peer.Node, decode func(any) error) {
 	var c cleared
-	if decode(&c) == nil {
-		x.Crashes.Answered(c.Content)
+	if decode(&c) == nil && x.Crashes.Answered(c.Content) {
+		x.spread(peer.RelayCleared, c, from)
 	}
 }
 
@@ -233,6 +359,9 @@
 func (x *Exchange) Flush() {
 	last := x.message(0)
 	last.IsLeaving = true
-	x.broadcast(last)
+	x.mu.Lock()
+	uplinks := x.place.uplinks
+	x.mu.Unlock()
+	x.sendTo(uplinks, peer.RelayState, last)
 	time.Sleep(flushTime)
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -27,7 +27,7 @@
 	Margin time.Duration
 	// Standby is the mean time between looks at a key that another one holds.
 	Standby time.Duration
-	// IsCandidate reports whether this process may take the lease; nil is always.
+	// IsCandidate reports whether this process may hold the lease; nil is always.
 	// In a large site few processes ask the store for it.
 	IsCandidate func() bool
 }
@@ -115,9 +115,11 @@
 	return nil
 }
 
+func (l *Lease) isCandidate() bool { return l.cfg.IsCandidate == nil || l.cfg.IsCandidate() }
+
 // campaign takes the lease if nobody holds it.
 func (l *Lease) campaign(ctx context.Context) (held bool, err error) {
-	if l.cfg.IsCandidate != nil && !l.cfg.IsCandidate() {
+	if !l.isCandidate() {
 		return false, nil
 	}
 	if _, found, err := l.store.Get(ctx, l.cfg.Key); err != nil || found {
@@ -174,6 +176,10 @@
 		l.mu.Lock()
 		id, token := l.id, l.token
 		l.mu.Unlock()
+		if !l.isCandidate() {
+			l.Lose(token, "other processes are to hold it")
+			token = 0
+		}
 		if token == 0 {
 			l.revoke(ctx, id)
 			return
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -56,6 +56,8 @@
 	RelayCleared Kind = 23
 	// RelayPoll asks an entry of the zone for changes that it has read.
 	RelayPoll Kind = 24
+	// RelaySums spreads the sums of several relays' totals and loads.
+	RelaySums Kind = 25
 )
 
 var kindNames = map[Kind]string{
@@ -66,7 +68,7 @@
 	GossipCompare: "gossip-compare", CrashMark: "crash-mark", CrashClear: "crash-clear",
 	TrialBegin: "trial-begin", TrialEnd: "trial-end", Depart: "depart",
 	DemandPull: "demand-pull", RelayState: "relay-state", RelayCrash: "relay-crash",
-	RelayCleared: "relay-cleared", RelayPoll: "relay-poll",
+	RelayCleared: "relay-cleared", RelayPoll: "relay-poll", RelaySums: "relay-sums",
 }
 
 // String returns the kind's name, or its number if it has none.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -65,6 +65,10 @@
 	// unheardPart of a limit is what all entries together may spend beyond it
 	// before they hear of each other: half of what the users allow beyond it.
 	unheardPart = 0.05
+	// burstEntries is the number of entries at which callers who come together
+	// are provided for: each keeps its connection to one entry, so a burst at many
+	// entries is that of many callers, whom the ration answers.
+	burstEntries = 4
 )
 
 // Counter is the spending of one organisation over all entries of a site: the
@@ -82,8 +86,8 @@
 	ownAsked float64
 	// credit is what this entry may still take of a rationed quota.
 	credit float64
-	// totals are the latest by run of an entry.
-	totals map[string]runTotal
+	// reporters are those that report the spending of others, by name.
+	reporters map[string]*reporter
 	// debt is what was spent beyond the even rate, as of debtAt.
 	debt   float64
 	debtAt time.Duration
@@ -97,20 +101,54 @@
 	isSettled bool
 }
 
-// runTotal holds the totals of a run and when they were last reported.
-type runTotal struct {
-	amount, asked float64
-	at            time.Duration
+// Origin says whose spending a report holds and who reports it.
+type Origin struct {
+	// Name is that of an entry, or of a part of the site that others sum up.
+	Name  string
+	Scope Scope
+	// Run is the process that reports. Several may report one part of the site:
+	// the one that knows most counts.
+	Run string
+	// IsCovered: until now the same spending was reported by another way.
+	IsCovered bool
+	// WasZero: the run has reported before and had nothing of this organisation.
+	WasZero bool
 }
 
-// runMemory is how long the total of a run is kept after its last message: an
-// entry that was cut off for that long counts as a new one.
+// Scope is the part of a site whose spending a report holds.
+type Scope int
+
+// Scopes.
+const (
+	// OneEntry is the reporting entry alone.
+	OneEntry Scope = iota
+	// Zone is all entries of another zone.
+	Zone
+	// Rest is all entries of the site but the one that is told.
+	Rest
+)
+
+// reporter is what an origin has reported since it was first heard.
+type reporter struct {
+	scope        Scope
+	spent, asked float64
+	// runs hold what to add to the totals of each run to compare them.
+	runs map[string]*baseline
+}
+
+type baseline struct {
+	spent, asked float64
+	at           time.Duration
+}
+
+// runMemory is how long the baseline of a run is kept after its last report: one
+// that was silent for that long counts as a new one.
 const runMemory = 10 * time.Minute
 
 // NewCounter returns a counter of an entry that started at the given time.
 func NewCounter(span, started time.Duration) *Counter {
 	return &Counter{
-		window: NewWindow(span), own: NewWindow(span), asked: NewWindow(askedSpan), totals: map[string]runTotal{},
+		window: NewWindow(span), own: NewWindow(span), asked: NewWindow(askedSpan), reporters: map[string]*reporter{},
 		debtAt: started, started: started,
 	}
 }
@@ -138,7 +176,7 @@
 		v.RetryAfter = max(s.Lag, minRetryAfter)
 		return v
 	}
-	if part := c.ration(now, v.Limit-v.Spent, s.Lag); !c.take(part, amount) {
+	if part := c.ration(now, v, s.Lag); !c.take(part, amount) {
 		v.RetryAfter = min(max(seconds(s.Lag.Seconds()/part), minRetryAfter), l.Window)
 		return v
 	}
@@ -156,7 +194,7 @@
 		return false
 	}
 	unheard := c.own.Latest(now, s.Lag)
-	part := (v.Limit - v.Spent + unheard + unheardPart*v.Limit) / float64(s.Reachable)
+	part := (v.Limit - v.Spent + unheard + unheardPart*v.Limit) / float64(min(s.Reachable, burstEntries))
 	return unheard > 0 && unheard+amount > part
 }
 
@@ -172,12 +210,18 @@
 	c.ownAsked += amount
 }
 
+// rationSpan is the number of lags over which what is free is spent. What was
+// spent in the last lag is not known yet: a span of one lag would spend the rest
+// anew until it is.
+const rationSpan = 2
+
 // ration returns the part of the requests that may be allowed so that all
 // entries together take no more than what is free before they hear of each
 // other. It answers many callers that wait at all entries when a quota is free
 // again.
-func (c *Counter) ration(now time.Duration, free float64, lag time.Duration) float64 {
-	demand := c.asked.Sum(now) * lag.Seconds() / askedSpan.Seconds()
+func (c *Counter) ration(now time.Duration, v Verdict, lag time.Duration) float64 {
+	demand := c.asked.Sum(now) * rationSpan * lag.Seconds() / askedSpan.Seconds()
+	free := v.Limit - v.Spent + unheardPart*v.Limit
 	if demand <= free {
 		return 1
 	}
@@ -228,22 +272,24 @@
 	c.ownSpent += amount
 }
 
-// SpendingReport is what an entry reports to the others of its spending.
+// SpendingReport is what one process reports to another of an organisation's
+// spending: its own, or the sum of that of several entries.
 type SpendingReport struct {
-	// Total since the entry's start, and Asked with what was refused.
+	// Total since the process's start, and Asked with what was refused.
 	Total float64 `msgpack:"t"`
 	Asked float64 `msgpack:"a"`
-	// Recent is the entry's spending in the window.
+	// Recent is the spending in the window; of sums it may hold more than Total
+	// does.
 	Recent float64 `msgpack:"w,omitempty"`
 	// Known is the spending of all entries in the window, as known there, in
 	// equal parts of the window from the oldest; nil in most messages.
 	Known []float64 `msgpack:"k,omitempty"`
-	// Uptime is the time since the entry's start.
+	// Uptime is the time since the process's start.
 	Uptime time.Duration `msgpack:"u"`
 }
 
-// Report returns what this entry reports to the others. WithKnown adds what a
-// starting entry needs.
+// Report returns the entry's own spending. WithKnown adds what a starting entry
+// needs.
 func (c *Counter) Report(now time.Duration, withKnown bool) SpendingReport {
 	t := SpendingReport{Total: c.ownSpent, Asked: c.ownAsked, Recent: c.own.Sum(now), Uptime: now - c.started}
 	if withKnown && !c.isNew(now) {
@@ -252,21 +298,50 @@
 	return t
 }
 
-// Merge takes what another entry's run reports. An entry that has just started
-// learns from one that has run for a whole window what all entries spent; later
-// it counts what a run spent before it was first heard.
-func (c *Counter) Merge(now time.Duration, run string, t SpendingReport) {
-	known, ok := c.totals[run]
+// Sum returns the spending of this entry and of those that report to it: of its
+// zone, or of the whole site but one entry.
+func (c *Counter) Sum(now time.Duration, scope Scope, except string, withKnown bool) SpendingReport {
+	t := c.Report(now, withKnown)
+	for name, r := range c.reporters {
+		if name != except && (r.scope == OneEntry || scope == Rest && r.scope == Zone) {
+			t.Total += r.spent
+			t.Asked += r.asked
+		}
+	}
+	t.Recent = c.window.Sum(now)
+	return t
+}
+
+// Merge takes a report. An entry that has just started learns from one that has
+// run for a whole window what all entries spent; later it counts what a run spent
+// before it was first heard, unless that was reported by another way.
+func (c *Counter) Merge(now time.Duration, from Origin, t SpendingReport) {
+	r, isKnown := c.reporters[from.Name]
+	if !isKnown {
+		r = &reporter{runs: map[string]*baseline{}}
+		c.reporters[from.Name] = r
+	}
+	r.scope = from.Scope
+	base, ok := r.runs[from.Run]
 	if !ok {
-		c.forget(now)
+		r.forget(now)
+		base = &baseline{}
+		if isKnown || !from.WasZero {
+			base.spent, base.asked = r.spent-t.Total, r.asked-t.Asked
+			c.mergeFirst(now, base, from, t)
+		}
+		r.runs[from.Run] = base
 	}
-	c.totals[run] = runTotal{t.Total, t.Asked, now}
-	switch {
-	case ok:
-		c.add(now, t.Total-known.amount)
-		c.asked.Add(now, t.Asked-known.asked)
-	case !c.isNew(now) || t.Uptime < c.window.span:
-		c.add(now, t.Recent)
+	base.at = now
+	// Of several runs the one that knows most counts: none is counted twice, and
+	// the others go on where one falls silent.
+	if rise := t.Total + base.spent - r.spent; rise > 0 {
+		c.add(now, rise)
+		r.spent += rise
+	}
+	if rise := t.Asked + base.asked - r.asked; rise > 0 {
+		c.asked.Add(now, rise)
+		r.asked += rise
 	}
 	if c.isNew(now) && !c.isInformed && t.Known != nil {
 		c.isInformed = true
@@ -275,11 +350,24 @@
 	}
 }
 
-// forget drops runs that ended long ago.
-func (c *Counter) forget(now time.Duration) {
-	for run, t := range c.totals {
-		if now-t.at > runMemory {
-			delete(c.totals, run)
+// mergeFirst takes what a run spent before its first report.
+func (c *Counter) mergeFirst(now time.Duration, base *baseline, from Origin, t SpendingReport) {
+	isStarting := t.Uptime < c.window.span
+	isCovered := from.IsCovered && (from.Scope != OneEntry || !isStarting)
+	switch {
+	case isCovered, c.isNew(now) && !isStarting:
+	case isStarting:
+		base.spent += t.Recent // rises with the report, and is passed on
+	default:
+		c.add(now, t.Recent)
+	}
+}
+
+// forget drops the baselines of runs that ended long ago.
+func (r *reporter) forget(now time.Duration) {
+	for run, b := range r.runs {
+		if now-b.at > runMemory {
+			delete(r.runs, run)
 		}
 	}
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -34,12 +35,22 @@
 	// every is the time between messages; silence is how long an entry may be
 	// silent and still counts as reachable.
 	every, silence time.Duration
+	// delay is the longest time that a message takes by way of hubs.
+	delay    time.Duration
+	onTheWay []delayedReport
 	// asked is the number of entries that callers come to; 0 is all.
 	asked int
 	// isOut reports whether an entry has lost its registration.
 	isOut func(i int) bool
 }
 
+type delayedReport struct {
+	due    time.Duration
+	to     *spendEntry
+	from   Origin
+	report SpendingReport
+}
+
 type spendEntry struct {
 	run     string
 	counter *Counter
@@ -77,6 +88,7 @@
 		if r.now%r.every == 0 {
 			r.exchange(hears)
 		}
+		r.deliver()
 	}
 }
 
@@ -105,11 +117,27 @@
 			}
 			if hears(i, j) {
 				to.heard[j] = r.now
-				to.counter.Merge(r.now, from.run, from.counter.Report(r.now, true))
+				r.onTheWay = append(r.onTheWay, delayedReport{r.now + r.hubDelay(), to, Origin{Name: strconv.Itoa(j), Run: from.run}, from.counter.Report(r.now, true)})
 			}
 		}
-		to.site = Site{Entries: entries, Reachable: reachable, Lag: r.every}
+		to.site = Site{Entries: entries, Reachable: reachable, Lag: r.every + r.delay}
 	}
+	r.deliver()
+}
+
+func (r *spendRig) hubDelay() time.Duration {
+	return time.Duration(r.rng.Float64() * float64(r.delay))
+}
+
+// deliver merges the reports that have arrived.
+func (r *spendRig) deliver() {
+	r.onTheWay = slices.DeleteFunc(r.onTheWay, func(d delayedReport) bool {
+		if d.due > r.now {
+			return false
+		}
+		d.to.counter.Merge(r.now, d.from, d.report)
+		return true
+	})
 }
 
 // worst is the most that was spent in any window.
@@ -166,10 +194,12 @@
 	small := limits
 	limits = Limits{PerSecond: 381_000, Burst: 381_000, Window: window}
 	defer func() { limits = small }()
-	for _, every := range []time.Duration{400 * time.Millisecond, 600 * time.Millisecond} {
+	for _, way := range []struct{ every, delay time.Duration }{
+		{400 * time.Millisecond, 0}, {600 * time.Millisecond, 0}, {200 * time.Millisecond, 400 * time.Millisecond},
+	} {
 		for _, load := range []float64{1.5, 3, 6, 12} {
 			r := newSpendRig(90)
-			r.every, r.silence = every, time.Second
+			r.every, r.delay, r.silence = way.every, way.delay, time.Second
 			beyond := func(i int) bool { return i < 22 }
 			cut := func(a, b int) bool { return beyond(a) == beyond(b) }
 			r.play(6*time.Second, load*limits.PerSecond, 5000, all)
@@ -178,7 +208,7 @@
 			r.play(3*time.Second, load*limits.PerSecond, 5000, cut)
 			r.isOut = none
 			r.play(10*time.Second, load*limits.PerSecond, 5000, all)
-			require.LessOrEqual(t, r.worst(), allowed(), "%v times the quota, messages every %v", load, every)
+			require.LessOrEqual(t, r.worst(), allowed(), "%v times the quota, messages every %v with a delay of %v", load, way.every, way.delay)
 		}
 	}
 }
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -46,8 +46,9 @@
 	return &Crashes{clock: c, contents: map[uint64]*content{}}
 }
 
-// Note takes a crash and returns the number of crashes of its content.
-func (c *Crashes) Note(crash Crash) int {
+// Note takes a crash. It returns the number of crashes of its content, and whether
+// this one was not known yet.
+func (c *Crashes) Note(crash Crash) (crashes int, isNews bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock()
@@ -57,9 +58,10 @@
 		known = &content{runs: map[string]struct{}{}}
 		c.contents[crash.Content] = known
 	}
+	_, wasKnown := known.runs[crash.Run]
 	known.runs[crash.Run] = struct{}{}
 	known.last = now
-	return len(known.runs)
+	return len(known.runs), !wasKnown
 }
 
 func (c *Crashes) expireLocked(now time.Duration) {
--- a/internal/relay/crashwatch.go
+++ b/internal/relay/crashwatch.go
@@ -61,7 +61,7 @@
 	}
 	for _, run := range runs {
 		crash := Crash{Content: run.content, Server: t.ID, Run: t.ID + "/" + strconv.FormatInt(t.Run, 10) + "/" + run.attempt}
-		n := w.relay.Crashes.Note(crash)
+		n, _ := w.relay.Crashes.Note(crash)
 		w.relay.Log.Log(EvCrashed, "request", run.attempt, "content", run.content, "server", t.ID, "crashes", n)
 		w.relay.Peers.NotifyCrash(crash)
 	}
--- a/internal/relay/decide_test.go
+++ b/internal/relay/decide_test.go
@@ -87,8 +87,12 @@
 func TestCrashesStopAContentUntilItIsAnswered(t *testing.T) {
 	now := time.Duration(0)
 	c := NewCrashes(func() time.Duration { return now })
-	require.Equal(t, 1, c.Note(Crash{Content: 1, Run: "a"}))
-	require.Equal(t, 1, c.Note(Crash{Content: 1, Run: "a"}), "told twice")
+	n, isNews := c.Note(Crash{Content: 1, Run: "a"})
+	require.Equal(t, 1, n)
+	require.True(t, isNews)
+	n, isNews = c.Note(Crash{Content: 1, Run: "a"})
+	require.Equal(t, 1, n, "told twice")
+	require.False(t, isNews)
 	require.True(t, c.Answered(1), "it only shared the server with the culprit")
 	require.Zero(t, c.Count(1))
 	for _, run := range []string{"a", "b", "c"} {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -18,4 +18,6 @@
 	EvNotifyFailed = telemetry.Register(3108, "entry-notify-failed", slog.LevelInfo, "A message to another entry could not be sent; the next one carries the same totals.")
 	EvOutOfTouch   = telemetry.Register(3109, "entry-out-of-touch", slog.LevelWarn, "Another entry is registered but was not heard from; quotas are divided until it is heard again.")
 	EvBackInTouch  = telemetry.Register(3110, "entry-in-touch", slog.LevelInfo, "Another entry is heard from again.")
+	EvPlaced       = telemetry.Register(3111, "exchange-placed", slog.LevelInfo, "With whom this entry exchanges totals and loads has changed.")
+	EvSite         = telemetry.Register(3112, "site-counted", slog.LevelInfo, "The number of the entries of a large site, or of those whose spending is known, has changed; quotas are divided by it.")
 )
--- a/internal/relay/quotas.go
+++ b/internal/relay/quotas.go
@@ -60,26 +60,38 @@
 	q.counterLocked(organisation).Refund(q.clock(), amount)
 }
 
-// Reports returns what this entry reports to the others, by organisation; withKnown adds
-// what starting entries need.
+// Reports returns this entry's own spending by organisation; withKnown adds what
+// starting entries need.
 func (q *Quotas) Reports(withKnown bool) map[string]quota.SpendingReport {
+	return q.reports(func(c *quota.Counter, now time.Duration) quota.SpendingReport { return c.Report(now, withKnown) })
+}
+
+// Sums returns the spending of this entry and of those that report to it, but
+// one; see quota.Counter.
+func (q *Quotas) Sums(scope quota.Scope, except string, withKnown bool) map[string]quota.SpendingReport {
+	return q.reports(func(c *quota.Counter, now time.Duration) quota.SpendingReport {
+		return c.Sum(now, scope, except, withKnown)
+	})
+}
+
+func (q *Quotas) reports(of func(*quota.Counter, time.Duration) quota.SpendingReport) map[string]quota.SpendingReport {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock()
 	reports := make(map[string]quota.SpendingReport, len(q.counters))
 	for o, c := range q.counters {
-		reports[o] = c.Report(now, withKnown)
+		reports[o] = of(c, now)
 	}
 	return reports
 }
 
-// Merge takes what another entry's run reports.
-func (q *Quotas) Merge(run string, reports map[string]quota.SpendingReport) {
+// Merge takes what another process reports, by organisation.
+func (q *Quotas) Merge(from quota.Origin, reports map[string]quota.SpendingReport) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock()
 	for o, t := range reports {
-		q.counterLocked(o).Merge(now, run, t)
+		q.counterLocked(o).Merge(now, from, t)
 	}
 }
 
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -188,7 +188,7 @@
 	})
 	x.lease = lease.New(lease.Config{
 		Key: DutyKey, Holder: x.s.Node.ID, TTL: b.Lease(), Margin: leaseMargin, Standby: dutyStandby,
-		IsCandidate: x.zone.AsksStore,
+		IsCandidate: x.exchange.IsHub,
 	}, x.store, log)
 }
 
