follow: two watchers a zone; the registry is polled less often

Two remain, so that one may fail. Entries that poll the store pause 500 ms between polls of the registry.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -49,7 +49,8 @@
 	log    *telemetry.Logger
 	// wait is the longest wait of a poll; pause is the time between polls, which
 	// lets changes gather.
-	wait, pause time.Duration
+	wait  time.Duration
+	pause func() time.Duration
 	// changes keeps what was read for other entries; nil keeps nothing.
 	changes *changeLog
 
@@ -73,7 +74,10 @@
 
 // New returns a follower that feeds sink.
 func New(o Options, store Store, sink Sink, c clock.Clock, log *telemetry.Logger) *Follower {
-	return &Follower{name: o.Name, prefix: o.Prefix, wait: o.Wait, pause: o.Pause, store: store, sink: sink, clock: c, log: log}
+	return &Follower{
+		name: o.Name, prefix: o.Prefix, wait: o.Wait, pause: func() time.Duration { return o.Pause },
+		store: store, sink: sink, clock: c, log: log,
+	}
 }
 
 // Age returns the time since the call that last confirmed the view was sent, and
@@ -108,7 +112,7 @@
 		}
 		backoff = retryFirst
 		if isListed {
-			wait.For(ctx, f.pause)
+			wait.For(ctx, f.pause())
 		}
 	}
 	return nil
--- a/internal/follow/zone.go
+++ b/internal/follow/zone.go
@@ -17,16 +17,17 @@
 const (
 	// zoneWatchers is the number of entries of a zone that poll the store; the
 	// others ask them. With no more entries than that nobody asks.
-	zoneWatchers = 4
-	// watcherWait is the longest wait of the polls of those that others ask, and
-	// askWait that of the others' polls. maxViewAge is the age of an answer from
-	// which the store is asked instead: two waits and a pause, since a view is as
-	// old as the sending of its last poll. A server that leaves must get nothing
-	// 2 s later, also from entries whose watcher has just lost the store: they
-	// learn of it after maxViewAge, askWait and a pause.
-	watcherWait = 400 * time.Millisecond
-	askWait     = 400 * time.Millisecond
-	maxViewAge  = 1200 * time.Millisecond
+	zoneWatchers = 2
+	// watcherPeriod is the longest time between the polls of those that others ask,
+	// and askWait the longest wait of the others' polls. maxViewAge is the age of an
+	// answer from which the store is asked instead: two polls and the pause between
+	// them, since a view is as old as the sending of its last poll. A server that
+	// leaves must get nothing 2 s later, also from entries whose watcher has just
+	// lost the store: they learn of it after maxViewAge, askWait and a pause.
+	watcherPeriod = 700 * time.Millisecond
+	watcherWait   = 400 * time.Millisecond
+	askWait       = 400 * time.Millisecond
+	maxViewAge    = 1200 * time.Millisecond
 	// slowWait is the wait from which a prefix is followed at leisure: its views
 	// may be as old as two such waits.
 	slowWait = 5 * time.Second
@@ -45,6 +46,8 @@
 	clock     clock.Clock
 	log       *telemetry.Logger
 	logs      map[string]*changeLog
+	// pauses are the times between polls of the store by prefix.
+	pauses map[string]time.Duration
 }
 
 // pollRequest asks for changes of a prefix.
@@ -74,7 +77,7 @@
 // NewZoneStore returns a store in front of direct, and answers other entries'
 // polls of the prefixes.
 func NewZoneStore(direct Store, self peer.Node, t *peer.Transport, entries *Entries, c clock.Clock, log *telemetry.Logger, prefixes ...string) *ZoneStore {
-	z := &ZoneStore{Store: direct, self: self, transport: t, entries: entries, clock: c, log: log, logs: map[string]*changeLog{}}
+	z := &ZoneStore{Store: direct, self: self, transport: t, entries: entries, clock: c, log: log, logs: map[string]*changeLog{}, pauses: map[string]time.Duration{}}
 	for _, prefix := range prefixes {
 		z.logs[prefix] = newChangeLog()
 	}
@@ -82,8 +85,19 @@
 	return z
 }
 
-// Keep makes the follower of a prefix keep its changes for other entries.
-func (z *ZoneStore) Keep(f *Follower) { f.changes = z.logs[f.prefix] }
+// Keep makes the follower of a prefix keep its changes for other entries, and
+// poll the store less often than it asks other entries.
+func (z *ZoneStore) Keep(f *Follower, storePause time.Duration) {
+	f.changes = z.logs[f.prefix]
+	z.pauses[f.prefix] = storePause
+	askPause := f.pause()
+	f.pause = func() time.Duration {
+		if z.AsksStore() {
+			return storePause
+		}
+		return askPause
+	}
+}
 
 // AsksStore reports whether this entry is one of its zone's that poll the store.
 func (z *ZoneStore) AsksStore() bool {
@@ -126,7 +140,7 @@
 		maxAge = maxViewAge
 	}
 	if role.isAsked && wait < slowWait {
-		wait = watcherWait
+		wait = min(watcherWait, watcherPeriod-z.pauses[prefix])
 	}
 	if role.watcher == nil {
 		return z.Store.Poll(ctx, prefix, after, wait)
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -64,10 +64,13 @@
 	// documentWait is how often the document is confirmed without changes: keys
 	// are refused when it was not confirmed for most of the revocation time.
 	documentWait = 700 * time.Millisecond
-	// serversWait and serversPause let the registry's heartbeats gather; leaving
-	// servers must get nothing from 2 s after the store's acknowledgement.
+	// serversWait and serversPause let the registry's heartbeats gather, since each
+	// call to the store has its price; leaving servers must get nothing from 2 s
+	// after the store's acknowledgement. askPause is that of entries which ask
+	// others in place of the store.
 	serversWait  = 2 * time.Second
-	serversPause = 250 * time.Millisecond
+	serversPause = 500 * time.Millisecond
+	askPause     = 250 * time.Millisecond
 	// entriesWait is the wait for changes of the site's entries.
 	entriesWait = 8 * time.Second
 
@@ -154,15 +157,15 @@
 	x.documents = follow.NewDocuments(a.DocumentKey, a.DecodeDocument, log, func(d *follow.Document) { x.balancer.SetDocument(d) })
 	x.servers = follow.NewServers(a.ServersPrefix, a.DecodeServer, x.clock, log, func(list []follow.Server) { x.balancer.SetServers(list) })
 	x.zone = follow.NewZoneStore(x.store, self, x.transport, x.entries, x.clock, log, a.DocumentKey, a.ServersPrefix, follow.EntriesPrefix)
-	follower := func(o follow.Options, sink follow.Sink) *follow.Follower {
+	follower := func(o follow.Options, storePause time.Duration, sink follow.Sink) *follow.Follower {
 		f := follow.New(o, x.zone, sink, x.clock, log)
-		x.zone.Keep(f)
+		x.zone.Keep(f, storePause)
 		return f
 	}
-	x.document = follower(follow.Options{Name: "document", Prefix: a.DocumentKey, Wait: documentWait}, x.documents)
+	x.document = follower(follow.Options{Name: "document", Prefix: a.DocumentKey, Wait: documentWait}, 0, x.documents)
 	x.documents.Bind(x.document)
-	x.registry = follower(follow.Options{Name: "servers", Prefix: a.ServersPrefix, Wait: serversWait, Pause: serversPause}, x.servers)
-	x.members = follower(follow.Options{Name: "entries", Prefix: follow.EntriesPrefix, Wait: entriesWait}, x.entries)
+	x.registry = follower(follow.Options{Name: "servers", Prefix: a.ServersPrefix, Wait: serversWait, Pause: askPause}, serversPause, x.servers)
+	x.members = follower(follow.Options{Name: "entries", Prefix: follow.EntriesPrefix, Wait: entriesWait}, 0, x.entries)
 }
 
 func (x *Process) provisionRelay() {
