--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -179,7 +179,7 @@
 	}
 	now := x.Clock()
 	isKnown := x.others.heard(from.ID, now, &message)
-	isCovered := x.isCoveredLocked(now)
+	isCovered := x.noteHeardLocked(now)
 	x.mu.Unlock()
 	x.Quotas.Merge(quota.Origin{Name: from.ID, Run: message.Run, IsCovered: isCovered, WasZero: isKnown}, message.Spent)
 }
--- a/internal/exchange/sums.go
+++ b/internal/exchange/sums.go
@@ -209,7 +209,7 @@
 	}
 	now := x.Clock()
 	isKnown := x.sums.heard(from.ID, now, &m)
-	isCovered := x.isCoveredLocked(now)
+	isCovered := x.noteHeardLocked(now)
 	for run, work := range m.Work {
 		x.works[run] = heardWork{now, work}
 	}
@@ -225,10 +225,10 @@
 // counts as known: as long as it takes to find another hub.
 const coveredFor = 3 * time.Second
 
-// isCoveredLocked reports whether this entry of a large site has heard of the
-// others until now, and notes that it hears of them.
-func (x *Exchange) isCoveredLocked(now time.Duration) bool {
-	isCovered := x.place.isTree && x.heardAt > 0 && now-x.heardAt < coveredFor
+// noteHeardLocked notes that this entry hears of the others, and reports whether it
+// is one of a large site that has heard of them until now.
+func (x *Exchange) noteHeardLocked(now time.Duration) (isCovered bool) {
+	isCovered = x.place.isTree && x.heardAt > 0 && now-x.heardAt < coveredFor
 	x.heardAt = now
 	return isCovered
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -137,24 +138,26 @@
 // pollStore answers polls at once as compacted or after their wait.
 type pollStore struct {
 	stubStore
-	calls       int
+	calls       atomic.Int64
 	isCompacted bool
 	freed       chan struct{}
 }
 
 func (s *pollStore) List(ctx context.Context, key string) (kv.Snapshot, error) {
-	s.calls++
+	s.calls.Add(1)
 	return s.stubStore.List(ctx, key)
 }
 
 func (s *pollStore) Poll(ctx context.Context, key string, _ int64, d time.Duration) (kv.WatchBatch, error) {
-	s.calls++
+	s.calls.Add(1)
 	if s.isCompacted {
 		return kv.WatchBatch{Compacted: true}, nil
 	}
 	select {
 	case <-s.freed:
+		s.mu.Lock()
 		s.holder = kv.Entry{}
+		s.mu.Unlock()
 		return kv.WatchBatch{Events: []kv.Event{{Entry: kv.Entry{Key: key}, Deleted: true}}}, nil
 	case <-time.After(d):
 	case <-ctx.Done():
@@ -162,9 +165,9 @@
 	return kv.WatchBatch{Revision: s.revision}, nil
 }
 
-func withStandby(t *testing.T, f func(*pollStore, *Lease)) {
+func withStandby(t *testing.T, isCompacted bool, f func(*pollStore, *Lease)) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &pollStore{freed: make(chan struct{})}
+		store := &pollStore{isCompacted: isCompacted, freed: make(chan struct{})}
 		store.revision, store.holder = 5, kv.Entry{Key: "duty", ModRevision: 1}
 		l := New(Config{Key: "duty", Holder: "a", TTL: 3 * time.Second, Standby: 2 * time.Second}, store, telemetry.Discard())
 		ctx, cancel := context.WithCancel(t.Context())
@@ -178,18 +181,17 @@
 
 func TestStandbyCallsTheStoreSeldom(t *testing.T) {
 	for _, isCompacted := range []bool{false, true} {
-		withStandby(t, func(store *pollStore, _ *Lease) {
-			store.isCompacted = isCompacted
+		withStandby(t, isCompacted, func(store *pollStore, _ *Lease) {
 			time.Sleep(time.Minute)
 			// Two calls a look at most; a look each half of the standby time.
-			require.Less(t, store.calls, 2*60)
-			require.Positive(t, store.calls)
+			require.Less(t, store.calls.Load(), int64(2*60))
+			require.Positive(t, store.calls.Load())
 		})
 	}
 }
 
 func TestStandbyTakesAFreedLeaseAtOnce(t *testing.T) {
-	withStandby(t, func(store *pollStore, l *Lease) {
+	withStandby(t, false, func(store *pollStore, l *Lease) {
 		time.Sleep(10 * time.Second)
 		store.freed <- struct{}{}
 		time.Sleep(time.Second)
@@ -199,12 +201,13 @@
 }
 
 func TestHolderThatIsNoCandidateGivesTheLeaseUp(t *testing.T) {
-	isCandidate := true
-	withLease(t, func() bool { return isCandidate }, func(_ *stubStore, l *Lease) {
+	var isCandidate atomic.Bool
+	isCandidate.Store(true)
+	withLease(t, isCandidate.Load, func(_ *stubStore, l *Lease) {
 		time.Sleep(5 * time.Second)
 		_, _, err := l.Check()
 		require.NoError(t, err)
-		isCandidate = false
+		isCandidate.Store(false)
 		time.Sleep(2 * time.Second)
 		_, _, err = l.Check()
 		require.True(t, fault.Is(err, fault.Conflict))
