--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -89,18 +89,23 @@
 
 func (s *stubStore) Revoke(context.Context, kv.LeaseID) error { return nil }
 
+// run runs a lease while f plays.
+func run(t *testing.T, l *Lease, f func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = l.Run(ctx) }()
+	f()
+	cancel()
+	<-done
+}
+
 func withLease(t *testing.T, candidate func() bool, f func(*stubStore, *Lease)) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &stubStore{}
 		l := New(Config{
 			Key: "duty", Holder: "a", TTL: 3 * time.Second, Margin: 300 * time.Millisecond, Standby: time.Second, IsCandidate: candidate,
 		}, store, telemetry.Discard())
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() { defer close(done); _ = l.Run(ctx) }()
-		f(store, l)
-		cancel()
-		<-done
+		run(t, l, func() { f(store, l) })
 	})
 }
 
@@ -170,12 +175,7 @@
 		store := &pollStore{isCompacted: isCompacted, freed: make(chan struct{})}
 		store.revision, store.holder = 5, kv.Entry{Key: "duty", ModRevision: 1}
 		l := New(Config{Key: "duty", Holder: "a", TTL: 3 * time.Second, Standby: 2 * time.Second}, store, telemetry.Discard())
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() { defer close(done); _ = l.Run(ctx) }()
-		f(store, l)
-		cancel()
-		<-done
+		run(t, l, func() { f(store, l) })
 	})
 }
 
