--- a/internal/exchange/position_test.go
+++ b/internal/exchange/position_test.go
@@ -60,6 +60,10 @@
 	}
 }
 
+func TestALateMessageIsNoSilence(t *testing.T) {
+	require.Greater(t, silence, 2*interval)
+}
+
 func TestDeadHubsAreReplaced(t *testing.T) {
 	nodes := siteOf(3, 24)
 	p, _ := fanOut(nodes, 0, nobody)
