exchange, entry: one copy of what tells a dead peer; nothing is summed to be thrown away

Hubs gather usage and work only in the rounds that send them, and loads are summed once a judgement. Behaviour is as before.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -28,9 +28,8 @@
 	// hubRounds is the number of rounds of a hub in the time between its messages:
 	// each goes to the other hubs, so that the way by hubs takes little longer.
 	hubRounds = 2
-	// treeLag is how old the spending of others is at most, in intervals: one and a
-	// half to the hub and from the hub, less the time that the three ways seldom
-	// take together.
+	// treeLag is how old the spending of others may be, in intervals. The longest
+	// waits of the three messages add up to 3.75, which is rare.
 	treeLag = 3
 	// usageEvery is the number of messages for each one that carries counts of
 	// usage, which change slowly.
@@ -195,11 +194,11 @@
 	x.mu.Lock()
 	now := x.Clock()
 	site, changes := x.others.judge(now, registered, x.place.isTree)
-	isMoved := x.moveLocked(now, positionOf(x.self, others, site.Entries, x.isDead))
+	isMoved := x.moveLocked(now, positionOf(x.self, others, site.Entries, x.Transport.IsDead))
 	loads := x.others.loads()
 	lag := interval * 3 / 2 // Run spreads the messages by so much
 	if x.place.isTree {
-		site, loads = x.judgeTreeLocked(now, site)
+		site, loads = x.judgeTreeLocked(now, site, loads)
 		lag = treeLag * interval
 	}
 	if now-x.placedAt < regroupTime {
@@ -220,12 +219,6 @@
 	return place
 }
 
-// isDead reports whether an entry is known not to answer.
-func (x *Exchange) isDead(id string) bool {
-	isAlive, isKnown := x.Transport.Reachable(id)
-	return isKnown && !isAlive
-}
-
 // moveLocked takes a new place and reports whether it differs.
 func (x *Exchange) moveLocked(now time.Duration, p position) bool {
 	isMoved := !p.isSame(x.place)
--- a/internal/exchange/sums.go
+++ b/internal/exchange/sums.go
@@ -97,17 +97,16 @@
 func (x *Exchange) sendSums(p position, n int) {
 	x.mu.Lock()
 	site := x.site
-	inZone := x.zoneSumsLocked(x.Clock())
+	withUsage := n%(hubRounds*usageEvery) == 0
+	inZone := x.zoneSumsLocked(x.Clock(), withUsage)
 	x.mu.Unlock()
 	withKnown := n%(hubRounds*knownEvery) == 0
 	inZone.Entries = site.Entries
 	inZone.Spent = x.Quotas.Sums(quota.Zone, "", withKnown)
 	add(inZone.Loads, runningOf(x.Balancer.Loads()))
-	if n%(hubRounds*usageEvery) == 0 {
+	if withUsage {
 		inZone.Usage[x.run] = x.Counts.Own()
 		inZone.Work[x.run] = x.Balancer.Works()
-	} else {
-		inZone.Usage, inZone.Work = nil, nil
 	}
 	x.sendTo(p.remoteHubs, peer.RelaySums, inZone)
 	if n%hubRounds == 0 {
@@ -152,17 +151,17 @@
 }
 
 // zoneSumsLocked sums the other entries of the zone that are heard from.
-func (x *Exchange) zoneSumsLocked(now time.Duration) sums {
-	m := sums{
-		Run: x.run, Zone: x.self.Zone, Reachable: 1, Loads: x.others.loads(),
-		Usage: map[string]usage.Windows{}, Work: map[string]map[string]relay.Work{},
+func (x *Exchange) zoneSumsLocked(now time.Duration, withUsage bool) sums {
+	m := sums{Run: x.run, Zone: x.self.Zone, Reachable: 1, Loads: x.others.loads()}
+	if withUsage {
+		m.Usage, m.Work = map[string]usage.Windows{}, map[string]map[string]relay.Work{}
 	}
 	for _, known := range x.others.states {
 		if now-known.at >= silence {
 			continue
 		}
 		m.Reachable++
-		if known.usage != nil {
+		if withUsage && known.usage != nil {
 			m.Usage[known.run], m.Work[known.run] = known.usage, known.work
 		}
 	}
@@ -233,21 +232,21 @@
 	return isCovered
 }
 
-// judgeTreeLocked counts the entries of a large site by what hubs tell.
-func (x *Exchange) judgeTreeLocked(now time.Duration, direct quota.Site) (quota.Site, map[string]int) {
-	site := quota.Site{Entries: direct.Entries, Reachable: 1}
-	var loads map[string]int
+// judgeTreeLocked counts the entries of a large site and sums their loads by what
+// hubs tell; direct and loads are of those that report to this entry.
+func (x *Exchange) judgeTreeLocked(now time.Duration, direct quota.Site, loads map[string]int) (quota.Site, map[string]int) {
 	if x.place.isHub {
-		site.Reachable = direct.Reachable
-		loads = x.others.loads()
 		for _, zone := range x.sums.zones(now) {
-			site.Reachable += zone.Reachable
+			direct.Reachable += zone.Reachable
 			add(loads, zone.Loads)
 		}
-	} else if rest := x.sums.best(restName, now); rest != nil {
-		site.Entries, site.Reachable, loads = max(direct.Entries, rest.Entries), rest.Reachable, rest.Loads
+		return direct, loads
 	}
-	return site, loads
+	rest := x.sums.best(restName, now)
+	if rest == nil {
+		return quota.Site{Entries: direct.Entries, Reachable: 1}, nil
+	}
+	return quota.Site{Entries: max(direct.Entries, rest.Entries), Reachable: rest.Reachable}, rest.Loads
 }
 
 // regroupTime is how long entries count as heard from after this one got another
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -132,6 +132,12 @@
 	return false, len(r.conns) > 0 || now.Sub(r.failedAt) < failureMemory
 }
 
+// IsDead reports whether the peer is known not to answer.
+func (t *Transport) IsDead(id string) bool {
+	isAlive, isKnown := t.Reachable(id)
+	return isKnown && !isAlive
+}
+
 func (t *Transport) running() bool {
 	select {
 	case <-t.stopped:
