follow, relay: log the software versions of backend servers

The incident of 2026-12-04 (streams with events of two software versions) could not be told from the logs: `stream-resumed` names servers, and no line names their version, because the registry's `version` was not decoded.

The version is decoded into follow.Server and logged in `server-changed` (version), `stream-resumed` (from_version, version) and `request-ended` (version). Nothing is chosen by it yet. No message, state or store call is added.

--- a/internal/follow/servers.go
+++ b/internal/follow/servers.go
@@ -20,6 +20,9 @@
 	// Address is the server's "host:port".
 	Address string
 	Zone    string
+	// Version is the version of the server's software; empty means unknown. A stream
+	// that one version began must not be continued by another.
+	Version string
 	// Slots is the number of requests that the server runs concurrently; 0 means
 	// unknown.
 	Slots int
@@ -217,7 +220,7 @@
 		return false
 	}
 	s.log.Log(EvServerChanged, "server", id, "service", next.Service, "server_zone", next.Zone, "address", next.Address,
-		"state", stateName(next), "born", next.Incarnation, "revision", e.ModRevision)
+		"version", next.Version, "state", stateName(next), "born", next.Incarnation, "revision", e.ModRevision)
 	return true
 }
 
@@ -258,7 +261,7 @@
 	s.tombstones[id] = tombstone{incarnation: old.Incarnation, heartbeat: old.Heartbeat, recordedAt: s.clock(), wasLeaving: old.Leaving}
 	delete(s.servers, id)
 	delete(s.keptUntil, id)
-	s.log.Log(EvServerChanged, "server", id, "service", old.Service, "server_zone", old.Zone, "state", state, "born", old.Incarnation)
+	s.log.Log(EvServerChanged, "server", id, "service", old.Service, "server_zone", old.Zone, "version", old.Version, "state", state, "born", old.Incarnation)
 }
 
 // expireLocked drops expired tombstones and the servers whose grace period has
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -15,7 +15,9 @@
 type choice struct {
 	target upstream.Target
 	zone   string
-	picked route.Choice
+	// version is the version of the server's software.
+	version string
+	picked  route.Choice
 	// ownPromptTokens is the number of prompt tokens that no other request shares.
 	ownPromptTokens int
 	query           route.Query
@@ -65,7 +67,7 @@
 	s.ownCalls++
 	b.prefillMeterLocked(service).addTokens(info.PromptTokens - picked.ExpectedCachedTokens)
 	picker.RecordDispatch(q.Now, s.ID, q)
-	return &choice{target: s.target, zone: s.Zone, picked: picked, ownPromptTokens: info.PromptTokens - info.SharedTokens(), query: q, picker: picker, sentAt: q.Now}, nil
+	return &choice{target: s.target, zone: s.Zone, version: s.Version, picked: picked, ownPromptTokens: info.PromptTokens - info.SharedTokens(), query: q, picker: picker, sentAt: q.Now}, nil
 }
 
 // sharedPrefixHash returns a hash of the longest prompt prefix that other requests
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -52,6 +52,7 @@
 	sends           int
 	tried           map[string]bool
 	serverID        string
+	serverVersion   string
 	status          int
 	reason          string
 	detail          string
@@ -126,7 +127,7 @@
 	}
 	attrs := []any{
 		"request", q.info.AttemptID, "reason", q.reason, "status", q.status, "org", q.organisationName(), "rule", q.ruleName,
-		"service", q.service, "server", q.serverID, "sends", q.sends, "first_ms", q.timeToFirstByte.Milliseconds(),
+		"service", q.service, "server", q.serverID, "version", q.serverVersion, "sends", q.sends, "first_ms", q.timeToFirstByte.Milliseconds(),
 		"total_ms", totalTime.Milliseconds(), "events", q.eventsForwarded,
 	}
 	if q.doc != nil {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -124,7 +124,7 @@
 	remaining := time.Until(q.deadline)
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout(q.policy, q.sends+1, remaining))
 	defer cancel()
-	q.serverID = c.target.ID
+	q.serverID, q.serverVersion = c.target.ID, c.version
 	response, err := q.relay.Pool.Do(ctx, c.target, q.buildRequest(c, "", remaining))
 	if err != nil && !upstream.MayHaveBeenSent(err) {
 		q.relay.Balancer.finishCall(c, unsentSignal(ctx, err))
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -159,8 +159,9 @@
 		}
 		q.sends++
 		if err == nil && resp.Status == http.StatusOK && q.relay.Codec.InspectResponse(resp.Status, resp.Header).Signed {
-			q.serverID = c.target.ID
-			q.relay.Log.Log(EvStreamResumed, "request", q.info.AttemptID, "from", previous.target.ID, "server", c.target.ID, "after", s.lastEventID)
+			q.serverID, q.serverVersion = c.target.ID, c.version
+			q.relay.Log.Log(EvStreamResumed, "request", q.info.AttemptID, "from", previous.target.ID, "from_version", previous.version,
+				"server", c.target.ID, "version", c.version, "after", s.lastEventID)
 			return c, resp
 		}
 		if err == nil {
