relay: a broken stream is continued by its own software version only

What callers saw: one answer with events of two software versions.

Cause: eventStream.resume chose among all servers of the service.

Change: the service and version of the server that brought the first event are the stream's origin, and every further pick of the request excludes the others. With no server of the origin left the stream is broken off, as when no server at all was left.

No message, state that outlives a request, or store call is added.

--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -36,9 +36,10 @@
 	return 0
 }
 
-// pick selects a server, other than those in tried, for a request. A
-// maxTimeToFirstToken of 0 is no limit. Errors are those of route.Picker.
-func (b *Balancer) pick(service string, info *RequestInfo, maxTimeToFirstToken time.Duration, tried map[string]bool) (*choice, error) {
+// pick selects a server, other than those in tried, for a request, and only one of
+// origin unless that is nil. A maxTimeToFirstToken of 0 is no limit. Errors are those
+// of route.Picker.
+func (b *Balancer) pick(service string, info *RequestInfo, maxTimeToFirstToken time.Duration, tried map[string]bool, origin *StreamOrigin) (*choice, error) {
 	b.mu.Lock()
 	now := b.clock()
 	for _, s := range b.servers {
@@ -48,11 +49,12 @@
 		}
 	}
 	picker := b.pickerLocked(service)
+	isAllowed := b.serversOfLocked(origin)
 	b.mu.Unlock()
 	q := route.Query{
 		Now: time.Now(), Service: service, Context: sharedPrefixHash(info), PromptTokens: info.PromptTokens, MaxCachedTokens: info.SharedTokens(),
 		MaxTokens: info.MaxTokens, MaxFirstTokenDelay: maxTimeToFirstToken,
-		Exclude: func(id string) bool { return tried[id] },
+		Exclude: func(id string) bool { return tried[id] || origin != nil && !isAllowed[id] },
 	}
 	picked, err := picker.Pick(q)
 	if err != nil {
@@ -70,6 +72,20 @@
 	return &choice{target: s.target, zone: s.Zone, version: s.Version, picked: picked, ownPromptTokens: info.PromptTokens - info.SharedTokens(), query: q, picker: picker, sentAt: q.Now}, nil
 }
 
+// serversOfLocked returns the set of IDs of the servers of origin, nil if it is nil.
+func (b *Balancer) serversOfLocked(origin *StreamOrigin) map[string]bool {
+	if origin == nil {
+		return nil
+	}
+	ids := map[string]bool{}
+	for id, s := range b.servers {
+		if s.Service == origin.Service && s.Version == origin.Version {
+			ids[id] = true
+		}
+	}
+	return ids
+}
+
 // sharedPrefixHash returns a hash of the longest prompt prefix that other requests
 // may share, or 0 if there is none.
 func sharedPrefixHash(info *RequestInfo) uint64 {
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -27,6 +27,9 @@
 	ruleName    string
 	policy      *config.CallPolicy
 	service     string
+	// origin restricts the servers that the request is sent to; nil if it is a new
+	// stream without events yet, or not resumable.
+	origin *StreamOrigin
 	// org is the organisation of the caller's key; nil if the key is unknown.
 	org *config.Organisation
 	// fingerprint is the hash of the request's content, see hashContent.
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -35,7 +35,7 @@
 			return q.refuseFurtherSends(reasonDocumentTooOld, retryAfterOtherEntry)
 		}
 		remaining := time.Until(q.deadline)
-		c, err := q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken(q.policy, remaining), q.tried)
+		c, err := q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken(q.policy, remaining), q.tried, q.origin)
 		if err != nil {
 			return q.refuseNoServer(err)
 		}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -81,6 +81,7 @@
 			if isFirst {
 				isFirst = false
 				s.request.recordStarted()
+				s.request.recordOrigin(c)
 				s.request.relay.Balancer.recordFirstToken(c)
 			}
 			if err := s.write(pending[:end]); err != nil {
@@ -136,14 +137,14 @@
 	return http.NewResponseController(s.request.w).Flush()
 }
 
-// resume requests the stream after the last forwarded event from another server.
-// The response is nil if the stream cannot be continued: it is not resumable, its
-// sends or the retry budget are used up, or no server accepted it.
+// resume requests the stream after the last forwarded event from another server of
+// its origin. The response is nil if the stream cannot be continued: it is not
+// resumable, its sends or the retry budget are used up, or no server accepted it.
 func (s *eventStream) resume(ctx context.Context, previous *choice) (*choice, *upstream.Response) {
 	q := s.request
 	q.tried[previous.target.ID] = true
 	for ctx.Err() == nil && q.policy.Repetition == resumable && s.lastEventID != "" && q.sends < q.policy.Attempts && !q.isDocumentStale() {
-		c, err := q.relay.Balancer.pick(q.service, &q.info, 0, q.tried)
+		c, err := q.relay.Balancer.pick(q.service, &q.info, 0, q.tried, q.origin)
 		if err != nil || !q.relay.retries.takeRetry(q.service, q.relay.Peers.Site().Entries) {
 			if err == nil {
 				q.relay.Balancer.finishCall(c, signalNeutral)
