relay: a caller's retry goes on at the software version that began its stream

What callers saw: a stream that a caller takes up again at another entry holds events of two software versions, or of two services after a change of the rule's weights.

Cause: a retry was sent to any server of the rule's service; no entry but the one that began the stream knew which version that was, and it did not look either.

Change: a retry (Last-Event-Id) is pinned in each send to the origin of its stream, that is the service and version of its first event. While a rule has lately had several origins, its streams' origins are told to two other entries before the first event is forwarded: by rendezvous hashing of the attempt's ID among up to 16 entries, to the hubs beyond that. When a second origin appears, those of earlier streams are passed on. An entry that gets a retry asks these entries. Without a record it goes on only if all answering views show one origin for longer than any stream lasts, and one of them is fresh; otherwise it refuses (503, not run: origin-unknown, version-gone, service-changed).

Cost: no call to the store. Two messages of 55 bytes a stream while its rule has several origins, none otherwise; a retry asks up to five entries. About 175 bytes a record for 2 minutes. The sums at the target size are computed (design/stream-resumption.md), not measured.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -72,6 +72,7 @@
 	Balancer  *relay.Balancer
 	Quotas    *relay.Quotas
 	Crashes   *relay.CrashTracker
+	Origins   *relay.Origins
 	Counts    *usage.Counts
 	Clock     clock.Clock
 	Log       *telemetry.Logger
@@ -126,6 +127,8 @@
 	c.Transport.HandleNotify(peer.RelaySums, x.receiveSums)
 	c.Transport.HandleNotify(peer.RelayCrash, x.receiveCrash)
 	c.Transport.HandleNotify(peer.RelayCleared, x.receiveCleared)
+	c.Transport.HandleNotify(peer.RelayOrigins, x.receiveOrigins)
+	c.Transport.Handle(peer.RelayOriginQuery, peer.HandleCall(x.serveOriginQuery))
 	return x
 }
 
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -62,6 +62,10 @@
 	RelayPoll Kind = 24
 	// RelaySums disseminates the sums of several relays' totals and loads.
 	RelaySums Kind = 25
+	// RelayOrigins reports which servers began streams, to entries that keep it.
+	RelayOrigins Kind = 26
+	// RelayOriginQuery asks which servers began a stream.
+	RelayOriginQuery Kind = 27
 )
 
 var kindNames = map[Kind]string{
@@ -73,6 +77,7 @@
 	TrialBegin: "trial-begin", TrialEnd: "trial-end", Depart: "depart",
 	DemandPull: "demand-pull", RelayState: "relay-state", RelayCrash: "relay-crash",
 	RelayCleared: "relay-cleared", RelayPoll: "relay-poll", RelaySums: "relay-sums",
+	RelayOrigins: "relay-origins", RelayOriginQuery: "relay-origin-query",
 }
 
 // String returns the kind's name, or its number if it has none.
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -17,8 +17,9 @@
 
 // admit runs all checks that precede the first send: it decodes the request,
 // matches a rule, authenticates the caller, reads the body, checks for crashes of
-// servers that ran the same content and charges the quota. It returns the refusal,
-// or nil if the request may be sent to a backend server.
+// servers that ran the same content, finds the origin of a resumed stream and charges
+// the quota. It returns the refusal, or nil if the request may be sent to a backend
+// server.
 func (q *request) admit() *refusal {
 	doc, age := q.relay.Documents.Current()
 	q.doc, q.documentAge = doc, age
@@ -45,6 +46,9 @@
 		return unavailable(reasonCrashesServers, 0)
 	}
 	q.deadline = q.arrivedAt.Add(q.timeout())
+	if refused := q.pinToOrigin(); refused != nil {
+		return refused
+	}
 	q.relay.retries.recordRequest(q.service)
 	return q.chargeQuota()
 }
@@ -63,6 +67,7 @@
 		return &refusal{status: http.StatusNotFound, reason: reasonNoRule}
 	}
 	q.ruleName, q.policy = decision.Name, decision.Then.Call
+	q.services = servicesOf(&decision.Then)
 	q.service = selectService(&decision.Then, q.info.AttemptID, sharedPrefixHash(&q.info))
 	return nil
 }
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -29,6 +29,9 @@
 	// LastEventID is the ID of the last event that a caller received who resumes a
 	// stream.
 	LastEventID string
+	// ResumedAttempt is the ID of the attempt that brought the first event of that
+	// stream; empty if the caller does not name it.
+	ResumedAttempt string
 }
 
 // SharedTokens returns the number of prompt tokens that other requests may share.
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -20,4 +20,5 @@
 	EvEntryReachable       = telemetry.Register(3110, "entry-in-touch", slog.LevelInfo, "Messages from another entry arrive again.")
 	EvExchangePeersChanged = telemetry.Register(3111, "exchange-placed", slog.LevelInfo, "The set of entries with which this entry exchanges totals and loads has changed.")
 	EvSiteSizeChanged      = telemetry.Register(3112, "site-counted", slog.LevelInfo, "The number of a large site's entries, or of those whose spending is known, has changed; quotas are divided accordingly.")
+	EvStreamPinned         = telemetry.Register(3114, "stream-pinned", slog.LevelInfo, "A caller resumes a stream; only servers of the service and software version that began it may continue it.")
 )
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -27,9 +27,12 @@
 	ruleName    string
 	policy      *config.CallPolicy
 	service     string
+	// services are those that the rule allows.
+	services []string
 	// origin restricts the servers that the request is sent to; nil if it is a new
 	// stream without events yet, or not resumable.
-	origin *StreamOrigin
+	origin           *StreamOrigin
+	isOriginRecorded bool
 	// org is the organisation of the caller's key; nil if the key is unknown.
 	org *config.Organisation
 	// fingerprint is the hash of the request's content, see hashContent.
@@ -139,6 +142,9 @@
 	if q.quotaDecision.Limit > 0 {
 		attrs = append(attrs, "quota_spent", int64(q.quotaDecision.Spent), "quota_limit", int64(q.quotaDecision.Limit))
 	}
+	if q.info.ResumedAttempt != "" {
+		attrs = append(attrs, "resumes", q.info.ResumedAttempt)
+	}
 	if q.detail != "" {
 		attrs = append(attrs, "detail", q.detail)
 	}
--- /dev/null
+++ b/internal/relay/origins_test.go
@@ -0,0 +1,76 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"buckthornpick/internal/config"
+	"buckthornpick/internal/follow"
+)
+
+var originV1, originV2 = StreamOrigin{Service: "s", Version: "1"}, StreamOrigin{Service: "s", Version: "2"}
+
+// originsFixture holds Origins with a manual clock and the rule "r" to service "s".
+type originsFixture struct {
+	*Origins
+	now, viewAge time.Duration
+}
+
+func newOriginsFixture() *originsFixture {
+	f := &originsFixture{now: time.Hour}
+	f.Origins = NewOrigins(func() time.Duration { return f.now }, func() time.Duration { return f.viewAge })
+	f.SetDocument(&follow.Document{Document: &config.Document{Rules: []config.Rule{
+		{Name: "r", Then: config.Then{Service: "s", Call: &config.CallPolicy{Repetition: config.Resumable}}},
+	}}})
+	return f
+}
+
+// serve sets the versions of the servers of "s".
+func (f *originsFixture) serve(versions ...string) []OriginRecord {
+	var list []follow.Server
+	for _, v := range versions {
+		list = append(list, follow.Server{ID: "i-" + v, Service: "s", Version: v})
+	}
+	return f.SetServers(list)
+}
+
+func TestOneVersionIsConcludedOnlyFromLongAndFreshView(t *testing.T) {
+	f := newOriginsFixture()
+	f.serve("1")
+	require.Equal(t, OriginAnswer{Seen: []StreamOrigin{originV1}}, f.Find("r", "x"), "an entry that has just started")
+	f.now += minOriginWatch
+	require.True(t, f.Find("r", "x").IsSettled)
+	f.viewAge = maxOriginViewAge + 1
+	require.False(t, f.Find("r", "x").IsSettled, "the view is too old")
+	f.viewAge = 0
+	f.serve("1", "2")
+	f.serve("2")
+	f.now += originHistory
+	require.Equal(t, OriginAnswer{Seen: []StreamOrigin{originV1, originV2}}, f.Find("r", "x"), "streams of version 1 may be resumed")
+	f.now++
+	require.Equal(t, OriginAnswer{Seen: []StreamOrigin{originV2}, IsSettled: true}, f.Find("r", "x"))
+	require.False(t, f.Find("other", "x").IsSettled)
+}
+
+func TestRecordsAreSharedOnceARuleHasTwoVersions(t *testing.T) {
+	f := newOriginsFixture()
+	f.serve("1")
+	require.True(t, f.Record("r", OriginRecord{"young", originV1}))
+	f.now += minOriginWatch
+	require.False(t, f.Record("r", OriginRecord{"a", originV1}))
+	f.MergeRecords([]OriginRecord{{"of another entry", originV1}})
+	require.Equal(t, []OriginRecord{{"a", originV1}}, f.serve("1", "2"))
+	require.Empty(t, f.serve("2"), "each record is shared once")
+	require.True(t, f.Record("r", OriginRecord{"b", originV2}))
+	require.Equal(t, OriginAnswer{IsKnown: true, Origin: originV1}, f.Find("r", "a"))
+	f.now += originRetention + 1
+	require.False(t, f.Find("r", "a").IsKnown, "expired")
+	require.Empty(t, f.queue)
+	for range maxOriginRecords + 5 {
+		f.now++
+		f.Record("r", OriginRecord{f.now.String(), originV2})
+	}
+	require.Len(t, f.records, maxOriginRecords)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 package relay
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,11 @@
 	// NotifyCleared tells the other entries that the crashes of a content were
 	// cleared.
 	NotifyCleared(fingerprint uint64)
+	// ShareOrigins sends the origins of streams to entries that keep them.
+	ShareOrigins([]OriginRecord)
+	// FindOrigin asks the entries that keep the origin of the stream which the attempt
+	// began under the rule. If one of them has a record, its ID is returned too.
+	FindOrigin(ctx context.Context, rule, attemptID string) (OriginAnswer, string)
 }
 
 // UsageRecorder counts requests that started to run.
@@ -54,6 +60,7 @@
 	Pool      *upstream.Pool
 	Quotas    *Quotas
 	Crashes   *CrashTracker
+	Origins   *Origins
 	Peers     Peers
 	Usage     UsageRecorder
 	Limits    Limits
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -80,6 +80,10 @@
 		}
 		return q.refuseFurtherSends(reason, max(retryAfterBusy, saturated.RetryAfter))
 	}
+	if q.origin != nil {
+		q.detail += " of version " + q.origin.Version
+		return q.refuseFurtherSends(reasonVersionGone, retryAfterBusy)
+	}
 	return q.refuseFurtherSends(reasonNoServer, retryAfterBusy)
 }
 
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -134,6 +134,7 @@
 	exchange         *exchange.Exchange
 	usageCounts      *usage.Counts
 	balancer         *relay.Balancer
+	origins          *relay.Origins
 	relay            *relay.Relay
 	dutyLease        *lease.Lease
 	// isDraining is set during a planned stop and makes the readiness probe fail.
@@ -164,8 +165,15 @@
 	p.transport = peer.New(self, p.network, log, p.cli.Metrics, peer.Options{
 		SecretSource: p.secret.Bytes, PingInterval: peerPingInterval, IdlePingInterval: peerPingInterval, PingTimeout: peerPingTimeout,
 	})
-	p.documents = follow.NewDocuments(a.DocumentKey, a.DecodeDocument, log, func(d *follow.Document) { p.balancer.SetDocument(d) })
-	p.servers = follow.NewServers(a.ServersPrefix, a.DecodeServer, p.clock, log, func(list []follow.Server) { p.balancer.SetServers(list) })
+	// The origins of streams learn of a second version before requests are sent there.
+	p.documents = follow.NewDocuments(a.DocumentKey, a.DecodeDocument, log, func(d *follow.Document) {
+		p.exchange.ShareOrigins(p.origins.SetDocument(d))
+		p.balancer.SetDocument(d)
+	})
+	p.servers = follow.NewServers(a.ServersPrefix, a.DecodeServer, p.clock, log, func(list []follow.Server) {
+		p.exchange.ShareOrigins(p.origins.SetServers(list))
+		p.balancer.SetServers(list)
+	})
 	p.zoneStore = follow.NewZoneStore(p.store, self, p.transport, p.entries, p.clock, log, a.DocumentKey, a.ServersPrefix, follow.EntriesPrefix)
 	newFollower := func(o follow.Options, storePause time.Duration, sink follow.Sink) *follow.Follower {
 		f := follow.New(o, p.zoneStore, sink, p.clock, log)
@@ -173,6 +181,7 @@
 		return f
 	}
 	p.documentFollower = newFollower(follow.Options{Name: "document", Prefix: a.DocumentKey, Wait: documentPollWait}, 0, p.documents)
+	p.origins = relay.NewOrigins(p.clock, func() time.Duration { return p.serversFollower.Age() })
 	p.documents.SetFollower(p.documentFollower)
 	p.serversFollower = newFollower(follow.Options{Name: "servers", Prefix: a.ServersPrefix, Wait: serversPollWait, Pause: peerPollPause}, serversPollPause, p.servers)
 	p.entriesFollower = newFollower(follow.Options{Name: "entries", Prefix: follow.EntriesPrefix, Wait: entriesPollWait}, 0, p.entries)
@@ -189,11 +198,11 @@
 	quotas := relay.NewQuotas(b.QuotaWindow(), p.clock)
 	crashes := relay.NewCrashTracker(p.clock)
 	p.exchange = exchange.New(exchange.Config{
-		Transport: p.transport, Entries: p.entries, Size: p.siteSize, Balancer: p.balancer, Quotas: quotas, Crashes: crashes,
+		Transport: p.transport, Entries: p.entries, Size: p.siteSize, Balancer: p.balancer, Quotas: quotas, Crashes: crashes, Origins: p.origins,
 		Counts: p.usageCounts, Clock: p.clock, Log: log, UnregisteredGrace: p.maxDocumentAge() + b.QuotaWindow(),
 	}, run)
 	p.relay = relay.New(relay.Config{
-		Codec: p.adapter.Codec, Documents: p.documents, Balancer: p.balancer, Pool: p.pool, Quotas: quotas, Crashes: crashes,
+		Codec: p.adapter.Codec, Documents: p.documents, Balancer: p.balancer, Pool: p.pool, Quotas: quotas, Crashes: crashes, Origins: p.origins,
 		Peers: p.exchange, Usage: p.usageCounts, Zone: p.settings.Node.Zone, Clock: p.clock, Log: log, Metrics: p.cli.Metrics,
 		Limits: relay.Limits{
 			MaxDocumentAge:      p.maxDocumentAge(),
