relay: log when a caller's connection is closed for a timeout

When the relay closed a connection by the header or idle timeout of the document, no line said so, so a request that ended without an answer could not be told apart from one whose caller had left. The new event caller-connection-closed (3302) gives the caller's address, the reason and how long the relay had waited.

--- a/internal/relayd/connections.go
+++ b/internal/relayd/connections.go
@@ -7,6 +7,13 @@
 	"time"
 
 	"buckthornpick/internal/config"
+	"buckthornpick/internal/telemetry"
+)
+
+// Reasons for closing a caller's connection.
+const (
+	reasonHeaderTimeout = "header-timeout"
+	reasonIdleTimeout   = "idle-timeout"
 )
 
 // connLimits closes connections of callers that exceed the header or idle timeout
@@ -14,13 +21,14 @@
 type connLimits struct {
 	// limits returns the limits in force; a zero timeout means no limit.
 	limits func() config.CallerLimits
+	log    *telemetry.Logger
 
 	mu     sync.Mutex
 	timers map[net.Conn]*time.Timer
 }
 
-func newConnLimits(limits func() config.CallerLimits) *connLimits {
-	return &connLimits{limits: limits, timers: map[net.Conn]*time.Timer{}}
+func newConnLimits(limits func() config.CallerLimits, log *telemetry.Logger) *connLimits {
+	return &connLimits{limits: limits, log: log, timers: map[net.Conn]*time.Timer{}}
 }
 
 // track is the http.Server.ConnState hook. A connection stays new or idle until
@@ -29,9 +37,9 @@
 func (l *connLimits) track(conn net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
-		l.arm(conn, l.limits().HeaderTimeoutMillis)
+		l.arm(conn, reasonHeaderTimeout, l.limits().HeaderTimeoutMillis)
 	case http.StateIdle:
-		l.arm(conn, l.limits().IdleTimeoutMillis)
+		l.arm(conn, reasonIdleTimeout, l.limits().IdleTimeoutMillis)
 	default:
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -41,13 +49,14 @@
 
 // arm replaces the timer of conn by one that closes conn after millis, or by none
 // if millis is not positive.
-func (l *connLimits) arm(conn net.Conn, millis int) {
+func (l *connLimits) arm(conn net.Conn, reason string, millis int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.disarmLocked(conn)
 	if millis <= 0 {
 		return
 	}
+	start := time.Now()
 	var timer *time.Timer
 	timer = time.AfterFunc(time.Duration(millis)*time.Millisecond, func() {
 		l.mu.Lock()
@@ -55,6 +64,7 @@
 		if l.timers[conn] == timer {
 			delete(l.timers, conn)
 			_ = conn.Close() // http.Server notices the closed connection
+			l.log.Log(EvCallerClosed, "peer", conn.RemoteAddr().String(), "reason", reason, "waited_ms", time.Since(start).Milliseconds())
 		}
 	})
 	l.timers[conn] = timer
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -341,7 +341,7 @@
 			return doc.CallerLimits
 		}
 		return config.CallerLimits{}
-	})
+	}, p.cli.Log)
 	return &http.Server{
 		Handler: p.relay, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: limits.track,
