relayd: enforce the callers' timeouts by read deadlines

What callers saw: a request sent just before the header or idle timeout of the document ended without an answer, and the log said caller-left. Cause: connLimits closed the connection from a timer that was stopped by http.Server's StateActive, which comes only after the header has been read and parsed.

The listener of callers now returns connections that shorten the read deadlines of http.Server to the limits of the document. A read returns data or the timeout, never both, and nothing else closes the connection. The deadline never stands while a request is being served, since it would end net/http's background read and cancel the request. A later request's header has the header timeout from its first bytes, instead of what was left of the idle timeout.

--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -24,8 +24,9 @@
 type CallerLimits struct {
 	MaxHeaderBytes int   `json:"maxHeaderBytes,omitempty" msgpack:"h,omitempty"`
 	MaxBodyBytes   int64 `json:"maxBodyBytes,omitempty" msgpack:"b,omitempty"`
-	// HeaderTimeoutMillis bounds the time from the start of a connection to its
-	// first request, IdleTimeoutMillis the time between two requests.
+	// HeaderTimeoutMillis bounds the time from the start of a connection, or from the
+	// first bytes of a later request, to the end of the header; IdleTimeoutMillis
+	// bounds the wait for a later request.
 	HeaderTimeoutMillis int `json:"headerTimeoutMillis,omitempty" msgpack:"ht,omitempty"`
 	IdleTimeoutMillis   int `json:"idleTimeoutMillis,omitempty" msgpack:"it,omitempty"`
 }
--- a/internal/relayd/connections.go
+++ b/internal/relayd/connections.go
@@ -1,8 +1,9 @@
 package relayd
 
 import (
+	"errors"
 	"net"
-	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -10,70 +11,103 @@
 	"buckthornpick/internal/telemetry"
 )
 
-// Reasons for closing a caller's connection.
-const (
-	reasonHeaderTimeout = "header-timeout"
-	reasonIdleTimeout   = "idle-timeout"
-)
-
-// connLimits closes connections of callers that exceed the header or idle timeout
-// of the operators' document. It is safe for concurrent use.
-type connLimits struct {
+// callerListener accepts callers' connections and enforces the header and idle
+// timeout of the operators' document by read deadlines. A read returns either data
+// or the timeout, so a connection from which a request was read stays open.
+type callerListener struct {
+	net.Listener
 	// limits returns the limits in force; a zero timeout means no limit.
 	limits func() config.CallerLimits
 	log    *telemetry.Logger
+}
 
-	mu     sync.Mutex
-	timers map[net.Conn]*time.Timer
+// Accept implements net.Listener.
+func (l *callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: conn, listener: l, phase: phaseHeader, since: time.Now()}, nil
 }
 
-func newConnLimits(limits func() config.CallerLimits, log *telemetry.Logger) *connLimits {
-	return &connLimits{limits: limits, log: log, timers: map[net.Conn]*time.Timer{}}
+// connPhase is what a connection is waiting for.
+type connPhase int
+
+const (
+	// phaseHeader: the header of the first or next request.
+	phaseHeader connPhase = iota
+	// phaseRequest: the body or the response of a request.
+	phaseRequest
+	// phaseIdle: the first bytes of the next request.
+	phaseIdle
+)
+
+// callerConn is a connection of a caller. It derives its phase from the read
+// deadlines that http.Server sets: one in the future for the first header, then
+// in turn none during a request, one for the idle time and one for the next header.
+type callerConn struct {
+	net.Conn
+	listener *callerListener
+
+	mu    sync.Mutex
+	phase connPhase
+	// since is the start of the phase.
+	since time.Time
 }
 
-// track is the http.Server.ConnState hook. A connection stays new or idle until
-// the header of its next request has been read, so the header timeout covers the
-// first header and the idle timeout the wait for each later one.
-func (l *connLimits) track(conn net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		l.arm(conn, reasonHeaderTimeout, l.limits().HeaderTimeoutMillis)
-	case http.StateIdle:
-		l.arm(conn, reasonIdleTimeout, l.limits().IdleTimeoutMillis)
-	default:
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.disarmLocked(conn)
+// SetReadDeadline implements net.Conn. A future deadline is shortened to the limit
+// in force.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	switch {
+	case t.IsZero():
+		c.phase = phaseRequest
+		return c.Conn.SetReadDeadline(t)
+	case !t.After(now): // http.Server ends its background read
+		return c.Conn.SetReadDeadline(t)
+	case c.phase == phaseRequest:
+		c.phase, c.since = phaseIdle, now
+	case c.phase == phaseIdle:
+		c.phase, c.since = phaseHeader, now
+	}
+	if limit := c.limitLocked(); limit > 0 && c.since.Add(limit).Before(t) {
+		t = c.since.Add(limit)
 	}
+	return c.Conn.SetReadDeadline(t)
 }
 
-// arm replaces the timer of conn by one that closes conn after millis, or by none
-// if millis is not positive.
-func (l *connLimits) arm(conn net.Conn, reason string, millis int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.disarmLocked(conn)
-	if millis <= 0 {
-		return
+// limitLocked returns the limit in force for the phase; 0 is no limit.
+func (c *callerConn) limitLocked() time.Duration {
+	limits := c.listener.limits()
+	millis := limits.HeaderTimeoutMillis
+	if c.phase == phaseIdle {
+		millis = limits.IdleTimeoutMillis
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
+// Read implements net.Conn. It logs a timeout, after which http.Server closes the
+// connection.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.logTimeout()
 	}
-	start := time.Now()
-	var timer *time.Timer
-	timer = time.AfterFunc(time.Duration(millis)*time.Millisecond, func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		if l.timers[conn] == timer {
-			delete(l.timers, conn)
-			_ = conn.Close() // http.Server notices the closed connection
-			l.log.Log(EvCallerClosed, "peer", conn.RemoteAddr().String(), "reason", reason, "waited_ms", time.Since(start).Milliseconds())
-		}
-	})
-	l.timers[conn] = timer
+	return n, err
 }
 
-// disarmLocked stops and removes the timer of conn. l.mu must be held.
-func (l *connLimits) disarmLocked(conn net.Conn) {
-	if timer, ok := l.timers[conn]; ok {
-		timer.Stop()
-		delete(l.timers, conn)
+func (c *callerConn) logTimeout() {
+	c.mu.Lock()
+	phase, waited := c.phase, time.Since(c.since)
+	c.mu.Unlock()
+	if phase == phaseRequest {
+		return
+	}
+	reason := "header-timeout"
+	if phase == phaseIdle {
+		reason = "idle-timeout"
 	}
+	c.listener.log.Log(EvCallerClosed, "peer", c.RemoteAddr().String(), "reason", reason, "waited_ms", waited.Milliseconds())
 }
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -311,7 +311,7 @@
 	if l.callers, err = p.openListener("callers", p.settings.Callers); err != nil {
 		return l, err
 	}
-	l.callers = netx.LimitListener(l.callers, p.settings.Bounds.MaxConnections)
+	l.callers = &callerListener{Listener: netx.LimitListener(l.callers, p.settings.Bounds.MaxConnections), limits: p.callerLimits, log: p.cli.Log}
 	l.readiness, err = p.openListener("readiness", p.settings.Readiness)
 	return l, err
 }
@@ -334,18 +334,17 @@
 }
 
 // callerServer returns the HTTP server of callers. Its fixed timeouts are upper
-// bounds; those of the current document are enforced by connLimits.
+// bounds; those of the current document are enforced by callerListener.
 func (p *Process) callerServer() *http.Server {
-	limits := newConnLimits(func() config.CallerLimits {
-		if doc, _ := p.documents.Current(); doc != nil {
-			return doc.CallerLimits
-		}
-		return config.CallerLimits{}
-	}, p.cli.Log)
-	return &http.Server{
-		Handler: p.relay, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: limits.track,
+	return &http.Server{Handler: p.relay, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
+// callerLimits returns the limits of the current document.
+func (p *Process) callerLimits() config.CallerLimits {
+	if doc, _ := p.documents.Current(); doc != nil {
+		return doc.CallerLimits
 	}
+	return config.CallerLimits{}
 }
 
 func (p *Process) readinessServer() *http.Server {
