relayd: apply a raised timeout to connections that are waiting

What callers saw: a connection that was idle while the document raised the idle timeout was closed by the old one, and a request that relied on the new one failed. Cause: the deadline was computed once, when the wait began.

When a deadline passes, the limit is now looked up again, and the wait goes on if the document has raised it. A lowered limit applies from the next wait on: until then the connection stays open for longer than the limit, by less than the old one.

--- a/internal/relayd/connections.go
+++ b/internal/relayd/connections.go
@@ -51,8 +51,8 @@
 
 	mu    sync.Mutex
 	phase connPhase
-	// since is the start of the phase.
-	since time.Time
+	// since is the start of the phase, and latest the deadline of http.Server for it.
+	since, latest time.Time
 }
 
 // SetReadDeadline implements net.Conn. A future deadline is shortened to the limit
@@ -72,42 +72,49 @@
 	case c.phase == phaseIdle:
 		c.phase, c.since = phaseHeader, now
 	}
-	if limit := c.limitLocked(); limit > 0 && c.since.Add(limit).Before(t) {
-		t = c.since.Add(limit)
-	}
-	return c.Conn.SetReadDeadline(t)
+	c.latest = t
+	return c.Conn.SetReadDeadline(c.deadlineLocked())
 }
 
-// limitLocked returns the limit in force for the phase; 0 is no limit.
-func (c *callerConn) limitLocked() time.Duration {
+// deadlineLocked returns the read deadline of the phase by the limits in force.
+func (c *callerConn) deadlineLocked() time.Time {
 	limits := c.listener.limits()
 	millis := limits.HeaderTimeoutMillis
 	if c.phase == phaseIdle {
 		millis = limits.IdleTimeoutMillis
 	}
-	return time.Duration(millis) * time.Millisecond
+	if end := c.since.Add(time.Duration(millis) * time.Millisecond); millis > 0 && end.Before(c.latest) {
+		return end
+	}
+	return c.latest
 }
 
-// Read implements net.Conn. It logs a timeout, after which http.Server closes the
-// connection.
+// Read implements net.Conn. After a timeout, http.Server closes the connection.
 func (c *callerConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		c.logTimeout()
+	for {
+		n, err := c.Conn.Read(b)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.extendDeadline() {
+			return n, err
+		}
 	}
-	return n, err
 }
 
-func (c *callerConn) logTimeout() {
+// extendDeadline reports whether the document has raised the limit since the
+// deadline that has passed was set, and sets the new one. Otherwise it logs the
+// timeout.
+func (c *callerConn) extendDeadline() bool {
 	c.mu.Lock()
-	phase, waited := c.phase, time.Since(c.since)
-	c.mu.Unlock()
-	if phase == phaseRequest {
-		return
+	defer c.mu.Unlock()
+	if c.phase == phaseRequest {
+		return false
+	}
+	if deadline := c.deadlineLocked(); deadline.After(time.Now()) {
+		return c.Conn.SetReadDeadline(deadline) == nil
 	}
 	reason := "header-timeout"
-	if phase == phaseIdle {
+	if c.phase == phaseIdle {
 		reason = "idle-timeout"
 	}
-	c.listener.log.Log(EvCallerClosed, "peer", c.RemoteAddr().String(), "reason", reason, "waited_ms", waited.Milliseconds())
+	c.listener.log.Log(EvCallerClosed, "peer", c.RemoteAddr().String(), "reason", reason, "waited_ms", time.Since(c.since).Milliseconds())
+	return false
 }
