relayd: drain callers' connections without closing any that was read

What callers saw: a request sent on a kept connection about 3 s after SIGTERM of its entry ended without an answer, although the entry had read it. A call that may run once cannot be sent again then. Cause: http.Server.Shutdown closes idle connections by a state that follows only after the header, and drops requests that were read meanwhile.

callerListener drains instead: it closes the listener, gives idle connections 100 ms and connections with an expected or incomplete header 1 s by read deadline, and waits for the others. The first bytes of a request end the idle deadline, so a request is either read and answered or not read. What is left at the end of the grace period is cut as before. An unused new connection holds up a stop for 1 s; Shutdown waited 5 s for it. Closes are logged with the reason "stopping".

--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -238,8 +238,7 @@
 	for _, run := range p.backgroundTasks() {
 		g.Go(func() error { return run(runCtx) })
 	}
-	callers := p.callerServer()
-	for l, server := range map[net.Listener]*http.Server{listeners.callers: callers, listeners.readiness: p.readinessServer()} {
+	for l, server := range map[net.Listener]*http.Server{listeners.callers: p.callerServer(), listeners.readiness: p.readinessServer()} {
 		g.Go(func() error { return serve(server, l) })
 		g.Go(func() error {
 			<-runCtx.Done()
@@ -257,7 +256,7 @@
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
-			p.stop(callers)
+			p.stop(listeners.callers)
 		case <-runCtx.Done():
 		}
 		return errStopped
@@ -303,15 +302,18 @@
 }
 
 // listeners holds the listeners of callers and of the readiness probe.
-type listeners struct{ callers, readiness net.Listener }
+type listeners struct {
+	callers   *callerListener
+	readiness net.Listener
+}
 
 func (p *Process) listen() (listeners, error) {
 	var l listeners
-	var err error
-	if l.callers, err = p.openListener("callers", p.settings.Callers); err != nil {
+	accepted, err := p.openListener("callers", p.settings.Callers)
+	if err != nil {
 		return l, err
 	}
-	l.callers = &callerListener{Listener: netx.LimitListener(l.callers, p.settings.Bounds.MaxConnections), limits: p.callerLimits, log: p.cli.Log}
+	l.callers = newCallerListener(netx.LimitListener(accepted, p.settings.Bounds.MaxConnections), p.callerLimits, p.cli.Log)
 	l.readiness, err = p.openListener("readiness", p.settings.Readiness)
 	return l, err
 }
--- a/internal/relayd/stop.go
+++ b/internal/relayd/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"buckthornpick/internal/relay"
@@ -19,8 +18,9 @@
 
 // stop drains the process. It fails the readiness probe, closes callers' kept-alive
 // connections after their next response, and after the deregistration delay closes
-// the listener. Requests that were read are completed within the grace period.
-func (p *Process) stop(callers *http.Server) {
+// the listener and idle connections. Requests that were read are completed within
+// the grace period.
+func (p *Process) stop(callers *callerListener) {
 	grace := p.settings.Bounds.GracePeriod() - stopMargin
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
@@ -28,7 +28,7 @@
 	p.relay.Drain()
 	p.cli.Log.Log(relay.EvDraining, "active", p.relay.InFlight(), "grace_ms", grace.Milliseconds())
 	time.Sleep(min(deregistrationDelay, grace/2))
-	err := callers.Shutdown(ctx)
+	err := callers.drain(ctx)
 	p.exchange.Flush()
 	p.cli.Log.Log(relay.EvDrained, "active", p.relay.InFlight(), "complete", err == nil)
 }
