--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -137,37 +137,83 @@
 }
 
 // resume requests the stream after the last forwarded event from another server.
-// The response is nil if the stream cannot be continued: it is not resumable, its
-// sends or the retry budget are used up, or no server accepted it.
+// The response is nil, and the reason logged, if the stream cannot be continued: it
+// is not resumable, its sends or the retry budget are used up, or no server
+// accepted it.
 func (s *eventStream) resume(ctx context.Context, previous *choice) (*choice, *upstream.Response) {
 	q := s.request
 	q.tried[previous.target.ID] = true
-	for ctx.Err() == nil && q.policy.Repetition == resumable && s.lastEventID != "" && q.sends < q.policy.Attempts && !q.isDocumentStale() {
+	for {
+		if obstacle := s.obstacleToResume(ctx); obstacle != "" {
+			return s.logNotResumed(previous, obstacle, nil)
+		}
 		c, err := q.relay.Balancer.pick(q.service, &q.info, 0, q.tried)
-		if err != nil || !q.relay.retries.takeRetry(q.service, q.relay.Peers.Site().Entries) {
-			if err == nil {
-				q.relay.Balancer.finishCall(c, signalNeutral)
-			}
-			return nil, nil
+		if err != nil {
+			return s.logNotResumed(previous, "no-server", err)
+		}
+		if !q.relay.retries.takeRetry(q.service, q.relay.Peers.Site().Entries) {
+			q.relay.Balancer.finishCall(c, signalNeutral)
+			return s.logNotResumed(previous, "retry-budget", nil)
 		}
 		q.tried[c.target.ID] = true
 		remaining := time.Until(q.deadline)
 		resp, err := q.relay.Pool.Do(ctx, c.target, q.buildRequest(c, s.lastEventID, remaining))
 		if err != nil && !upstream.MayHaveBeenSent(err) {
 			q.relay.Balancer.finishCall(c, unsentSignal(ctx, err))
+			q.logFailedSend(c, &sendResult{outcome: outcomeNotSent, err: err})
 			continue
 		}
 		q.sends++
-		if err == nil && resp.Status == http.StatusOK && q.relay.Codec.InspectResponse(resp.Status, resp.Header).Signed {
+		info := ResponseInfo{}
+		if err == nil {
+			info = q.relay.Codec.InspectResponse(resp.Status, resp.Header)
+		}
+		if err == nil && resp.Status == http.StatusOK && info.Signed {
 			q.serverID = c.target.ID
 			q.relay.Log.Log(EvStreamResumed, "request", q.info.AttemptID, "from", previous.target.ID, "server", c.target.ID, "after", s.lastEventID)
 			return c, resp
 		}
+		res := sendResult{outcome: outcomeUnknown, err: err}
 		if err == nil {
 			discardBody(resp)
+			res.err = fault.New(fault.Ambiguous, "relay.stream", c.target.ID, "server did not continue the stream, status %d", resp.Status)
+		}
+		if info.NotRun {
+			res.outcome = outcomeNotRun
 		}
 		q.relay.Balancer.finishCall(c, signalFailed)
+		q.logFailedSend(c, &res)
+	}
+}
+
+// obstacleToResume returns why the stream cannot be requested from another server;
+// empty if it can.
+func (s *eventStream) obstacleToResume(ctx context.Context) string {
+	q := s.request
+	switch {
+	case q.r.Context().Err() != nil:
+		return reasonCallerLeft
+	case ctx.Err() != nil:
+		return reasonTimeout
+	case q.policy.Repetition != resumable:
+		return "not-resumable"
+	case s.lastEventID == "":
+		return "no-event-id"
+	case q.sends >= q.policy.Attempts:
+		return "attempts-used"
+	case q.isDocumentStale():
+		return reasonDocumentTooOld
+	}
+	return ""
+}
+
+// logNotResumed logs why the stream was not resumed. It returns no response.
+func (s *eventStream) logNotResumed(previous *choice, reason string, err error) (*choice, *upstream.Response) {
+	attrs := []any{"request", s.request.info.AttemptID, "from", previous.target.ID, "after", s.lastEventID, "sends", s.request.sends, "reason", reason}
+	if err != nil {
+		attrs = append(attrs, "error", err.Error())
 	}
+	s.request.relay.Log.Log(EvStreamNotResumed, attrs...)
 	return nil, nil
 }
 
