relay: a silent stream is given up only once another server has taken it over

Callers of resumable streams lost their connection midway, or got 502 before the first event, when their server was silent for a little longer than the stall timeout (600 ms or three target gaps) and would have gone on.

Cause: the stall timer closed the response, and only then was another server sought. If none could be had (retry budget or attempts used up, no server, the other one refused, document too old), nothing was left but to close the caller's connection. Several servers that are silent at once use up the retry budget, so the rest of their streams all ended in this way.

Change: the timer asks for the rest elsewhere while the read of the silent response goes on. The old response is closed when the other server has responded with a success, or has had the request for 320 ms without refusing it. If no server, send or retry can be had, or the other server refuses, the old response stays until its end or the deadline. The budgets are as before: each send counts as one of the rule's attempts and takes from the retry budget. The timer now runs only during a read, so that a caller who reads slowly no longer looks like a silent server.

An old response that goes on while the other server has the request does not win: it waits for at most the 320 ms, and its events are dropped if the other server takes over. The users' rule TWICE allows a server to work for 400 ms beside the one that goes on with its request, whether or not that one is cancelled later, so once the request was sent one of both must end in that time; a refusal is the case in which none has to. 320 ms is above the dial timeout of 300 ms, so that a response is not closed for a server that cannot be reached. While servers are only being dialled the old response wins: the next one is not tried (`went-on`).

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -20,5 +20,5 @@
 	EvEntryReachable       = telemetry.Register(3110, "entry-in-touch", slog.LevelInfo, "Messages from another entry arrive again.")
 	EvExchangePeersChanged = telemetry.Register(3111, "exchange-placed", slog.LevelInfo, "The set of entries with which this entry exchanges totals and loads has changed.")
 	EvSiteSizeChanged      = telemetry.Register(3112, "site-counted", slog.LevelInfo, "The number of a large site's entries, or of those whose spending is known, has changed; quotas are divided accordingly.")
-	EvStreamNotResumed     = telemetry.Register(3113, "stream-not-resumed", slog.LevelWarn, "A stream that broke was not resumed at another backend server; the reason is what prevented it.")
+	EvStreamNotResumed     = telemetry.Register(3113, "stream-not-resumed", slog.LevelWarn, "A stream that broke or was silent was not resumed at another backend server; the reason is what prevented it.")
 )
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"buckthornpick/internal/fault"
@@ -30,7 +31,7 @@
 	s := &eventStream{request: q}
 	s.sendHead = func() { q.setHead(resp.Status, resp.Header); q.w.WriteHeader(resp.Status) }
 	for {
-		err := s.copy(ctx, c, resp)
+		next, err := s.copy(ctx, c, resp)
 		if err == nil {
 			q.relay.Balancer.finishCall(c, signalServed)
 			q.recordAnswered()
@@ -42,13 +43,17 @@
 			q.abortConnection(err)
 		}
 		res := q.recordLostResponse(ctx, c, fault.Wrap(err, fault.Ambiguous, "relay.stream", c.target.ID, "stream ended early"))
-		if !s.isHeadSent {
+		if !s.isHeadSent && next.resp == nil {
 			return res
 		}
 		q.logFailedSend(c, &res)
-		if c, resp = s.resume(ctx, c); resp == nil {
+		if next.resp == nil {
+			next.choice, next.resp = s.resume(ctx, c, nil)
+		}
+		if next.resp == nil {
 			q.abortConnection(err)
 		}
+		c, resp = next.choice, next.resp
 	}
 }
 
@@ -62,20 +67,34 @@
 	callerLeft bool
 	// lastEventID is the ID of the last event that was forwarded.
 	lastEventID string
+	// isOldResponseClosed is set once a silent response was closed although no other
+	// server had responded yet.
+	isOldResponseClosed atomic.Bool
+	// hasGoneOn is set once a silent response went on while another server was sought.
+	hasGoneOn atomic.Bool
+}
+
+// continuation is the response of another server that continues a stream.
+type continuation struct {
+	choice *choice
+	resp   *upstream.Response
 }
 
-// copy forwards the events of one response until its end. It returns nil if the
-// stream ended regularly.
-func (s *eventStream) copy(ctx context.Context, c *choice, resp *upstream.Response) error {
+// copy forwards the events of one response until its end. The error is nil if the
+// stream ended regularly. If another server continues the stream, copy returns its
+// response and errStreamStalled.
+func (s *eventStream) copy(ctx context.Context, c *choice, resp *upstream.Response) (continuation, error) {
 	defer func() { _ = resp.Body.Close() }()
-	stall := s.startStallTimer(resp)
-	defer stall.stop()
+	stall := s.newStallTimer(ctx, c, resp)
 	var pending []byte
 	chunk := make([]byte, streamReadSize)
 	isFirst := true
 	for {
+		stall.start()
 		n, err := resp.Body.Read(chunk)
-		stall.reset()
+		if next := stall.stop(err == nil); next.resp != nil {
+			return next, errStreamStalled
+		}
 		pending = append(pending, chunk[:n]...)
 		if end := completeEventsLength(pending); end > 0 {
 			if isFirst {
@@ -85,22 +104,22 @@
 			}
 			if err := s.write(pending[:end]); err != nil {
 				s.callerLeft = true
-				return err
+				return continuation{}, err
 			}
 			pending = append(pending[:0], pending[end:]...)
 		}
 		switch {
 		case err == io.EOF:
 			if len(pending) > 0 && !resp.Framed {
-				return errors.New("connection closed within an event")
+				return continuation{}, errors.New("connection closed within an event")
 			}
-			return s.writeRemainder(pending)
-		case err != nil && stall.hasExpired():
-			return errStreamStalled
+			return continuation{}, s.writeRemainder(pending)
+		case err != nil && s.isOldResponseClosed.Load():
+			return continuation{}, errStreamStalled
 		case err != nil:
-			return err
+			return continuation{}, err
 		case len(pending) > maxEventBytes:
-			return errors.New("event exceeds the size limit")
+			return continuation{}, errors.New("event exceeds the size limit")
 		}
 	}
 }
@@ -139,8 +158,10 @@
 // resume requests the stream after the last forwarded event from another server.
 // The response is nil, and the reason logged, if the stream cannot be continued: it
 // is not resumable, its sends or the retry budget are used up, or no server
-// accepted it.
-func (s *eventStream) resume(ctx context.Context, previous *choice) (*choice, *upstream.Response) {
+// accepted it. silent is the body of the previous response if that may still go on;
+// it is closed once another server has responded, or has not refused the request
+// within maxOverlap.
+func (s *eventStream) resume(ctx context.Context, previous *choice, silent io.Closer) (*choice, *upstream.Response) {
 	q := s.request
 	q.tried[previous.target.ID] = true
 	for {
@@ -157,7 +178,9 @@
 		}
 		q.tried[c.target.ID] = true
 		remaining := time.Until(q.deadline)
+		stopOverlap := s.limitOverlap(silent)
 		resp, err := q.relay.Pool.Do(ctx, c.target, q.buildRequest(c, s.lastEventID, remaining))
+		stopOverlap()
 		if err != nil && !upstream.MayHaveBeenSent(err) {
 			q.relay.Balancer.finishCall(c, unsentSignal(ctx, err))
 			q.logFailedSend(c, &sendResult{outcome: outcomeNotSent, err: err})
@@ -169,6 +192,9 @@
 			info = q.relay.Codec.InspectResponse(resp.Status, resp.Header)
 		}
 		if err == nil && resp.Status == http.StatusOK && info.Signed {
+			if silent != nil {
+				_ = silent.Close()
+			}
 			q.serverID = c.target.ID
 			q.relay.Log.Log(EvStreamResumed, "request", q.info.AttemptID, "from", previous.target.ID, "server", c.target.ID, "after", s.lastEventID)
 			return c, resp
@@ -181,11 +207,25 @@
 		if info.NotRun {
 			res.outcome = outcomeNotRun
 		}
-		q.relay.Balancer.finishCall(c, signalFailed)
+		signal := signalFailed
+		if q.r.Context().Err() != nil {
+			signal = signalNeutral
+		}
+		q.relay.Balancer.finishCall(c, signal)
 		q.logFailedSend(c, &res)
 	}
 }
 
+// limitOverlap closes the silent response, which may be nil, after maxOverlap unless
+// the returned function is called before.
+func (s *eventStream) limitOverlap(silent io.Closer) (stop func()) {
+	if silent == nil {
+		return func() {}
+	}
+	timer := time.AfterFunc(maxOverlap, func() { s.isOldResponseClosed.Store(true); _ = silent.Close() })
+	return func() { timer.Stop() }
+}
+
 // obstacleToResume returns why the stream cannot be requested from another server;
 // empty if it can.
 func (s *eventStream) obstacleToResume(ctx context.Context) string {
@@ -197,12 +237,14 @@
 		return reasonTimeout
 	case q.policy.Repetition != resumable:
 		return "not-resumable"
-	case s.lastEventID == "":
+	case s.isHeadSent && s.lastEventID == "":
 		return "no-event-id"
 	case q.sends >= q.policy.Attempts:
 		return "attempts-used"
 	case q.isDocumentStale():
 		return reasonDocumentTooOld
+	case s.hasGoneOn.Load():
+		return "went-on"
 	}
 	return ""
 }
@@ -242,52 +284,63 @@
 	}
 }
 
-// stallTimer closes a response that is silent for longer than a timeout. It is
-// inactive for streams that cannot be resumed on another server, since ending
-// such a stream would gain nothing.
+// maxOverlap limits how long a silent server and the one that is to continue its
+// stream may both run it. It exceeds the dial timeout, so that a response is not
+// closed in favour of a server that cannot be reached.
+const maxOverlap = 320 * time.Millisecond
+
+// stallTimer requests the rest of a stream from another server when a read takes
+// longer than a timeout. The read goes on until that server has accepted the
+// request, and for good if none does.
 type stallTimer struct {
-	timer   *time.Timer
-	timeout time.Duration
-	// expired is closed before the timer closes the response.
-	expired chan struct{}
+	stream *eventStream
+	// resume is nil for streams that cannot be resumed on another server.
+	resume func()
+	timer  *time.Timer
+	// firstTimeout is the timeout of the first read, and timeout that of the others.
+	firstTimeout, timeout time.Duration
+	// next is the result of resume, after whose end ended receives.
+	next  continuation
+	ended chan struct{}
 }
 
-// startStallTimer starts the timer of a response, or returns an inactive one if
-// the stream cannot be moved to another server.
-func (s *eventStream) startStallTimer(resp *upstream.Response) *stallTimer {
-	t := &stallTimer{expired: make(chan struct{})}
+// newStallTimer returns the timer for the reads of a response.
+func (s *eventStream) newStallTimer(ctx context.Context, c *choice, resp *upstream.Response) *stallTimer {
+	t := &stallTimer{stream: s}
 	q := s.request
 	if q.policy.Repetition != resumable || q.sends >= q.policy.Attempts {
 		return t
 	}
 	t.timeout = stallTimeout(q.policy)
-	body := resp.Body
-	// The first event may take longer, since the request may be queued at the
-	// server.
-	t.timer = time.AfterFunc(max(t.timeout, callerStreamTimeout(q.policy)/2), func() { close(t.expired); _ = body.Close() })
+	// The first event may take longer, since the request may be queued at the server.
+	t.firstTimeout = max(t.timeout, callerStreamTimeout(q.policy)/2)
+	t.ended = make(chan struct{}, 1)
+	t.resume = func() {
+		t.next.choice, t.next.resp = s.resume(ctx, c, resp.Body)
+		t.ended <- struct{}{}
+	}
 	return t
 }
 
-// reset restarts the timeout after data has arrived.
-func (t *stallTimer) reset() {
-	if t.timer != nil && t.timer.Stop() {
+// start starts the timeout of a read.
+func (t *stallTimer) start() {
+	switch {
+	case t.resume == nil:
+	case t.timer == nil:
+		t.timer = time.AfterFunc(t.firstTimeout, t.resume)
+	default:
 		t.timer.Reset(t.timeout)
 	}
 }
 
-// stop ends the timer.
-func (t *stallTimer) stop() {
-	if t.timer != nil {
-		t.timer.Stop()
-	}
-}
-
-// hasExpired reports whether the timer has closed the response.
-func (t *stallTimer) hasExpired() bool {
-	select {
-	case <-t.expired:
-		return true
-	default:
-		return false
+// stop ends the timeout after a read, whose response goes on or not. If another
+// server was asked for the rest of the stream, it waits for the result and returns
+// the response, if there is one.
+func (t *stallTimer) stop(goesOn bool) continuation {
+	if t.timer != nil && !t.timer.Stop() {
+		t.stream.hasGoneOn.Store(goesOn)
+		<-t.ended
+		t.stream.hasGoneOn.Store(false)
 	}
+	return t.next
 }
