relay: a repeatable call is given up only once another server has answered

Callers of repeatable calls got 502 (or another server's 500) although the server that had their call would have answered in time; with answers of 1 MB or more that took longer than half of the call's time, their connection was closed midway.

Cause: the first send ended by a timeout at half of the remaining time. Only then was it decided whether another send is allowed (retry budget, attempts, document, servers), and the answer was gone also when the other server refused, failed or broke off. The timeout also ended an answer that was being forwarded as it arrived.

Change: at half of the time a second send is made beside the first, if a server, the retry budget and the document's age allow; it counts as one of the rule's attempts as before. The first send is cancelled when the second server has responded with something other than a refusal or a failure, or has had the call for 320 ms (as with streams). A complete answer of the first cancels the second. Without a second answer the first is awaited until its end or the deadline. Once an answer is being forwarded as it arrives, no second send is made. Calls that run once at most have no second send, as before.

The price: if the server is dead without a reset and no retry can be had, the caller gets 504 at its deadline where it got 502 at half of the time.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -49,8 +49,10 @@
 
 	// sends is the number of servers that the request was sent to, and tried the IDs
 	// of those that are not selected again.
-	sends           int
-	tried           map[string]bool
+	sends int
+	tried map[string]bool
+	// second is the second send that may be made beside the current one.
+	second          *secondSend
 	serverID        string
 	status          int
 	reason          string
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -46,7 +46,7 @@
 		return q.recordLostResponse(ctx, c, fault.Wrap(err, fault.Ambiguous, "relay.whole", c.target.ID, "response body is incomplete"))
 	}
 	if len(data) == maxBufferedBytes {
-		return q.forwardUnbuffered(c, resp, data)
+		return q.forwardUnbuffered(ctx, c, resp, data)
 	}
 	if isServerFailure(resp.Status) || promisesNotRun(resp.Status) {
 		q.relay.Balancer.finishCall(c, signalFailed)
@@ -143,8 +143,12 @@
 }
 
 // forwardUnbuffered forwards a long response as it arrives; first is the part of
-// its body that was already read.
-func (q *request) forwardUnbuffered(c *choice, resp *upstream.Response, first []byte) sendResult {
+// its body that was already read. From then on, no second send is made.
+func (q *request) forwardUnbuffered(ctx context.Context, c *choice, resp *upstream.Response, first []byte) sendResult {
+	q.second.stop(true)
+	if err := ctx.Err(); err != nil {
+		return q.recordLostResponse(ctx, c, err)
+	}
 	q.setHead(resp.Status, resp.Header)
 	if resp.DeclaredLength >= 0 {
 		q.w.Header().Set("Content-Length", strconv.FormatInt(resp.DeclaredLength, 10))
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -39,7 +39,7 @@
 		if err != nil {
 			return q.refuseNoServer(err)
 		}
-		res := q.send(ctx, c)
+		c, res := q.send(ctx, c)
 		if res.isFinal {
 			return nil
 		}
@@ -119,11 +119,30 @@
 	return unavailable(reasonTimeout, 0)
 }
 
-// send sends the request to one server and forwards the response.
-func (q *request) send(ctx context.Context, c *choice) sendResult {
+// send sends the request to one server, or to a second one if the first takes long,
+// and forwards the response. It returns the result and the server that it is from.
+func (q *request) send(ctx context.Context, c *choice) (*choice, sendResult) {
+	firstCtx, cancelFirst := context.WithCancel(ctx)
+	defer cancelFirst()
+	q.second = q.startSecondSend(ctx, c, cancelFirst)
+	res := q.sendTo(firstCtx, c)
+	next := q.second.stop(res.isFinal)
+	switch {
+	case next.resp == nil:
+		return c, res
+	case res.isFinal:
+		_ = next.resp.Body.Close()
+		q.relay.Balancer.finishCall(next.choice, signalNeutral)
+		return c, res
+	}
+	q.logFailedSend(c, &res)
+	q.serverID = next.choice.target.ID
+	return next.choice, q.receive(ctx, next.choice, next.resp)
+}
+
+// sendTo sends the request to one server and forwards the response.
+func (q *request) sendTo(ctx context.Context, c *choice) sendResult {
 	remaining := time.Until(q.deadline)
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout(q.policy, q.sends+1, remaining))
-	defer cancel()
 	q.serverID = c.target.ID
 	response, err := q.relay.Pool.Do(ctx, c.target, q.buildRequest(c, "", remaining))
 	if err != nil && !upstream.MayHaveBeenSent(err) {
