relay: a caller that closes its sending side gets a refusal, not an empty success

Callers that close their sending side after the request (or whose connection reports its end in another way while answers still pass) got an empty 200 without a signature at once.

Cause: net/http ends the request's context at the end of the caller's data. The handler then took the caller for gone and returned without a response, for which net/http sends 200.

Evidence before, TestHalfClosedConnectionGetsNoEmptySuccess: "HTTP/1.1 200 OK ... Content-Length: 0" while the server was at work.

Change: the refusal that is due is written (504, or 503 if the request has not run); for a caller that is gone the write fails without effect. The log line stays `caller-left`.

Measured: the test passes, with the other tests of callers that disconnect.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -81,7 +81,10 @@
 	defer cancel()
 	if refused := q.sendWithRetries(ctx); refused != nil {
 		if hr.Context().Err() != nil {
+			// A caller may have closed only its sending side. Without a response, net/http
+			// would send it an empty success.
 			q.reason = reasonCallerLeft
+			refused.write(w)
 			return
 		}
 		if q.writeServerFailure != nil && refused.reason == reasonServerFailed {
