--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -49,8 +49,10 @@
 
 	// sends is the number of servers that the request was sent to, and tried the IDs
 	// of those that are not selected again.
-	sends           int
-	tried           map[string]bool
+	sends int
+	tried map[string]bool
+	// second is the second send that may be made beside the current one.
+	second          *secondSend
 	serverID        string
 	status          int
 	reason          string
@@ -79,7 +81,10 @@
 	defer cancel()
 	if refused := q.sendWithRetries(ctx); refused != nil {
 		if hr.Context().Err() != nil {
+			// A caller may have closed only its sending side. Without a response, net/http
+			// would send it an empty success.
 			q.reason = reasonCallerLeft
+			refused.write(w)
 			return
 		}
 		if q.writeServerFailure != nil && refused.reason == reasonServerFailed {
