relay: refuse requests that a planned stop may cut

What callers saw: a stream that was sent 3 s after SIGTERM of its entry started and was cut at the end of the grace period. Cause: new connections arrive until the load balancer has seen two failed probes, and the entry started every request of theirs, also those that could not end in what was left of the grace period.

While the relay drains, a request whose timeout (the caller's or the rule's, whichever is first) ends after the cut is refused before it is sent to a server: 503, Retry-After of 100 to 130 ms, Connection: close. It has not run and another entry serves it. Requests that end before the cut in any case, if only by their timeout, are still served, also after the deregistration delay. The timeout decides, not an estimate of the duration: a refusal costs the caller about a tenth of a second, a cut stream is lost. The same check precedes a retry of a request that has not run. The reason in request-ended is "stopping".

Not measured: the share of requests of a site that are refused by this during a stop.

--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -20,6 +20,7 @@
 	reasonQuota              = "quota"
 	reasonCrashesServers     = "crashes-servers"
 	reasonNoServer           = "no-server"
+	reasonStopping           = "stopping"
 	reasonSaturated          = "saturated"
 	reasonWouldBeLate        = "would-be-late"
 	reasonServerRefused      = "server-refused"
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -69,8 +69,9 @@
 	retries     *retryBudgets
 	detector    *crashDetector
 	instruments *relayMetrics
-	// isDraining is set once callers are asked to close their connections.
-	isDraining atomic.Bool
+	// cutTime is when the connections that are left are closed during a planned stop;
+	// nil unless the relay drains.
+	cutTime atomic.Pointer[time.Time]
 	// active is the number of requests in flight.
 	active atomic.Int64
 }
@@ -85,5 +86,19 @@
 // InFlight returns the number of requests that have no final response yet.
 func (r *Relay) InFlight() int64 { return r.active.Load() }
 
-// Drain makes every further response ask the caller to close its connection.
-func (r *Relay) Drain() { r.isDraining.Store(true) }
+// Drain makes every further response ask the caller to close its connection, and
+// refuses requests that may not have ended by cutTime, when connections are closed.
+func (r *Relay) Drain(cutTime time.Time) { r.cutTime.Store(&cutTime) }
+
+func (r *Relay) isDraining() bool { return r.cutTime.Load() != nil }
+
+// cutMargin is the time for the last bytes of a response before the connection is
+// closed.
+const cutMargin = 100 * time.Millisecond
+
+// mayBeCut reports whether a planned stop may cut a request that ends at deadline at
+// the latest.
+func (r *Relay) mayBeCut(deadline time.Time) bool {
+	cutTime := r.cutTime.Load()
+	return cutTime != nil && deadline.After(cutTime.Add(-cutMargin))
+}
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -119,7 +119,7 @@
 	for _, name := range hopByHopHeaders {
 		delete(to, name)
 	}
-	if q.relay.isDraining.Load() {
+	if q.relay.isDraining() {
 		to.Set("Connection", "close")
 	}
 	q.status = status
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -34,6 +34,9 @@
 		if q.isDocumentStale() {
 			return q.refuseFurtherSends(reasonDocumentTooOld, retryAfterOtherEntry)
 		}
+		if !q.mayHaveRun && q.relay.mayBeCut(q.deadline) {
+			return q.refuseFurtherSends(reasonStopping, retryAfterOtherEntry)
+		}
 		remaining := time.Until(q.deadline)
 		c, err := q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken(q.policy, remaining), q.tried)
 		if err != nil {
--- a/internal/relayd/stop.go
+++ b/internal/relayd/stop.go
@@ -19,13 +19,13 @@
 // stop drains the process. It fails the readiness probe, closes callers' kept-alive
 // connections after their next response, and after the deregistration delay closes
 // the listener and idle connections. Requests that were read are completed within
-// the grace period.
+// the grace period; requests that may take longer are refused.
 func (p *Process) stop(callers *callerListener) {
 	grace := p.settings.Bounds.GracePeriod() - stopMargin
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	p.isDraining.Store(true)
-	p.relay.Drain()
+	p.relay.Drain(time.Now().Add(grace))
 	p.cli.Log.Log(relay.EvDraining, "active", p.relay.InFlight(), "grace_ms", grace.Milliseconds())
 	time.Sleep(min(deregistrationDelay, grace/2))
 	err := callers.drain(ctx)
