relay: serve at the start of a planned stop what usually ends within it

While a relay drained, it refused every request whose timeout ends after the cut. Where a rule's timeout is longer than the grace period, that is all its requests from SIGTERM on, although nearly all of them end in time. A refused caller has one more try, and in a rolling restart several other entries drain too, so the refusal may cost it its answer.

Until the load balancer has deregistered the entry, the usual duration of the rule's requests decides: the mean and four mean deviations of those that were served. Later, and for a rule of which fewer than ten were served, the timeout decides as before.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -125,6 +125,9 @@
 	totalTime := time.Since(q.arrivedAt)
 	m := q.relay.instruments
 	m.countEnd(q.reason)
+	if q.reason == reasonServed {
+		q.relay.durations.record(q.ruleName, totalTime)
+	}
 	recordMillis(m.totalTime, totalTime)
 	if q.timeToFirstByte > 0 {
 		recordMillis(m.timeToFirstByte, q.timeToFirstByte)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -69,16 +69,18 @@
 	retries     *retryBudgets
 	detector    *crashDetector
 	instruments *relayMetrics
-	// cutTime is when the connections that are left are closed during a planned stop;
-	// nil unless the relay drains.
-	cutTime atomic.Pointer[time.Time]
+	durations   *durationEstimates
+	// drainPlan is nil unless the relay drains.
+	drainPlan atomic.Pointer[DrainPlan]
 	// active is the number of requests in flight.
 	active atomic.Int64
 }
 
 // New returns a relay with the given configuration.
 func New(c Config) *Relay {
-	r := &Relay{Config: c, retries: newRetryBudgets(c.Limits.Retries, c.Clock), instruments: newRelayMetrics(c.Metrics)}
+	r := &Relay{
+		Config: c, retries: newRetryBudgets(c.Limits.Retries, c.Clock), instruments: newRelayMetrics(c.Metrics), durations: newDurationEstimates(),
+	}
 	r.detector = newCrashDetector(r)
 	return r
 }
@@ -86,19 +88,37 @@
 // InFlight returns the number of requests that have no final response yet.
 func (r *Relay) InFlight() int64 { return r.active.Load() }
 
+// DrainPlan holds the times of a planned stop.
+type DrainPlan struct {
+	// DeregisteredAt is when the load balancer has ceased to send new callers.
+	DeregisteredAt time.Time
+	// CutAt is when the connections that are left are closed.
+	CutAt time.Time
+}
+
 // Drain makes every further response ask the caller to close its connection, and
-// refuses requests that may not have ended by cutTime, when connections are closed.
-func (r *Relay) Drain(cutTime time.Time) { r.cutTime.Store(&cutTime) }
+// refuses requests that the stop may cut.
+func (r *Relay) Drain(plan DrainPlan) { r.drainPlan.Store(&plan) }
 
-func (r *Relay) isDraining() bool { return r.cutTime.Load() != nil }
+func (r *Relay) isDraining() bool { return r.drainPlan.Load() != nil }
 
 // cutMargin is the time for the last bytes of a response before the connection is
 // closed.
 const cutMargin = 100 * time.Millisecond
 
-// mayBeCut reports whether a planned stop may cut a request that ends at deadline at
-// the latest.
-func (r *Relay) mayBeCut(deadline time.Time) bool {
-	cutTime := r.cutTime.Load()
-	return cutTime != nil && deadline.After(cutTime.Add(-cutMargin))
+// mayBeCut reports whether a planned stop may cut the request. Before the entry is
+// deregistered, the usual duration of the rule's requests decides, since a refused
+// caller may come to another entry that drains; afterwards the deadline decides.
+func (q *request) mayBeCut() bool {
+	plan := q.relay.drainPlan.Load()
+	if plan == nil {
+		return false
+	}
+	end, now := q.deadline, time.Now()
+	if now.Before(plan.DeregisteredAt) {
+		if usual, ok := q.relay.durations.upperBound(q.ruleName); ok && now.Add(usual).Before(end) {
+			end = now.Add(usual)
+		}
+	}
+	return end.After(plan.CutAt.Add(-cutMargin))
 }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -34,7 +34,7 @@
 		if q.isDocumentStale() {
 			return q.refuseFurtherSends(reasonDocumentTooOld, retryAfterOtherEntry)
 		}
-		if !q.mayHaveRun && q.relay.mayBeCut(q.deadline) {
+		if !q.mayHaveRun && q.mayBeCut() {
 			return q.refuseFurtherSends(reasonStopping, retryAfterOtherEntry)
 		}
 		remaining := time.Until(q.deadline)
--- a/internal/relayd/stop.go
+++ b/internal/relayd/stop.go
@@ -13,6 +13,8 @@
 	// after the readiness probe starts to fail: the load balancer probes once a
 	// second and needs two failures, and a connection may already be in flight.
 	deregistrationDelay = 3 * time.Second
+	// transitTime is the part of deregistrationDelay for connections in flight.
+	transitTime = 500 * time.Millisecond
 	// stopMargin is the part of the grace period reserved for process exit.
 	stopMargin = 500 * time.Millisecond
 )
@@ -26,7 +28,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	p.isDraining.Store(true)
-	p.relay.Drain(time.Now().Add(grace))
+	now := time.Now()
+	p.relay.Drain(relay.DrainPlan{DeregisteredAt: now.Add(deregistrationDelay - transitTime), CutAt: now.Add(grace)})
 	p.cli.Log.Log(relay.EvDraining, "active", p.relay.InFlight(), "grace_ms", grace.Milliseconds())
 	time.Sleep(min(deregistrationDelay, grace/2))
 	err := callers.Drain(ctx)
