--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -130,12 +130,12 @@
 }
 
 // sendTimeFraction is the fraction of the remaining time that one send of a
-// repeatable call may take before the call is sent to another server.
+// repeatable call may take before the call is also sent to a second server.
 const sendTimeFraction = 0.5
 
-// sendTimeout returns the timeout of one send. Only a repeatable call that is
-// not a stream and has a send left gets less than the remaining time, so that it
-// can be retried on another server if this one hangs.
+// sendTimeout returns the time after which a second send is made beside one that has
+// no answer. It is less than the remaining time only for a repeatable call that is
+// not a stream and has a send left.
 func sendTimeout(policy *config.CallPolicy, sends int, remaining time.Duration) time.Duration {
 	if policy.Stream || policy.Repetition != config.Repeatable || sends >= policy.Attempts {
 		return remaining
