peer: keep-alive reads silence and ping interval of one connection under one lock

Seen: TestStreamOnIdleConnection failed once beside a busy machine: a call on a healthy idle connection returned fault.Ambiguous at once (peer_test.go:295: "0s" is not greater than or equal to "3s"). With this fault a caller of a site could get "unknown" for a request that was sent over a connection that had been idle for 4 s or more.

Cause: a fault in the code, not in the test. checkSilence read the silence first and the ping interval after it. A stream opened between the two made it hold up to 15 s of idle silence against the limit of a busy connection (1 s + 3 s), and fail the connection with its new stream. alive() read the two in the same way and could call a live peer dead.

Change: silence() returns both values under conn.mu, under which a stream is added and busySince is set; busySince is a plain field of that lock.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -33,9 +33,6 @@
 
 	lastRead atomic.Int64 // unix nanoseconds
 	lastUsed atomic.Int64 // unix nanoseconds of the last open or notify
-	// busySince is when a stream was last added to a connection without
-	// streams, in unix nanoseconds.
-	busySince atomic.Int64
 
 	mu       sync.Mutex
 	err      error
@@ -43,6 +40,9 @@
 	streams  map[uint32]*Stream
 	incoming int
 	nextID   uint32
+	// busySince is when a stream was last added to a connection without
+	// streams, in unix nanoseconds.
+	busySince int64
 	// While draining is set, this side opens no new streams. It sends a goAway
 	// frame when the last stream has ended; the side that has both sent and
 	// received one closes the connection.
@@ -221,7 +221,7 @@
 // markBusy updates busySince before a stream is added; mu is held.
 func (c *conn) markBusy() {
 	if len(c.streams) == 0 {
-		c.busySince.Store(time.Now().UnixNano())
+		c.busySince = time.Now().UnixNano()
 	}
 }
 
--- a/internal/peer/keepalive.go
+++ b/internal/peer/keepalive.go
@@ -34,8 +34,7 @@
 // checkSilence sends a ping when no frame has arrived for the ping interval, and
 // fails the connection when none has arrived for PingTimeout after that.
 func (c *conn) checkSilence() {
-	silence := c.silentFor(time.Now())
-	interval := c.pingInterval()
+	silence, interval := c.silence(time.Now())
 	if silence >= interval+c.t.options.PingTimeout {
 		c.fail(fault.New(fault.Unavailable, "peer.ping", c.remote.ID, "no frame for %s", silence))
 		return
@@ -45,23 +44,19 @@
 	}
 }
 
-// pingInterval returns IdlePingInterval while the connection has no streams, so
-// that a full mesh of idle connections causes little traffic, and PingInterval
-// otherwise.
-func (c *conn) pingInterval() time.Duration {
+// silence returns for how long no frame has arrived and after how long a ping is
+// due. That is IdlePingInterval while the connection has no streams, so that a full
+// mesh of idle connections causes little traffic, and PingInterval otherwise. Silence
+// from before the first stream was opened does not count then. Both are read under
+// one lock: idle silence must not be held against the interval of a busy connection.
+func (c *conn) silence(now time.Time) (silence, pingInterval time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	pingInterval = c.t.options.PingInterval
 	if len(c.streams) == 0 {
-		return c.t.options.IdlePingInterval
+		pingInterval = c.t.options.IdlePingInterval
 	}
-	return c.t.options.PingInterval
-}
-
-// silentFor returns the time since the last received frame, or since a stream
-// was opened on an idle connection if that is later: an idle connection is pinged
-// only every IdlePingInterval, so its earlier silence does not count.
-func (c *conn) silentFor(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, max(c.lastRead.Load(), c.busySince.Load())))
+	return now.Sub(time.Unix(0, max(c.lastRead.Load(), c.busySince))), pingInterval
 }
 
 // drain stops opening new streams on the connection, which is closed when its
@@ -119,7 +114,8 @@
 		return false
 	default:
 	}
-	return c.silentFor(now) < c.pingInterval()+c.t.options.PingTimeout
+	silence, interval := c.silence(now)
+	return silence < interval+c.t.options.PingTimeout
 }
 
 // acceptsStreams reports whether new streams can be opened.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -297,6 +299,29 @@
 	})
 }
 
+// A stream may be opened while the keep-alive check looks at the connection.
+func TestKeepAliveCheckDuringOpenKeepsIdleConnection(t *testing.T) {
+	a := newTransport(nodeA, newPipeNet(), testOptions())
+	for range 5_000 {
+		near, far := net.Pipe()
+		c := newConn(a, near, nodeB, 1, true)
+		idleSince := time.Now().Add(defaultPingInterval - defaultIdlePingInterval)
+		c.lastRead.Store(idleSince.UnixNano())
+		var wg sync.WaitGroup
+		wg.Go(c.checkSilence)
+		wg.Go(func() {
+			if !c.alive(time.Now()) {
+				t.Error("connection counts as dead")
+			}
+		})
+		_, err := c.addStream(Submit)
+		wg.Wait()
+		require.NoError(t, err)
+		require.NoError(t, c.cause())
+		_, _ = near.Close(), far.Close()
+	}
+}
+
 func TestNotify(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, a, b := newPair(testOptions())
