dispatch: callers of a request stopped for a handover wait until the transfer has ended

Cause: 1.5 s before the VM goes, such an answer is stopped and exported with its events. Stopping set the record to "handed-over" before the transfer was sent. That woke the node's own answer streams at once, and Find no longer found the record. They submitted the request to the new owner, without events, as a local stream keeps none; if that came before the transfer, the new owner ran the request anew and dropped the transfer as already known. Log of a failing run: owner-lost at the old owner, route-decision at the new one 1.3 ms later, no request-adopted. The second hand-over ("state-change-refused") was the execution's own; without the first of both, the execution ended a little later.

Change: a request that is stopped for the export is "handing-over": nothing is appended, no attempt starts, Find returns it, and its cursors wait. It becomes "handed-over" when its batch was confirmed, or when all successors were given up. Requests that were not dispatched yet take the same way, which also closes the gap between reading the state and stopping them. A record in this state is not evicted.

--- a/internal/dispatch/ended.go
+++ b/internal/dispatch/ended.go
@@ -19,14 +19,16 @@
 }
 
 // expire removes and returns the records that ended before now-retention, and
-// further records, oldest first, until the rest fits into maxBytes.
+// further records, oldest first, until the rest fits into maxBytes. It stops at a
+// record that is being transferred, for which callers wait.
 func (q *endedQueue) expire(now time.Time, retention time.Duration, maxBytes int) []*request.Record {
 	n := 0
 	for n < len(q.records) {
 		rec := q.records[n]
 		_, at, ok := rec.Ended()
 		isExpired := !ok || now.Sub(at) >= retention
-		if !isExpired && q.bytes <= maxBytes {
+		isKept := !isExpired && q.bytes <= maxBytes
+		if isKept || rec.State() == request.HandingOver {
 			break
 		}
 		q.bytes -= rec.Bytes()
--- a/internal/dispatch/execution.go
+++ b/internal/dispatch/execution.go
@@ -334,6 +334,9 @@
 // recordEnd records the end of the request, or its handover if end is nil.
 func (e *execution) recordEnd(end *request.End) {
 	if end == nil {
+		if e.isStoppedForHandover() {
+			return
+		}
 		if err := e.rec.HandOver(); err != nil {
 			e.d.deps.Log.Log(EvStateRefused, "request", e.req.ID, "error", err)
 		}
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -39,7 +39,8 @@
 
 // Export returns the state of the requests here, to be handed over to their new
 // owners. Requests that were not dispatched yet are stopped first, so that only
-// the new owner runs them. Requests whose backend server cannot resume an answer
+// the new owner runs them. Callers of a stopped request wait here until
+// EndHandover, since the new owner would run it anew without the transfer. Requests whose backend server cannot resume an answer
 // are not exported and end here. If isFinal is set, the repeatable ones among
 // them are stopped and exported too, and the new owner continues them from their
 // last event.
@@ -71,6 +72,9 @@
 func (e *execution) export(isFinal bool) (Transfer, bool) {
 	state := e.rec.State()
 	if state == request.Accepted {
+		if e.rec.StopForHandOver() != nil {
+			return Transfer{}, false
+		}
 		e.interruptRequest(errHandedOver)
 		return Transfer{Request: asResubmission(e.req), Claim: e.exportedClaim()}, true
 	}
@@ -94,13 +98,36 @@
 // exportForRestart hands over a repeatable request for a new attempt. It stops
 // the request here first, so that no event is appended after those exported.
 func (e *execution) exportForRestart(isFinal bool) (Transfer, bool) {
-	if !isFinal || !e.req.Repeatable || e.rec.HandOver() != nil {
+	if !isFinal || !e.req.Repeatable || e.rec.StopForHandOver() != nil {
 		return Transfer{}, false
 	}
 	e.interruptRequest(errHandedOver)
 	return Transfer{Request: asResubmission(e.req), Number: e.rec.Attempt(), Head: e.rec.Head(), Events: e.rec.Events()}, true
 }
 
+// EndHandover lets the callers of exported requests go on at the new owners, after
+// the transfers were received or given up.
+func (d *Dispatcher) EndHandover(transfers []Transfer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range transfers {
+		rec, ok := d.records[t.Request.ID]
+		if !ok || rec.State() != request.HandingOver {
+			continue
+		}
+		if err := rec.EndHandOver(); err != nil {
+			d.deps.Log.Log(EvStateRefused, "request", t.Request.ID, "error", err)
+		}
+	}
+}
+
+// isStoppedForHandover reports whether the request was stopped for a transfer,
+// which ends its record.
+func (e *execution) isStoppedForHandover() bool {
+	state := e.rec.State()
+	return state == request.HandingOver || state == request.HandedOver
+}
+
 func (e *execution) exportedClaim() *claim.Claim {
 	c := e.lastClaim()
 	if c.Number == 0 {
--- a/internal/entry/leave.go
+++ b/internal/entry/leave.go
@@ -204,6 +204,7 @@
 	for round := 0; round < maxTransferRounds && len(transfers) > 0; round++ {
 		transfers = n.transferRound(ctx, transfers, unreachable)
 	}
+	n.dispatcher.EndHandover(transfers)
 	return len(transfers) == 0
 }
 
@@ -248,7 +249,9 @@
 			if err := n.transferTo(ctx, nodeOf(successor), batch); err != nil {
 				unreachable[successor.ID] = fault.Is(err, fault.Unavailable)
 				left = append(left, batch...)
+				continue
 			}
+			n.dispatcher.EndHandover(batch)
 		}
 	}
 	return left
--- a/internal/request/record.go
+++ b/internal/request/record.go
@@ -79,11 +79,25 @@
 	return r.applyLocked(transitionLose)
 }
 
+// StopForHandOver stops the request here: nothing is appended any more, and its
+// state and answer so far can be transferred to another node. Callers wait until
+// EndHandOver.
+func (r *Record) StopForHandOver() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.applyLocked(transitionStop)
+}
+
+// EndHandOver records the end of the transfer that followed StopForHandOver.
+func (r *Record) EndHandOver() error { return r.handOver(transitionTransfer) }
+
 // HandOver records that another node owns the request now. This state is final.
-func (r *Record) HandOver() error {
+func (r *Record) HandOver() error { return r.handOver(transitionHandOver) }
+
+func (r *Record) handOver(transition string) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err := r.applyLocked(transitionHandOver); err != nil {
+	if err := r.applyLocked(transition); err != nil {
 		return err
 	}
 	r.broadcastLocked()
--- a/internal/request/state.go
+++ b/internal/request/state.go
@@ -22,6 +22,9 @@
 	// Recovering means that the last attempt was lost. The owner reattaches to
 	// it, continues the answer at another server or retries.
 	Recovering State = "recovering"
+	// HandingOver means that the request is stopped here and is being transferred
+	// to another node, which has not confirmed the receipt yet.
+	HandingOver State = "handing-over"
 	// HandedOver means that another node owns the request now.
 	HandedOver State = "handed-over"
 	// EndedCompleted and the states after it correspond to the outcomes.
@@ -37,6 +40,8 @@
 	transitionDispatch = "dispatch"
 	transitionLose     = "lose"
 	transitionHandOver = "hand-over"
+	transitionStop     = "stop-for-hand-over"
+	transitionTransfer = "end-hand-over"
 	transitionComplete = "complete"
 	transitionNotRun   = "end-not-run"
 	transitionFail     = "end-failed"
@@ -51,6 +56,8 @@
 	{Name: transitionDispatch, Src: stateNames(Accepted, Claiming, Recovering), Dst: string(Running)},
 	{Name: transitionLose, Src: stateNames(Running, Claiming), Dst: string(Recovering)},
 	{Name: transitionHandOver, Src: stateNames(Accepted, Claiming, Running, Recovering), Dst: string(HandedOver)},
+	{Name: transitionStop, Src: stateNames(Accepted, Running), Dst: string(HandingOver)},
+	{Name: transitionTransfer, Src: stateNames(HandingOver), Dst: string(HandedOver)},
 	{Name: transitionComplete, Src: stateNames(Running), Dst: string(EndedCompleted)},
 	{Name: transitionNotRun, Src: stateNames(Accepted, Claiming, Recovering), Dst: string(EndedNotRun)},
 	{Name: transitionFail, Src: stateNames(Accepted, Running, Recovering), Dst: string(EndedFailed)},
