member, entry: requests of a lost member count as lost in partitions that moved before

Cause: entry-a-2 joined and took over partitions of entry-b-1, which was dead by then but still listed. A join is no gap, since the earlier owner can be asked. When entry-b-1 was removed, its gap held only the partitions that it owned last. So entry-a-2's partition was clean, and the search at earlier owners passed over entry-b-1 as unreachable and no member any more. Tables in the failing log: revision 19 (b-1, b-2), 31 (a-2 joins), 34 (b-1 and b-2 removed, 2 gaps).

Change: the search is inconclusive if the gap of an earlier owner's incarnation is open, or may have been merged (64 gaps). The refusal is then "unknown", as for a dirty partition. Earlier owners come from the last 8 tables and, in a node's first 10 min, those derived from the present members; a lost member beyond both is not covered.

--- a/internal/entry/locate.go
+++ b/internal/entry/locate.go
@@ -117,28 +117,33 @@
 
 // earlierOwners returns the other nodes that own the partition in the current or
 // an earlier table, most recent first. It omits nodes known to be unreachable;
-// isMemberUnreachable is true if one of these is still a member. A node that has
+// isInconclusive is true if one of these is still a member, or if the requests of
+// an earlier owner may have been lost with it. A node that has
 // joined recently has not seen earlier tables, and adds the nodes that would own
 // the partition if it had not joined.
-func (n *Node) earlierOwners(partition int) (out []peer.Node, isMemberUnreachable bool) {
+func (n *Node) earlierOwners(partition int) (out []peer.Node, isInconclusive bool) {
 	tables := append([]member.Table{n.members.Table()}, n.members.Previous()...)
 	if time.Since(n.createdAt) < incompleteHistoryTime {
 		tables = append(tables, n.tablesBeforeJoining(partition)...)
 	}
-	seen := map[string]bool{n.cfg.Self.ID: true}
+	seen := map[string]bool{}
 	for _, table := range tables {
 		m, ok := table.Owner(partition)
-		if !ok || seen[m.ID] {
+		if !ok || m.ID == n.cfg.Self.ID {
+			continue
+		}
+		isInconclusive = isInconclusive || n.members.MayHaveLost(m)
+		if seen[m.ID] {
 			continue
 		}
 		seen[m.ID] = true
 		if isAlive, isKnown := n.transport.Reachable(m.ID); isAlive || !isKnown {
 			out = append(out, nodeOf(m))
 		} else if _, isMember := n.members.Table().Find(m.ID); isMember {
-			isMemberUnreachable = true
+			isInconclusive = true
 		}
 	}
-	return out, isMemberUnreachable
+	return out, isInconclusive
 }
 
 const (
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -168,6 +168,37 @@
 	})
 }
 
+// The requests that a lost owner ran before a joining entry took their partitions over
+// are in no gap, since the lost owner had not owned these partitions last.
+func TestNewOwnerNeverReportsNotRunAfterTheEarlierOwnerIsRemoved(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		old := s.Entries()
+		before := old[0].Node.Members().Table()
+		call := func(e *site.Entry, key string) string {
+			header := map[string]string{gateway.HeaderIdempotencyKey: key}
+			r, err := s.send(e, "GET", "/services/report/pages/"+key, header, nil)
+			require.NoError(t, err)
+			return r.outcome()
+		}
+		for key := range 100 {
+			require.Equal(t, "completed", call(old[0], fmt.Sprint("moved", key)))
+		}
+		fresh, err := s.StartEntry("a")
+		require.NoError(t, err)
+		s.eventually("the new entry serves", func() bool { return fresh.Node.Ready() == nil })
+		key := s.keyOwnedBy(fresh, "moved")
+		lost, _ := before.Owner(request.NewID("delta", key).Partition())
+		owner, _ := s.Entry(lost.ID)
+		owner.Kill()
+		s.eventually("the earlier owner is removed", func() bool {
+			_, isMember := fresh.Node.Members().Table().Find(owner.ID)
+			return !isMember
+		})
+		s.setPlainFaults(plainservice.Faults{Refuse: true})
+		require.Equal(t, "unknown", call(fresh, key))
+	})
+}
+
 // A submission may still be on its way to an owner that is partitioned from the network
 // when its successor refuses the call, so the outcome must be "unknown".
 func TestSuccessorReportsUnknownForARequestSentToALostOwner(t *testing.T) {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -238,16 +238,38 @@
 		return time.Time{}, false
 	}
 	for _, gap := range m.table.Gaps {
-		if m.ownIncarnations[gap.Member.Incarnation] || !gap.Partitions.Has(partition) || m.isGapMemberReachableLocked(gap) {
-			continue
-		}
-		if time.Since(gap.Since) < m.cfg.GapWindow && gap.Since.After(since) {
+		if gap.Partitions.Has(partition) && m.isLossLocked(gap) && gap.Since.After(since) {
 			since, dirty = gap.Since, true
 		}
 	}
 	return since, dirty
 }
 
+// MayHaveLost reports whether the requests of this incarnation of a member may have
+// been lost with it within the gap window. Its gap holds only the partitions that
+// it owned last; it may have had requests of others, which had moved to a joining
+// member before.
+func (m *Membership) MayHaveLost(earlier Member) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if current, ok := m.table.Find(earlier.ID); ok && current.Incarnation == earlier.Incarnation {
+		return false
+	}
+	for _, gap := range m.table.Gaps {
+		if gap.Member.ID == earlier.ID && gap.Member.Incarnation == earlier.Incarnation {
+			return m.isLossLocked(gap)
+		}
+	}
+	return len(m.table.Gaps) == maxGaps // its gap may have been merged
+}
+
+// isLossLocked reports whether the gap's requests count as lost. The caller holds
+// m.mu.
+func (m *Membership) isLossLocked(gap Gap) bool {
+	return !m.ownIncarnations[gap.Member.Incarnation] && time.Since(gap.Since) < m.cfg.GapWindow &&
+		!m.isGapMemberReachableLocked(gap)
+}
+
 // isGapMemberReachableLocked reports whether the gap belongs to a leaving
 // member that is still reachable and can be queried for its requests. The
 // caller holds m.mu.
