entry: a node on a planned stop refuses transfers, as one under notice does

Cause: entry-b-2, out of the table since 12.17 and done at 16.18, handed its answers to entry-a-1, the owner by its table. That one had left too (15.82) and made its own last handover before the answer came (request-adopted 16.179, drained 16.207), so the answer went with it. A transfer was refused only by a node under a reclaim notice.

Change: a node that is leaving for any reason refuses transfers. The sender takes the next successor, as it did for nodes under notice.

--- a/internal/entry/leave.go
+++ b/internal/entry/leave.go
@@ -69,12 +69,6 @@
 	return s.draining
 }
 
-func (s *drainState) isReclaimed() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.reclaimed
-}
-
 // start marks the node as draining. It reports whether the caller has to perform
 // the drain: a reclaim may follow a planned shutdown, but nothing follows a
 // reclaim.
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -6,17 +6,22 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"buckthornpick/internal/config"
+	"buckthornpick/internal/dispatch"
 	"buckthornpick/internal/entry"
+	"buckthornpick/internal/fault"
 	"buckthornpick/internal/gateway"
 	"buckthornpick/internal/member"
+	"buckthornpick/internal/peer"
 	"buckthornpick/internal/request"
 	"buckthornpick/internal/standin/engine"
 	"buckthornpick/internal/standin/oldersystem"
 	"buckthornpick/internal/standin/plainservice"
 	"buckthornpick/internal/standin/site"
+	"buckthornpick/internal/telemetry"
 )
 
 // Regression tests for faults found by the fuzz tests. Most guard against an untrue
@@ -105,6 +110,35 @@
 	})
 }
 
+// An entry that is stopping, still in the sender's table, would take the answer with it.
+func TestStoppingEntryRefusesTransfers(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		e := s.Entries()[2]
+		self, _ := e.Node.Members().Table().Find(e.ID)
+		answer := s.sendAsync(e, chatPath, nil, chatBody("check the shop", 300, true))
+		time.Sleep(100 * time.Millisecond)
+		e.Stop()
+		time.Sleep(100 * time.Millisecond)
+
+		sender := peer.New(peer.Node{ID: "sender", Zone: "a", Address: "sender:7070"}, s.network.Host("sender", "a"),
+			telemetry.Discard(), metrics.NewRegistry(), peer.Options{Secret: []byte(site.Secret)})
+		ctx, stop := context.WithCancel(context.Background())
+		stopped := make(chan error, 1)
+		go func() { stopped <- sender.Run(ctx) }()
+		ended := dispatch.Transfer{Request: &request.Request{ID: request.NewID("delta", "ended"), Organisation: "delta"},
+			Number: 1, End: &request.End{Outcome: request.Completed}}
+		message := struct {
+			Transfers []dispatch.Transfer `msgpack:"t"`
+		}{[]dispatch.Transfer{ended}}
+		to := peer.Node{ID: self.ID, Zone: self.Zone, Address: self.Address}
+		_, err := peer.Call[struct{}](ctx, sender, to, peer.Transfer, message)
+		require.True(t, fault.Is(err, fault.Unavailable), "%v", err)
+		stop()
+		require.NoError(t, <-stopped)
+		require.NoError(t, (<-answer).err)
+	})
+}
+
 // successorOf returns the entry that owns the key's request once owner has left.
 func (s *testSite) successorOf(owner *site.Entry, key string) *site.Entry {
 	var rest []member.Member
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -122,13 +122,15 @@
 	return b
 }
 
-// serveTransfer handles peer.Transfer: it adopts the requests of a leaving node.
+// serveTransfer handles peer.Transfer: it adopts the requests of a leaving node. A
+// node that is leaving itself refuses them, since it may have made its last
+// handover; the sender goes on to the next successor.
 func (n *Node) serveTransfer(ctx context.Context, from peer.Node, s *peer.Stream) error {
 	var m transferMsg
 	if err := s.DecodeOpening(&m); err != nil {
 		return err
 	}
-	if n.drain.isReclaimed() {
+	if n.drain.isDraining() {
 		return fault.New(fault.Unavailable, "entry.transfer", n.cfg.Self.ID, "this node is leaving too")
 	}
 	reply := transferReply{}
