dispatch: an attempt whose start was interrupted before it was sent is made elsewhere

Cause: the reclaim notice came 5 ms after the route decision, while the connection to the engine was being opened. The start failed as "not-sent" (log: attempt-failed, reached not-sent), but the interruption's cause replaced that error, so the request was handled as one that may run there: cancelled, looked for (404), and held until the VM was gone.

Change: the attempt keeps whether its start certainly did not run ("not-sent" or refused, by the error that the backend client already gives). A move of such an attempt chooses the next server at once; the claim of a non-repeatable request is amended first, as always. An interrupted resume says nothing about the start and is handled as before.

--- a/internal/dispatch/execution.go
+++ b/internal/dispatch/execution.go
@@ -76,6 +76,8 @@
 	firstEventAt time.Time
 	// hasPicker is false for the older system, which is not chosen by a picker.
 	hasPicker bool
+	// hasNotRun is set if the start failed and the server certainly did not run it.
+	hasNotRun bool
 	permit    Permit
 	usage     backend.Usage
 }
@@ -224,6 +226,8 @@
 	defer stall.stop()
 	answer, err := e.d.deps.Backends.Start(attemptCtx, a.target, e.plan.sent, a.id, e.continuation())
 	if err != nil {
+		progress := attemptError(err, a.target).Progress
+		a.hasNotRun = progress == backend.NotSent || progress == backend.Refused
 		return interruptionCause(attemptCtx, err)
 	}
 	return interruptionCause(attemptCtx, e.copyAnswer(number, a, answer, stall))
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -97,13 +97,17 @@
 
 // handleMove handles an attempt that was interrupted because its server is
 // being reclaimed. It cancels the attempt there, so that the answer can continue
-// at another server from the last event.
+// at another server from the last event. An attempt that did not reach the server
+// is simply made elsewhere.
 func (e *execution) handleMove(ctx context.Context, a *attempt) (*request.End, bool) {
-	e.mayHaveRun = true
 	e.tried[a.target.ID] = true
 	e.d.stats.moves.Inc(1)
 	e.d.deps.Log.Log(EvMoving, "request", e.req.ID, "attempt", a.id, "server", a.target.ID,
 		"events", len(e.rec.Events()))
+	if a.hasNotRun && ctx.Err() == nil {
+		return nil, false
+	}
+	e.mayHaveRun = true
 	isCancelled := e.cancelAttempt(ctx, a)
 	if deadline, hasNotice := e.d.deps.Pools.ReclaimDeadline(a.target.ID); isCancelled && hasNotice {
 		e.kvSource = &kvSource{attempt: *a, deadline: deadline}
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"buckthornpick/internal/entry"
+	"buckthornpick/internal/gateway"
 	"buckthornpick/internal/request"
 	"buckthornpick/internal/standin/engine"
 	"buckthornpick/internal/standin/site"
@@ -159,6 +160,38 @@
 	}
 }
 
+// The reclaim notice comes while the connection to the engine is being opened.
+func TestRequestThatDidNotReachItsReclaimedEngineRunsElsewhere(t *testing.T) {
+	engineID := ""
+	withSite(t, nil, func(s *testSite) { engineID = s.chosenEngine(s.Entries()[0]) })
+	withSite(t, nil, func(s *testSite) {
+		e := s.Entries()[0]
+		key := s.keyOwnedBy(e, "unsent-")
+		header := map[string]string{gateway.HeaderIdempotencyKey: key, gateway.HeaderNonRepeatable: "true"}
+		s.network.PartitionHost(engineID)
+		answer := s.sendAsync(e, chatPath, header, chatBody("check the shop", 400, false))
+		time.Sleep(50 * time.Millisecond)
+		s.Cloud.Reclaim(engineID, 8*time.Second)
+		got := <-answer
+		require.NoError(t, got.err)
+		require.Equal(t, "completed", got.reply.outcome(), "%s", got.reply.tail())
+		require.Equal(t, 1, s.runs(key))
+	})
+}
+
+// chosenEngine returns the ID of the engine to which the entry sends its first call.
+func (s *testSite) chosenEngine(e *site.Entry) string {
+	_, err := s.send(e, "POST", chatPath, nil, chatBody("check the shop", 5, false))
+	require.NoError(s.t, err)
+	for _, sv := range s.Servers() {
+		if sv.Engine != nil && len(sv.Engine.Executions()) > 0 {
+			return sv.ID
+		}
+	}
+	s.t.Fatal("no engine was chosen")
+	return ""
+}
+
 func TestLeavingEngineGetsNoNewWorkAfterThreeSeconds(t *testing.T) {
 	withSite(t, nil, func(s *testSite) {
 		leaving := s.Servers()[0]
