dispatch: a request that runs again at its node gets another attempt ID

Cause: an attempt ID was request, node, incarnation and the number of the attempt in the record. A request that had failed (22 events, then the engine stalled until the deadline) and was sent again got a new record at the same node, whose first attempt had the same ID, ...entry-a-1.3.1. The answer's name, by which an attach is refused after another run, is a hash of that ID, so both answers had one name. At one engine, a second start under a known ID would also be taken for the first.

Change: the number counts the attempts of the whole process.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -127,10 +127,11 @@
 }
 
 // newAttempt returns a copy of a with its attempt ID. The ID contains this
-// node's ID and incarnation, so that no later owner generates the same ID.
+// node's ID and incarnation, so that no later owner generates the same ID, and a
+// number that this process uses once: a request may run here again after it failed.
 func (e *execution) newAttempt(a attempt) *attempt {
 	ownership := e.d.deps.Ownership
-	a.id = backend.AttemptID(fmt.Sprintf("%s.%s.%d.%d", e.req.ID, ownership.Self(), ownership.Incarnation(), e.rec.Attempt()+1))
+	a.id = backend.AttemptID(fmt.Sprintf("%s.%s.%d.%d", e.req.ID, ownership.Self(), ownership.Incarnation(), e.d.attempts.Add(1)))
 	return &a
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -186,6 +187,8 @@
 
 	unclaimed *unclaimedSet
 	kv        *kvRates
+	// attempts counts the attempts of all requests.
+	attempts atomic.Int64
 
 	base   context.Context
 	cancel context.CancelFunc
