entry: a caller that hangs up during the search for earlier owners starts no run

Cause: another caller had sent the same call again through entry-c-3 and hung up 1 ms later, while the new owner, entry-c-4, asked entry-c-1 for the record. The hang-up ended the search's context. The failed search counted as "not found, inconclusive", and the request was submitted: it ran anew for nobody, and its answer took the place of the first (log: route-decision at c-4 3 ms after request-received at c-3, request-ended completed).

Change: submitLocally returns when the context has ended after the search. In the same way connect looks at the context before it runs a request at the ingress.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -158,12 +158,12 @@
 		if final := a.finalError(err); final != nil {
 			return final
 		}
-		if a.mayRunLocally(a.searchStarted) {
-			return a.runLocally(ctx)
-		}
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if a.mayRunLocally(a.searchStarted) {
+			return a.runLocally(ctx)
+		}
 		if time.Since(a.searchStarted) > ownerSearchTimeout {
 			return a.ownerUnreachable(err)
 		}
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -1,8 +1,10 @@
 package entry_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -233,6 +235,43 @@
 	})
 }
 
+// A caller hangs up while the new owner asks the earlier one for the request. The answer
+// must not be replaced by that of a new run.
+func TestCallerThatHangsUpDuringTheSearchStartsNoRun(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		old := s.Entries()
+		before := old[0].Node.Members().Table()
+		fresh, err := s.StartEntry("a")
+		require.NoError(t, err)
+		s.eventually("the new entry serves", func() bool { return fresh.Node.Ready() == nil })
+		key := s.keyOwnedBy(fresh, "moved")
+		fresh.Stop()
+		<-fresh.Done()
+		header := map[string]string{gateway.HeaderIdempotencyKey: key}
+		body := chatBody("check the shop", 5, false)
+		first, err := s.send(old[0], "POST", chatPath, header, body)
+		require.NoError(t, err)
+		require.Equal(t, "completed", first.outcome())
+
+		fresh, err = s.StartEntryOn(fresh.ID, "a")
+		require.NoError(t, err)
+		s.eventually("the new entry serves", func() bool { return fresh.Node.Ready() == nil })
+		owner, _ := before.Owner(request.NewID("delta", key).Partition())
+		s.network.PauseHost(owner.ID)
+		ctx, hangUp := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer hangUp()
+		req, err := http.NewRequestWithContext(ctx, "POST", fresh.URL+chatPath, bytes.NewReader(body))
+		require.NoError(t, err)
+		req.Header.Set("Authorization", "Bearer "+testKey)
+		req.Header.Set(gateway.HeaderIdempotencyKey, key)
+		_, err = s.client.Do(req)
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		s.network.ResumeHost(owner.ID)
+		time.Sleep(time.Second)
+		require.Equal(t, 1, s.runs(key))
+	})
+}
+
 // A submission may still be on its way to an owner that is partitioned from the network
 // when its successor refuses the call, so the outcome must be "unknown".
 func TestSuccessorReportsUnknownForARequestSentToALostOwner(t *testing.T) {
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -110,6 +110,10 @@
 		if ok {
 			return s, info, nil
 		}
+		if ctx.Err() != nil {
+			// The search was cut short, and nobody waits for a new run.
+			return nil, request.Info{}, fault.Wrap(ctx.Err(), fault.Unavailable, "entry.submit", "", "search for earlier owners")
+		}
 		received.MayHaveRun = isInconclusive
 	}
 	rec, err := n.dispatcher.Submit(r, received)
