--- a/internal/entry/leave.go
+++ b/internal/entry/leave.go
@@ -69,12 +69,6 @@
 	return s.draining
 }
 
-func (s *drainState) isReclaimed() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.reclaimed
-}
-
 // start marks the node as draining. It reports whether the caller has to perform
 // the drain: a reclaim may follow a planned shutdown, but nothing follows a
 // reclaim.
@@ -204,6 +198,7 @@
 	for round := 0; round < maxTransferRounds && len(transfers) > 0; round++ {
 		transfers = n.transferRound(ctx, transfers, unreachable)
 	}
+	n.dispatcher.EndHandover(transfers)
 	return len(transfers) == 0
 }
 
@@ -248,7 +243,9 @@
 			if err := n.transferTo(ctx, nodeOf(successor), batch); err != nil {
 				unreachable[successor.ID] = fault.Is(err, fault.Unavailable)
 				left = append(left, batch...)
+				continue
 			}
+			n.dispatcher.EndHandover(batch)
 		}
 	}
 	return left
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -1,22 +1,29 @@
 package entry_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"buckthornpick/internal/config"
+	"buckthornpick/internal/dispatch"
 	"buckthornpick/internal/entry"
+	"buckthornpick/internal/fault"
 	"buckthornpick/internal/gateway"
 	"buckthornpick/internal/member"
+	"buckthornpick/internal/peer"
 	"buckthornpick/internal/request"
 	"buckthornpick/internal/standin/engine"
 	"buckthornpick/internal/standin/oldersystem"
 	"buckthornpick/internal/standin/plainservice"
 	"buckthornpick/internal/standin/site"
+	"buckthornpick/internal/telemetry"
 )
 
 // Regression tests for faults found by the fuzz tests. Most guard against an untrue
@@ -105,6 +112,35 @@
 	})
 }
 
+// An entry that is stopping, still in the sender's table, would take the answer with it.
+func TestStoppingEntryRefusesTransfers(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		e := s.Entries()[2]
+		self, _ := e.Node.Members().Table().Find(e.ID)
+		answer := s.sendAsync(e, chatPath, nil, chatBody("check the shop", 300, true))
+		time.Sleep(100 * time.Millisecond)
+		e.Stop()
+		time.Sleep(100 * time.Millisecond)
+
+		sender := peer.New(peer.Node{ID: "sender", Zone: "a", Address: "sender:7070"}, s.network.Host("sender", "a"),
+			telemetry.Discard(), metrics.NewRegistry(), peer.Options{Secret: []byte(site.Secret)})
+		ctx, stop := context.WithCancel(context.Background())
+		stopped := make(chan error, 1)
+		go func() { stopped <- sender.Run(ctx) }()
+		ended := dispatch.Transfer{Request: &request.Request{ID: request.NewID("delta", "ended"), Organisation: "delta"},
+			Number: 1, End: &request.End{Outcome: request.Completed}}
+		message := struct {
+			Transfers []dispatch.Transfer `msgpack:"t"`
+		}{[]dispatch.Transfer{ended}}
+		to := peer.Node{ID: self.ID, Zone: self.Zone, Address: self.Address}
+		_, err := peer.Call[struct{}](ctx, sender, to, peer.Transfer, message)
+		require.True(t, fault.Is(err, fault.Unavailable), "%v", err)
+		stop()
+		require.NoError(t, <-stopped)
+		require.NoError(t, (<-answer).err)
+	})
+}
+
 // successorOf returns the entry that owns the key's request once owner has left.
 func (s *testSite) successorOf(owner *site.Entry, key string) *site.Entry {
 	var rest []member.Member
@@ -168,6 +204,74 @@
 	})
 }
 
+// The requests that a lost owner ran before a joining entry took their partitions over
+// are in no gap, since the lost owner had not owned these partitions last.
+func TestNewOwnerNeverReportsNotRunAfterTheEarlierOwnerIsRemoved(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		old := s.Entries()
+		before := old[0].Node.Members().Table()
+		call := func(e *site.Entry, key string) string {
+			header := map[string]string{gateway.HeaderIdempotencyKey: key}
+			r, err := s.send(e, "GET", "/services/report/pages/"+key, header, nil)
+			require.NoError(t, err)
+			return r.outcome()
+		}
+		for key := range 100 {
+			require.Equal(t, "completed", call(old[0], fmt.Sprint("moved", key)))
+		}
+		fresh, err := s.StartEntry("a")
+		require.NoError(t, err)
+		s.eventually("the new entry serves", func() bool { return fresh.Node.Ready() == nil })
+		key := s.keyOwnedBy(fresh, "moved")
+		lost, _ := before.Owner(request.NewID("delta", key).Partition())
+		owner, _ := s.Entry(lost.ID)
+		owner.Kill()
+		s.eventually("the earlier owner is removed", func() bool {
+			_, isMember := fresh.Node.Members().Table().Find(owner.ID)
+			return !isMember
+		})
+		s.setPlainFaults(plainservice.Faults{Refuse: true})
+		require.Equal(t, "unknown", call(fresh, key))
+	})
+}
+
+// A caller hangs up while the new owner asks the earlier one for the request. The answer
+// must not be replaced by that of a new run.
+func TestCallerThatHangsUpDuringTheSearchStartsNoRun(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		old := s.Entries()
+		before := old[0].Node.Members().Table()
+		fresh, err := s.StartEntry("a")
+		require.NoError(t, err)
+		s.eventually("the new entry serves", func() bool { return fresh.Node.Ready() == nil })
+		key := s.keyOwnedBy(fresh, "moved")
+		fresh.Stop()
+		<-fresh.Done()
+		header := map[string]string{gateway.HeaderIdempotencyKey: key}
+		body := chatBody("check the shop", 5, false)
+		first, err := s.send(old[0], "POST", chatPath, header, body)
+		require.NoError(t, err)
+		require.Equal(t, "completed", first.outcome())
+
+		fresh, err = s.StartEntryOn(fresh.ID, "a")
+		require.NoError(t, err)
+		s.eventually("the new entry serves", func() bool { return fresh.Node.Ready() == nil })
+		owner, _ := before.Owner(request.NewID("delta", key).Partition())
+		s.network.PauseHost(owner.ID)
+		ctx, hangUp := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer hangUp()
+		req, err := http.NewRequestWithContext(ctx, "POST", fresh.URL+chatPath, bytes.NewReader(body))
+		require.NoError(t, err)
+		req.Header.Set("Authorization", "Bearer "+testKey)
+		req.Header.Set(gateway.HeaderIdempotencyKey, key)
+		_, err = s.client.Do(req)
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		s.network.ResumeHost(owner.ID)
+		time.Sleep(time.Second)
+		require.Equal(t, 1, s.runs(key))
+	})
+}
+
 // A submission may still be on its way to an owner that is partitioned from the network
 // when its successor refuses the call, so the outcome must be "unknown".
 func TestSuccessorReportsUnknownForARequestSentToALostOwner(t *testing.T) {
