upstream: limit the head of a backend server's response

A backend server in trouble may send bytes that are no answer without end, in a head too. http.ReadResponse sets no limit, so an entry kept reading such a head into memory until the deadline of the request: at 1,000 Mbit/s its 284 MB are full within three seconds, and all its requests are lost with it.

The connection's reader now passes at most 64 KiB while a head is parsed; beyond that the call ends at once as one whose response was lost. The body is limited by its readers, and http.Transport, which the other programs use, has a limit of its own.

TestEndlessHeadEndsTheCall failed before for an endless status line and endless headers (4,194,304 bytes read, all that the test sends, and the call ended at its deadline); now both end within 1 MiB.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -140,7 +140,9 @@
 func (x *roundTrip) receive() (*Response, error) {
 	request := &http.Request{Method: x.request.Method}
 	for range maxForeignResponses {
+		x.conn.head.start()
 		resp, err := http.ReadResponse(x.conn.reader, request)
+		x.conn.head.stop()
 		if err != nil {
 			return nil, err
 		}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -16,6 +18,8 @@
 	// deadPeerTimeout closes a connection whose peer acknowledges nothing, so that a
 	// server that lost power is detected before callers time out after 2 s.
 	deadPeerTimeout = 1500 * time.Millisecond
+	// maxHeadBytes limits the status line and the headers of a response.
+	maxHeadBytes = 64 << 10
 	// keepAliveInterval is the interval of TCP keep-alive probes on an idle
 	// connection.
 	keepAliveInterval = time.Second
@@ -24,7 +28,9 @@
 // conn is one connection to a backend server.
 type conn struct {
 	net.Conn
+	// reader reads through head, which limits what the head of a response may take.
 	reader    *bufio.Reader
+	head      *headLimiter
 	server    *serverConns
 	idleUntil time.Time
 }
@@ -35,7 +41,38 @@
 	if tcp, ok := nc.(*net.TCPConn); ok {
 		setDeadPeerTimeouts(tcp)
 	}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBuffer), server: s}
+	head := &headLimiter{source: nc}
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(head, readBuffer), head: head, server: s}
+}
+
+// errHeadTooLarge ends the read of a response whose head exceeds maxHeadBytes.
+var errHeadTooLarge = errors.New("head of the response exceeds the size limit")
+
+// headLimiter limits the bytes that are read of a connection while the head of a
+// response is parsed, since http.ReadResponse sets no limit.
+type headLimiter struct {
+	source    io.Reader
+	isLimited bool
+	remaining int
+}
+
+// start begins a head. Bytes that are already buffered are not counted.
+func (l *headLimiter) start() { l.isLimited, l.remaining = true, maxHeadBytes }
+
+// stop ends the head.
+func (l *headLimiter) stop() { l.isLimited = false }
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.isLimited {
+		return l.source.Read(p)
+	}
+	if l.remaining == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.source.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
 }
 
 // setDeadPeerTimeouts limits the time until a dead peer is detected. Errors are
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"buckthornpick/internal/fault"
@@ -178,3 +179,28 @@
 		require.Equal(t, time.Second, time.Since(start))
 	})
 }
+
+func TestEndlessHeadEndsTheCall(t *testing.T) {
+	for name, start := range map[string]string{"status line": "HTTP/1.1 200 ", "headers": "HTTP/1.1 200 OK\r\nX: "} {
+		t.Run(name, func(t *testing.T) {
+			written := 0
+			withTestServer(t, func(c net.Conn) {
+				readRequest(c)
+				_, _ = io.WriteString(c, start)
+				for written < 4<<20 {
+					n, err := io.WriteString(c, strings.Repeat("x", 4<<10))
+					if written += n; err != nil {
+						return
+					}
+					time.Sleep(time.Millisecond)
+				}
+			}, func(s *testServer) {
+				ctx, cancel := context.WithTimeout(s.t.Context(), time.Minute)
+				defer cancel()
+				_, err := s.send(ctx, "")
+				assert.True(t, fault.Is(err, fault.Ambiguous), "%v", err)
+			})
+			require.Less(t, written, 1<<20)
+		})
+	}
+}
