relay: a failure whose body does not end counts as a lost response

A backend server in trouble may send a body without end. A failure of more than 1 MiB was forwarded as it arrived: the caller got the server's status, then a closed connection at the deadline. If that status was 503 or 429 it also promised that the request had not run, although the server had not said so, and a repeatable request was not sent again.

Responses other than successes that reach the size limit now count as lost: the request is sent to another server if it may be, else it ends with 502.

TestFailureWithEndlessBodyIsNotForwarded failed before for 500 and 503 ("unexpected EOF" at the caller) and passes; platform and relay tests pass.

--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -17,7 +17,8 @@
 
 const (
 	// maxBufferedBytes limits the size of a response body that is buffered before
-	// it is forwarded; longer ones are forwarded as they arrive.
+	// it is forwarded. Longer ones of successes are forwarded as they arrive; other
+	// responses of that length count as lost.
 	maxBufferedBytes = 1 << 20
 	// maxDiscardBytes limits how much is read of a response that is not forwarded.
 	// A body that is read to its end lets the connection be reused.
@@ -37,8 +38,8 @@
 }
 
 // forwardBuffered reads a response to its end and then forwards it, so that the
-// caller never receives a truncated response. Bodies that reach maxBufferedBytes
-// are forwarded as they arrive.
+// caller never receives a truncated response. The bodies of successes that reach
+// maxBufferedBytes are forwarded as they arrive.
 func (q *request) forwardBuffered(ctx context.Context, c *choice, resp *upstream.Response) sendResult {
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
@@ -46,6 +47,9 @@
 		return q.recordLostResponse(ctx, c, fault.Wrap(err, fault.Ambiguous, "relay.whole", c.target.ID, "response body is incomplete"))
 	}
 	if len(data) == maxBufferedBytes {
+		if !isSuccess(resp.Status) {
+			return q.recordLostResponse(ctx, c, fault.New(fault.Protocol, "relay.whole", c.target.ID, "response with status %d exceeds the size limit", resp.Status))
+		}
 		return q.forwardUnbuffered(c, resp, data)
 	}
 	if isServerFailure(resp.Status) || promisesNotRun(resp.Status) {
@@ -58,6 +62,9 @@
 	return responseForwarded
 }
 
+// isSuccess reports whether the status is 2xx.
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
 // isServerFailure reports whether the status is 5xx.
 func isServerFailure(status int) bool { return status >= http.StatusInternalServerError }
 
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -190,12 +190,11 @@
 		return sendResult{outcome: outcomeNotRun, refusal: unavailable(reasonServerRefused, retryAfterBusy), err: statusError(c, resp.Status)}
 	}
 	q.mayHaveRun = true
-	isSuccess := resp.Status >= 200 && resp.Status < 300
-	if isSuccess && !info.Signed {
+	if isSuccess(resp.Status) && !info.Signed {
 		_ = resp.Body.Close()
 		return q.recordLostResponse(ctx, c, fault.New(fault.Protocol, "relay.receive", c.target.ID, "successful response lacks the signature"))
 	}
-	if isSuccess && q.policy.Stream {
+	if isSuccess(resp.Status) && q.policy.Stream {
 		return q.forwardEvents(ctx, c, resp)
 	}
 	return q.forwardBuffered(ctx, c, resp)
