relay: limit the time that a refused send's body may take

The body of a response that says that the request has not run is read to its end, so that the connection can be reused, before the request is sent to another server. Only its size was limited: a server that sends its refusal with a body that does not end, slowly, held the request until 64 KiB had come or its deadline passed.

The read now ends after 20 ms; the connection is closed then. TestRefusalWithEndlessBodyDoesNotDelayTheNextSend failed before (the answer of the other server came after 1.528 s) and passes, also with the race detector.

--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -23,6 +23,9 @@
 	// maxDiscardBytes limits how much is read of a response that is not forwarded.
 	// A body that is read to its end lets the connection be reused.
 	maxDiscardBytes = 64 << 10
+	// maxDiscardTime limits how long that takes, since the request is sent to
+	// another server only afterwards.
+	maxDiscardTime = 20 * time.Millisecond
 )
 
 // String returns the name of the outcome in log lines.
@@ -33,6 +36,8 @@
 // discardBody reads a short response to its end, so that the connection can be
 // reused, and closes it.
 func discardBody(resp *upstream.Response) {
+	timer := time.AfterFunc(maxDiscardTime, func() { _ = resp.Body.Close() })
+	defer timer.Stop()
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes))
 	_ = resp.Body.Close()
 }
