relay: heed a server that announces its shutdown in its answers

The registry may say it seconds later, or not at all while the store is away, and an entry went on sending.

The codec reads the header; the view of the registry marks the incarnation as leaving, as it does for an entry in the registry, so that late writes do not undo it.

--- a/internal/follow/servers.go
+++ b/internal/follow/servers.go
@@ -172,6 +172,24 @@
 	s.unlockAndNotify(s.expireLocked())
 }
 
+// MarkLeaving records that a server has announced its shutdown otherwise than in
+// the registry, which may learn of it later. It does nothing if the incarnation is
+// not the current one.
+func (s *Servers) MarkLeaving(id string, incarnation int64) {
+	s.mu.Lock()
+	server, known := s.servers[id]
+	if !known || server.Leaving || server.Incarnation != incarnation {
+		s.unlockAndNotify(false)
+		return
+	}
+	server.Leaving = true
+	s.servers[id] = server
+	s.tombstones[id] = tombstone{incarnation: incarnation, heartbeat: server.Heartbeat, recordedAt: s.clock(), wasLeaving: true}
+	s.log.Log(EvServerChanged, "server", id, "service", server.Service, "server_zone", server.Zone, "address", server.Address,
+		"state", stateName(server), "born", incarnation, "told_by", "server")
+	s.unlockAndNotify(true)
+}
+
 // StoreRecovered implements Sink. After an outage that was long enough for leases
 // to expire it starts the grace period in which servers may register again.
 func (s *Servers) StoreRecovered(lost time.Duration) {
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -61,6 +61,8 @@
 	NotRun bool
 	// Signed is true if the response has the server's signature.
 	Signed bool
+	// Leaving is true if the server announces its shutdown: it gets no new work.
+	Leaving bool
 }
 
 // Codec reads and writes the headers of a protocol between callers and backend
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -40,6 +40,12 @@
 	NotifyCleared(fingerprint uint64)
 }
 
+// Registry is the view of the registry of backend servers.
+type Registry interface {
+	// MarkLeaving records that a server has announced its shutdown in a response.
+	MarkLeaving(id string, incarnation int64)
+}
+
 // UsageRecorder counts requests that started to run.
 type UsageRecorder interface {
 	// RecordStart counts one request of the organisation.
@@ -51,6 +57,7 @@
 	Codec     Codec
 	Documents *follow.Documents
 	Balancer  *Balancer
+	Servers   Registry
 	Pool      *upstream.Pool
 	Quotas    *Quotas
 	Crashes   *CrashTracker
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -180,10 +180,20 @@
 	return sendResult{outcome: outcomeUnknown, refusal: badGateway(reasonAnswerLost), err: err}
 }
 
+// inspect reads the status and headers of a response and records what the server
+// states about itself.
+func (q *request) inspect(c *choice, resp *upstream.Response) ResponseInfo {
+	info := q.relay.Codec.InspectResponse(resp.Status, resp.Header)
+	if info.Leaving {
+		q.relay.Servers.MarkLeaving(c.target.ID, c.target.Incarnation)
+	}
+	return info
+}
+
 // receive checks the status and headers of a response and forwards it. A success
 // without the server's signature counts as lost.
 func (q *request) receive(ctx context.Context, c *choice, resp *upstream.Response) sendResult {
-	info := q.relay.Codec.InspectResponse(resp.Status, resp.Header)
+	info := q.inspect(c, resp)
 	if info.NotRun {
 		discardBody(resp)
 		q.relay.Balancer.finishCall(c, signalNeutral)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -158,7 +158,7 @@
 			continue
 		}
 		q.sends++
-		if err == nil && resp.Status == http.StatusOK && q.relay.Codec.InspectResponse(resp.Status, resp.Header).Signed {
+		if err == nil && q.inspect(c, resp).Signed && resp.Status == http.StatusOK {
 			q.serverID = c.target.ID
 			q.relay.Log.Log(EvStreamResumed, "request", q.info.AttemptID, "from", previous.target.ID, "server", c.target.ID, "after", s.lastEventID)
 			return c, resp
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -193,7 +193,7 @@
 		Counts: p.usageCounts, Clock: p.clock, Log: log, UnregisteredGrace: p.maxDocumentAge() + b.QuotaWindow(),
 	}, run)
 	p.relay = relay.New(relay.Config{
-		Codec: p.adapter.Codec, Documents: p.documents, Balancer: p.balancer, Pool: p.pool, Quotas: quotas, Crashes: crashes,
+		Codec: p.adapter.Codec, Documents: p.documents, Balancer: p.balancer, Servers: p.servers, Pool: p.pool, Quotas: quotas, Crashes: crashes,
 		Peers: p.exchange, Usage: p.usageCounts, Zone: p.settings.Node.Zone, Clock: p.clock, Log: log, Metrics: p.cli.Metrics,
 		Limits: relay.Limits{
 			MaxDocumentAge:      p.maxDocumentAge(),
