--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -27,6 +27,12 @@
 	ruleName    string
 	policy      *config.CallPolicy
 	service     string
+	// services are those that the rule allows.
+	services []string
+	// origin restricts the servers that the request is sent to; nil if it is a new
+	// stream without events yet, or not resumable.
+	origin           *StreamOrigin
+	isOriginRecorded bool
 	// org is the organisation of the caller's key; nil if the key is unknown.
 	org *config.Organisation
 	// fingerprint is the hash of the request's content, see hashContent.
@@ -49,9 +55,12 @@
 
 	// sends is the number of servers that the request was sent to, and tried the IDs
 	// of those that are not selected again.
-	sends           int
-	tried           map[string]bool
+	sends int
+	tried map[string]bool
+	// second is the second send that may be made beside the current one.
+	second          *secondSend
 	serverID        string
+	serverVersion   string
 	status          int
 	reason          string
 	detail          string
@@ -65,7 +74,7 @@
 	defer r.active.Add(-1)
 	r.instruments.requests.Inc(1)
 	q := &request{relay: r, w: w, r: hr, arrivedAt: time.Now()}
-	if r.isDraining.Load() {
+	if r.isDraining() {
 		w.Header().Set("Connection", "close")
 	}
 	// Keeps net/http from adding a guessed Content-Type to forwarded responses.
@@ -79,7 +88,10 @@
 	defer cancel()
 	if refused := q.sendWithRetries(ctx); refused != nil {
 		if hr.Context().Err() != nil {
+			// A caller may have closed only its sending side. Without a response, net/http
+			// would send it an empty success.
 			q.reason = reasonCallerLeft
+			refused.write(w)
 			return
 		}
 		if q.writeServerFailure != nil && refused.reason == reasonServerFailed {
@@ -120,13 +132,16 @@
 	totalTime := time.Since(q.arrivedAt)
 	m := q.relay.instruments
 	m.countEnd(q.reason)
+	if q.reason == reasonServed {
+		q.relay.durations.record(q.ruleName, totalTime)
+	}
 	recordMillis(m.totalTime, totalTime)
 	if q.timeToFirstByte > 0 {
 		recordMillis(m.timeToFirstByte, q.timeToFirstByte)
 	}
 	attrs := []any{
 		"request", q.info.AttemptID, "reason", q.reason, "status", q.status, "org", q.organisationName(), "rule", q.ruleName,
-		"service", q.service, "server", q.serverID, "sends", q.sends, "first_ms", q.timeToFirstByte.Milliseconds(),
+		"service", q.service, "server", q.serverID, "version", q.serverVersion, "sends", q.sends, "first_ms", q.timeToFirstByte.Milliseconds(),
 		"total_ms", totalTime.Milliseconds(), "events", q.eventsForwarded,
 	}
 	if q.doc != nil {
@@ -135,6 +150,9 @@
 	if q.quotaDecision.Limit > 0 {
 		attrs = append(attrs, "quota_spent", int64(q.quotaDecision.Spent), "quota_limit", int64(q.quotaDecision.Limit))
 	}
+	if q.info.ResumedAttempt != "" {
+		attrs = append(attrs, "resumes", q.info.ResumedAttempt)
+	}
 	if q.detail != "" {
 		attrs = append(attrs, "detail", q.detail)
 	}
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -55,7 +55,7 @@
 		if !isSuccess(resp.Status) {
 			return q.recordLostResponse(ctx, c, fault.New(fault.Protocol, "relay.whole", c.target.ID, "response with status %d exceeds the size limit", resp.Status))
 		}
-		return q.forwardUnbuffered(c, resp, data)
+		return q.forwardUnbuffered(ctx, c, resp, data)
 	}
 	if isServerFailure(resp.Status) || promisesNotRun(resp.Status) {
 		q.relay.Balancer.finishCall(c, signalFailed)
@@ -131,7 +131,7 @@
 	for _, name := range hopByHopHeaders {
 		delete(to, name)
 	}
-	if q.relay.isDraining.Load() {
+	if q.relay.isDraining() {
 		to.Set("Connection", "close")
 	}
 	q.status = status
@@ -155,8 +155,12 @@
 }
 
 // forwardUnbuffered forwards a long response as it arrives; first is the part of
-// its body that was already read.
-func (q *request) forwardUnbuffered(c *choice, resp *upstream.Response, first []byte) sendResult {
+// its body that was already read. From then on, no second send is made.
+func (q *request) forwardUnbuffered(ctx context.Context, c *choice, resp *upstream.Response, first []byte) sendResult {
+	q.second.stop(true)
+	if err := ctx.Err(); err != nil {
+		return q.recordLostResponse(ctx, c, err)
+	}
 	q.setHead(resp.Status, resp.Header)
 	if resp.DeclaredLength >= 0 {
 		q.w.Header().Set("Content-Length", strconv.FormatInt(resp.DeclaredLength, 10))
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -134,6 +134,7 @@
 	exchange         *exchange.Exchange
 	usageCounts      *usage.Counts
 	balancer         *relay.Balancer
+	origins          *relay.Origins
 	relay            *relay.Relay
 	dutyLease        *lease.Lease
 	// isDraining is set during a planned stop and makes the readiness probe fail.
@@ -164,8 +165,15 @@
 	p.transport = peer.New(self, p.network, log, p.cli.Metrics, peer.Options{
 		SecretSource: p.secret.Bytes, PingInterval: peerPingInterval, IdlePingInterval: peerPingInterval, PingTimeout: peerPingTimeout,
 	})
-	p.documents = follow.NewDocuments(a.DocumentKey, a.DecodeDocument, log, func(d *follow.Document) { p.balancer.SetDocument(d) })
-	p.servers = follow.NewServers(a.ServersPrefix, a.DecodeServer, p.clock, log, func(list []follow.Server) { p.balancer.SetServers(list) })
+	// The origins of streams learn of a second version before requests are sent there.
+	p.documents = follow.NewDocuments(a.DocumentKey, a.DecodeDocument, log, func(d *follow.Document) {
+		p.exchange.ShareOrigins(p.origins.SetDocument(d))
+		p.balancer.SetDocument(d)
+	})
+	p.servers = follow.NewServers(a.ServersPrefix, a.DecodeServer, p.clock, log, func(list []follow.Server) {
+		p.exchange.ShareOrigins(p.origins.SetServers(list))
+		p.balancer.SetServers(list)
+	})
 	p.zoneStore = follow.NewZoneStore(p.store, self, p.transport, p.entries, p.clock, log, a.DocumentKey, a.ServersPrefix, follow.EntriesPrefix)
 	newFollower := func(o follow.Options, storePause time.Duration, sink follow.Sink) *follow.Follower {
 		f := follow.New(o, p.zoneStore, sink, p.clock, log)
@@ -173,6 +181,7 @@
 		return f
 	}
 	p.documentFollower = newFollower(follow.Options{Name: "document", Prefix: a.DocumentKey, Wait: documentPollWait}, 0, p.documents)
+	p.origins = relay.NewOrigins(p.clock, func() time.Duration { return p.serversFollower.Age() })
 	p.documents.SetFollower(p.documentFollower)
 	p.serversFollower = newFollower(follow.Options{Name: "servers", Prefix: a.ServersPrefix, Wait: serversPollWait, Pause: peerPollPause}, serversPollPause, p.servers)
 	p.entriesFollower = newFollower(follow.Options{Name: "entries", Prefix: follow.EntriesPrefix, Wait: entriesPollWait}, 0, p.entries)
@@ -189,11 +198,11 @@
 	quotas := relay.NewQuotas(b.QuotaWindow(), p.clock)
 	crashes := relay.NewCrashTracker(p.clock)
 	p.exchange = exchange.New(exchange.Config{
-		Transport: p.transport, Entries: p.entries, Size: p.siteSize, Balancer: p.balancer, Quotas: quotas, Crashes: crashes,
+		Transport: p.transport, Entries: p.entries, Size: p.siteSize, Balancer: p.balancer, Quotas: quotas, Crashes: crashes, Origins: p.origins,
 		Counts: p.usageCounts, Clock: p.clock, Log: log, UnregisteredGrace: p.maxDocumentAge() + b.QuotaWindow(),
 	}, run)
 	p.relay = relay.New(relay.Config{
-		Codec: p.adapter.Codec, Documents: p.documents, Balancer: p.balancer, Servers: p.servers, Pool: p.pool, Quotas: quotas, Crashes: crashes,
+		Codec: p.adapter.Codec, Documents: p.documents, Balancer: p.balancer, Servers: p.servers, Pool: p.pool, Quotas: quotas, Crashes: crashes, Origins: p.origins,
 		Peers: p.exchange, Usage: p.usageCounts, Zone: p.settings.Node.Zone, Clock: p.clock, Log: log, Metrics: p.cli.Metrics,
 		Limits: relay.Limits{
 			MaxDocumentAge:      p.maxDocumentAge(),
@@ -238,8 +247,7 @@
 	for _, run := range p.backgroundTasks() {
 		g.Go(func() error { return run(runCtx) })
 	}
-	callers := p.callerServer()
-	for l, server := range map[net.Listener]*http.Server{listeners.callers: callers, listeners.readiness: p.readinessServer()} {
+	for l, server := range map[net.Listener]*http.Server{listeners.callers: p.callerServer(listeners.callers), listeners.readiness: p.readinessServer()} {
 		g.Go(func() error { return serve(server, l) })
 		g.Go(func() error {
 			<-runCtx.Done()
@@ -257,7 +265,7 @@
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
-			p.stop(callers)
+			p.stop(listeners.callers)
 		case <-runCtx.Done():
 		}
 		return errStopped
@@ -303,15 +311,23 @@
 }
 
 // listeners holds the listeners of callers and of the readiness probe.
-type listeners struct{ callers, readiness net.Listener }
+type listeners struct {
+	callers   *netx.CallerListener
+	readiness net.Listener
+}
 
 func (p *Process) listen() (listeners, error) {
 	var l listeners
-	var err error
-	if l.callers, err = p.openListener("callers", p.settings.Callers); err != nil {
+	accepted, err := p.openListener("callers", p.settings.Callers)
+	if err != nil {
 		return l, err
 	}
-	l.callers = netx.LimitListener(l.callers, p.settings.Bounds.MaxConnections)
+	l.callers = netx.NewCallerListener(netx.LimitListener(accepted, p.settings.Bounds.MaxConnections), netx.CallerOptions{
+		Timeouts: p.callerTimeouts,
+		OnTimeout: func(peer net.Addr, reason netx.TimeoutReason, waited time.Duration) {
+			p.cli.Log.Log(EvCallerClosed, "peer", peer.String(), "reason", string(reason), "waited_ms", waited.Milliseconds())
+		},
+	})
 	l.readiness, err = p.openListener("readiness", p.settings.Readiness)
 	return l, err
 }
@@ -334,18 +350,22 @@
 }
 
 // callerServer returns the HTTP server of callers. Its fixed timeouts are upper
-// bounds; those of the current document are enforced by connLimits.
-func (p *Process) callerServer() *http.Server {
-	limits := newConnLimits(func() config.CallerLimits {
-		if doc, _ := p.documents.Current(); doc != nil {
-			return doc.CallerLimits
-		}
-		return config.CallerLimits{}
-	})
+// bounds; those of the current document are enforced by the listener.
+func (p *Process) callerServer(callers *netx.CallerListener) *http.Server {
 	return &http.Server{
 		Handler: p.relay, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: limits.track,
+		ConnState: callers.TrackState,
+	}
+}
+
+// callerTimeouts returns the header and idle timeout of the current document.
+func (p *Process) callerTimeouts() (header, idle time.Duration) {
+	doc, _ := p.documents.Current()
+	if doc == nil {
+		return 0, 0
 	}
+	limits := doc.CallerLimits
+	return time.Duration(limits.HeaderTimeoutMillis) * time.Millisecond, time.Duration(limits.IdleTimeoutMillis) * time.Millisecond
 }
 
 func (p *Process) readinessServer() *http.Server {
