--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -64,6 +64,11 @@
 	NotRun bool
 	// Signed is true if the response has the server's signature.
 	Signed bool
+	// Leaving is true if the server announces its shutdown: it gets no new work.
+	Leaving bool
+	// Pause is how long the server wants no requests from this entry; 0 if it did
+	// not say so.
+	Pause time.Duration
 }
 
 // Codec reads and writes the headers of a protocol between callers and backend
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,6 +46,12 @@
 	FindOrigin(ctx context.Context, rule, attemptID string) (OriginAnswer, string)
 }
 
+// Registry is the view of the registry of backend servers.
+type Registry interface {
+	// MarkLeaving records that a server has announced its shutdown in a response.
+	MarkLeaving(id string, incarnation int64)
+}
+
 // UsageRecorder counts requests that started to run.
 type UsageRecorder interface {
 	// RecordStart counts one request of the organisation.
@@ -57,6 +63,7 @@
 	Codec     Codec
 	Documents *follow.Documents
 	Balancer  *Balancer
+	Servers   Registry
 	Pool      *upstream.Pool
 	Quotas    *Quotas
 	Crashes   *CrashTracker
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -206,22 +206,34 @@
 	return sendResult{outcome: outcomeUnknown, refusal: badGateway(reasonAnswerLost), err: err}
 }
 
+// inspect reads the status and headers of a response and records what the server
+// states about itself.
+func (q *request) inspect(c *choice, resp *upstream.Response) ResponseInfo {
+	info := q.relay.Codec.InspectResponse(resp.Status, resp.Header)
+	if info.Leaving {
+		q.relay.Servers.MarkLeaving(c.target.ID, c.target.Incarnation)
+	}
+	if info.Pause > 0 {
+		q.relay.Balancer.pauseServer(c, info.Pause)
+	}
+	return info
+}
+
 // receive checks the status and headers of a response and forwards it. A success
 // without the server's signature counts as lost.
 func (q *request) receive(ctx context.Context, c *choice, resp *upstream.Response) sendResult {
-	info := q.relay.Codec.InspectResponse(resp.Status, resp.Header)
+	info := q.inspect(c, resp)
 	if info.NotRun {
 		discardBody(resp)
 		q.relay.Balancer.finishCall(c, signalNeutral)
 		return sendResult{outcome: outcomeNotRun, refusal: unavailable(reasonServerRefused, retryAfterBusy), err: statusError(c, resp.Status)}
 	}
 	q.mayHaveRun = true
-	isSuccess := resp.Status >= 200 && resp.Status < 300
-	if isSuccess && !info.Signed {
+	if isSuccess(resp.Status) && !info.Signed {
 		_ = resp.Body.Close()
 		return q.recordLostResponse(ctx, c, fault.New(fault.Protocol, "relay.receive", c.target.ID, "successful response lacks the signature"))
 	}
-	if isSuccess && q.policy.Stream {
+	if isSuccess(resp.Status) && q.policy.Stream {
 		return q.forwardEvents(ctx, c, resp)
 	}
 	return q.forwardBuffered(ctx, c, resp)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -190,7 +190,7 @@
 		q.sends++
 		info := ResponseInfo{}
 		if err == nil {
-			info = q.relay.Codec.InspectResponse(resp.Status, resp.Header)
+			info = q.inspect(c, resp)
 		}
 		if err == nil && resp.Status == http.StatusOK && info.Signed {
 			if silent != nil {
