follow, platform: a view of the store goes by the store's generation, too

Seen by callers after a drill of the store: a configuration acknowledged just before or after it was not in force 2 s later, in a large enough zone for seconds, and at an entry that was cut off meanwhile for good.

Cause: a follower asks for the changes after its revision. After a drill the store gives lower revisions out again, so that the changes behind them are taken for known. The store answers 410 only while its counter is below the asked revision; a watcher of the zone, whose log begins at the restored revision, answers that there is nothing.

A follower that gets another generation lists anew and logs store-restored (3019). A watcher answers an entry of another generation with its own generation; entries of the version before read that as "unknown" and poll the store, and their answers, which have no generation, are not used.

Slopes: nothing while there is no drill; on a drill one list for each view and entry, as after a compaction.

--- a/internal/follow/changelog.go
+++ b/internal/follow/changelog.go
@@ -15,6 +15,8 @@
 // this one instead of the store. It is safe for concurrent use.
 type changeLog struct {
 	mu sync.Mutex
+	// generation is the generation of the store that the revisions belong to.
+	generation int64
 	// floor is the revision after which the log holds every change.
 	floor    int64
 	revision int64
@@ -28,10 +30,10 @@
 func newChangeLog() *changeLog { return &changeLog{changed: make(chan struct{})} }
 
 // reset discards all changes after the prefix was listed in full.
-func (l *changeLog) reset(revision int64, at time.Duration) {
+func (l *changeLog) reset(generation, revision int64, at time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.floor, l.revision, l.events, l.confirmedAt = revision, revision, nil, at
+	l.generation, l.floor, l.revision, l.events, l.confirmedAt = generation, revision, revision, nil, at
 	l.notifyLocked()
 }
 
@@ -57,14 +59,23 @@
 	l.changed = make(chan struct{})
 }
 
+// currentGeneration returns the generation of the store at the last reset.
+func (l *changeLog) currentGeneration() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.generation
+}
+
 // after returns the changes after a revision, the time when the view was last
 // confirmed and a channel that is closed on the next change. ok is false if the
-// log does not reach back that far.
-func (l *changeLog) after(revision int64) (batch kv.WatchBatch, confirmed time.Duration, changed <-chan struct{}, ok bool) {
+// log does not reach back that far or has another generation, which the batch then
+// holds.
+func (l *changeLog) after(generation, revision int64) (batch kv.WatchBatch, confirmed time.Duration, changed <-chan struct{}, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.confirmedAt == 0 || revision < l.floor {
-		return kv.WatchBatch{}, 0, nil, false
+	batch.Generation = l.generation
+	if l.confirmedAt == 0 || generation != l.generation || revision < l.floor {
+		return batch, 0, nil, false
 	}
 	batch.Revision = max(l.revision, revision)
 	for _, e := range l.events {
--- a/internal/follow/document.go
+++ b/internal/follow/document.go
@@ -87,6 +87,9 @@
 	}
 }
 
+// StoreRestored implements Sink. The version in force stays until a newer one.
+func (d *Documents) StoreRestored() {}
+
 // StoreRecovered implements Sink.
 func (d *Documents) StoreRecovered(time.Duration) {}
 
--- a/internal/follow/entries.go
+++ b/internal/follow/entries.go
@@ -93,6 +93,9 @@
 	}
 }
 
+// StoreRestored implements Sink.
+func (e *Entries) StoreRestored() {}
+
 // StoreRecovered implements Sink.
 func (e *Entries) StoreRecovered(time.Duration) {}
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -37,6 +37,10 @@
 	Replace(entries []kv.Entry)
 	// Apply applies changes in the order of their revisions.
 	Apply(events []kv.Event)
+	// StoreRestored is called before Replace if the store has come back from a copy
+	// of an earlier state. Entries that are missing or older than known may have been
+	// lost with it.
+	StoreRestored()
 	// StoreRecovered is called when the store answers again after calls to it
 	// failed for the duration lost.
 	StoreRecovered(lost time.Duration)
@@ -59,7 +63,9 @@
 	// disables this.
 	changes *changeLog
 
-	revision    atomic.Int64
+	revision atomic.Int64
+	// generation is the generation of the store that revision belongs to.
+	generation  int64
 	confirmedAt atomic.Int64 // clock.Clock nanoseconds; 0 means never
 	isStoreLost bool
 	storeLostAt time.Duration
@@ -133,19 +139,23 @@
 		return err
 	}
 	f.recordSuccess()
+	if f.confirmedAt.Load() != 0 && snapshot.Generation != f.generation {
+		f.sink.StoreRestored()
+	}
 	f.sink.Replace(snapshot.Entries)
 	f.revision.Store(snapshot.Revision)
+	f.generation = snapshot.Generation
 	f.confirm(sent, sent)
 	if f.changes != nil {
-		f.changes.reset(snapshot.Revision, sent)
+		f.changes.reset(snapshot.Generation, snapshot.Revision, sent)
 	}
-	f.log.Log(EvListed, "view", f.name, "revision", snapshot.Revision, "entries", len(snapshot.Entries))
+	f.log.Log(EvListed, "view", f.name, "revision", snapshot.Revision, "generation", snapshot.Generation, "entries", len(snapshot.Entries))
 	return nil
 }
 
 // poll reads and applies the next changes. isListed is false if the store has
-// compacted the history after the view's revision, so that the prefix must be
-// listed again.
+// compacted the history after the view's revision, or has a new generation in which
+// revisions are given out again, so that the prefix must be listed again.
 func (f *Follower) poll(ctx context.Context) (isListed bool, err error) {
 	sent := f.clock()
 	batch, err := f.store.Poll(ctx, f.prefix, f.revision.Load(), f.pollWait)
@@ -153,6 +163,10 @@
 		return true, err
 	}
 	f.recordSuccess()
+	if batch.Generation != f.generation {
+		f.log.Log(EvStoreRestored, "view", f.name, "revision", f.revision.Load(), "generation", f.generation, "new_generation", batch.Generation)
+		return false, nil
+	}
 	if batch.Compacted {
 		f.log.Log(EvCompacted, "view", f.name, "revision", f.revision.Load())
 		return false, nil
--- a/internal/follow/servers.go
+++ b/internal/follow/servers.go
@@ -172,6 +172,9 @@
 	s.unlockAndNotify(s.expireLocked())
 }
 
+// StoreRestored implements Sink.
+func (s *Servers) StoreRestored() {}
+
 // StoreRecovered implements Sink. After an outage that was long enough for leases
 // to expire it starts the grace period in which servers may register again.
 func (s *Servers) StoreRecovered(lost time.Duration) {
--- a/internal/follow/zone.go
+++ b/internal/follow/zone.go
@@ -62,16 +62,21 @@
 	Wait   time.Duration `msgpack:"w"`
 	// MaxAge is the greatest age of the view with which the poll may be answered.
 	MaxAge time.Duration `msgpack:"g"`
+	// Generation is the generation of the store that After belongs to.
+	Generation int64 `msgpack:"s,omitempty"`
 }
 
 // pollReply holds the changes after the requested revision.
 type pollReply struct {
 	// Unknown is true if the entry has no changes to serve: it does not follow the
-	// prefix, its log does not reach back far enough or its view is too old.
+	// prefix, its log does not reach back far enough or has another generation, or
+	// its view is too old.
 	Unknown  bool          `msgpack:"n,omitempty"`
 	Events   []pollEvent   `msgpack:"e,omitempty"`
 	Revision int64         `msgpack:"r"`
 	Age      time.Duration `msgpack:"g"`
+	// Generation is the generation of the store that Revision belongs to.
+	Generation int64 `msgpack:"s,omitempty"`
 }
 
 // pollEvent is the encoding of a kv.Event.
@@ -156,7 +161,8 @@
 	if role.watcher == nil {
 		return z.Store.Poll(ctx, prefix, after, wait)
 	}
-	batch, err := z.pollPeer(ctx, *role.watcher, pollRequest{prefix, after, min(wait, peerPollWait), maxAge})
+	generation := z.changeLogs[prefix].currentGeneration()
+	batch, err := z.pollPeer(ctx, *role.watcher, pollRequest{prefix, after, min(wait, peerPollWait), maxAge, generation})
 	if err == nil {
 		return batch, nil
 	}
@@ -165,7 +171,8 @@
 }
 
 // pollPeer polls a watcher. It fails with fault.Unavailable if the watcher cannot
-// serve the poll or its view is too old.
+// serve the poll, or its view is too old or of an earlier generation. If the view is
+// of a later generation, the batch holds only that.
 func (z *ZoneStore) pollPeer(ctx context.Context, node peer.Node, r pollRequest) (kv.WatchBatch, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.Wait+peerPollMargin)
 	defer cancel()
@@ -173,10 +180,13 @@
 	if err != nil {
 		return kv.WatchBatch{}, err
 	}
-	if a.Unknown || a.Age > r.MaxAge {
+	if a.Generation > r.Generation {
+		return kv.WatchBatch{Generation: a.Generation}, nil
+	}
+	if a.Unknown || a.Generation < r.Generation || a.Age > r.MaxAge {
 		return kv.WatchBatch{}, fault.New(fault.Unavailable, "zone.poll", node.ID, "its view is %s old", a.Age)
 	}
-	batch := kv.WatchBatch{Revision: a.Revision, Age: a.Age}
+	batch := kv.WatchBatch{Revision: a.Revision, Age: a.Age, Generation: a.Generation}
 	for _, e := range a.Events {
 		batch.Events = append(batch.Events, kv.Event{
 			Entry: kv.Entry{Key: e.Key, Value: e.Value, ModRevision: e.Revision}, Deleted: e.Deleted,
@@ -194,10 +204,10 @@
 	timeout := time.NewTimer(r.Wait)
 	defer timeout.Stop()
 	for isTimedOut := false; ; {
-		batch, confirmed, changed, ok := log.after(r.After)
+		batch, confirmed, changed, ok := log.after(r.Generation, r.After)
 		age := z.clock() - confirmed
 		if !ok || age > r.MaxAge {
-			return pollReply{Unknown: true, Age: age}, nil
+			return pollReply{Unknown: true, Age: age, Generation: batch.Generation}, nil
 		}
 		if len(batch.Events) > 0 || isTimedOut {
 			return toPollReply(batch, age), nil
@@ -213,7 +223,7 @@
 }
 
 func toPollReply(batch kv.WatchBatch, age time.Duration) pollReply {
-	a := pollReply{Revision: batch.Revision, Age: age}
+	a := pollReply{Revision: batch.Revision, Age: age, Generation: batch.Generation}
 	for _, e := range batch.Events {
 		a.Events = append(a.Events, pollEvent{Key: e.Entry.Key, Value: e.Entry.Value, Revision: e.Entry.ModRevision, Deleted: e.Deleted})
 	}
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -61,6 +61,8 @@
 	Entries []Entry
 	// Revision is the store revision at which the range was read.
 	Revision int64
+	// Generation is the generation of the store that Revision belongs to.
+	Generation int64
 }
 
 // Event is one change delivered by a watch. Deleted is set if the key was deleted.
@@ -80,6 +82,25 @@
 	// Age is the staleness of a batch that another process returned from its copy
 	// of the keys; 0 means that the batch came from the store itself.
 	Age time.Duration
+	// Generation is the generation of the store that Revision belongs to.
+	Generation int64
+}
+
+// Generational is implemented by stores that may come back from a copy of an earlier
+// state. Each time the generation rises, writes and leases since the copy are lost,
+// and their revisions and lease IDs are given out again.
+type Generational interface {
+	// Generation returns the highest generation of all answers so far. If it is the
+	// same before and after a call, the call was executed in that generation.
+	Generation() int64
+}
+
+// Generation returns the generation of a store, or 0 if it has none.
+func Generation(store any) int64 {
+	if g, ok := store.(Generational); ok {
+		return g.Generation()
+	}
+	return 0
 }
 
 // Poller is implemented by stores that deliver changes by long polling.
