lease: fencing tokens rise over drills of the store, and a holder takes its lease again

Seen by users: after a drill of the store two holders could send the same fencing token, or the holder was refused as outdated until the store's counter had passed its earlier token; usage and orders were late meanwhile.

Cause: the token is the create revision of the key of the duties, and a drill gives revisions out again. A holder whose lease is lost learns of it at its next renewal only, or never, if its lease ID is given out again.

Change: a token is the store's generation, from bit 40 on, and the revision that wrote the key; without generations it is what it was. It stays below 2^53 up to generation 8191. A holder stops as soon as any call of its process shows another generation, and campaigns at once, also over its own key of the copy. Others wait for the lease time after they saw the change, in which a holder that cannot reach the store has stopped. A lease of an earlier generation is not ended, since its ID may be another's.

While entries are upgraded one by one on a store with generations, tokens of the earlier version are lower: its holders are refused once a new one has acted.

Slopes: no more calls, but for one list each 2 s of a standby in the lease time after a drill.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -46,21 +46,37 @@
 	acquireJitterDivisor = 8
 	// releaseTimeout bounds the call that revokes a lease.
 	releaseTimeout = time.Second
+	// tokenRevisionBits is the number of low bits of a fencing token that hold the
+	// revision; the bits above hold the generation of the store. Tokens stay within
+	// the 53 bits that JSON numbers carry exactly up to generation 8191.
+	tokenRevisionBits = 40
 )
 
 // Lease is a lease that this process holds or tries to acquire. It is safe for
 // concurrent use.
 //
 // The holder counts the TTL, less ClockMargin, from the time before it sent the
-// renewal, so it stops acting before the store deletes the key. The create
-// revision of the key is the fencing token: it increases with every holder.
+// renewal, so it stops acting before the store deletes the key. The fencing token
+// increases with every holder: it consists of the store's generation and the
+// revision that wrote the key. In a new generation a holder stops acting and acquires
+// the lease again; other processes wait for a TTL, until it must have stopped.
 type Lease struct {
 	cfg   Config
 	store kv.Store
 	log   *telemetry.Logger
 
+	// knownGeneration is the store's generation when the key was last read, changedAt
+	// the time at which it was seen to change; zero if it was not.
+	knownGeneration   int64
+	isGenerationKnown bool
+	changedAt         time.Time
+	// isResuming is true if this process held the lease when the generation changed.
+	isResuming bool
+
 	mu      sync.Mutex
 	leaseID kv.LeaseID
+	// generation is the generation of the store that granted leaseID.
+	generation int64
 	// token is 0 while the lease is not held.
 	token      int64
 	acquiredAt time.Time
@@ -84,12 +100,16 @@
 	now := time.Now()
 	// The monotonic clock may stop and the wall clock may be stepped, so the lease
 	// must be valid by both.
-	if l.token == 0 || !now.Before(l.validUntil) || !now.Round(0).Before(l.validUntil.Round(0)) {
+	if l.token == 0 || l.isOutdatedLocked() || !now.Before(l.validUntil) || !now.Round(0).Before(l.validUntil.Round(0)) {
 		return 0, time.Time{}, fault.New(fault.Conflict, "lease.check", l.cfg.Key, "the lease is not held")
 	}
 	return l.token, l.validUntil, nil
 }
 
+// isOutdatedLocked reports whether the store has come back from a copy since the
+// lease was granted, so that another process may hold the key or the lease ID.
+func (l *Lease) isOutdatedLocked() bool { return kv.Generation(l.store) != l.generation }
+
 // AcquiredAt returns the time at which this process last acquired the lease.
 func (l *Lease) AcquiredAt() time.Time {
 	l.mu.Lock()
@@ -99,7 +119,12 @@
 
 // Guard returns a condition for a transaction in the store that is true while the
 // holder with the given token still owns the key.
-func (l *Lease) Guard(token int64) kv.Compare { return kv.Compare{Key: l.cfg.Key, ModRevision: token} }
+func (l *Lease) Guard(token int64) kv.Compare {
+	return kv.Compare{Key: l.cfg.Key, ModRevision: token & (1<<tokenRevisionBits - 1)}
+}
+
+// newToken returns the fencing token of a key.
+func newToken(generation, revision int64) int64 { return generation<<tokenRevisionBits | revision }
 
 // MarkLost stops this process from acting with a token, for example after the
 // store or an engine refused it as outdated. It does nothing if the token is not
@@ -117,15 +142,15 @@
 // Run acquires and renews the lease until ctx is done. It does not release it.
 func (l *Lease) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		seenRevision, held, err := l.campaign(ctx)
+		seen, held, err := l.campaign(ctx)
 		if err != nil && ctx.Err() == nil {
 			l.log.Log(EvFailed, "key", l.cfg.Key, "error", err)
 		}
 		switch {
 		case held:
 			l.renewUntilLost(ctx)
-		case seenRevision != 0:
-			l.awaitChange(ctx, seenRevision)
+		case seen.Revision != 0:
+			l.awaitChange(ctx, seen)
 		default:
 			l.standBy(ctx)
 		}
@@ -138,18 +163,18 @@
 	wait.For(ctx, l.cfg.StandbyInterval/2+rand.N(l.cfg.StandbyInterval))
 }
 
-// awaitChange waits until the key changes after the given revision of the store.
-// It polls the store if the store supports that, to save calls, and otherwise
+// awaitChange waits until the key changes after it was seen, or the store has a new
+// generation. It polls the store if the store supports that, to save calls, and otherwise
 // waits for one standby interval.
-func (l *Lease) awaitChange(ctx context.Context, revision int64) {
+func (l *Lease) awaitChange(ctx context.Context, seen kv.Snapshot) {
 	poller, ok := l.store.(kv.Poller)
 	if !ok {
 		l.standBy(ctx)
 		return
 	}
-	for ctx.Err() == nil && l.isCandidate() {
+	for revision := seen.Revision; ctx.Err() == nil && l.isCandidate(); {
 		batch, err := poller.Poll(ctx, l.cfg.Key, revision, pollStandbyIntervals*l.cfg.StandbyInterval)
-		if err != nil || batch.Compacted {
+		if err != nil || batch.Compacted || batch.Generation != seen.Generation {
 			l.standBy(ctx)
 			return
 		}
@@ -163,41 +188,72 @@
 
 func (l *Lease) isCandidate() bool { return l.cfg.IsCandidate == nil || l.cfg.IsCandidate() }
 
-// campaign acquires the lease if no process holds it. If another process does,
-// seenRevision is the revision of the store at which the key was read.
-func (l *Lease) campaign(ctx context.Context) (seenRevision int64, held bool, err error) {
+// campaign acquires the lease if no process holds it. If another process does, seen
+// is what was read; otherwise it is empty.
+func (l *Lease) campaign(ctx context.Context) (seen kv.Snapshot, held bool, err error) {
 	if !l.isCandidate() {
-		return 0, false, nil
+		return seen, false, nil
 	}
 	snapshot, err := l.store.List(ctx, l.cfg.Key)
 	if err != nil {
-		return 0, false, err
+		return seen, false, err
 	}
-	if slices.ContainsFunc(snapshot.Entries, func(e kv.Entry) bool { return e.Key == l.cfg.Key }) {
-		return snapshot.Revision, false, nil
+	l.recordGeneration(snapshot.Generation)
+	guard := kv.Compare{Key: l.cfg.Key}
+	if i := slices.IndexFunc(snapshot.Entries, func(e kv.Entry) bool { return e.Key == l.cfg.Key }); i >= 0 {
+		if !l.isOwnEarlierKey(snapshot.Entries[i], snapshot.Generation) {
+			l.isResuming = false
+			return snapshot, false, nil
+		}
+		guard.ModRevision = snapshot.Entries[i].ModRevision
+	}
+	if !l.isResuming && !l.changedAt.IsZero() && time.Since(l.changedAt) < l.cfg.TTL {
+		return seen, false, nil
 	}
 	sent := time.Now()
 	id, err := l.store.Grant(ctx, l.cfg.TTL)
 	if err != nil {
-		return 0, false, err
+		return seen, false, err
 	}
-	token, err := l.createKey(ctx, id)
-	if err != nil || token == 0 {
+	l.mu.Lock()
+	l.leaseID, l.generation = id, snapshot.Generation
+	l.mu.Unlock()
+	revision, err := l.writeKey(ctx, guard, id)
+	l.mu.Lock()
+	if err != nil || revision == 0 || l.isOutdatedLocked() {
+		l.mu.Unlock()
 		l.revoke(ctx, id)
-		return 0, false, err
+		return seen, false, err
 	}
-	l.mu.Lock()
-	l.leaseID, l.token, l.acquiredAt = id, token, time.Now()
+	token := newToken(snapshot.Generation, revision)
+	l.token, l.acquiredAt = token, time.Now()
 	l.validUntil = sent.Add(l.cfg.TTL - l.cfg.ClockMargin)
 	l.mu.Unlock()
+	l.isResuming = false
 	l.log.Log(EvAcquired, "key", l.cfg.Key, "token", token)
-	return 0, true, nil
+	return seen, true, nil
+}
+
+// recordGeneration records the store's generation and the time of its change.
+func (l *Lease) recordGeneration(generation int64) {
+	if l.isGenerationKnown && generation != l.knownGeneration {
+		l.changedAt = time.Now()
+	}
+	l.knownGeneration, l.isGenerationKnown = generation, true
+}
+
+// isOwnEarlierKey reports whether this process wrote the key in an earlier generation
+// of the store.
+func (l *Lease) isOwnEarlierKey(e kv.Entry, generation int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leaseID != 0 && l.generation != generation && e.Lease == l.leaseID && string(e.Value) == l.cfg.Holder
 }
 
-// createKey writes the key and returns its create revision, or 0 if another
-// process has created it first.
-func (l *Lease) createKey(ctx context.Context, id kv.LeaseID) (int64, error) {
-	result, err := l.store.Txn(ctx, []kv.Compare{{Key: l.cfg.Key}}, []kv.Op{kv.PutWithLease(l.cfg.Key, []byte(l.cfg.Holder), id)})
+// writeKey writes the key and returns its revision, or 0 if another process has
+// written it first.
+func (l *Lease) writeKey(ctx context.Context, guard kv.Compare, id kv.LeaseID) (int64, error) {
+	result, err := l.store.Txn(ctx, []kv.Compare{guard}, []kv.Op{kv.PutWithLease(l.cfg.Key, []byte(l.cfg.Holder), id)})
 	switch {
 	case err == nil && result.Succeeded:
 		return result.Revision, nil
@@ -212,11 +268,19 @@
 	if err != nil || !found || entry.Lease != id {
 		return 0, err
 	}
-	return entry.CreateRevision, nil
+	return entry.ModRevision, nil
 }
 
-// revoke ends a lease in the store. If the call fails, the lease expires instead.
+// revoke ends the current lease in the store, but not in a later generation of the
+// store, where another process may have its ID. If the call fails, the lease expires
+// instead.
 func (l *Lease) revoke(ctx context.Context, id kv.LeaseID) {
+	l.mu.Lock()
+	isOutdated := l.isOutdatedLocked()
+	l.mu.Unlock()
+	if isOutdated {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
 	_ = l.store.Revoke(ctx, id)
@@ -237,10 +301,15 @@
 			l.revoke(ctx, id)
 			return
 		}
+		if l.stopIfOutdated(token) {
+			return
+		}
 		sent := time.Now()
 		err := l.store.KeepAlive(ctx, id)
 		interval = l.cfg.TTL / renewalsPerTTL
 		switch {
+		case l.stopIfOutdated(token):
+			return
 		case err == nil:
 			l.extend(token, sent)
 		case fault.Is(err, fault.Conflict):
@@ -253,6 +322,20 @@
 	}
 }
 
+// stopIfOutdated ends the holding if the store has come back from a copy, and reports
+// that.
+func (l *Lease) stopIfOutdated(token int64) bool {
+	l.mu.Lock()
+	isOutdated := l.isOutdatedLocked()
+	isValid := l.token == token && time.Now().Before(l.validUntil)
+	l.mu.Unlock()
+	if isOutdated {
+		l.isResuming = isValid
+		l.MarkLost(token, "the store was restored from a copy")
+	}
+	return isOutdated
+}
+
 // extend updates the expiry after a renewal that was sent at the given time.
 func (l *Lease) extend(token int64, sent time.Time) {
 	l.mu.Lock()
--- a/internal/planner/site.go
+++ b/internal/planner/site.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return err
 	}
-	if !found || entry.ModRevision != p.token {
+	if !found || entry.ModRevision != p.lease.Guard(p.token).ModRevision {
 		p.lease.MarkLost(p.token, "this planner does not hold the lease in the store")
 	}
 	return fault.New(fault.Conflict, "planner.save", p.cfg.Zone, "the zone's state was changed concurrently")
