duty: a usage window that was reported before a drill of the store is not reported anew

Cause: the counts that were stored before the first report are lost with the drill; the holder, or its successor, stores and reports for the same window what it knows by then.

Change: a holder remembers the counts that it has seen stored, for 8 windows, and stores them again if they are missing. The first holder of a generation stores the first window that nobody can have settled before the drill (buckthornpick/usage-generation). Earlier windows that are not stored are reported only by a holder that knows the counts, or that held the lease from before the window's end until the drill; otherwise they are left out and logged as usage-window-lost (3206). Without generations nothing changes.

Slopes: one read each time the duties change hands, one write in each generation.

--- a/internal/duty/reporter.go
+++ b/internal/duty/reporter.go
@@ -64,6 +64,17 @@
 	callTimeout = 1200 * time.Millisecond
 )
 
+// GenerationKey is the key of the usageGeneration of the current holder.
+const GenerationKey = "buckthornpick/usage-generation"
+
+// usageGeneration is the generation of the store for which the stored counts are
+// complete from window SafeFrom on. Counts of earlier windows may have been stored
+// and reported before the store came back from a copy, which lost them.
+type usageGeneration struct {
+	Generation int64 `json:"generation"`
+	SafeFrom   int64 `json:"safeFrom"`
+}
+
 // Reporter reports the usage of each window to the cloud while it holds the lease.
 type Reporter struct {
 	Lease  *lease.Lease
@@ -77,6 +88,15 @@
 	// acquired the lease with token.
 	nextWindow int64
 	token      int64
+	// stored holds the counts of recent windows that this process has seen stored, so
+	// that it repeats them if the store loses them.
+	stored map[int64]map[string]int
+	// generation is the latest generation of the store, openFrom the first window that
+	// nobody can have stored before it was seen.
+	generation, openFrom int64
+	// safeFrom is the usageGeneration's, ownFrom the first window that only this
+	// process can have reported.
+	safeFrom, ownFrom int64
 	// snapshotAt is when the last snapshot was started.
 	snapshotAt time.Time
 }
@@ -84,13 +104,18 @@
 // Run reports until ctx is done.
 func (r *Reporter) Run(ctx context.Context) error {
 	for wait.For(ctx, reportInterval) {
+		window, elapsed := r.Counts.CurrentWindow()
+		r.recordGeneration(window, elapsed)
 		token, _, err := r.Lease.Check()
 		if err != nil {
 			continue
 		}
-		window, elapsed := r.Counts.CurrentWindow()
 		if token != r.token {
-			if err := r.restore(ctx); err != nil {
+			err := r.restore(ctx)
+			if err == nil {
+				err = r.restoreGeneration(ctx, token, window)
+			}
+			if err != nil {
 				r.Log.Log(EvSnapshotFailed, "token", token, "step", fault.Step(err), "peer", fault.Peer(err), "error", err.Error())
 				continue
 			}
@@ -112,6 +137,60 @@
 	return nil
 }
 
+// recordGeneration notes a new generation of the store. Another holder may have stored
+// and reported every window that it could take for settled, up to a clock skew of half
+// the settle time.
+func (r *Reporter) recordGeneration(window int64, elapsed time.Duration) {
+	generation := kv.Generation(r.Store)
+	if generation == r.generation {
+		return
+	}
+	r.generation, r.openFrom = generation, window
+	if elapsed < settleTime/2 {
+		r.openFrom--
+	}
+}
+
+// restoreGeneration determines which windows the holder with the token may report
+// although their counts are not stored.
+func (r *Reporter) restoreGeneration(ctx context.Context, token, window int64) error {
+	generation := lease.Generation(token)
+	if generation == 0 {
+		r.ownFrom = window
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entry, found, err := r.Store.Get(ctx, GenerationKey)
+	if err != nil {
+		return err
+	}
+	var known usageGeneration
+	if found {
+		_ = json.Unmarshal(entry.Value, &known) // unreadable: as if there were none
+	}
+	isFirst := known.Generation != generation
+	if isFirst {
+		known = usageGeneration{Generation: generation, SafeFrom: r.openFrom}
+		value, err := json.Marshal(known)
+		if err != nil {
+			return fault.Wrap(err, fault.Invalid, "usage.generation", "", "cannot encode")
+		}
+		result, err := r.Store.Txn(ctx, []kv.Compare{r.Lease.Guard(token)}, []kv.Op{kv.Put(GenerationKey, value)})
+		if err != nil {
+			return err
+		}
+		if !result.Succeeded {
+			return fault.New(fault.Conflict, "usage.generation", "", "the lease is not held")
+		}
+	}
+	if !isFirst || !r.Lease.IsContinued() {
+		r.ownFrom = window
+	}
+	r.safeFrom = known.SafeFrom
+	return nil
+}
+
 // restore loads the snapshot of the previous holder.
 func (r *Reporter) restore(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -156,6 +235,13 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
 	counts, err := r.storeCounts(ctx, window)
+	if err == nil && counts == nil {
+		r.Log.Log(EvWindowLost, "window", window, "token", r.token, "safe_from", r.safeFrom)
+		return true
+	}
+	if err == nil && kv.Generation(r.Store) != lease.Generation(r.token) {
+		err = fault.New(fault.Unavailable, "usage.settle", "", "the store was restored from a copy")
+	}
 	if err == nil {
 		err = r.Cloud.ReportUsage(ctx, r.token, window, counts)
 	}
@@ -171,9 +257,16 @@
 }
 
 // storeCounts stores the counts of a window and returns them. If counts of the
-// window are stored already, it returns those.
+// window are stored already, it returns those. It returns nil if the store may have
+// lost counts that were reported and that this process does not know.
 func (r *Reporter) storeCounts(ctx context.Context, window int64) (map[string]int, error) {
-	counts := r.Counts.Sum(window)
+	counts, isKnown := r.stored[window]
+	if !isKnown {
+		counts = r.Counts.Sum(window)
+	}
+	if !isKnown && window < r.safeFrom && window < r.ownFrom {
+		return r.readCounts(ctx, window, counts)
+	}
 	value, err := json.Marshal(counts)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Invalid, "usage.settle", "", "cannot encode the counts")
@@ -183,6 +276,7 @@
 		[]kv.Compare{{Key: key}, r.Lease.Guard(r.token)},
 		[]kv.Op{kv.Put(key, value), kv.Delete(usageKey(window - storedWindows))})
 	if err == nil && result.Succeeded {
+		r.keep(window, counts)
 		return counts, nil
 	}
 	if err != nil && !fault.Is(err, fault.Ambiguous) {
@@ -190,12 +284,19 @@
 	}
 	// This or an earlier holder has stored the counts, or the response to this
 	// transaction was lost.
-	entry, found, err := r.Store.Get(ctx, key)
-	if err != nil {
-		return nil, err
+	stored, err := r.readCounts(ctx, window, counts)
+	if err == nil && stored == nil {
+		err = fault.New(fault.Unavailable, "usage.settle", "", "window %d is not stored", window)
 	}
-	if !found {
-		return nil, fault.New(fault.Unavailable, "usage.settle", "", "window %d is not stored", window)
+	return stored, err
+}
+
+// readCounts returns the stored counts of a window, or nil if there are none. counts
+// are those that this process knows.
+func (r *Reporter) readCounts(ctx context.Context, window int64, counts map[string]int) (map[string]int, error) {
+	entry, found, err := r.Store.Get(ctx, usageKey(window))
+	if err != nil || !found {
+		return nil, err
 	}
 	stored := map[string]int{}
 	if err := json.Unmarshal(entry.Value, &stored); err != nil {
@@ -204,7 +305,17 @@
 	if !maps.Equal(stored, counts) {
 		r.Log.Log(EvCountsDiffer, "window", window, "stored", stored, "known", counts)
 	}
+	r.keep(window, stored)
 	return stored, nil
 }
 
+// keep remembers the stored counts of a window.
+func (r *Reporter) keep(window int64, counts map[string]int) {
+	if r.stored == nil {
+		r.stored = map[int64]map[string]int{}
+	}
+	r.stored[window] = counts
+	maps.DeleteFunc(r.stored, func(w int64, _ map[string]int) bool { return w <= window-storedWindows })
+}
+
 func usageKey(window int64) string { return UsagePrefix + strconv.FormatInt(window, 10) }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -80,7 +80,10 @@
 	// token is 0 while the lease is not held.
 	token      int64
 	acquiredAt time.Time
-	validUntil time.Time
+	// isContinued is true if this process held the lease until the store came back
+	// from a copy, and was the first to acquire it then.
+	isContinued bool
+	validUntil  time.Time
 }
 
 // New returns a lease that is not held.
@@ -117,12 +120,23 @@
 	return l.acquiredAt
 }
 
+// IsContinued reports whether this process held the lease until the store came back
+// from a copy, and acquired it again then.
+func (l *Lease) IsContinued() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isContinued
+}
+
 // Guard returns a condition for a transaction in the store that is true while the
 // holder with the given token still owns the key.
 func (l *Lease) Guard(token int64) kv.Compare {
 	return kv.Compare{Key: l.cfg.Key, ModRevision: token & (1<<tokenRevisionBits - 1)}
 }
 
+// Generation returns the generation of the store to which a fencing token belongs.
+func Generation(token int64) int64 { return token >> tokenRevisionBits }
+
 // newToken returns the fencing token of a key.
 func newToken(generation, revision int64) int64 { return generation<<tokenRevisionBits | revision }
 
@@ -226,7 +240,7 @@
 		return seen, false, err
 	}
 	token := newToken(snapshot.Generation, revision)
-	l.token, l.acquiredAt = token, time.Now()
+	l.token, l.acquiredAt, l.isContinued = token, time.Now(), l.isResuming
 	l.validUntil = sent.Add(l.cfg.TTL - l.cfg.ClockMargin)
 	l.mu.Unlock()
 	l.isResuming = false
