--- a/internal/follow/servers_test.go
+++ b/internal/follow/servers_test.go
@@ -115,3 +115,21 @@
 	r.view.Apply([]kv.Event{{Entry: kv.Entry{Key: "s/a", Value: []byte("{")}}, {Entry: kv.Entry{Key: "s/c", Value: []byte("?")}}})
 	require.Equal(t, []string{"b"}, r.ready())
 }
+
+// Guards against the loss of servers whose entries a store has lost that came back from
+// a copy: they are written again unchanged, perhaps after the grace period.
+func TestServersLostInAStoreRestoreReturnUnchanged(t *testing.T) {
+	r := newServersFixture()
+	r.put(Server{ID: "a", Heartbeat: 5})
+	r.put(Server{ID: "left", Heartbeat: 5})
+	r.remove("left")
+	r.view.StoreRestored()
+	r.view.Replace([]kv.Entry{r.entry(Server{ID: "left", Heartbeat: 4})})
+	require.Equal(t, []string{"a"}, r.ready())
+	r.now += reregistrationGrace
+	r.view.expire()
+	require.Empty(t, r.ready())
+	r.put(Server{ID: "left", Heartbeat: 5})
+	r.put(Server{ID: "a", Heartbeat: 5})
+	require.Equal(t, []string{"a"}, r.ready())
+}
