follow: backend servers whose entries a drill of the store has lost stay in use

Seen by callers: a backend server that registered after the copy got nothing more after a drill, for good if its entry was written again unchanged: only a new heartbeat in the store, which takes another change of the entry, brought it back. Requests were refused for want of servers.

Cause: a full read without the entry counts as a removal, and an entry whose heartbeat is not above the removed one's counts as a late write.

Evidence, before: TestServersLostInAStoreRestoreReturnUnchanged ([] instead of [a]).

Change: servers that the first full read of a new generation lacks are kept for the grace period of 1.6 s, as after an outage, and may come back with the same heartbeat, also later. Removals that the store reports as such, and servers that were seen leaving, are treated as before.

--- a/internal/follow/servers.go
+++ b/internal/follow/servers.go
@@ -77,6 +77,10 @@
 	// keptUntil holds the servers whose entries expired during a store outage, and
 	// the time until which each is kept.
 	keptUntil map[string]time.Duration
+	// lost holds those of keptUntil whose entries the store has lost. isRestored is
+	// true until the first full read after that.
+	lost       map[string]bool
+	isRestored bool
 	// unreadable holds the servers whose entries could not be decoded, so that each
 	// is logged once.
 	unreadable map[string]bool
@@ -91,7 +95,7 @@
 func NewServers(prefix string, decode func(string, []byte) (Server, error), c clock.Clock, log *telemetry.Logger, onChange func([]Server)) *Servers {
 	return &Servers{
 		prefix: prefix, decode: decode, clock: c, log: log, onChange: onChange,
-		servers: map[string]Server{}, tombstones: map[string]tombstone{}, keptUntil: map[string]time.Duration{}, unreadable: map[string]bool{},
+		servers: map[string]Server{}, tombstones: map[string]tombstone{}, keptUntil: map[string]time.Duration{}, lost: map[string]bool{}, unreadable: map[string]bool{},
 	}
 }
 
@@ -116,10 +120,17 @@
 	}
 	kept := 0
 	for id := range s.servers {
-		if !present[id] && s.removeLocked(id) {
+		switch {
+		case present[id]:
+		case s.isRestored:
+			s.lost[id] = true
+			s.keepLocked(id, s.clock()+reregistrationGrace)
+			kept++
+		case s.removeLocked(id):
 			kept++
 		}
 	}
+	s.isRestored = false
 	if kept > 0 {
 		s.log.Log(EvServersKept, "servers", kept, "grace_ms", reregistrationGrace.Milliseconds())
 	}
@@ -172,8 +183,13 @@
 	s.unlockAndNotify(s.expireLocked())
 }
 
-// StoreRestored implements Sink.
-func (s *Servers) StoreRestored() {}
+// StoreRestored implements Sink. Servers that the next Replace lacks are kept for the
+// grace period, in which their lost entries are written again.
+func (s *Servers) StoreRestored() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isRestored = true
+}
 
 // StoreRecovered implements Sink. After an outage that was long enough for leases
 // to expire it starts the grace period in which servers may register again.
@@ -204,6 +220,7 @@
 	}
 	delete(s.unreadable, id)
 	delete(s.keptUntil, id)
+	delete(s.lost, id)
 	old, known := s.servers[id]
 	if s.isOutdated(next, old, known) {
 		s.log.Log(EvServerOutdated, "server", id, "born", next.Incarnation, "beat", next.Heartbeat, "revision", e.ModRevision)
@@ -246,19 +263,31 @@
 // after an outage it keeps the server instead, and reports that.
 func (s *Servers) removeLocked(id string) (kept bool) {
 	if now := s.clock(); now < s.graceEnd {
-		if _, isKept := s.keptUntil[id]; !isKept {
-			s.keptUntil[id] = s.graceEnd
-		}
+		s.keepLocked(id, s.graceEnd)
 		return true
 	}
 	s.dropLocked(id, "gone")
 	return false
 }
 
-// dropLocked removes a server from the view and leaves a tombstone.
+// keepLocked keeps a server without an entry until the given time, or an earlier one
+// that was set before.
+func (s *Servers) keepLocked(id string, until time.Duration) {
+	if _, isKept := s.keptUntil[id]; !isKept {
+		s.keptUntil[id] = until
+	}
+}
+
+// dropLocked removes a server from the view and leaves a tombstone. A lost entry may
+// be written again with the same heartbeat.
 func (s *Servers) dropLocked(id, state string) {
 	old := s.servers[id]
-	s.tombstones[id] = tombstone{incarnation: old.Incarnation, heartbeat: old.Heartbeat, recordedAt: s.clock(), wasLeaving: old.Leaving}
+	heartbeat := old.Heartbeat
+	if s.lost[id] {
+		heartbeat--
+	}
+	s.tombstones[id] = tombstone{incarnation: old.Incarnation, heartbeat: heartbeat, recordedAt: s.clock(), wasLeaving: old.Leaving}
+	delete(s.lost, id)
 	delete(s.servers, id)
 	delete(s.keptUntil, id)
 	s.log.Log(EvServerChanged, "server", id, "service", old.Service, "server_zone", old.Zone, "state", state, "born", old.Incarnation)
