follow: an entry registers anew in each generation of the store

Seen by users: after a drill of the store an entry could stay unregistered as long as it ran: other entries did not share quotas, usage and loads with it, or divided quotas among too few.

Cause: the drill loses the registration, and gives its lease ID to another. Renewing that ID succeeds, so that the entry takes itself for registered.

Evidence, before: TestEntriesRegisterAgainAfterStoreDrill ("a is registered": false).

Change: a registration counts only in the generation of the store that it was made in, and SiteSize counts the entry as unregistered meanwhile. A lease of another generation is not ended at a stop. At its start, an entry that learns the generation during the first registration registers twice.

Slopes: two calls for each entry and drill, and two at each start of an entry.

--- a/internal/follow/entries.go
+++ b/internal/follow/entries.go
@@ -125,21 +125,29 @@
 }
 
 // Register writes this entry's own key under a lease and renews it until ctx
-// ends; then it revokes the lease, which removes the key. It always returns nil.
+// ends; then it revokes the lease, which removes the key. It registers anew in each
+// generation of the store, where the key is lost or the lease ID may be another's. It
+// always returns nil.
 func (e *Entries) Register(ctx context.Context, store kv.Store) error {
 	var lease kv.LeaseID
+	var generation int64
 	for ctx.Err() == nil {
 		var err error
-		if e.isOwnKeyRemoved.Swap(false) {
+		if e.isOwnKeyRemoved.Swap(false) || kv.Generation(store) != generation {
 			lease = 0
 		}
 		if lease == 0 {
+			generation = kv.Generation(store)
 			lease, err = e.register(ctx, store)
 		} else if err = store.KeepAlive(ctx, lease); fault.Is(err, fault.Conflict) {
 			lease = 0
 			e.size.SetRegistered(false)
 			continue
 		}
+		if err == nil && kv.Generation(store) != generation {
+			e.size.SetRegistered(false)
+			continue
+		}
 		e.size.SetRegistered(err == nil)
 		pause := renewInterval
 		if err != nil && ctx.Err() == nil {
@@ -148,7 +156,7 @@
 		}
 		wait.For(ctx, pause)
 	}
-	if lease != 0 {
+	if lease != 0 && kv.Generation(store) == generation {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 		defer cancel()
 		if err := store.Revoke(ctx, lease); err != nil {
