follow: the site's secret is written again after a drill of the store

Seen by users: a drill can lose the secret of a site that has just started. An entry that starts later created another one and never got in touch with the others: quotas were divided, usage and loads were not shared.

Evidence, before: TestEntriesShareOneSecretAfterStoreDrill ("timed out waiting until the entries are connected", 20 s).

Change: in each generation of the store an entry reads the secret again; if it is missing, it writes the one that it knows, under the guard that there is none. What is stored wins, so that entries agree also if a new one was faster.

Slopes: one or two calls for each entry and drill, and one at each start of an entry.

--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -278,7 +278,7 @@
 		p.documentFollower.Run, p.serversFollower.Run, p.servers.Run, p.entriesFollower.Run, p.transport.Run, p.exchange.Run,
 		func(ctx context.Context) error { return p.entries.Register(ctx, p.store) },
 		func(ctx context.Context) error { return p.siteSize.LoadStored(ctx, p.store, p.cli.Log) },
-		func(ctx context.Context) error { return p.secret.LoadOrCreate(ctx, p.store) },
+		func(ctx context.Context) error { return p.secret.Run(ctx, p.store) },
 	}
 	if p.cloud == nil {
 		return tasks
