lease: a holder that stopped at a drill takes its lease back at once only while it would hold

Seen by users: after two drills of the store in a row, a usage window could be reported twice with different counts (rule ONE).

Cause: a holder that stopped at the first drill and could not reach the store went on to count as the one that held the lease all the while, however long ago that was. After a second drill it took the lease at once and reported windows that another holder had reported between them.

Change: it may do so until its last renewal would have run out; later it waits as others do.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -70,8 +70,9 @@
 	knownGeneration   int64
 	isGenerationKnown bool
 	changedAt         time.Time
-	// isResuming is true if this process held the lease when the generation changed.
-	isResuming bool
+	// resumeUntil is the time until which this process may take the lease again at
+	// once: it held the lease when the generation changed, and would until then.
+	resumeUntil time.Time
 
 	mu      sync.Mutex
 	leaseID kv.LeaseID
@@ -216,12 +217,13 @@
 	guard := kv.Compare{Key: l.cfg.Key}
 	if i := slices.IndexFunc(snapshot.Entries, func(e kv.Entry) bool { return e.Key == l.cfg.Key }); i >= 0 {
 		if !l.isOwnEarlierKey(snapshot.Entries[i], snapshot.Generation) {
-			l.isResuming = false
+			l.resumeUntil = time.Time{}
 			return snapshot, false, nil
 		}
 		guard.ModRevision = snapshot.Entries[i].ModRevision
 	}
-	if !l.isResuming && !l.changedAt.IsZero() && time.Since(l.changedAt) < l.cfg.TTL {
+	isResuming := time.Now().Before(l.resumeUntil)
+	if !isResuming && !l.changedAt.IsZero() && time.Since(l.changedAt) < l.cfg.TTL {
 		return seen, false, nil
 	}
 	sent := time.Now()
@@ -240,10 +242,10 @@
 		return seen, false, err
 	}
 	token := newToken(snapshot.Generation, revision)
-	l.token, l.acquiredAt, l.isContinued = token, time.Now(), l.isResuming
+	l.token, l.acquiredAt, l.isContinued = token, time.Now(), isResuming
 	l.validUntil = sent.Add(l.cfg.TTL - l.cfg.ClockMargin)
 	l.mu.Unlock()
-	l.isResuming = false
+	l.resumeUntil = time.Time{}
 	l.log.Log(EvAcquired, "key", l.cfg.Key, "token", token)
 	return seen, true, nil
 }
@@ -341,10 +343,12 @@
 func (l *Lease) stopIfOutdated(token int64) bool {
 	l.mu.Lock()
 	isOutdated := l.isOutdatedLocked()
-	isValid := l.token == token && time.Now().Before(l.validUntil)
+	isHeld, validUntil := l.token == token, l.validUntil
 	l.mu.Unlock()
 	if isOutdated {
-		l.isResuming = isValid
+		if isHeld {
+			l.resumeUntil = validUntil
+		}
 		l.MarkLost(token, "the store was restored from a copy")
 	}
 	return isOutdated
