gateway: a caller that closes its sending side gets an error, not an empty success

Callers of entries that own requests that closed their sending side after the request got an empty 200, or a stream that ended regularly before its end, without an error event or outcome.

Cause: as in relays, net/http ends the request's context at the end of the caller's data. The gateway took the caller for gone and returned without an error; net/http then sent 200, or the last chunk of the stream.

Change: the error is written in any case, 502 or the final error event with the outcome unknown. For a caller that is gone the write fails without effect. It is logged as before.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -37,10 +37,8 @@
 	case errors.Is(context.Cause(ctx), errLeaving):
 		ensureHandover(r, a)
 		redirect(w, a.Info().ID)
-	case r.Context().Err() != nil:
-		g.recordAborted(a, r.Context().Err())
 	default:
-		g.log.Log(EvAnswerSourceLost, "request", a.Info().ID, "error", err)
+		g.recordSourceError(r, a, err)
 		writeNodeError(w, a.Info().ID, err)
 	}
 }
@@ -105,6 +103,17 @@
 	return ctx, func() { cancel(nil) }
 }
 
+// recordSourceError records why no further part of an answer came. It does not tell
+// whether the caller is gone or has only closed its sending side, since both end the
+// context of r, so an error must be written in either case.
+func (g *Gateway) recordSourceError(r *http.Request, a Answer, err error) {
+	if r.Context().Err() != nil {
+		g.recordAborted(a, err)
+		return
+	}
+	g.log.Log(EvAnswerSourceLost, "request", a.Info().ID, "error", err)
+}
+
 // recordAborted counts and logs an answer that could not be written to the
 // caller.
 func (g *Gateway) recordAborted(a Answer, err error) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -103,10 +103,8 @@
 	case errors.Is(context.Cause(ctx), errLeaving):
 		ensureHandover(r, a)
 		s.writeReattach()
-	case r.Context().Err() != nil:
-		g.recordAborted(a, err)
 	default:
-		g.log.Log(EvAnswerSourceLost, "request", a.Info().ID, "error", err)
+		g.recordSourceError(r, a, err)
 		var end *EndError
 		if errors.As(err, &end) {
 			s.writeEnd(end.End)
