relay: a stream that was moved from a silent server does not count as a crash

Requests were refused at all entries for two minutes with 503 crashes-servers because a host had been silent for a second while three requests with their content, or more, ran there.

Cause: a stream that another server takes over from a silent one is recorded like a broken connection. The crash detector then probes the silent server 50 ms later; if its host accepts no connection within 500 ms, each request counts as a crash of its content. But the relay had closed the connection, not the server. fault.Wrap hides the cause from errors.Is, so the error is recorded before it is wrapped.

Not changed: a connection that ends by TCP_USER_TIMEOUT still counts as broken.

--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -187,13 +187,13 @@
 }
 
 // recordLostResponse ends a send whose response did not arrive completely. A
-// broken connection, as opposed to a timeout or a caller that disconnected, is
-// passed to the crash detector.
+// broken connection, as opposed to a timeout, a silence or a caller that
+// disconnected, is passed to the crash detector.
 func (q *request) recordLostResponse(ctx context.Context, c *choice, err error) sendResult {
 	switch {
 	case q.r.Context().Err() != nil:
 		q.relay.Balancer.finishCall(c, signalNeutral)
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || errors.Is(err, errStreamStalled):
 		q.relay.Balancer.finishCall(c, signalFailed)
 	default:
 		q.relay.Balancer.finishCall(c, signalFailed)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -42,7 +42,8 @@
 			q.relay.Balancer.finishCall(c, signalNeutral)
 			q.abortConnection(err)
 		}
-		res := q.recordLostResponse(ctx, c, fault.Wrap(err, fault.Ambiguous, "relay.stream", c.target.ID, "stream ended early"))
+		res := q.recordLostResponse(ctx, c, err)
+		res.err = fault.Wrap(err, fault.Ambiguous, "relay.stream", c.target.ID, "stream ended early")
 		if !s.isHeadSent && next.resp == nil {
 			return res
 		}
