relay: the second send of a repeatable call goes on to the next server if one is unreachable

Callers of repeatable calls got 504 at their deadline although a server could have answered, when both the server that had the call and the one chosen at half of its time were cut off.

Cause: since the second send is made once. A server to which no connection could be opened ended it for good. Before, the loop of sends tried up to three unreachable servers.

Change: the second send goes on to further servers while nothing was sent, at most three in all, as that loop does. The retry budget is charged once, as there.

--- a/internal/relay/second.go
+++ b/internal/relay/second.go
@@ -20,11 +20,18 @@
 	// cancel cancels the second send.
 	cancel context.CancelFunc
 	// ended is closed at the end of the second send; the following fields are valid
-	// then. choice is nil if no server was selected.
+	// then. choice and resp are nil if no server has accepted the request.
 	ended  chan struct{}
 	choice *choice
 	resp   *upstream.Response
-	// result describes the send if it has no response.
+	// failed holds the sends to servers that have not accepted the request. All but
+	// the last one were not sent.
+	failed []failedSend
+}
+
+// failedSend is a send without a response for the caller.
+type failedSend struct {
+	choice *choice
 	result sendResult
 }
 
@@ -48,45 +55,56 @@
 }
 
 // send sends the request to a second server, if one can be had and the retry budget
-// allows. It cancels the first send once that server has responded, or has not
-// refused the request within maxOverlap.
+// allows, and to further ones while servers cannot be reached.
 func (s *secondSend) send(ctx context.Context, first *choice, cancelFirst func()) {
 	q := s.request
 	q.tried[first.target.ID] = true
-	if q.isDocumentStale() {
-		return
-	}
-	c, err := q.relay.Balancer.pick(q.service, &q.info, 0, q.tried)
-	if err != nil {
-		return
-	}
-	if !q.relay.retries.takeRetry(q.service, q.relay.Peers.Site().Entries) {
-		q.relay.Balancer.finishCall(c, signalNeutral)
-		return
+	for len(s.failed) < maxUnsentSends && ctx.Err() == nil && !q.isDocumentStale() {
+		c, err := q.relay.Balancer.pick(q.service, &q.info, 0, q.tried)
+		if err != nil {
+			return
+		}
+		if len(s.failed) == 0 && !q.relay.retries.takeRetry(q.service, q.relay.Peers.Site().Entries) {
+			q.relay.Balancer.finishCall(c, signalNeutral)
+			return
+		}
+		q.tried[c.target.ID] = true
+		resp, result := s.sendTo(ctx, c, cancelFirst)
+		if resp != nil {
+			s.choice, s.resp = c, resp
+			return
+		}
+		s.failed = append(s.failed, failedSend{c, result})
+		if result.outcome != outcomeNotSent {
+			return
+		}
 	}
-	s.choice = c
-	q.tried[c.target.ID] = true
+}
+
+// sendTo sends the request to one server. It cancels the first send once that server
+// has responded, or has not refused the request within maxOverlap. The result is that
+// of a send without a response.
+func (s *secondSend) sendTo(ctx context.Context, c *choice, cancelFirst func()) (*upstream.Response, sendResult) {
+	q := s.request
 	overlap := time.AfterFunc(maxOverlap, cancelFirst)
 	defer overlap.Stop()
 	resp, err := q.relay.Pool.Do(ctx, c.target, q.buildRequest(c, "", time.Until(q.deadline)))
 	if err != nil {
-		s.result = s.recordFailedSend(ctx, c, err)
-		return
+		return nil, s.recordFailedSend(ctx, c, err)
 	}
 	info := q.relay.Codec.InspectResponse(resp.Status, resp.Header)
 	switch {
 	case info.NotRun:
-		s.result = sendResult{outcome: outcomeNotRun, err: statusError(c, resp.Status)}
 		q.relay.Balancer.finishCall(c, signalNeutral)
+		discardBody(resp)
+		return nil, sendResult{outcome: outcomeNotRun, err: statusError(c, resp.Status)}
 	case isServerFailure(resp.Status) || promisesNotRun(resp.Status) || !info.Signed && resp.Status < http.StatusMultipleChoices:
-		s.result = sendResult{outcome: outcomeServerFailed, err: fault.New(fault.Ambiguous, "relay.second", c.target.ID, "server failed with status %d", resp.Status)}
 		q.relay.Balancer.finishCall(c, signalFailed)
-	default:
-		cancelFirst()
-		s.resp = resp
-		return
+		discardBody(resp)
+		return nil, sendResult{outcome: outcomeServerFailed, err: fault.New(fault.Ambiguous, "relay.second", c.target.ID, "server failed with status %d", resp.Status)}
 	}
-	discardBody(resp)
+	cancelFirst()
+	return resp, sendResult{}
 }
 
 // recordFailedSend ends a second send that got no response.
@@ -119,19 +137,18 @@
 	}
 	<-s.ended
 	q := s.request
-	switch {
-	case s.choice == nil:
-		return continuation{}
-	case s.resp != nil || s.result.outcome != outcomeNotSent:
-		q.sends++
-		q.relay.instruments.sendsTotal.Inc(1)
+	if s.resp != nil {
+		q.countSend()
 	}
-	if s.resp == nil {
-		q.mayHaveRun = q.mayHaveRun || s.result.outcome == outcomeUnknown || s.result.outcome == outcomeServerFailed
-		if s.result.outcome == outcomeServerFailed {
+	for _, f := range s.failed {
+		if f.result.outcome != outcomeNotSent {
+			q.countSend()
+		}
+		q.mayHaveRun = q.mayHaveRun || f.result.outcome == outcomeUnknown || f.result.outcome == outcomeServerFailed
+		if f.result.outcome == outcomeServerFailed {
 			q.recordStarted()
 		}
-		q.logFailedSend(s.choice, &s.result)
+		q.logFailedSend(f.choice, &f.result)
 	}
 	return continuation{choice: s.choice, resp: s.resp}
 }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -152,8 +152,7 @@
 		q.relay.Balancer.finishCall(c, unsentSignal(ctx, err))
 		return sendResult{outcome: outcomeNotSent, refusal: unavailable(reasonServersUnreachable, retryAfterBusy), err: err}
 	}
-	q.sends++
-	q.relay.instruments.sendsTotal.Inc(1)
+	q.countSend()
 	if err != nil {
 		q.mayHaveRun = true
 		return q.recordLostResponse(ctx, c, err)
@@ -161,6 +160,12 @@
 	return q.receive(ctx, c, response)
 }
 
+// countSend counts a send that has reached its server.
+func (q *request) countSend() {
+	q.sends++
+	q.relay.instruments.sendsTotal.Inc(1)
+}
+
 // unsentSignal returns the health signal for a send that failed before a byte was
 // written. The server counts as unreachable unless the caller disconnected or
 // this entry had no free connection to it.
