--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -156,8 +156,7 @@
 		q.relay.Balancer.finishCall(c, unsentSignal(ctx, err))
 		return sendResult{outcome: outcomeNotSent, refusal: unavailable(reasonServersUnreachable, retryAfterBusy), err: err}
 	}
-	q.sends++
-	q.relay.instruments.sendsTotal.Inc(1)
+	q.countSend()
 	if err != nil {
 		q.mayHaveRun = true
 		return q.recordLostResponse(ctx, c, err)
@@ -165,6 +164,12 @@
 	return q.receive(ctx, c, response)
 }
 
+// countSend counts a send that has reached its server.
+func (q *request) countSend() {
+	q.sends++
+	q.relay.instruments.sendsTotal.Inc(1)
+}
+
 // unsentSignal returns the health signal for a send that failed before a byte was
 // written. The server counts as unreachable unless the caller disconnected or
 // this entry had no free connection to it.
@@ -191,13 +196,13 @@
 }
 
 // recordLostResponse ends a send whose response did not arrive completely. A
-// broken connection, as opposed to a timeout or a caller that disconnected, is
-// passed to the crash detector.
+// broken connection, as opposed to a timeout, a silence or a caller that
+// disconnected, is passed to the crash detector.
 func (q *request) recordLostResponse(ctx context.Context, c *choice, err error) sendResult {
 	switch {
 	case q.r.Context().Err() != nil:
 		q.relay.Balancer.finishCall(c, signalNeutral)
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || errors.Is(err, errStreamStalled):
 		q.relay.Balancer.finishCall(c, signalFailed)
 	default:
 		q.relay.Balancer.finishCall(c, signalFailed)
