member, entry: an earlier owner that handed over and is gone leaves no doubt

Cause: the search at earlier owners asked entry-a-2, which had left with a handover 20 s before. Its loss was forgotten (10 s), so it was dialled; the dial failed, and the search was "inconclusive". So after each planned stop, every refusal of a call with a key in the partitions of the stopped entry was "unknown", as long as the tables were remembered.

Change: a failed question leaves no doubt if this node saw the gap of the departure in an earlier table and the gap has been closed since. If it missed that table, the member is listed, or the list of gaps is full, the search is inconclusive as before.

--- a/internal/entry/locate.go
+++ b/internal/entry/locate.go
@@ -86,11 +86,12 @@
 func (n *Node) locate(ctx context.Context, id request.ID, hops int) locateResult {
 	owners, isInconclusive := n.earlierOwners(id.Partition())
 	for _, earlier := range owners {
-		reply, err := n.askLocate(ctx, earlier, locateMsg{ID: id, Hops: hops - 1})
+		reply, err := n.askLocate(ctx, nodeOf(earlier), locateMsg{ID: id, Hops: hops - 1})
 		if err == nil && reply.Found && reply.At.ID != n.cfg.Self.ID {
 			return locateResult{at: reply.At, found: true}
 		}
-		isInconclusive = isInconclusive || err != nil || reply.IsInconclusive
+		mayHaveIt := err != nil && !n.members.HasHandedOver(earlier)
+		isInconclusive = isInconclusive || mayHaveIt || reply.IsInconclusive
 	}
 	return locateResult{isInconclusive: isInconclusive}
 }
@@ -121,7 +122,7 @@
 // an earlier owner may have been lost with it. A node that has
 // joined recently has not seen earlier tables, and adds the nodes that would own
 // the partition if it had not joined.
-func (n *Node) earlierOwners(partition int) (out []peer.Node, isInconclusive bool) {
+func (n *Node) earlierOwners(partition int) (out []member.Member, isInconclusive bool) {
 	tables := append([]member.Table{n.members.Table()}, n.members.Previous()...)
 	if time.Since(n.createdAt) < incompleteHistoryTime {
 		tables = append(tables, n.tablesBeforeJoining(partition)...)
@@ -138,7 +139,7 @@
 		}
 		seen[m.ID] = true
 		if isAlive, isKnown := n.transport.Reachable(m.ID); isAlive || !isKnown {
-			out = append(out, nodeOf(m))
+			out = append(out, m)
 		} else if _, isMember := n.members.Table().Find(m.ID); isMember {
 			isInconclusive = true
 		}
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -235,6 +235,23 @@
 	})
 }
 
+// An earlier owner that left and handed over is gone; it has nothing to be asked for.
+func TestRefusalAfterAPlannedStopOfTheEarlierOwnerIsNotRun(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		owner := s.Entries()[2]
+		key := s.keyOwnedBy(owner, "new-")
+		successor := s.successorOf(owner, key)
+		owner.Stop()
+		<-owner.Done()
+		time.Sleep(time.Minute)
+		s.setPlainFaults(plainservice.Faults{Refuse: true})
+		header := map[string]string{gateway.HeaderIdempotencyKey: key}
+		r, err := s.send(successor, "GET", "/services/report/pages/1", header, nil)
+		require.NoError(t, err)
+		require.Equal(t, "not-run", r.outcome(), "%s", r.tail())
+	})
+}
+
 // A caller hangs up while the new owner asks the earlier one for the request. The answer
 // must not be replaced by that of a new run.
 func TestCallerThatHangsUpDuringTheSearchStartsNoRun(t *testing.T) {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -255,14 +255,31 @@
 	if current, ok := m.table.Find(earlier.ID); ok && current.Incarnation == earlier.Incarnation {
 		return false
 	}
-	for _, gap := range m.table.Gaps {
-		if gap.Member.ID == earlier.ID && gap.Member.Incarnation == earlier.Incarnation {
-			return m.isLossLocked(gap)
-		}
+	if gap, ok := m.table.gapOf(earlier); ok {
+		return m.isLossLocked(gap)
 	}
 	return len(m.table.Gaps) == maxGaps // its gap may have been merged
 }
 
+// HasHandedOver reports whether this incarnation of a member is known to have left
+// and handed over all its requests: an earlier table had the gap of its departure,
+// which has been closed since. It may be false for one of which this node missed a
+// table.
+func (m *Membership) HasHandedOver(earlier Member) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, isMember := m.table.Find(earlier.ID)
+	if _, isOpen := m.table.gapOf(earlier); isMember || isOpen || len(m.table.Gaps) == maxGaps {
+		return false
+	}
+	for _, t := range m.previous {
+		if gap, ok := t.gapOf(earlier); ok {
+			return gap.IsLeaving && time.Since(gap.Since) < m.cfg.GapWindow
+		}
+	}
+	return false
+}
+
 // isLossLocked reports whether the gap's requests count as lost. The caller holds
 // m.mu.
 func (m *Membership) isLossLocked(gap Gap) bool {
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -125,6 +125,17 @@
 	return set
 }
 
+// gapOf returns the gap of this incarnation of a member.
+func (t Table) gapOf(m Member) (Gap, bool) {
+	i := slices.IndexFunc(t.Gaps, func(g Gap) bool {
+		return g.Member.ID == m.ID && g.Member.Incarnation == m.Incarnation
+	})
+	if i < 0 {
+		return Gap{}, false
+	}
+	return t.Gaps[i], true
+}
+
 // maxGaps bounds the gaps of a table. When it is exceeded, the partitions of
 // the oldest gap are merged into the next one.
 const maxGaps = 64
