entry, dispatch: a refusal at a leaving owner's successor waits for the table

Cause: the owner, entry-b-1, came under notice 2 ms after the call was sent; the call went to its successor, entry-a-1, which refused it 7 ms before the table named it as the owner. A node that does not own a request cannot say "not-run": the owner may still accept it.

Change: such a refusal waits until the table names the node, for at most a second and only while it is the successor; then the earlier owners, the leaving one among them, are asked again. If they do not have the request and the partition is clean, the outcome is "not-run"; else it stays "unknown", as in a store outage, where the refusal comes up to a second later than before. Requests that are not refused do not wait.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -170,10 +170,14 @@
 	Quarantine Quarantine
 	// Forward sends a request to the node that owns it now. If nil, the entry
 	// that follows the answer has to resubmit the request.
-	Forward  func(ctx context.Context, t Transfer)
-	Zone     string
-	Log      *telemetry.Logger
-	Registry metrics.Registry
+	Forward func(ctx context.Context, t Transfer)
+	// ConfirmNew waits until this node owns a request that it refused as the
+	// successor of a leaving owner, and searches the earlier owners for it. It
+	// returns false if one may have it, or the node does not become the owner.
+	ConfirmNew func(ctx context.Context, id request.ID) bool
+	Zone       string
+	Log        *telemetry.Logger
+	Registry   metrics.Registry
 }
 
 // Dispatcher runs the requests that this node owns. It is safe for concurrent
--- a/internal/dispatch/execution.go
+++ b/internal/dispatch/execution.go
@@ -40,6 +40,9 @@
 	// isOverLimit is true if the node already had Config.MaxRequests requests
 	// in flight when this one was submitted.
 	isOverLimit bool
+	// isUnconfirmed is set if the request was refused before any dispatch, at a
+	// node that does not own it and so cannot say whether it is new.
+	isUnconfirmed bool
 	// serverCrashed is true if the server of the last attempt crashed, as
 	// opposed to being unreachable.
 	serverCrashed bool
@@ -105,7 +108,7 @@
 	e.mu.Unlock()
 	e.startedAt = time.Now()
 	defer e.stopMoveTimer()
-	e.recordEnd(e.run(ctx))
+	e.recordEnd(e.confirmRefusal(ctx, e.run(ctx)))
 	if e.needsForwarding && e.d.deps.Forward != nil {
 		e.d.deps.Forward(base, Transfer{Request: asResubmission(e.req), Claim: e.exportedClaim()})
 	}
@@ -389,9 +392,28 @@
 	if e.mayHaveRun || e.mayHaveRunEarlier || !e.knowsEarlierSubmissions() {
 		end.Outcome = request.Unknown
 	}
+	e.isUnconfirmed = !e.mayHaveRun && !e.mayHaveRunEarlier && !e.d.deps.Ownership.OwnsPartition(e.req.ID.Partition())
 	return &end
 }
 
+// confirmRefusal turns the outcome "unknown" of an unconfirmed refusal into
+// "not-run" once this node owns the request and knows that it is new.
+func (e *execution) confirmRefusal(ctx context.Context, end *request.End) *request.End {
+	if end == nil || end.Outcome != request.Unknown || !e.isUnconfirmed || e.d.deps.ConfirmNew == nil {
+		return end
+	}
+	isNew := e.d.deps.ConfirmNew(ctx, e.req.ID)
+	if errors.Is(context.Cause(ctx), errHandedOver) {
+		return nil
+	}
+	if !isNew || !e.knowsEarlierSubmissions() {
+		return end
+	}
+	confirmed := *end
+	confirmed.Outcome = request.NotRun
+	return &confirmed
+}
+
 // refuseOrHandOver is refuse for an end that is nil after a handover.
 func (e *execution) refuseOrHandOver(end *request.End) *request.End {
 	if end == nil {
--- a/internal/entry/locate.go
+++ b/internal/entry/locate.go
@@ -9,6 +9,7 @@
 	"buckthornpick/internal/member"
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/request"
+	"buckthornpick/internal/wait"
 )
 
 const (
@@ -96,6 +97,27 @@
 	return locateResult{isInconclusive: isInconclusive}
 }
 
+const (
+	// ownershipWait bounds how long a refusal at a successor waits for the table
+	// that names it as the owner.
+	ownershipWait         = time.Second
+	ownershipPollInterval = 10 * time.Millisecond
+)
+
+// confirmNew implements dispatch.Deps.ConfirmNew. Before the table names this node,
+// the leaving owner could still accept the request after it was asked.
+func (n *Node) confirmNew(ctx context.Context, id request.ID) bool {
+	ctx, cancel := context.WithTimeout(ctx, ownershipWait)
+	defer cancel()
+	for !n.ownership.OwnsPartition(id.Partition()) {
+		if !n.acceptsPartition(id.Partition()) || !wait.For(ctx, ownershipPollInterval) {
+			return false
+		}
+	}
+	l := n.locate(ctx, id, maxLocateHops)
+	return !l.found && !l.isInconclusive && ctx.Err() == nil
+}
+
 // askLocate sends a locateMsg to one node.
 func (n *Node) askLocate(ctx context.Context, to peer.Node, m locateMsg) (locateReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -153,7 +153,8 @@
 	return dispatch.Deps{
 		Document: n.documents.Current, Pools: n.pools, Claims: n.ledger, Ownership: n.ownership,
 		Backends: n.cfg.Backends, KV: n.cfg.KV, Admitter: n.admitter, Quarantine: n.quarantine, Forward: n.transferToOwner,
-		Zone: n.cfg.Self.Zone, Log: n.cfg.Log, Registry: n.cfg.Registry,
+		ConfirmNew: n.confirmNew,
+		Zone:       n.cfg.Self.Zone, Log: n.cfg.Log, Registry: n.cfg.Registry,
 	}
 }
 
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -252,6 +252,35 @@
 	})
 }
 
+// The successor of an owner under notice refuses a call before the table names it.
+func TestRefusalAtTheSuccessorOfALeavingOwnerIsNotRun(t *testing.T) {
+	for _, isOutage := range []bool{false, true} {
+		withSite(t, nil, func(s *testSite) {
+			owner := s.Entries()[2]
+			header := map[string]string{gateway.HeaderIdempotencyKey: s.keyOwnedBy(owner, "new-")}
+			s.setPlainFaults(plainservice.Faults{Refuse: true})
+			s.Store.Faults.SetDelay(250 * time.Millisecond)
+			s.Store.Faults.SetOutage(isOutage)
+			defer func() {
+				s.Store.Faults.SetDelay(0)
+				s.Store.Faults.SetOutage(false)
+				time.Sleep(time.Second) // lets delayed calls finish
+			}()
+			s.Cloud.Reclaim(owner.ID, 8*time.Second)
+			time.Sleep(20 * time.Millisecond)
+			began := time.Now()
+			r, err := s.send(s.Entries()[0], "GET", "/services/report/pages/1", header, nil)
+			require.NoError(t, err)
+			want := "not-run"
+			if isOutage {
+				want = "unknown" // the owner may still accept it
+			}
+			require.Equal(t, want, r.outcome(), "%s", r.tail())
+			require.Less(t, time.Since(began), 2*time.Second)
+		})
+	}
+}
+
 // A caller hangs up while the new owner asks the earlier one for the request. The answer
 // must not be replaced by that of a new run.
 func TestCallerThatHangsUpDuringTheSearchStartsNoRun(t *testing.T) {
