--- a/internal/entry/locate.go
+++ b/internal/entry/locate.go
@@ -9,6 +9,7 @@
 	"buckthornpick/internal/member"
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/request"
+	"buckthornpick/internal/wait"
 )
 
 const (
@@ -86,15 +87,37 @@
 func (n *Node) locate(ctx context.Context, id request.ID, hops int) locateResult {
 	owners, isInconclusive := n.earlierOwners(id.Partition())
 	for _, earlier := range owners {
-		reply, err := n.askLocate(ctx, earlier, locateMsg{ID: id, Hops: hops - 1})
+		reply, err := n.askLocate(ctx, nodeOf(earlier), locateMsg{ID: id, Hops: hops - 1})
 		if err == nil && reply.Found && reply.At.ID != n.cfg.Self.ID {
 			return locateResult{at: reply.At, found: true}
 		}
-		isInconclusive = isInconclusive || err != nil || reply.IsInconclusive
+		mayHaveIt := err != nil && !n.members.HasHandedOver(earlier)
+		isInconclusive = isInconclusive || mayHaveIt || reply.IsInconclusive
 	}
 	return locateResult{isInconclusive: isInconclusive}
 }
 
+const (
+	// ownershipWait bounds how long a refusal at a successor waits for the table
+	// that names it as the owner.
+	ownershipWait         = time.Second
+	ownershipPollInterval = 10 * time.Millisecond
+)
+
+// confirmNew implements dispatch.Deps.ConfirmNew. Before the table names this node,
+// the leaving owner could still accept the request after it was asked.
+func (n *Node) confirmNew(ctx context.Context, id request.ID) bool {
+	ctx, cancel := context.WithTimeout(ctx, ownershipWait)
+	defer cancel()
+	for !n.ownership.OwnsPartition(id.Partition()) {
+		if !n.acceptsPartition(id.Partition()) || !wait.For(ctx, ownershipPollInterval) {
+			return false
+		}
+	}
+	l := n.locate(ctx, id, maxLocateHops)
+	return !l.found && !l.isInconclusive && ctx.Err() == nil
+}
+
 // askLocate sends a locateMsg to one node.
 func (n *Node) askLocate(ctx context.Context, to peer.Node, m locateMsg) (locateReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
@@ -121,7 +144,7 @@
 // an earlier owner may have been lost with it. A node that has
 // joined recently has not seen earlier tables, and adds the nodes that would own
 // the partition if it had not joined.
-func (n *Node) earlierOwners(partition int) (out []peer.Node, isInconclusive bool) {
+func (n *Node) earlierOwners(partition int) (out []member.Member, isInconclusive bool) {
 	tables := append([]member.Table{n.members.Table()}, n.members.Previous()...)
 	if time.Since(n.createdAt) < incompleteHistoryTime {
 		tables = append(tables, n.tablesBeforeJoining(partition)...)
@@ -138,7 +161,7 @@
 		}
 		seen[m.ID] = true
 		if isAlive, isKnown := n.transport.Reachable(m.ID); isAlive || !isKnown {
-			out = append(out, nodeOf(m))
+			out = append(out, m)
 		} else if _, isMember := n.members.Table().Find(m.ID); isMember {
 			isInconclusive = true
 		}
