--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -49,8 +49,10 @@
 
 	// sends is the number of servers that the request was sent to, and tried the IDs
 	// of those that are not selected again.
-	sends           int
-	tried           map[string]bool
+	sends int
+	tried map[string]bool
+	// second is the second send that may be made beside the current one.
+	second          *secondSend
 	serverID        string
 	status          int
 	reason          string
@@ -65,7 +67,7 @@
 	defer r.active.Add(-1)
 	r.instruments.requests.Inc(1)
 	q := &request{relay: r, w: w, r: hr, arrivedAt: time.Now()}
-	if r.isDraining.Load() {
+	if r.isDraining() {
 		w.Header().Set("Connection", "close")
 	}
 	// Keeps net/http from adding a guessed Content-Type to forwarded responses.
@@ -79,7 +81,10 @@
 	defer cancel()
 	if refused := q.sendWithRetries(ctx); refused != nil {
 		if hr.Context().Err() != nil {
+			// A caller may have closed only its sending side. Without a response, net/http
+			// would send it an empty success.
 			q.reason = reasonCallerLeft
+			refused.write(w)
 			return
 		}
 		if q.writeServerFailure != nil && refused.reason == reasonServerFailed {
@@ -120,6 +125,9 @@
 	totalTime := time.Since(q.arrivedAt)
 	m := q.relay.instruments
 	m.countEnd(q.reason)
+	if q.reason == reasonServed {
+		q.relay.durations.record(q.ruleName, totalTime)
+	}
 	recordMillis(m.totalTime, totalTime)
 	if q.timeToFirstByte > 0 {
 		recordMillis(m.timeToFirstByte, q.timeToFirstByte)
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -238,8 +238,7 @@
 	for _, run := range p.backgroundTasks() {
 		g.Go(func() error { return run(runCtx) })
 	}
-	callers := p.callerServer()
-	for l, server := range map[net.Listener]*http.Server{listeners.callers: callers, listeners.readiness: p.readinessServer()} {
+	for l, server := range map[net.Listener]*http.Server{listeners.callers: p.callerServer(listeners.callers), listeners.readiness: p.readinessServer()} {
 		g.Go(func() error { return serve(server, l) })
 		g.Go(func() error {
 			<-runCtx.Done()
@@ -257,7 +256,7 @@
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
-			p.stop(callers)
+			p.stop(listeners.callers)
 		case <-runCtx.Done():
 		}
 		return errStopped
@@ -303,15 +302,23 @@
 }
 
 // listeners holds the listeners of callers and of the readiness probe.
-type listeners struct{ callers, readiness net.Listener }
+type listeners struct {
+	callers   *netx.CallerListener
+	readiness net.Listener
+}
 
 func (p *Process) listen() (listeners, error) {
 	var l listeners
-	var err error
-	if l.callers, err = p.openListener("callers", p.settings.Callers); err != nil {
+	accepted, err := p.openListener("callers", p.settings.Callers)
+	if err != nil {
 		return l, err
 	}
-	l.callers = netx.LimitListener(l.callers, p.settings.Bounds.MaxConnections)
+	l.callers = netx.NewCallerListener(netx.LimitListener(accepted, p.settings.Bounds.MaxConnections), netx.CallerOptions{
+		Timeouts: p.callerTimeouts,
+		OnTimeout: func(peer net.Addr, reason netx.TimeoutReason, waited time.Duration) {
+			p.cli.Log.Log(EvCallerClosed, "peer", peer.String(), "reason", string(reason), "waited_ms", waited.Milliseconds())
+		},
+	})
 	l.readiness, err = p.openListener("readiness", p.settings.Readiness)
 	return l, err
 }
@@ -334,18 +341,22 @@
 }
 
 // callerServer returns the HTTP server of callers. Its fixed timeouts are upper
-// bounds; those of the current document are enforced by connLimits.
-func (p *Process) callerServer() *http.Server {
-	limits := newConnLimits(func() config.CallerLimits {
-		if doc, _ := p.documents.Current(); doc != nil {
-			return doc.CallerLimits
-		}
-		return config.CallerLimits{}
-	})
+// bounds; those of the current document are enforced by the listener.
+func (p *Process) callerServer(callers *netx.CallerListener) *http.Server {
 	return &http.Server{
 		Handler: p.relay, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: limits.track,
+		ConnState: callers.TrackState,
+	}
+}
+
+// callerTimeouts returns the header and idle timeout of the current document.
+func (p *Process) callerTimeouts() (header, idle time.Duration) {
+	doc, _ := p.documents.Current()
+	if doc == nil {
+		return 0, 0
 	}
+	limits := doc.CallerLimits
+	return time.Duration(limits.HeaderTimeoutMillis) * time.Millisecond, time.Duration(limits.IdleTimeoutMillis) * time.Millisecond
 }
 
 func (p *Process) readinessServer() *http.Server {
