--- a/internal/follow/servers.go
+++ b/internal/follow/servers.go
@@ -20,6 +20,9 @@
 	// Address is the server's "host:port".
 	Address string
 	Zone    string
+	// Version is the version of the server's software; empty means unknown. A stream
+	// that one version began must not be continued by another.
+	Version string
 	// Slots is the number of requests that the server runs concurrently; 0 means
 	// unknown.
 	Slots int
@@ -77,6 +80,10 @@
 	// keptUntil holds the servers whose entries expired during a store outage, and
 	// the time until which each is kept.
 	keptUntil map[string]time.Duration
+	// lost holds those of keptUntil whose entries the store has lost. isRestored is
+	// true until the first full read after that.
+	lost       map[string]bool
+	isRestored bool
 	// unreadable holds the servers whose entries could not be decoded, so that each
 	// is logged once.
 	unreadable map[string]bool
@@ -91,7 +98,7 @@
 func NewServers(prefix string, decode func(string, []byte) (Server, error), c clock.Clock, log *telemetry.Logger, onChange func([]Server)) *Servers {
 	return &Servers{
 		prefix: prefix, decode: decode, clock: c, log: log, onChange: onChange,
-		servers: map[string]Server{}, tombstones: map[string]tombstone{}, keptUntil: map[string]time.Duration{}, unreadable: map[string]bool{},
+		servers: map[string]Server{}, tombstones: map[string]tombstone{}, keptUntil: map[string]time.Duration{}, lost: map[string]bool{}, unreadable: map[string]bool{},
 	}
 }
 
@@ -116,10 +123,17 @@
 	}
 	kept := 0
 	for id := range s.servers {
-		if !present[id] && s.removeLocked(id) {
+		switch {
+		case present[id]:
+		case s.isRestored:
+			s.lost[id] = true
+			s.keepLocked(id, s.clock()+reregistrationGrace)
+			kept++
+		case s.removeLocked(id):
 			kept++
 		}
 	}
+	s.isRestored = false
 	if kept > 0 {
 		s.log.Log(EvServersKept, "servers", kept, "grace_ms", reregistrationGrace.Milliseconds())
 	}
@@ -172,6 +186,32 @@
 	s.unlockAndNotify(s.expireLocked())
 }
 
+// MarkLeaving records that a server has announced its shutdown otherwise than in
+// the registry, which may learn of it later. It does nothing if the incarnation is
+// not the current one.
+func (s *Servers) MarkLeaving(id string, incarnation int64) {
+	s.mu.Lock()
+	server, known := s.servers[id]
+	if !known || server.Leaving || server.Incarnation != incarnation {
+		s.unlockAndNotify(false)
+		return
+	}
+	server.Leaving = true
+	s.servers[id] = server
+	s.tombstones[id] = tombstone{incarnation: incarnation, heartbeat: server.Heartbeat, recordedAt: s.clock(), wasLeaving: true}
+	s.log.Log(EvServerChanged, "server", id, "service", server.Service, "server_zone", server.Zone, "address", server.Address,
+		"state", stateName(server), "born", incarnation, "told_by", "server")
+	s.unlockAndNotify(true)
+}
+
+// StoreRestored implements Sink. Servers that the next Replace lacks are kept for the
+// grace period, in which their lost entries are written again.
+func (s *Servers) StoreRestored() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isRestored = true
+}
+
 // StoreRecovered implements Sink. After an outage that was long enough for leases
 // to expire it starts the grace period in which servers may register again.
 func (s *Servers) StoreRecovered(lost time.Duration) {
@@ -201,6 +241,7 @@
 	}
 	delete(s.unreadable, id)
 	delete(s.keptUntil, id)
+	delete(s.lost, id)
 	old, known := s.servers[id]
 	if s.isOutdated(next, old, known) {
 		s.log.Log(EvServerOutdated, "server", id, "born", next.Incarnation, "beat", next.Heartbeat, "revision", e.ModRevision)
@@ -217,7 +258,7 @@
 		return false
 	}
 	s.log.Log(EvServerChanged, "server", id, "service", next.Service, "server_zone", next.Zone, "address", next.Address,
-		"state", stateName(next), "born", next.Incarnation, "revision", e.ModRevision)
+		"version", next.Version, "state", stateName(next), "born", next.Incarnation, "revision", e.ModRevision)
 	return true
 }
 
@@ -243,22 +284,34 @@
 // after an outage it keeps the server instead, and reports that.
 func (s *Servers) removeLocked(id string) (kept bool) {
 	if now := s.clock(); now < s.graceEnd {
-		if _, isKept := s.keptUntil[id]; !isKept {
-			s.keptUntil[id] = s.graceEnd
-		}
+		s.keepLocked(id, s.graceEnd)
 		return true
 	}
 	s.dropLocked(id, "gone")
 	return false
 }
 
-// dropLocked removes a server from the view and leaves a tombstone.
+// keepLocked keeps a server without an entry until the given time, or an earlier one
+// that was set before.
+func (s *Servers) keepLocked(id string, until time.Duration) {
+	if _, isKept := s.keptUntil[id]; !isKept {
+		s.keptUntil[id] = until
+	}
+}
+
+// dropLocked removes a server from the view and leaves a tombstone. A lost entry may
+// be written again with the same heartbeat.
 func (s *Servers) dropLocked(id, state string) {
 	old := s.servers[id]
-	s.tombstones[id] = tombstone{incarnation: old.Incarnation, heartbeat: old.Heartbeat, recordedAt: s.clock(), wasLeaving: old.Leaving}
+	heartbeat := old.Heartbeat
+	if s.lost[id] {
+		heartbeat--
+	}
+	s.tombstones[id] = tombstone{incarnation: old.Incarnation, heartbeat: heartbeat, recordedAt: s.clock(), wasLeaving: old.Leaving}
+	delete(s.lost, id)
 	delete(s.servers, id)
 	delete(s.keptUntil, id)
-	s.log.Log(EvServerChanged, "server", id, "service", old.Service, "server_zone", old.Zone, "state", state, "born", old.Incarnation)
+	s.log.Log(EvServerChanged, "server", id, "service", old.Service, "server_zone", old.Zone, "version", old.Version, "state", state, "born", old.Incarnation)
 }
 
 // expireLocked drops expired tombstones and the servers whose grace period has
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,7 +16,9 @@
 type choice struct {
 	target upstream.Target
 	zone   string
-	picked route.Choice
+	// version is the version of the server's software.
+	version string
+	picked  route.Choice
 	// ownPromptTokens is the number of prompt tokens that no other request shares.
 	ownPromptTokens int
 	query           route.Query
@@ -34,9 +37,10 @@
 	return 0
 }
 
-// pick selects a server, other than those in tried, for a request. A
-// maxTimeToFirstToken of 0 is no limit. Errors are those of route.Picker.
-func (b *Balancer) pick(service string, info *RequestInfo, maxTimeToFirstToken time.Duration, tried map[string]bool) (*choice, error) {
+// pick selects a server, other than those in tried, for a request, and only one of
+// origin unless that is nil. A maxTimeToFirstToken of 0 is no limit. Errors are those
+// of route.Picker.
+func (b *Balancer) pick(service string, info *RequestInfo, maxTimeToFirstToken time.Duration, tried map[string]bool, origin *StreamOrigin) (*choice, error) {
 	b.mu.Lock()
 	now := b.clock()
 	for _, s := range b.servers {
@@ -46,15 +50,16 @@
 		}
 	}
 	picker := b.pickerLocked(service)
+	isAllowed := b.serversOfLocked(origin)
 	b.mu.Unlock()
 	q := route.Query{
 		Now: time.Now(), Service: service, Context: sharedPrefixHash(info), PromptTokens: info.PromptTokens, MaxCachedTokens: info.SharedTokens(),
 		MaxTokens: info.MaxTokens, MaxFirstTokenDelay: maxTimeToFirstToken,
-		Exclude: func(id string) bool { return tried[id] },
+		Exclude: func(id string) bool { return tried[id] || origin != nil && !isAllowed[id] },
 	}
 	picked, err := picker.Pick(q)
 	if err != nil {
-		return nil, err
+		return nil, b.pausedError(service, err)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -65,7 +70,53 @@
 	s.ownCalls++
 	b.prefillMeterLocked(service).addTokens(info.PromptTokens - picked.ExpectedCachedTokens)
 	picker.RecordDispatch(q.Now, s.ID, q)
-	return &choice{target: s.target, zone: s.Zone, picked: picked, ownPromptTokens: info.PromptTokens - info.SharedTokens(), query: q, picker: picker, sentAt: q.Now}, nil
+	return &choice{target: s.target, zone: s.Zone, version: s.Version, picked: picked, ownPromptTokens: info.PromptTokens - info.SharedTokens(), query: q, picker: picker, sentAt: q.Now}, nil
+}
+
+// serversOfLocked returns the set of IDs of the servers of origin, nil if it is nil.
+func (b *Balancer) serversOfLocked(origin *StreamOrigin) map[string]bool {
+	if origin == nil {
+		return nil
+	}
+	ids := map[string]bool{}
+	for id, s := range b.servers {
+		if s.Service == origin.Service && s.Version == origin.Version {
+			ids[id] = true
+		}
+	}
+	return ids
+}
+
+// pauseServer stops requests to the server of a call for the given time, unless the
+// server was restarted since the call was sent.
+func (b *Balancer) pauseServer(c *choice, d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s, ok := b.servers[c.target.ID]; ok && s.target.Incarnation == c.target.Incarnation {
+		s.pausedUntil = max(s.pausedUntil, b.clock()+d)
+	}
+}
+
+// pausedError replaces the error of a picker that knows no eligible server by a
+// route.SaturatedError with the time until the first pause of a server ends, if any
+// server of the service is paused.
+func (b *Balancer) pausedError(service string, err error) error {
+	var noServer *route.NoServerError
+	if !errors.As(err, &noServer) {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now, first := b.clock(), time.Duration(0)
+	for _, s := range b.servers {
+		if s.Service == service && s.stateAt(now) == route.Paused && (first == 0 || s.pausedUntil-now < first) {
+			first = s.pausedUntil - now
+		}
+	}
+	if first == 0 {
+		return err
+	}
+	return &route.SaturatedError{Service: service, RetryAfter: first}
 }
 
 // sharedPrefixHash returns a hash of the longest prompt prefix that other requests
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -29,6 +29,9 @@
 	// LastEventID is the ID of the last event that a caller received who resumes a
 	// stream.
 	LastEventID string
+	// ResumedAttempt is the ID of the attempt that brought the first event of that
+	// stream; empty if the caller does not name it.
+	ResumedAttempt string
 }
 
 // SharedTokens returns the number of prompt tokens that other requests may share.
@@ -61,6 +64,11 @@
 	NotRun bool
 	// Signed is true if the response has the server's signature.
 	Signed bool
+	// Leaving is true if the server announces its shutdown: it gets no new work.
+	Leaving bool
+	// Pause is how long the server wants no requests from this entry; 0 if it did
+	// not say so.
+	Pause time.Duration
 }
 
 // Codec reads and writes the headers of a protocol between callers and backend
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -27,6 +27,12 @@
 	ruleName    string
 	policy      *config.CallPolicy
 	service     string
+	// services are those that the rule allows.
+	services []string
+	// origin restricts the servers that the request is sent to; nil if it is a new
+	// stream without events yet, or not resumable.
+	origin           *StreamOrigin
+	isOriginRecorded bool
 	// org is the organisation of the caller's key; nil if the key is unknown.
 	org *config.Organisation
 	// fingerprint is the hash of the request's content, see hashContent.
@@ -54,6 +60,7 @@
 	// second is the second send that may be made beside the current one.
 	second          *secondSend
 	serverID        string
+	serverVersion   string
 	status          int
 	reason          string
 	detail          string
@@ -134,7 +141,7 @@
 	}
 	attrs := []any{
 		"request", q.info.AttemptID, "reason", q.reason, "status", q.status, "org", q.organisationName(), "rule", q.ruleName,
-		"service", q.service, "server", q.serverID, "sends", q.sends, "first_ms", q.timeToFirstByte.Milliseconds(),
+		"service", q.service, "server", q.serverID, "version", q.serverVersion, "sends", q.sends, "first_ms", q.timeToFirstByte.Milliseconds(),
 		"total_ms", totalTime.Milliseconds(), "events", q.eventsForwarded,
 	}
 	if q.doc != nil {
@@ -143,6 +150,9 @@
 	if q.quotaDecision.Limit > 0 {
 		attrs = append(attrs, "quota_spent", int64(q.quotaDecision.Spent), "quota_limit", int64(q.quotaDecision.Limit))
 	}
+	if q.info.ResumedAttempt != "" {
+		attrs = append(attrs, "resumes", q.info.ResumedAttempt)
+	}
 	if q.detail != "" {
 		attrs = append(attrs, "detail", q.detail)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 package relay
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,17 @@
 	// NotifyCleared tells the other entries that the crashes of a content were
 	// cleared.
 	NotifyCleared(fingerprint uint64)
+	// ShareOrigins sends the origins of streams to entries that keep them.
+	ShareOrigins([]OriginRecord)
+	// FindOrigin asks the entries that keep the origin of the stream which the attempt
+	// began under the rule. If one of them has a record, its ID is returned too.
+	FindOrigin(ctx context.Context, rule, attemptID string) (OriginAnswer, string)
+}
+
+// Registry is the view of the registry of backend servers.
+type Registry interface {
+	// MarkLeaving records that a server has announced its shutdown in a response.
+	MarkLeaving(id string, incarnation int64)
 }
 
 // UsageRecorder counts requests that started to run.
@@ -51,9 +63,11 @@
 	Codec     Codec
 	Documents *follow.Documents
 	Balancer  *Balancer
+	Servers   Registry
 	Pool      *upstream.Pool
 	Quotas    *Quotas
 	Crashes   *CrashTracker
+	Origins   *Origins
 	Peers     Peers
 	Usage     UsageRecorder
 	Limits    Limits
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -17,11 +17,15 @@
 
 const (
 	// maxBufferedBytes limits the size of a response body that is buffered before
-	// it is forwarded; longer ones are forwarded as they arrive.
+	// it is forwarded. Longer ones of successes are forwarded as they arrive; other
+	// responses of that length count as lost.
 	maxBufferedBytes = 1 << 20
 	// maxDiscardBytes limits how much is read of a response that is not forwarded.
 	// A body that is read to its end lets the connection be reused.
 	maxDiscardBytes = 64 << 10
+	// maxDiscardTime limits how long that takes, since the request is sent to
+	// another server only afterwards.
+	maxDiscardTime = 20 * time.Millisecond
 )
 
 // String returns the name of the outcome in log lines.
@@ -32,13 +36,15 @@
 // discardBody reads a short response to its end, so that the connection can be
 // reused, and closes it.
 func discardBody(resp *upstream.Response) {
+	timer := time.AfterFunc(maxDiscardTime, func() { _ = resp.Body.Close() })
+	defer timer.Stop()
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes))
 	_ = resp.Body.Close()
 }
 
 // forwardBuffered reads a response to its end and then forwards it, so that the
-// caller never receives a truncated response. Bodies that reach maxBufferedBytes
-// are forwarded as they arrive.
+// caller never receives a truncated response. The bodies of successes that reach
+// maxBufferedBytes are forwarded as they arrive.
 func (q *request) forwardBuffered(ctx context.Context, c *choice, resp *upstream.Response) sendResult {
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
@@ -46,6 +52,9 @@
 		return q.recordLostResponse(ctx, c, fault.Wrap(err, fault.Ambiguous, "relay.whole", c.target.ID, "response body is incomplete"))
 	}
 	if len(data) == maxBufferedBytes {
+		if !isSuccess(resp.Status) {
+			return q.recordLostResponse(ctx, c, fault.New(fault.Protocol, "relay.whole", c.target.ID, "response with status %d exceeds the size limit", resp.Status))
+		}
 		return q.forwardUnbuffered(ctx, c, resp, data)
 	}
 	if isServerFailure(resp.Status) || promisesNotRun(resp.Status) {
@@ -58,6 +67,9 @@
 	return responseForwarded
 }
 
+// isSuccess reports whether the status is 2xx.
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
 // isServerFailure reports whether the status is 5xx.
 func isServerFailure(status int) bool { return status >= http.StatusInternalServerError }
 
--- a/internal/relay/second.go
+++ b/internal/relay/second.go
@@ -56,7 +56,7 @@
 	if q.isDocumentStale() {
 		return
 	}
-	c, err := q.relay.Balancer.pick(q.service, &q.info, 0, q.tried)
+	c, err := q.relay.Balancer.pick(q.service, &q.info, 0, q.tried, q.origin)
 	if err != nil {
 		return
 	}
@@ -73,7 +73,7 @@
 		s.result = s.recordFailedSend(ctx, c, err)
 		return
 	}
-	info := q.relay.Codec.InspectResponse(resp.Status, resp.Header)
+	info := q.inspect(c, resp)
 	switch {
 	case info.NotRun:
 		s.result = sendResult{outcome: outcomeNotRun, err: statusError(c, resp.Status)}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -38,7 +38,7 @@
 			return q.refuseFurtherSends(reasonStopping, retryAfterOtherEntry)
 		}
 		remaining := time.Until(q.deadline)
-		c, err := q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken(q.policy, remaining), q.tried)
+		c, err := q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken(q.policy, remaining), q.tried, q.origin)
 		if err != nil {
 			return q.refuseNoServer(err)
 		}
@@ -83,6 +83,10 @@
 		}
 		return q.refuseFurtherSends(reason, max(retryAfterBusy, saturated.RetryAfter))
 	}
+	if q.origin != nil {
+		q.detail += " of version " + q.origin.Version
+		return q.refuseFurtherSends(reasonVersionGone, retryAfterBusy)
+	}
 	return q.refuseFurtherSends(reasonNoServer, retryAfterBusy)
 }
 
@@ -139,14 +143,14 @@
 		return c, res
 	}
 	q.logFailedSend(c, &res)
-	q.serverID = next.choice.target.ID
+	q.serverID, q.serverVersion = next.choice.target.ID, next.choice.version
 	return next.choice, q.receive(ctx, next.choice, next.resp)
 }
 
 // sendTo sends the request to one server and forwards the response.
 func (q *request) sendTo(ctx context.Context, c *choice) sendResult {
 	remaining := time.Until(q.deadline)
-	q.serverID = c.target.ID
+	q.serverID, q.serverVersion = c.target.ID, c.version
 	response, err := q.relay.Pool.Do(ctx, c.target, q.buildRequest(c, "", remaining))
 	if err != nil && !upstream.MayHaveBeenSent(err) {
 		q.relay.Balancer.finishCall(c, unsentSignal(ctx, err))
@@ -202,22 +206,34 @@
 	return sendResult{outcome: outcomeUnknown, refusal: badGateway(reasonAnswerLost), err: err}
 }
 
+// inspect reads the status and headers of a response and records what the server
+// states about itself.
+func (q *request) inspect(c *choice, resp *upstream.Response) ResponseInfo {
+	info := q.relay.Codec.InspectResponse(resp.Status, resp.Header)
+	if info.Leaving {
+		q.relay.Servers.MarkLeaving(c.target.ID, c.target.Incarnation)
+	}
+	if info.Pause > 0 {
+		q.relay.Balancer.pauseServer(c, info.Pause)
+	}
+	return info
+}
+
 // receive checks the status and headers of a response and forwards it. A success
 // without the server's signature counts as lost.
 func (q *request) receive(ctx context.Context, c *choice, resp *upstream.Response) sendResult {
-	info := q.relay.Codec.InspectResponse(resp.Status, resp.Header)
+	info := q.inspect(c, resp)
 	if info.NotRun {
 		discardBody(resp)
 		q.relay.Balancer.finishCall(c, signalNeutral)
 		return sendResult{outcome: outcomeNotRun, refusal: unavailable(reasonServerRefused, retryAfterBusy), err: statusError(c, resp.Status)}
 	}
 	q.mayHaveRun = true
-	isSuccess := resp.Status >= 200 && resp.Status < 300
-	if isSuccess && !info.Signed {
+	if isSuccess(resp.Status) && !info.Signed {
 		_ = resp.Body.Close()
 		return q.recordLostResponse(ctx, c, fault.New(fault.Protocol, "relay.receive", c.target.ID, "successful response lacks the signature"))
 	}
-	if isSuccess && q.policy.Stream {
+	if isSuccess(resp.Status) && q.policy.Stream {
 		return q.forwardEvents(ctx, c, resp)
 	}
 	return q.forwardBuffered(ctx, c, resp)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -100,6 +100,7 @@
 			if isFirst {
 				isFirst = false
 				s.request.recordStarted()
+				s.request.recordOrigin(c)
 				s.request.relay.Balancer.recordFirstToken(c)
 			}
 			if err := s.write(pending[:end]); err != nil {
@@ -155,8 +156,8 @@
 	return http.NewResponseController(s.request.w).Flush()
 }
 
-// resume requests the stream after the last forwarded event from another server.
-// The response is nil, and the reason logged, if the stream cannot be continued: it
+// resume requests the stream after the last forwarded event from another server of
+// its origin. The response is nil, and the reason logged, if the stream cannot be continued: it
 // is not resumable, its sends or the retry budget are used up, or no server
 // accepted it. silent is the body of the previous response if that may still go on;
 // it is closed once another server has responded, or has not refused the request
@@ -168,7 +169,7 @@
 		if obstacle := s.obstacleToResume(ctx); obstacle != "" {
 			return s.logNotResumed(previous, obstacle, nil)
 		}
-		c, err := q.relay.Balancer.pick(q.service, &q.info, 0, q.tried)
+		c, err := q.relay.Balancer.pick(q.service, &q.info, 0, q.tried, q.origin)
 		if err != nil {
 			return s.logNotResumed(previous, "no-server", err)
 		}
@@ -189,14 +190,15 @@
 		q.sends++
 		info := ResponseInfo{}
 		if err == nil {
-			info = q.relay.Codec.InspectResponse(resp.Status, resp.Header)
+			info = q.inspect(c, resp)
 		}
 		if err == nil && resp.Status == http.StatusOK && info.Signed {
 			if silent != nil {
 				_ = silent.Close()
 			}
-			q.serverID = c.target.ID
-			q.relay.Log.Log(EvStreamResumed, "request", q.info.AttemptID, "from", previous.target.ID, "server", c.target.ID, "after", s.lastEventID)
+			q.serverID, q.serverVersion = c.target.ID, c.version
+			q.relay.Log.Log(EvStreamResumed, "request", q.info.AttemptID, "from", previous.target.ID, "from_version", previous.version,
+				"server", c.target.ID, "version", c.version, "after", s.lastEventID)
 			return c, resp
 		}
 		res := sendResult{outcome: outcomeUnknown, err: err}
