--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -40,10 +40,10 @@
 // Export returns the state of the requests here, to be handed over to their new
 // owners. Requests that were not dispatched yet are stopped first, so that only
 // the new owner runs them. Callers of a stopped request wait here until
-// EndHandover, since the new owner would run it anew without the transfer. Requests whose backend server cannot resume an answer
-// are not exported and end here. If isFinal is set, the repeatable ones among
-// them are stopped and exported too, and the new owner continues them from their
-// last event.
+// EndHandover, since the new owner would run it anew without the transfer. Requests
+// whose backend server cannot resume an answer are not exported and end here. If
+// isFinal is set, the repeatable ones among them are stopped and exported too, and
+// the new owner continues them from their last event.
 func (d *Dispatcher) Export(isFinal bool) []Transfer {
 	var out []Transfer
 	for _, e := range d.runningExecutions() {
