relay: refuse a request whose body has not arrived by its deadline

A caller whose body trickles or stops got no answer at all: the relay read on without a time limit, beyond the rule's timeout and up to the end of a planned stop, and held a connection. Found by the review of the requests without an answer.

The body is read until the deadline; then the refusal is 408, which says that the request has not run, and the connection is closed.

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -38,6 +39,7 @@
 	if refused := q.authenticate(); refused != nil {
 		return refused
 	}
+	q.deadline = q.arrivedAt.Add(q.timeout())
 	if refused := q.readBody(); refused != nil {
 		return refused
 	}
@@ -45,7 +47,6 @@
 	if crashes := q.relay.Crashes.Count(q.fingerprint); crashes >= crashLimit {
 		return unavailable(reasonCrashesServers, 0)
 	}
-	q.deadline = q.arrivedAt.Add(q.timeout())
 	if refused := q.pinToOrigin(); refused != nil {
 		return refused
 	}
@@ -124,8 +125,8 @@
 	return !q.policy.Public && age > q.relay.Limits.MaxDocumentAge
 }
 
-// readBody checks the size of the headers and reads the body up to the size limit
-// of the document, or else of the relay.
+// readBody checks the size of the headers and reads the body, until the request's
+// deadline and up to the size limit of the document, or else of the relay.
 func (q *request) readBody() *refusal {
 	limit := q.relay.Limits.DefaultMaxBodyBytes
 	if n := q.doc.CallerLimits.MaxBodyBytes; n > 0 {
@@ -137,9 +138,17 @@
 	if q.r.ContentLength > limit {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
 	}
+	connection := http.NewResponseController(q.w)
+	_ = connection.SetReadDeadline(q.deadline) // fails if the connection is closed
 	body, err := readAll(http.MaxBytesReader(q.w, q.r.Body, limit), q.r.ContentLength)
+	if err == nil {
+		_ = connection.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		q.w.Header().Set("Connection", "close") // else net/http waits for the rest before it responds
+		return &refusal{status: http.StatusRequestTimeout, reason: reasonBodyTimeout}
 	case errors.As(err, &tooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
 	case err != nil:
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -17,6 +17,7 @@
 	reasonBadRequest         = "bad-request"
 	reasonHeaderTooLarge     = "header-too-large"
 	reasonBodyTooLarge       = "body-too-large"
+	reasonBodyTimeout        = "body-timeout"
 	reasonQuota              = "quota"
 	reasonCrashesServers     = "crashes-servers"
 	reasonNoServer           = "no-server"
