relay: one decision whether a silent stream goes on or is taken over

Callers of resumable streams lost their connection midway although their server had gone on, and had even sent the end of the stream, because the server that the rest had been requested from broke off 600 ms later.

Cause: a response that was silent for the stall timeout was closed when the other server had had the request for 320 ms, with or without a response. Until then data of the old response was read once and held; nothing read its rest while `resume` waited. So the only source of the answer was given up on a guess.

Change: a contest is decided once, by a compare-and-swap. The other server wins with a valid response; the old response is closed and what was read of it and not forwarded is dropped. The old one wins with data or its regular end; the requests to other servers are cancelled through a context of their own, their calls end neutrally and the stream goes on (`went-on`). If the old one breaks, the other is awaited. No time limit closes the old response any more. Attempts and retry budget are counted as before, so a later silence tries again while they allow.

A server without a response has not begun, so no run overlaps another while it is awaited.

--- a/internal/relay/second.go
+++ b/internal/relay/second.go
@@ -10,6 +10,11 @@
 	"buckthornpick/internal/upstream"
 )
 
+// maxOverlap limits how long a silent server and the second one may both run a call.
+// It exceeds the dial timeout, so that an answer is not given up for a server that
+// cannot be reached.
+const maxOverlap = 320 * time.Millisecond
+
 // secondSend sends a request to a second server when the first one takes longer than
 // sendTimeout. The first send goes on until the second server has accepted the
 // request, and until its own end if none does.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -68,11 +68,6 @@
 	callerLeft bool
 	// lastEventID is the ID of the last event that was forwarded.
 	lastEventID string
-	// isOldResponseClosed is set once a silent response was closed although no other
-	// server had responded yet.
-	isOldResponseClosed atomic.Bool
-	// hasGoneOn is set once a silent response went on while another server was sought.
-	hasGoneOn atomic.Bool
 }
 
 // continuation is the response of another server that continues a stream.
@@ -93,11 +88,13 @@
 	for {
 		stall.start()
 		n, err := resp.Body.Read(chunk)
-		if next := stall.stop(err == nil); next.resp != nil {
+		pending = append(pending, chunk[:n]...)
+		end := completeEventsLength(pending)
+		isRegularEnd := err == io.EOF && (resp.Framed || end == len(pending))
+		if next := stall.stop(err == nil || isRegularEnd); next.resp != nil {
 			return next, errStreamStalled
 		}
-		pending = append(pending, chunk[:n]...)
-		if end := completeEventsLength(pending); end > 0 {
+		if end > 0 {
 			if isFirst {
 				isFirst = false
 				s.request.recordStarted()
@@ -111,13 +108,10 @@
 			pending = append(pending[:0], pending[end:]...)
 		}
 		switch {
-		case err == io.EOF:
-			if len(pending) > 0 && !resp.Framed {
-				return continuation{}, errors.New("connection closed within an event")
-			}
+		case isRegularEnd:
 			return continuation{}, s.writeRemainder(pending)
-		case err != nil && s.isOldResponseClosed.Load():
-			return continuation{}, errStreamStalled
+		case err == io.EOF:
+			return continuation{}, errors.New("connection closed within an event")
 		case err != nil:
 			return continuation{}, err
 		case len(pending) > maxEventBytes:
@@ -160,14 +154,14 @@
 // resume requests the stream after the last forwarded event from another server of
 // its origin. The response is nil, and the reason logged, if the stream cannot be continued: it
 // is not resumable, its sends or the retry budget are used up, or no server
-// accepted it. silent is the body of the previous response if that may still go on;
-// it is closed once another server has responded, or has not refused the request
-// within maxOverlap.
-func (s *eventStream) resume(ctx context.Context, previous *choice, silent io.Closer) (*choice, *upstream.Response) {
+// accepted it. contest is nil unless the previous response may still go on; that one
+// is closed once another server has responded, and no server is asked once it has
+// gone on.
+func (s *eventStream) resume(ctx context.Context, previous *choice, contest *contest) (*choice, *upstream.Response) {
 	q := s.request
 	q.tried[previous.target.ID] = true
 	for {
-		if obstacle := s.obstacleToResume(ctx); obstacle != "" {
+		if obstacle := s.obstacleToResume(ctx, contest); obstacle != "" {
 			return s.logNotResumed(previous, obstacle, nil)
 		}
 		c, err := q.relay.Balancer.pick(q.service, &q.info, 0, q.tried, q.origin)
@@ -180,9 +174,7 @@
 		}
 		q.tried[c.target.ID] = true
 		remaining := time.Until(q.deadline)
-		stopOverlap := s.limitOverlap(silent)
 		resp, err := q.relay.Pool.Do(ctx, c.target, q.buildRequest(c, s.lastEventID, remaining))
-		stopOverlap()
 		if err != nil && !upstream.MayHaveBeenSent(err) {
 			q.relay.Balancer.finishCall(c, unsentSignal(ctx, err))
 			q.logFailedSend(c, &sendResult{outcome: outcomeNotSent, err: err})
@@ -193,10 +185,7 @@
 		if err == nil {
 			info = q.inspect(c, resp)
 		}
-		if err == nil && resp.Status == http.StatusOK && info.Signed {
-			if silent != nil {
-				_ = silent.Close()
-			}
+		if err == nil && resp.Status == http.StatusOK && info.Signed && contest.takeOver() {
 			q.serverID, q.serverVersion = c.target.ID, c.version
 			q.relay.Log.Log(EvStreamResumed, "request", q.info.AttemptID, "from", previous.target.ID, "from_version", previous.version,
 				"server", c.target.ID, "version", c.version, "after", s.lastEventID)
@@ -207,11 +196,14 @@
 			discardBody(resp)
 			res.err = fault.New(fault.Ambiguous, "relay.stream", c.target.ID, "server did not continue the stream, status %d", resp.Status)
 		}
+		if contest.hasGoneOn() {
+			res.err = fault.New(fault.Ambiguous, "relay.stream", c.target.ID, "the silent server has gone on")
+		}
 		if info.NotRun {
 			res.outcome = outcomeNotRun
 		}
 		signal := signalFailed
-		if q.r.Context().Err() != nil {
+		if q.r.Context().Err() != nil || contest.hasGoneOn() {
 			signal = signalNeutral
 		}
 		q.relay.Balancer.finishCall(c, signal)
@@ -219,23 +211,15 @@
 	}
 }
 
-// limitOverlap closes the silent response, which may be nil, after maxOverlap unless
-// the returned function is called before.
-func (s *eventStream) limitOverlap(silent io.Closer) (stop func()) {
-	if silent == nil {
-		return func() {}
-	}
-	timer := time.AfterFunc(maxOverlap, func() { s.isOldResponseClosed.Store(true); _ = silent.Close() })
-	return func() { timer.Stop() }
-}
-
 // obstacleToResume returns why the stream cannot be requested from another server;
 // empty if it can.
-func (s *eventStream) obstacleToResume(ctx context.Context) string {
+func (s *eventStream) obstacleToResume(ctx context.Context, contest *contest) string {
 	q := s.request
 	switch {
 	case q.r.Context().Err() != nil:
 		return reasonCallerLeft
+	case contest.hasGoneOn():
+		return "went-on"
 	case ctx.Err() != nil:
 		return reasonTimeout
 	case q.policy.Repetition != resumable:
@@ -246,8 +230,6 @@
 		return "attempts-used"
 	case q.isDocumentStale():
 		return reasonDocumentTooOld
-	case s.hasGoneOn.Load():
-		return "went-on"
 	}
 	return ""
 }
@@ -287,21 +269,55 @@
 	}
 }
 
-// maxOverlap limits how long a silent server and the one that is to continue its
-// stream may both run it. It exceeds the dial timeout, so that a response is not
-// closed in favour of a server that cannot be reached.
-const maxOverlap = 320 * time.Millisecond
+// contest decides once whether a silent response goes on or another server takes its
+// stream over. A nil contest, without such a response, is won by the other server.
+type contest struct {
+	silent io.Closer
+	// cancel cancels the requests to other servers.
+	cancel   context.CancelFunc
+	decision atomic.Int32
+}
+
+// The decisions of a contest; 0 is none.
+const (
+	decidedForOld = iota + 1
+	decidedForNew
+)
+
+// takeOver is called when another server has responded. It closes the silent response,
+// or returns false if that one has gone on.
+func (c *contest) takeOver() bool {
+	if c == nil {
+		return true
+	}
+	if !c.decision.CompareAndSwap(0, decidedForNew) {
+		return false
+	}
+	_ = c.silent.Close()
+	return true
+}
+
+// goOn is called when the silent response has gone on or ended regularly. It cancels
+// the requests to other servers unless one of them has taken the stream over.
+func (c *contest) goOn() {
+	if c.decision.CompareAndSwap(0, decidedForOld) {
+		c.cancel()
+	}
+}
+
+func (c *contest) hasGoneOn() bool { return c != nil && c.decision.Load() == decidedForOld }
 
 // stallTimer requests the rest of a stream from another server when a read takes
-// longer than a timeout. The read goes on until that server has accepted the
-// request, and for good if none does.
+// longer than a timeout. The read goes on until that server has responded, and for
+// good if none does.
 type stallTimer struct {
-	stream *eventStream
-	// resume is nil for streams that cannot be resumed on another server.
-	resume func()
-	timer  *time.Timer
-	// firstTimeout is the timeout of the first read, and timeout that of the others.
-	firstTimeout, timeout time.Duration
+	// newContest returns the contest of the next silence, and the timer that starts it
+	// after timeout. It is nil for streams that cannot be resumed on another server.
+	newContest func(timeout time.Duration) (*contest, *time.Timer)
+	contest    *contest
+	timer      *time.Timer
+	// nextTimeout is the timeout of the next read, and timeout that of the others.
+	nextTimeout, timeout time.Duration
 	// next is the result of resume, after whose end ended receives.
 	next  continuation
 	ended chan struct{}
@@ -309,18 +325,22 @@
 
 // newStallTimer returns the timer for the reads of a response.
 func (s *eventStream) newStallTimer(ctx context.Context, c *choice, resp *upstream.Response) *stallTimer {
-	t := &stallTimer{stream: s}
+	t := &stallTimer{}
 	q := s.request
 	if q.policy.Repetition != resumable || q.sends >= q.policy.Attempts {
 		return t
 	}
 	t.timeout = stallTimeout(q.policy)
 	// The first event may take longer, since the request may be queued at the server.
-	t.firstTimeout = max(t.timeout, callerStreamTimeout(q.policy)/2)
+	t.nextTimeout = max(t.timeout, callerStreamTimeout(q.policy)/2)
 	t.ended = make(chan struct{}, 1)
-	t.resume = func() {
-		t.next.choice, t.next.resp = s.resume(ctx, c, resp.Body)
-		t.ended <- struct{}{}
+	t.newContest = func(timeout time.Duration) (*contest, *time.Timer) {
+		ctx, cancel := context.WithCancel(ctx)
+		contest := &contest{silent: resp.Body, cancel: cancel}
+		return contest, time.AfterFunc(timeout, func() {
+			t.next.choice, t.next.resp = s.resume(ctx, c, contest)
+			t.ended <- struct{}{}
+		})
 	}
 	return t
 }
@@ -328,22 +348,28 @@
 // start starts the timeout of a read.
 func (t *stallTimer) start() {
 	switch {
-	case t.resume == nil:
-	case t.timer == nil:
-		t.timer = time.AfterFunc(t.firstTimeout, t.resume)
+	case t.newContest == nil:
+		return
+	case t.contest == nil:
+		t.contest, t.timer = t.newContest(t.nextTimeout)
 	default:
-		t.timer.Reset(t.timeout)
+		t.timer.Reset(t.nextTimeout)
 	}
+	t.nextTimeout = t.timeout
 }
 
-// stop ends the timeout after a read, whose response goes on or not. If another
-// server was asked for the rest of the stream, it waits for the result and returns
-// the response, if there is one.
+// stop ends the timeout after a read, whose response goes on or has ended regularly,
+// or has broken. If the rest of the stream was requested elsewhere, it returns the
+// response of the server that has taken the stream over, if there is one; a broken
+// response waits for it.
 func (t *stallTimer) stop(goesOn bool) continuation {
-	if t.timer != nil && !t.timer.Stop() {
-		t.stream.hasGoneOn.Store(goesOn)
-		<-t.ended
-		t.stream.hasGoneOn.Store(false)
+	if t.timer == nil || t.timer.Stop() {
+		return continuation{}
+	}
+	if goesOn {
+		t.contest.goOn()
 	}
+	<-t.ended
+	t.contest = nil
 	return t.next
 }
