relay: a repeatable call's first send ends only if a second server has answered

Callers of repeatable calls got 502 `answer-lost` although the server that had their call would have answered in time: the call was sent to a second server at half of its time, and that one broke off 500 ms later.

Cause: the first send was cancelled when the second server had had the call for 320 ms, with or without a response. It was also not decided in one place whose answer is forwarded: if the second server responded in the instant in which a long answer of the first reached its first 1 MiB, each cancelled the other and both were lost. That instant was found by reading; no test hits it.

Change: a compare-and-swap decides once. The second server wins with a response that is neither a refusal nor a failure, which cancels the first send. The first wins before its answer is forwarded, whole or as it arrives, which cancels the second send. A send that comes too late is dropped, ends neutrally and counts as one of the attempts. The limit of 320 ms is gone.

--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -61,12 +61,22 @@
 		q.relay.Balancer.finishCall(c, signalFailed)
 		return q.recordServerFailure(c, resp, data)
 	}
+	if !q.second.chooseFirst() {
+		return q.recordAnsweredElsewhere(c)
+	}
 	q.relay.Balancer.finishCall(c, signalServed)
 	q.recordAnswered()
 	q.writeResponse(resp.Status, resp.Header, data)
 	return responseForwarded
 }
 
+// recordAnsweredElsewhere ends a send whose answer is not forwarded, since a second
+// server has answered.
+func (q *request) recordAnsweredElsewhere(c *choice) sendResult {
+	q.relay.Balancer.finishCall(c, signalNeutral)
+	return sendResult{outcome: outcomeUnknown, refusal: badGateway(reasonAnswerLost), err: errAnsweredElsewhere}
+}
+
 // isSuccess reports whether the status is 2xx.
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
@@ -157,7 +167,10 @@
 // forwardUnbuffered forwards a long response as it arrives; first is the part of
 // its body that was already read. From then on, no second send is made.
 func (q *request) forwardUnbuffered(ctx context.Context, c *choice, resp *upstream.Response, first []byte) sendResult {
-	q.second.stop(true)
+	if !q.second.chooseFirst() {
+		return q.recordAnsweredElsewhere(c)
+	}
+	q.second.stop()
 	if err := ctx.Err(); err != nil {
 		return q.recordLostResponse(ctx, c, err)
 	}
--- a/internal/relay/second.go
+++ b/internal/relay/second.go
@@ -4,28 +4,25 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/upstream"
 )
 
-// maxOverlap limits how long a silent server and the second one may both run a call.
-// It exceeds the dial timeout, so that an answer is not given up for a server that
-// cannot be reached.
-const maxOverlap = 320 * time.Millisecond
-
 // secondSend sends a request to a second server when the first one takes longer than
-// sendTimeout. The first send goes on until the second server has accepted the
-// request, and until its own end if none does.
+// sendTimeout. The first send goes on until the second server has responded, and until
+// its own end if none does. It is decided once which answer is forwarded.
 type secondSend struct {
-	request *request
+	request   *request
+	isDecided atomic.Bool
 	// timer is nil if no second send can be made any more.
 	timer *time.Timer
 	// cancel cancels the second send.
 	cancel context.CancelFunc
 	// ended is closed at the end of the second send; the following fields are valid
-	// then. choice and resp are nil if no server has accepted the request.
+	// then. choice and resp are nil if no second server answers the request.
 	ended  chan struct{}
 	choice *choice
 	resp   *upstream.Response
@@ -87,12 +84,9 @@
 }
 
 // sendTo sends the request to one server. It cancels the first send once that server
-// has responded, or has not refused the request within maxOverlap. The result is that
-// of a send without a response.
+// has responded. The result is that of a send without a response.
 func (s *secondSend) sendTo(ctx context.Context, c *choice, cancelFirst func()) (*upstream.Response, sendResult) {
 	q := s.request
-	overlap := time.AfterFunc(maxOverlap, cancelFirst)
-	defer overlap.Stop()
 	resp, err := q.relay.Pool.Do(ctx, c.target, q.buildRequest(c, "", time.Until(q.deadline)))
 	if err != nil {
 		return nil, s.recordFailedSend(ctx, c, err)
@@ -107,11 +101,32 @@
 		q.relay.Balancer.finishCall(c, signalFailed)
 		discardBody(resp)
 		return nil, sendResult{outcome: outcomeServerFailed, err: fault.New(fault.Ambiguous, "relay.second", c.target.ID, "server failed with status %d", resp.Status)}
+	case !s.isDecided.CompareAndSwap(false, true):
+		q.relay.Balancer.finishCall(c, signalNeutral)
+		_ = resp.Body.Close()
+		return nil, sendResult{outcome: outcomeUnknown, err: errAnsweredElsewhere}
 	}
 	cancelFirst()
 	return resp, sendResult{}
 }
 
+// errAnsweredElsewhere ends a send because another server's answer is forwarded.
+var errAnsweredElsewhere = errors.New("another server has answered")
+
+// chooseFirst is called before the answer of the first server is forwarded. It cancels
+// the second send, or returns false if that one has been answered before. A nil
+// secondSend has no effect.
+func (s *secondSend) chooseFirst() bool {
+	if s == nil || s.timer == nil {
+		return true
+	}
+	if !s.isDecided.CompareAndSwap(false, true) {
+		return false
+	}
+	s.cancel()
+	return true
+}
+
 // recordFailedSend ends a second send that got no response.
 func (s *secondSend) recordFailedSend(ctx context.Context, c *choice, err error) sendResult {
 	q := s.request
@@ -126,18 +141,16 @@
 	return q.recordLostResponse(ctx, c, err)
 }
 
-// stop ends the timer. A second send that was started is waited for, or cancelled if
-// the first one was answered. It returns the response of the second server, if any.
-func (s *secondSend) stop(isAnswered bool) continuation {
-	if s.timer == nil {
-		return continuation{choice: s.choice, resp: s.resp}
+// stop ends the timer. A second send that was started is waited for. It returns the
+// response of the second server if that is to be forwarded.
+func (s *secondSend) stop() continuation {
+	if s == nil || s.timer == nil {
+		return continuation{}
 	}
 	isStarted := !s.timer.Stop()
 	s.timer = nil
-	if isAnswered || !isStarted {
-		s.cancel()
-	}
 	if !isStarted {
+		s.cancel()
 		return continuation{}
 	}
 	<-s.ended
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -133,13 +133,9 @@
 	defer cancelFirst()
 	q.second = q.startSecondSend(ctx, c, cancelFirst)
 	res := q.sendTo(firstCtx, c)
-	next := q.second.stop(res.isFinal)
-	switch {
-	case next.resp == nil:
-		return c, res
-	case res.isFinal:
-		_ = next.resp.Body.Close()
-		q.relay.Balancer.finishCall(next.choice, signalNeutral)
+	next := q.second.stop()
+	q.second = nil
+	if next.resp == nil {
 		return c, res
 	}
 	q.logFailedSend(c, &res)
