relay: a server that refuses to continue a stream does not count as failing

A sound server that was full for a moment got no requests for two seconds from an entry whose streams it had refused to continue; callers then waited at fewer servers, or were refused.

Cause: `resume` ended each send that did not continue the stream as failed, also where the server stated that it had not run the request. `receive` and the second send end such a call neutrally. A silent server moves all its streams at once, so a few refusals are enough to count as failing.

Evidence before: the new TestServerThatRefusesToContinueStreamsIsNotAvoided, 0 of 10 calls at the server that had refused (10 of 10 runs).

Change: a refusal in `resume` is neutral.

Measured: the test passes with -count=10, with the nine others of silent servers. `-run 'Silent|Stream|Change|Ended|FailsLate|Unreachable|Answer|Version'` on ./platform passes with -count=3, and with -race -short -cpu 1 once; ./internal/relay with -count=10 and with -race.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -203,7 +203,7 @@
 			res.outcome = outcomeNotRun
 		}
 		signal := signalFailed
-		if q.r.Context().Err() != nil || contest.hasGoneOn() {
+		if info.NotRun || q.r.Context().Err() != nil || contest.hasGoneOn() {
 			signal = signalNeutral
 		}
 		q.relay.Balancer.finishCall(c, signal)
