relay: log requests that a planned stop cuts as broken off, not as left by their callers

At the end of the grace period the server closes the connections that are left, which ends the requests' contexts as a caller's leaving does. request-ended then said caller-left, so that cut requests could not be found in the log. Found with the requests without an answer.

After the time of the cut an ended context counts as the cut.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -90,7 +90,10 @@
 		if hr.Context().Err() != nil {
 			// A caller may have closed only its sending side. Without a response, net/http
 			// would send it an empty success.
-			q.reason = reasonCallerLeft
+			q.reason = reasonBrokenOff
+			if q.hasCallerLeft() {
+				q.reason = reasonCallerLeft
+			}
 			refused.write(w)
 			return
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -116,6 +116,13 @@
 
 func (r *Relay) isDraining() bool { return r.drainPlan.Load() != nil }
 
+// hasCallerLeft reports whether the caller has closed its connection, as opposed to
+// a planned stop that has cut it.
+func (q *request) hasCallerLeft() bool {
+	plan := q.relay.drainPlan.Load()
+	return q.r.Context().Err() != nil && (plan == nil || time.Now().Before(plan.CutAt))
+}
+
 // cutMargin is the time for the last bytes of a response before the connection is
 // closed.
 const cutMargin = 100 * time.Millisecond
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -197,7 +197,7 @@
 // http.ErrAbortHandler, so that a truncated response does not look complete.
 func (q *request) abortConnection(err error) {
 	q.reason = reasonBrokenOff
-	if q.r.Context().Err() != nil {
+	if q.hasCallerLeft() {
 		q.reason = reasonCallerLeft
 	}
 	q.detail = err.Error()
