relay, blame: refuse requests that share a part of their prompts with requests that crashed servers

Callers saw servers end one after the other, and with each the answers of all that ran there.

The class: a count under a key that the repeated thing does not share. Crashes are now counted by each shared part of the prompt as well. All that ran at a crashed server is suspect, an answer clears parts at all entries, crashes at one moment count once, and crashes that a blocked part explains are not counted against others. Hosts that do not answer and servers that leave convict no part. Evidence is merged in any order; entries compare digests, so that one that started, was frozen or cut off learns what it missed. Blocked content is checked before each send, also second sends and resumed streams, and tried rarely, once on the site at a time.

--- /dev/null
+++ b/internal/blame/trial.go
@@ -0,0 +1,102 @@
+package blame
+
+import "time"
+
+const (
+	// trialTimeout is how long a trial excludes others if neither an answer nor a crash
+	// ends it.
+	trialTimeout = 10 * time.Second
+	// answeredTrialDelay is the time after the last crash of a blocked key before its
+	// first trial if the key has been answered before.
+	answeredTrialDelay = 2 * time.Second
+)
+
+// trialDelays holds the times before the trials of a blocked key, from its last crash
+// or trial on. After these it stays blocked until its evidence expires.
+var trialDelays = []time.Duration{time.Minute, 5 * time.Minute, 20 * time.Minute}
+
+// trial is the trial that this entry has permitted last.
+type trial struct {
+	key   Key
+	epoch uint32
+	// crashCount is the number of crashes against the key before the trial.
+	crashCount int
+	until      time.Duration
+}
+
+// Verdict is the decision about the content of a request.
+type Verdict struct {
+	IsBlocked bool
+	// Key is the blocked key, the first one if there are several.
+	Key Key
+	// CanTry is true if the request may serve as a trial of Key: a trial is due, and
+	// nothing else in the request is blocked.
+	CanTry bool
+	// RetryAfter is the time until a trial is due; 0 if there will be none.
+	RetryAfter time.Duration
+}
+
+// Judge decides about a request with the content.
+func (t *Tracker) Judge(c *Content) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var v Verdict
+	if len(t.blocked) == 0 {
+		return v
+	}
+	for _, key := range c.Keys() {
+		if !t.blocked[key] || v.IsBlocked && v.Key == key {
+			continue
+		}
+		if v.IsBlocked {
+			v.CanTry = false
+			return v
+		}
+		wait, ok := t.untilTrialLocked(key)
+		v = Verdict{IsBlocked: true, Key: key, CanTry: ok && wait <= 0}
+		if ok {
+			v.RetryAfter = max(wait, 0)
+		}
+	}
+	return v
+}
+
+// untilTrialLocked returns the time until a trial of a blocked key is due; ok is false
+// if there will be none.
+func (t *Tracker) untilTrialLocked(key Key) (wait time.Duration, ok bool) {
+	e := t.evidence[key]
+	if e == nil || e.trials >= len(trialDelays) {
+		return 0, false
+	}
+	delay := trialDelays[e.trials]
+	if e.trials == 0 && e.wasAnswered {
+		delay = answeredTrialDelay
+	}
+	return e.changedAt + delay - t.clock(), true
+}
+
+// PermitTrial permits a trial of a blocked key if one is due and no other one runs. It
+// is called at the entry that permits the trials of the whole site, and returns what
+// the others have to hear of.
+func (t *Tracker) PermitTrial(key Key) (Record, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock()
+	wait, ok := t.untilTrialLocked(key)
+	if !t.blocked[key] || !ok || wait > 0 || t.isTrialRunningLocked(now) {
+		return Record{}, false
+	}
+	e := t.evidence[key]
+	e.trials++
+	e.changedAt = now
+	t.trial = trial{key: key, epoch: e.epoch, crashCount: len(e.crashes), until: now + trialTimeout}
+	t.isChanged = true
+	return e.record(key, now), true
+}
+
+// isTrialRunningLocked reports whether the last trial has not ended: with an answer,
+// which begins another epoch of its key, with a crash, or by its timeout.
+func (t *Tracker) isTrialRunningLocked(now time.Duration) bool {
+	e, ok := t.evidence[t.trial.key]
+	return ok && now < t.trial.until && e.epoch == t.trial.epoch && len(e.crashes) == t.trial.crashCount
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"buckthornpick/internal/blame"
 	"buckthornpick/internal/clock"
 	"buckthornpick/internal/follow"
 	"buckthornpick/internal/peer"
@@ -56,12 +57,9 @@
 	Usage usage.WindowCounts    `msgpack:"w,omitempty"`
 	// IsLeaving marks the last message of an entry that stops.
 	IsLeaving bool `msgpack:"x,omitempty"`
-}
-
-// clearedMessage reports that a request with the content was answered, so that its
-// crashes no longer count.
-type clearedMessage struct {
-	Content uint64 `msgpack:"c"`
+	// Evidence is the digest of the entry's evidence against content that crashes
+	// servers.
+	Evidence uint64 `msgpack:"d,omitempty"`
 }
 
 // Config holds the dependencies and settings of an Exchange.
@@ -71,7 +69,7 @@
 	Size      *follow.SiteSize
 	Balancer  *relay.Balancer
 	Quotas    *relay.Quotas
-	Crashes   *relay.CrashTracker
+	Crashes   *blame.Tracker
 	Origins   *relay.Origins
 	Counts    *usage.Counts
 	Clock     clock.Clock
@@ -99,6 +97,9 @@
 	// receives.
 	hubSums      latestSums
 	prefillByRun map[string]receivedPrefill
+	// evidence holds the last comparison of the evidence against content with that of
+	// each other entry, by its ID.
+	evidence map[string]comparedEvidence
 	// lastReportAt is when the last state or sums were accepted.
 	lastReportAt time.Duration
 }
@@ -121,12 +122,14 @@
 	x := &Exchange{
 		Config: c, run: run, self: c.Transport.Self(),
 		tracker: newEntryTracker(c.UnregisteredGrace), site: quota.Site{Entries: 1, Reachable: 1},
-		hubSums: latestSums{}, prefillByRun: map[string]receivedPrefill{},
+		hubSums: latestSums{}, prefillByRun: map[string]receivedPrefill{}, evidence: map[string]comparedEvidence{},
 	}
 	c.Transport.HandleNotify(peer.RelayState, x.receiveState)
 	c.Transport.HandleNotify(peer.RelaySums, x.receiveSums)
 	c.Transport.HandleNotify(peer.RelayCrash, x.receiveCrash)
 	c.Transport.HandleNotify(peer.RelayCleared, x.receiveCleared)
+	c.Transport.HandleNotify(peer.RelayEvidence, x.receiveEvidence)
+	c.Transport.Handle(peer.RelayTrial, peer.HandleCall(x.serveTrial))
 	c.Transport.HandleNotify(peer.RelayOrigins, x.receiveOrigins)
 	c.Transport.Handle(peer.RelayOriginQuery, peer.HandleCall(x.serveOriginQuery))
 	return x
@@ -155,7 +158,7 @@
 
 // buildState returns the n-th state message.
 func (x *Exchange) buildState(n int) stateMessage {
-	message := stateMessage{Run: x.run, Spent: x.Quotas.Reports(n%siteSpendingEvery == 0), Loads: x.Balancer.Loads()}
+	message := stateMessage{Run: x.run, Spent: x.Quotas.Reports(n%siteSpendingEvery == 0), Loads: x.Balancer.Loads(), Evidence: x.Crashes.Digest()}
 	if n%usageEvery == 0 {
 		message.Usage = x.Counts.Local()
 		message.Prefill = x.Balancer.PrefillStats()
@@ -187,6 +190,7 @@
 	if message.Usage != nil {
 		x.Counts.Merge(message.Run, message.Usage)
 	}
+	x.compareEvidence(from, message.Run, message.Evidence)
 	x.mu.Lock()
 	if x.position.usesHubs && (!x.position.isHub || from.Zone != x.self.Zone) {
 		x.mu.Unlock() // included in the sums of hubs
@@ -228,6 +232,7 @@
 	isSiteChanged := x.position.usesHubs && (site.Entries != x.site.Entries || site.Reachable != x.site.Reachable)
 	x.site = site
 	p := x.position
+	x.forgetEvidenceLocked(others)
 	x.mu.Unlock()
 	x.logChanges(p, site, isPositionChanged, isSiteChanged, changes)
 	x.Balancer.SetPeerCalls(loads)
@@ -316,57 +321,6 @@
 	return statsByEntry
 }
 
-// NotifyCrash implements relay.Peers.
-func (x *Exchange) NotifyCrash(c relay.Crash) { x.propagate(peer.RelayCrash, c, peer.Node{}) }
-
-// NotifyCleared implements relay.Peers.
-func (x *Exchange) NotifyCleared(content uint64) {
-	x.propagate(peer.RelayCleared, clearedMessage{content}, peer.Node{})
-}
-
-// propagate sends a crash notice to the entries that this one exchanges messages
-// with, except the sender. A zero from means that the notice is this entry's own.
-func (x *Exchange) propagate(kind peer.Kind, message any, from peer.Node) {
-	x.mu.Lock()
-	p := x.position
-	x.mu.Unlock()
-	isOwn := from.ID == ""
-	if isOwn {
-		x.sendTo(p.uplinks, kind, message)
-	}
-	if !p.isHub {
-		return
-	}
-	if isOwn || from.Zone == x.self.Zone {
-		x.sendTo(p.remoteHubs, kind, message)
-	}
-	for _, node := range x.zoneEntries(p) {
-		if node.ID != from.ID {
-			x.send(node, kind, message)
-		}
-	}
-}
-
-func (x *Exchange) receiveCrash(from peer.Node, decode func(any) error) {
-	var c relay.Crash
-	if decode(&c) != nil {
-		return
-	}
-	n, isNew := x.Crashes.Record(c)
-	if !isNew {
-		return
-	}
-	x.Log.Log(relay.EvContentCrashed, "content", c.Fingerprint, "server", c.Server, "crashes", n, "told_by", from.ID)
-	x.propagate(peer.RelayCrash, c, from)
-}
-
-func (x *Exchange) receiveCleared(from peer.Node, decode func(any) error) {
-	var c clearedMessage
-	if decode(&c) == nil && x.Crashes.Clear(c.Content) {
-		x.propagate(peer.RelayCleared, c, from)
-	}
-}
-
 // flushDelay is how long Flush waits for the last message to be sent.
 const flushDelay = 100 * time.Millisecond
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"buckthornpick/internal/blame"
 	"buckthornpick/internal/clock"
 	"buckthornpick/internal/config"
 	"buckthornpick/internal/follow"
@@ -86,7 +87,7 @@
 	e.Exchange = New(Config{
 		Transport: transport, Entries: e.entries, Size: size,
 		Balancer: relay.NewBalancer(self.ID, self.Zone, clock.Virtual, upstream.NewPool(network, metrics.NewRegistry())),
-		Quotas:   relay.NewQuotas(testQuotaWindow, clock.Virtual), Crashes: relay.NewCrashTracker(clock.Virtual),
+		Quotas:   relay.NewQuotas(testQuotaWindow, clock.Virtual), Crashes: blame.New(clock.Virtual, log),
 		Counts: usage.NewCounts(run, 5*time.Second, clock.NewWall(clock.Virtual, time.Now)),
 		Clock:  clock.Virtual, Log: log, UnregisteredGrace: unregisteredGrace,
 	}, run)
@@ -270,16 +271,20 @@
 func TestCrashNoticesReachAllEntriesOfLargeSite(t *testing.T) {
 	withTestSite(t, 8, func(s *testSite) {
 		time.Sleep(settleTime)
-		for id, e := range s.entries {
+		n, content := 0, blame.NewContent(7, []string{"part"})
+		for _, e := range s.entries {
 			if !e.IsHub() {
-				crash := relay.Crash{Fingerprint: 7, Server: "s", RunID: "s/" + id}
-				e.Crashes.Record(crash)
-				e.NotifyCrash(crash)
+				n++
+				notice := relay.CrashNotice{Crash: blame.Crash(n), Server: "s", Content: content}
+				e.Crashes.RecordCrash(notice.Crash, notice.Content.Keys())
+				e.NotifyCrash(notice)
 			}
 		}
 		time.Sleep(settleTime)
 		for id, e := range s.entries {
-			require.Equal(t, 24-3*hubsPerZone, e.Crashes.Count(7), "%s", id)
+			for _, key := range content.Keys() {
+				require.Equal(t, 24-3*hubsPerZone, e.Crashes.CrashCount(key), "%s", id)
+			}
 		}
 	})
 }
--- a/internal/exchange/sums.go
+++ b/internal/exchange/sums.go
@@ -30,6 +30,8 @@
 	// Usage and Prefill are by the run of an entry; sent to hubs only.
 	Usage   map[string]usage.WindowCounts            `msgpack:"u,omitempty"`
 	Prefill map[string]map[string]relay.PrefillStats `msgpack:"k,omitempty"`
+	// Evidence is the digest of the hub's evidence against content that crashes servers.
+	Evidence uint64 `msgpack:"d,omitempty"`
 }
 
 // restOfSiteName is the origin name of sums of the rest of the site.
@@ -108,7 +110,7 @@
 	message := x.zoneSumsLocked(x.Clock(), withUsage)
 	x.mu.Unlock()
 	withSiteSpending := n%(hubRoundsPerInterval*siteSpendingEvery) == 0
-	message.Entries = site.Entries
+	message.Entries, message.Evidence = site.Entries, x.Crashes.Digest()
 	message.Spent = x.Quotas.AggregateReports(quota.ScopeZone, "", withSiteSpending)
 	addLoads(message.Loads, runningByServer(x.Balancer.Loads()))
 	if withUsage {
@@ -123,7 +125,7 @@
 
 // sendRestOfSite sends each entry of the zone the sums of all other entries.
 func (x *Exchange) sendRestOfSite(p position, site quota.Site, loads map[string]int, withSiteSpending bool) {
-	nodes := x.zoneEntries(p)
+	nodes, evidence := x.zoneEntries(p), x.Crashes.Digest()
 	ownLoads := map[string]map[string]int{}
 	x.mu.Lock()
 	loads = maps.Clone(loads)
@@ -141,7 +143,7 @@
 		subtractLoads(rest, ownLoads[node.ID])
 		x.send(node, peer.RelaySums, sumsMessage{
 			Run: x.run, Spent: x.Quotas.AggregateReports(quota.ScopeRestOfSite, node.ID, withSiteSpending), Loads: rest,
-			Entries: site.Entries, Reachable: site.Reachable,
+			Entries: site.Entries, Reachable: site.Reachable, Evidence: evidence,
 		})
 	}
 }
@@ -209,6 +211,7 @@
 	if decode(&m) != nil {
 		return // the transport has logged it
 	}
+	x.compareEvidence(from, m.Run, m.Evidence)
 	for run, windows := range m.Usage {
 		x.Counts.Merge(run, windows)
 	}
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -66,6 +66,10 @@
 	RelayOrigins Kind = 26
 	// RelayOriginQuery asks which servers began a stream.
 	RelayOriginQuery Kind = 27
+	// RelayEvidence passes on the evidence against content that crashes backend servers.
+	RelayEvidence Kind = 28
+	// RelayTrial asks for the permission to try content that has crashed servers.
+	RelayTrial Kind = 29
 )
 
 var kindNames = map[Kind]string{
@@ -78,6 +82,7 @@
 	DemandPull: "demand-pull", RelayState: "relay-state", RelayCrash: "relay-crash",
 	RelayCleared: "relay-cleared", RelayPoll: "relay-poll", RelaySums: "relay-sums",
 	RelayOrigins: "relay-origins", RelayOriginQuery: "relay-origin-query",
+	RelayEvidence: "relay-evidence", RelayTrial: "relay-trial",
 }
 
 // String returns the kind's name, or its number if it has none.
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -43,9 +43,8 @@
 	if refused := q.readBody(); refused != nil {
 		return refused
 	}
-	q.fingerprint = q.hashContent()
-	if crashes := q.relay.Crashes.Count(q.fingerprint); crashes >= crashLimit {
-		return unavailable(reasonCrashesServers, 0)
+	if refused := q.admitContent(); refused != nil {
+		return refused
 	}
 	if refused := q.pinToOrigin(); refused != nil {
 		return refused
@@ -180,18 +179,6 @@
 	return size
 }
 
-// hashContent returns a hash of the organisation, method, URI and body, which is
-// the same for all attempts with the same content.
-func (q *request) hashContent() uint64 {
-	h := xxhash.New()
-	if q.org != nil {
-		_, _ = h.WriteString(q.org.Name)
-	}
-	_, _ = h.WriteString("\x00" + q.r.Method + "\x00" + q.r.RequestURI + "\x00")
-	_, _ = h.Write(q.body)
-	return h.Sum64()
-}
-
 // defaultTimeout applies to requests without a deadline whose rule has no timeout.
 const defaultTimeout = 60 * time.Second
 
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -97,6 +97,15 @@
 	}
 }
 
+// isLeaving reports whether the server announced its shutdown, or is no longer
+// registered.
+func (b *Balancer) isLeaving(t upstream.Target) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.servers[t.ID]
+	return !ok || s.Leaving || s.Incarnation != t.Incarnation
+}
+
 // pausedError replaces the error of a picker that knows no eligible server by a
 // route.SaturatedError with the time until the first pause of a server ends, if any
 // server of the service is paused.
--- a/internal/relay/crashdetector.go
+++ b/internal/relay/crashdetector.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
+	"buckthornpick/internal/blame"
 	"buckthornpick/internal/upstream"
 )
 
@@ -24,27 +24,28 @@
 	relay *Relay
 
 	mu sync.Mutex
-	// pendingRuns holds, by server ID, the broken runs that await the result of a
-	// probe.
-	pendingRuns map[string][]brokenRun
+	// pendingRuns holds, by server ID, the runs that await the result of a probe.
+	pendingRuns map[string][]endedRun
 }
 
-// brokenRun is a run of a request at a server whose connection broke before the
-// response was complete.
-type brokenRun struct {
-	fingerprint uint64
-	attemptID   string
+// endedRun is a run of a request at a server whose connection has ended.
+type endedRun struct {
+	content   blame.Content
+	attemptID string
+	// isAnswered is true if the end of the connection was that of a complete answer,
+	// unless the server has crashed.
+	isAnswered bool
 }
 
 // newCrashDetector returns a detector that reports crashes to the tracker and the
 // peers of the relay.
 func newCrashDetector(r *Relay) *crashDetector {
-	return &crashDetector{relay: r, pendingRuns: map[string][]brokenRun{}}
+	return &crashDetector{relay: r, pendingRuns: map[string][]endedRun{}}
 }
 
-// reportBroken records that the connection of a run to the server broke, and
-// starts a probe of the server unless one is running.
-func (d *crashDetector) reportBroken(t upstream.Target, run brokenRun) {
+// report records that the connection of a run to the server has ended, and starts a
+// probe of the server unless one is running.
+func (d *crashDetector) report(t upstream.Target, run endedRun) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	runs, isProbeRunning := d.pendingRuns[t.ID]
@@ -60,18 +61,40 @@
 	time.Sleep(probeDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	isAlive := d.relay.Pool.Probe(ctx, t)
+	result := d.relay.Pool.Probe(ctx, t)
 	d.mu.Lock()
 	runs := d.pendingRuns[t.ID]
 	delete(d.pendingRuns, t.ID)
 	d.mu.Unlock()
-	if isAlive {
+	if result == upstream.ProbeAccepted {
+		for _, run := range runs {
+			if run.isAnswered {
+				d.relay.recordAnswered(&run.content, run.attemptID)
+			}
+		}
 		return
 	}
+	if d.relay.Balancer.isLeaving(t) {
+		return
+	}
+	crash := blame.NewCrash(t.ID, t.Incarnation, time.Now())
 	for _, run := range runs {
-		crash := Crash{Fingerprint: run.fingerprint, Server: t.ID, RunID: t.ID + "/" + strconv.FormatInt(t.Incarnation, 10) + "/" + run.attemptID}
-		n, _ := d.relay.Crashes.Record(crash)
-		d.relay.Log.Log(EvContentCrashed, "request", run.attemptID, "content", run.fingerprint, "server", t.ID, "crashes", n)
-		d.relay.Peers.NotifyCrash(crash)
+		d.recordCrash(t, crash, run, result)
+	}
+}
+
+// recordCrash records a crash for the content of one run. Parts of prompts are not
+// blamed for a host that does not answer: it may be cut off, and they are in many
+// requests.
+func (d *crashDetector) recordCrash(t upstream.Target, crash blame.Crash, run endedRun, result upstream.ProbeResult) {
+	notice := CrashNotice{Crash: crash, Server: t.ID, Content: run.content}
+	if result == upstream.ProbeUnanswered {
+		notice.Content.Parts = nil
+	}
+	added := d.relay.Crashes.RecordCrash(crash, notice.Content.Keys())
+	d.relay.Log.Log(EvContentCrashed, "request", run.attemptID, "content", run.content.Whole, "parts", notice.Content.Parts,
+		"server", t.ID, "crashes", d.relay.Crashes.MaxCrashCount(&notice.Content))
+	if len(added) > 0 {
+		d.relay.Peers.NotifyCrash(notice)
 	}
 }
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"buckthornpick/internal/blame"
 	"buckthornpick/internal/config"
 	"buckthornpick/internal/follow"
 	"buckthornpick/internal/quota"
@@ -34,9 +35,11 @@
 	origin           *StreamOrigin
 	isOriginRecorded bool
 	// org is the organisation of the caller's key; nil if the key is unknown.
-	org *config.Organisation
-	// fingerprint is the hash of the request's content, see hashContent.
-	fingerprint uint64
+	org     *config.Organisation
+	content blame.Content
+	// isTrial is set for a request with blocked content that runs to find out whether it
+	// still crashes servers.
+	isTrial bool
 	// deadline is the end of the caller's or the rule's timeout, whichever is first.
 	deadline      time.Time
 	quotaDecision quota.Decision
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"buckthornpick/internal/blame"
 	"buckthornpick/internal/clock"
 	"buckthornpick/internal/follow"
 	"buckthornpick/internal/quota"
@@ -35,10 +36,12 @@
 	// one included.
 	Site() quota.Site
 	// NotifyCrash sends a crash to the other entries.
-	NotifyCrash(Crash)
-	// NotifyCleared tells the other entries that the crashes of a content were
-	// cleared.
-	NotifyCleared(fingerprint uint64)
+	NotifyCrash(CrashNotice)
+	// NotifyCleared tells the other entries which content was cleared.
+	NotifyCleared([]blame.Record)
+	// RequestTrial asks for the permission to try blocked content, of which there is one
+	// on the site at a time.
+	RequestTrial(context.Context, blame.Key) bool
 	// ShareOrigins sends the origins of streams to entries that keep them.
 	ShareOrigins([]OriginRecord)
 	// FindOrigin asks the entries that keep the origin of the stream which the attempt
@@ -66,7 +69,7 @@
 	Servers   Registry
 	Pool      *upstream.Pool
 	Quotas    *Quotas
-	Crashes   *CrashTracker
+	Crashes   *blame.Tracker
 	Origins   *Origins
 	Peers     Peers
 	Usage     UsageRecorder
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -84,26 +84,6 @@
 	require.False(t, h.isSuspect(time.Minute+maxUnreachableBackoff), "backoff exceeds its maximum")
 }
 
-func TestCrashTrackerCountsCrashesUntilCleared(t *testing.T) {
-	now := time.Duration(0)
-	c := NewCrashTracker(func() time.Duration { return now })
-	n, isNew := c.Record(Crash{Fingerprint: 1, RunID: "a"})
-	require.Equal(t, 1, n)
-	require.True(t, isNew)
-	n, isNew = c.Record(Crash{Fingerprint: 1, RunID: "a"})
-	require.Equal(t, 1, n, "a crash that was reported twice counts once")
-	require.False(t, isNew)
-	require.True(t, c.Clear(1), "a content below the crash limit is cleared")
-	require.Zero(t, c.Count(1))
-	for _, run := range []string{"a", "b", "c"} {
-		c.Record(Crash{Fingerprint: 2, RunID: run})
-	}
-	require.Equal(t, crashLimit, c.Count(2))
-	require.False(t, c.Clear(2), "a content at the crash limit is kept")
-	now = crashRetention + 1
-	require.Zero(t, c.Count(2))
-}
-
 func TestSplitSelectsOneServicePerPromptPrefix(t *testing.T) {
 	then := &config.Then{Service: "s", Call: &config.CallPolicy{Split: []config.ServiceWeight{{Service: "s", Weight: 90}, {Service: "u", Weight: 10}}}}
 	requests := map[string]int{}
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -65,7 +65,7 @@
 		return q.recordAnsweredElsewhere(c)
 	}
 	q.relay.Balancer.finishCall(c, signalServed)
-	q.recordAnswered()
+	q.recordAnswered(c, resp)
 	q.writeResponse(resp.Status, resp.Header, data)
 	return responseForwarded
 }
@@ -107,13 +107,15 @@
 	return false
 }
 
-// recordAnswered counts the request as started and clears the crashes recorded for
-// its content at all entries.
-func (q *request) recordAnswered() {
+// recordAnswered counts the request as started and clears its content at all entries.
+// The end of an answer without a length or chunks may be that of a server that has
+// crashed: it clears suspect content only if the server turns out to run.
+func (q *request) recordAnswered(c *choice, resp *upstream.Response) {
 	q.recordStarted()
-	if q.relay.Crashes.Clear(q.fingerprint) {
-		q.relay.Log.Log(EvContentCleared, "request", q.info.AttemptID, "content", q.fingerprint)
-		q.relay.Peers.NotifyCleared(q.fingerprint)
+	if resp.Framed {
+		q.relay.recordAnswered(&q.content, q.info.AttemptID)
+	} else if q.relay.Crashes.HasEvidence(&q.content) {
+		q.relay.detector.report(c.target, endedRun{content: q.content, attemptID: q.info.AttemptID, isAnswered: true})
 	}
 }
 
@@ -188,7 +190,7 @@
 		q.abortConnection(err)
 	}
 	q.relay.Balancer.finishCall(c, signalServed)
-	q.recordAnswered()
+	q.recordAnswered(c, resp)
 	q.reason = reasonServed
 	return responseForwarded
 }
--- a/internal/relay/second.go
+++ b/internal/relay/second.go
@@ -61,7 +61,7 @@
 func (s *secondSend) send(ctx context.Context, first *choice, cancelFirst func()) {
 	q := s.request
 	q.tried[first.target.ID] = true
-	for len(s.failed) < maxUnsentSends && ctx.Err() == nil && !q.isDocumentStale() {
+	for len(s.failed) < maxUnsentSends && ctx.Err() == nil && !q.isDocumentStale() && !q.isTrial && !q.isContentBlocked() {
 		c, err := q.relay.Balancer.pick(q.service, &q.info, 0, q.tried, q.origin)
 		if err != nil {
 			return
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -37,6 +37,9 @@
 		if !q.mayHaveRun && q.mayBeCut() {
 			return q.refuseFurtherSends(reasonStopping, retryAfterOtherEntry)
 		}
+		if q.isContentBlocked() {
+			return q.refuseFurtherSends(reasonCrashesServers, 0)
+		}
 		remaining := time.Until(q.deadline)
 		c, err := q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken(q.policy, remaining), q.tried, q.origin)
 		if err != nil {
@@ -202,7 +205,7 @@
 		q.relay.Balancer.finishCall(c, signalFailed)
 	default:
 		q.relay.Balancer.finishCall(c, signalFailed)
-		q.relay.detector.reportBroken(c.target, brokenRun{fingerprint: q.fingerprint, attemptID: q.info.AttemptID})
+		q.relay.detector.report(c.target, endedRun{content: q.content, attemptID: q.info.AttemptID})
 	}
 	return sendResult{outcome: outcomeUnknown, refusal: badGateway(reasonAnswerLost), err: err}
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -33,7 +33,7 @@
 		next, err := s.copy(ctx, c, resp)
 		if err == nil {
 			q.relay.Balancer.finishCall(c, signalServed)
-			q.recordAnswered()
+			q.recordAnswered(c, resp)
 			q.reason = reasonServed
 			return responseForwarded
 		}
@@ -229,6 +229,8 @@
 		return "attempts-used"
 	case q.isDocumentStale():
 		return reasonDocumentTooOld
+	case q.isContentBlocked():
+		return reasonCrashesServers
 	}
 	return ""
 }
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"buckthornpick/internal/blame"
 	"buckthornpick/internal/cli"
 	"buckthornpick/internal/clock"
 	"buckthornpick/internal/config"
@@ -196,7 +197,7 @@
 	run := exchange.RunName(p.settings.Node.ID, time.Now())
 	p.usageCounts = usage.NewCounts(run, b.UsageWindow(), clock.NewWall(p.clock, time.Now))
 	quotas := relay.NewQuotas(b.QuotaWindow(), p.clock)
-	crashes := relay.NewCrashTracker(p.clock)
+	crashes := blame.New(p.clock, p.cli.Log)
 	p.exchange = exchange.New(exchange.Config{
 		Transport: p.transport, Entries: p.entries, Size: p.siteSize, Balancer: p.balancer, Quotas: quotas, Crashes: crashes, Origins: p.origins,
 		Counts: p.usageCounts, Clock: p.clock, Log: log, UnregisteredGrace: p.maxDocumentAge() + b.QuotaWindow(),
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -165,9 +167,20 @@
 // Close closes all idle connections.
 func (p *Pool) Close() { p.SetTargets(nil) }
 
-// Probe reports whether the server accepts a connection, and keeps the connection
-// for the next request.
-func (p *Pool) Probe(ctx context.Context, t Target) bool {
+// ProbeResult tells what became of a server's process.
+type ProbeResult int
+
+const (
+	// ProbeAccepted: the server accepts connections.
+	ProbeAccepted ProbeResult = iota
+	// ProbeRefused: the host runs, and no process listens there.
+	ProbeRefused
+	// ProbeUnanswered: the host does not answer, or cannot be reached.
+	ProbeUnanswered
+)
+
+// Probe opens a connection to the server and keeps it for the next request.
+func (p *Pool) Probe(ctx context.Context, t Target) ProbeResult {
 	p.mu.Lock()
 	s := p.serverLocked(t)
 	s.openCount++
@@ -175,9 +188,12 @@
 	nc, err := p.network.Dial(ctx, t.Address)
 	if err != nil {
 		p.decrementOpen(s)
-		return false
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return ProbeRefused
+		}
+		return ProbeUnanswered
 	}
 	p.opened.Inc(1)
 	p.put(newConn(nc, s), defaultIdleTimeout-idleMargin)
-	return true
+	return ProbeAccepted
 }
