relay: a stream that ends inside an event was broken off, whatever its framing

A caller of a stream in chunks got a part of an event as the end of a complete answer, and a stream that could have gone on elsewhere was not resumed. Only streams without a length were checked for their last event; and one of these that ended before its first event counted as answered. Both are now lost answers: the stream goes on at another server, or the caller's connection is closed. Blank lines may end with CRLF.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -102,4 +102,5 @@
 	require.Equal(t, "22", lastEventID(data[:end]))
 	require.Empty(t, lastEventID([]byte("data: x\n\n")))
 	require.Zero(t, completeEventsLength([]byte("id: 1\n")))
+	require.Equal(t, len("id: 1\r\n\r\n"), completeEventsLength([]byte("id: 1\r\n\r\nid: 2\r\n")))
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -83,13 +83,14 @@
 	stall := s.newStallTimer(ctx, c, resp)
 	var pending []byte
 	chunk := make([]byte, streamReadSize)
-	isFirst := true
+	isFirst, hasEvent := true, false
 	for {
 		stall.start()
 		n, err := resp.Body.Read(chunk)
 		pending = append(pending, chunk[:n]...)
 		end := completeEventsLength(pending)
-		isRegularEnd := err == io.EOF && (resp.Framed || end == len(pending))
+		hasEvent = hasEvent || end > 0
+		isRegularEnd := err == io.EOF && end == len(pending) && (resp.Framed || hasEvent)
 		if next := stall.stop(err == nil || isRegularEnd); next.resp != nil {
 			return next, errStreamStalled
 		}
@@ -108,9 +109,9 @@
 		}
 		switch {
 		case isRegularEnd:
-			return continuation{}, s.writeRemainder(pending)
+			return continuation{}, s.writeHead()
 		case err == io.EOF:
-			return continuation{}, errors.New("connection closed within an event")
+			return continuation{}, errors.New("stream ended within an event or before the first one")
 		case err != nil:
 			return continuation{}, err
 		case len(pending) > maxEventBytes:
@@ -119,10 +120,9 @@
 	}
 }
 
-// writeRemainder forwards the bytes after the last complete event of a stream that
-// ended regularly.
-func (s *eventStream) writeRemainder(rest []byte) error {
-	if err := s.write(rest); err != nil {
+// writeHead sends the status and headers of a stream that ended without an event.
+func (s *eventStream) writeHead() error {
+	if err := s.write(nil); err != nil {
 		s.callerLeft = true
 		return err
 	}
@@ -248,10 +248,13 @@
 // completeEventsLength returns the length of the complete events at the start of
 // data.
 func completeEventsLength(data []byte) int {
-	if i := bytes.LastIndex(data, []byte("\n\n")); i >= 0 {
-		return i + len("\n\n")
+	length := 0
+	for _, blankLine := range []string{"\n\n", "\n\r\n"} {
+		if i := bytes.LastIndex(data, []byte(blankLine)); i >= 0 {
+			length = max(length, i+len(blankLine))
+		}
 	}
-	return 0
+	return length
 }
 
 // lastEventID returns the last event ID in data, which holds complete events;
