--- a/internal/entry/poison_test.go
+++ b/internal/entry/poison_test.go
@@ -112,3 +112,36 @@
 }
 
 func (s *testSite) entry(i int) *site.Entry { return s.Entries()[i%len(s.Entries())] }
+
+// chatWithSystem returns the body of a chat whose first message other chats share.
+func chatWithSystem(system, content string) []byte {
+	return fmt.Appendf(nil, `{"model":%q,"max_tokens":20,"messages":[{"role":"system","content":%q},{"role":"user","content":%q}]}`,
+		testModel, system, content)
+}
+
+// maxSharedCrashes is the number of crashes after which requests with the message that
+// causes them must be refused, and of those that may follow.
+const maxSharedCrashes = 5 + 3
+
+// No two of the requests are alike, but all hold the message that crashes engines.
+func TestRequestsThatShareAPoisonousMessageAreStoppedAcrossEntries(t *testing.T) {
+	withSite(t, nil, func(s *testSite) {
+		s.crashOnPoison()
+		refused := 0
+		for i := range 24 {
+			r, err := s.send(s.entry(i), "POST", chatPath, nil, chatWithSystem(poison, fmt.Sprint("shop ", i)))
+			require.NoError(t, err)
+			require.NotEqual(t, "completed", r.outcome())
+			if r.outcome() == "not-run" {
+				refused++
+			}
+			s.restartCrashed()
+			time.Sleep(200 * time.Millisecond)
+			r, err = s.send(s.entry(i+1), "POST", chatPath, nil, chatWithSystem("be honest", fmt.Sprint("shop ", i)))
+			require.NoError(t, err)
+			require.Equal(t, "completed", r.outcome())
+		}
+		require.LessOrEqual(t, s.crashCount(), maxSharedCrashes)
+		require.Greater(t, refused, 12)
+	})
+}
