blame: crashes 100 ms apart are separate, and say when they happened

Servers that are killed together are noticed within some 20 ms of each other, since the probe follows the break by 50 ms. A crash that is reported late carries its age, and the time in which a server cannot crash twice is the caller's.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -56,12 +56,11 @@
 // Keys returns all keys of the content.
 func (c *Content) Keys() []Key { return append([]Key{c.Whole}, c.Parts...) }
 
-// NewCrash returns the ID of a crash of a server that was seen at the given time. A
-// server does not crash twice within crashBucket.
-func NewCrash(server string, incarnation int64, at time.Time) Crash {
-	const crashBucket = 2 * time.Second
+// NewCrash returns the ID of a crash of a server that was seen at the given time. The
+// server does not crash twice within restartTime.
+func NewCrash(server string, incarnation int64, at time.Time, restartTime time.Duration) Crash {
 	b := binary.LittleEndian.AppendUint64([]byte(server+"\x00"), uint64(incarnation))
-	return Crash(xxhash.Sum64(binary.LittleEndian.AppendUint64(b, uint64(at.UnixNano()/int64(crashBucket)))))
+	return Crash(xxhash.Sum64(binary.LittleEndian.AppendUint64(b, uint64(at.UnixNano()/int64(restartTime)))))
 }
 
 const (
@@ -71,7 +70,7 @@
 	answeredCrashLimit = 5
 	// separation is the time from which on two crashes count as separate. Servers that
 	// are killed or cut off together crash at one moment.
-	separation = 250 * time.Millisecond
+	separation = 100 * time.Millisecond
 	// suspectRetention is how long evidence is kept after its last change, and
 	// blockedRetention that against a blocked key.
 	suspectRetention = 2 * time.Minute
@@ -121,9 +120,9 @@
 	return &Tracker{clock: c, log: log, evidence: map[Key]*evidence{}, blocked: map[Key]bool{}, answered: answered}
 }
 
-// RecordCrash records that the keys were running at a server when it crashed. It
-// returns the keys for which the crash is new.
-func (t *Tracker) RecordCrash(crash Crash, keys []Key) []Key {
+// RecordCrash records that the keys were running at a server when it crashed, the given
+// time ago. It returns the keys for which the crash is new.
+func (t *Tracker) RecordCrash(crash Crash, age time.Duration, keys []Key) []Key {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock()
@@ -132,7 +131,7 @@
 	for _, key := range keys {
 		e := t.evidenceLocked(key)
 		if _, isKnown := e.crashes[crash]; !isKnown && len(e.crashes) < maxCrashesPerKey {
-			e.crashes[crash], e.changedAt = now, now
+			e.crashes[crash], e.changedAt = now-age, now
 			added = append(added, key)
 		}
 	}
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -31,7 +31,7 @@
 	s.crashes++
 	for _, t := range s.trackers {
 		for _, c := range contents {
-			t.RecordCrash(s.crashes, c.Keys())
+			t.RecordCrash(s.crashes, 0, c.Keys())
 		}
 	}
 	s.now += time.Second
@@ -50,8 +50,8 @@
 func TestWholeContentIsBlockedAfterThreeCrashesUnlessAnswered(t *testing.T) {
 	s := newSite(1)
 	tracker, c := s.trackers[0], newContent()
-	require.Len(t, tracker.RecordCrash(1, c.Keys()), 1)
-	require.Empty(t, tracker.RecordCrash(1, c.Keys()), "a crash that was reported twice counts once")
+	require.Len(t, tracker.RecordCrash(1, 0, c.Keys()), 1)
+	require.Empty(t, tracker.RecordCrash(1, 0, c.Keys()), "a crash that was reported twice counts once")
 	require.Equal(t, 1, tracker.CrashCount(c.Whole))
 	require.Len(t, tracker.RecordAnswered(&c), 1)
 	require.Zero(t, tracker.CrashCount(c.Whole))
@@ -136,7 +136,7 @@
 		}
 		flood := newContent(ids...)
 		require.LessOrEqual(t, len(flood.Parts), maxParts)
-		tracker.RecordCrash(Crash(1000+i), flood.Keys())
+		tracker.RecordCrash(Crash(1000+i), 0, flood.Keys())
 		answered := newContent(ids...)
 		tracker.RecordAnswered(&answered)
 		require.LessOrEqual(t, len(tracker.Records()), maxKeys)
@@ -145,7 +145,7 @@
 	s.crash(newContent("dead"))
 	require.True(t, isBlocked(tracker, newContent("dead")), "weaker evidence is dropped first")
 	for i := range 1000 {
-		tracker.RecordCrash(Crash(5000+i), []Key{1})
+		tracker.RecordCrash(Crash(5000+i), 0, []Key{1})
 	}
 	require.LessOrEqual(t, tracker.CrashCount(1), maxCrashesPerKey)
 }
@@ -166,7 +166,7 @@
 			case 1:
 				s.merge(rng.IntN(4), rng.IntN(4))
 			default:
-				tracker.RecordCrash(Crash(rng.IntN(12)+1), c.Keys())
+				tracker.RecordCrash(Crash(rng.IntN(12)+1), 0, c.Keys())
 			}
 			s.now += time.Duration(rng.IntN(500)) * time.Millisecond
 		}
--- a/internal/exchange/blame.go
+++ b/internal/exchange/blame.go
@@ -94,10 +94,10 @@
 		return
 	}
 	if m.Crash == 0 {
-		m.Crash = blame.NewCrash(m.RunID, 0, time.Time{})
+		m.Crash = blame.NewCrash(m.RunID, 0, time.Unix(0, 0), time.Second)
 	}
 	content := blame.Content{Whole: m.Whole, Parts: m.Parts}
-	if len(x.Crashes.RecordCrash(m.Crash, content.Keys())) == 0 {
+	if len(x.Crashes.RecordCrash(m.Crash, 0, content.Keys())) == 0 {
 		return
 	}
 	x.Log.Log(relay.EvContentCrashed, "content", m.Whole, "parts", m.Parts, "server", m.Server,
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -276,7 +276,7 @@
 			if !e.IsHub() {
 				n++
 				notice := relay.CrashNotice{Crash: blame.Crash(n), Server: "s", Content: content}
-				e.Crashes.RecordCrash(notice.Crash, notice.Content.Keys())
+				e.Crashes.RecordCrash(notice.Crash, 0, notice.Content.Keys())
 				e.NotifyCrash(notice)
 			}
 		}
--- a/internal/relay/content.go
+++ b/internal/relay/content.go
@@ -63,7 +63,7 @@
 	if !q.relay.Peers.RequestTrial(ctx, key) {
 		return false
 	}
-	q.relay.Log.Log(EvContentTried, "request", q.info.AttemptID, "key", key)
+	q.relay.Log.Log(blame.EvTried, "request", q.info.AttemptID, "key", key)
 	return true
 }
 
--- a/internal/relay/crashdetector.go
+++ b/internal/relay/crashdetector.go
@@ -15,6 +15,8 @@
 	probeDelay = 50 * time.Millisecond
 	// probeTimeout limits the time to open the probe's connection.
 	probeTimeout = 500 * time.Millisecond
+	// minRestartTime is the least time between two crashes of a server that keeps its ID.
+	minRestartTime = 2 * time.Second
 )
 
 // crashDetector distinguishes crashes of backend servers from lost responses. A
@@ -77,7 +79,7 @@
 	if d.relay.Balancer.isLeaving(t) {
 		return
 	}
-	crash := blame.NewCrash(t.ID, t.Incarnation, time.Now())
+	crash := blame.NewCrash(t.ID, t.Incarnation, time.Now(), minRestartTime)
 	for _, run := range runs {
 		d.recordCrash(t, crash, run, result)
 	}
@@ -91,7 +93,7 @@
 	if result == upstream.ProbeUnanswered {
 		notice.Content.Parts = nil
 	}
-	added := d.relay.Crashes.RecordCrash(crash, notice.Content.Keys())
+	added := d.relay.Crashes.RecordCrash(crash, 0, notice.Content.Keys())
 	d.relay.Log.Log(EvContentCrashed, "request", run.attemptID, "content", run.content.Whole, "parts", notice.Content.Parts,
 		"server", t.ID, "crashes", d.relay.Crashes.MaxCrashCount(&notice.Content))
 	if len(added) > 0 {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -13,7 +13,6 @@
 	EvStreamResumed        = telemetry.Register(3102, "stream-resumed", slog.LevelInfo, "A stream that broke was resumed at another backend server after its last event.")
 	EvContentCrashed       = telemetry.Register(3103, "content-crashed", slog.LevelWarn, "A backend server crashed while it ran a request; all entries count the crash for the request's content and the parts of its prompt.")
 	EvContentCleared       = telemetry.Register(3104, "content-cleared", slog.LevelInfo, "A request was answered of which a part, or the whole, had been running during a crash; the crashes recorded for it are cleared.")
-	EvContentTried         = telemetry.Register(3115, "content-tried", slog.LevelWarn, "A request with content that has crashed servers is sent once, to find out whether it still does.")
 	EvDraining             = telemetry.Register(3105, "relay-draining", slog.LevelInfo, "The relay fails its readiness check, asks callers to close their connections and completes the requests in flight.")
 	EvDrained              = telemetry.Register(3106, "relay-drained", slog.LevelInfo, "The relay has no requests in flight any more, or its grace period has expired.")
 	EvNotifyFailed         = telemetry.Register(3108, "entry-notify-failed", slog.LevelInfo, "A message to another entry could not be sent; the next one contains the same totals.")
