quarantine: refuse requests that share a message with requests that crashed engines

Callers of buckthornpick-entry saw engines end one after the other: marks belong to whole contents, and requests that share only a message have none in common. Messages of a chat but the last are now counted as package blame does. A crash carries them with its mark, an answer clears them at all nodes, a topic of the comparison of versions repairs what was missed, and the coordinator of trials permits one trial at a time.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -174,7 +174,7 @@
 }
 
 func (e *execution) attemptRef(a *attempt) AttemptRef {
-	return AttemptRef{Fingerprint: e.req.Fingerprint, Server: a.target.ID, Attempt: a.id}
+	return AttemptRef{Fingerprint: e.req.Fingerprint, Parts: e.plan.sharedParts, Server: a.target.ID, Attempt: a.id}
 }
 
 // quarantinedEnd returns the end of a request whose content is quarantined.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"buckthornpick/internal/backend"
+	"buckthornpick/internal/blame"
 	"buckthornpick/internal/claim"
 	"buckthornpick/internal/confstore"
 	"buckthornpick/internal/fault"
@@ -54,11 +55,15 @@
 // fingerprint of the request's content.
 type AttemptRef struct {
 	Fingerprint uint64
-	Server      string
-	Attempt     backend.AttemptID
+	// Parts are the parts of the prompt that other requests may share.
+	Parts   []blame.Key
+	Server  string
+	Attempt backend.AttemptID
+	// LostAt is when the connection to a crashed server was lost.
+	LostAt time.Time
 }
 
-// Quarantine blocks requests whose content crashes backend servers.
+// Quarantine blocks requests whose content, or a part of it, crashes backend servers.
 type Quarantine interface {
 	// Permit waits until the attempt may be dispatched. It returns
 	// fault.Exhausted if the content is quarantined and fault.Unavailable if
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"buckthornpick/internal/backend"
+	"buckthornpick/internal/blame"
 	"buckthornpick/internal/config"
 	"buckthornpick/internal/request"
 	"buckthornpick/internal/rules"
@@ -30,6 +31,8 @@
 	sent *request.Request
 	// prefixHashes are the chained hashes of the prompt's blocks.
 	prefixHashes []uint64
+	// sharedParts are the parts of the prompt that other requests may share.
+	sharedParts []blame.Key
 }
 
 // Types of the error objects in a request.End.
@@ -92,7 +95,7 @@
 		rule: decision.Name, priority: then.Priority, vmClass: then.VMClass,
 		startBy: now.Add(d.cfg.StartWait), sent: withModel(r, then.Model, then.Version),
 	}
-	p.prefixHashes = prefixHashes(p.sent)
+	p.prefixHashes, p.sharedParts = prefixHashes(p.sent), sharedParts(r)
 	if p.priority == "" {
 		p.priority = r.Priority
 	}
@@ -146,6 +149,23 @@
 	return &modified
 }
 
+// sharedParts returns the messages of a chat but the last, which belongs to this
+// request; nil for requests of other kinds.
+func sharedParts(r *request.Request) []blame.Key {
+	var chat struct {
+		Messages []json.RawMessage `json:"messages"`
+	}
+	if r.Kind != request.Chat || json.Unmarshal(r.Body, &chat) != nil || len(chat.Messages) < 2 {
+		return nil
+	}
+	ids := make([]string, len(chat.Messages)-1)
+	for i := range ids {
+		ids[i] = string(chat.Messages[i])
+	}
+	content := blame.NewContent(0, ids)
+	return content.Parts
+}
+
 // blockBytes is the size of a block in the prefix index of package route.
 const blockBytes = 256
 
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -111,6 +111,7 @@
 func (e *execution) handleDisconnect(ctx context.Context, a *attempt, attemptErr error) (*request.End, bool) {
 	e.mayHaveRun = true
 	e.serverCrashed = !isTimeout(attemptErr)
+	lostAt := time.Now()
 	if a.target.Class == backend.Engine {
 		end, isDone := e.reattach(ctx, a)
 		if isDone {
@@ -126,7 +127,9 @@
 		return e.handleReclaim(a)
 	}
 	if e.serverCrashed {
-		e.d.deps.Quarantine.RecordCrash(ctx, e.attemptRef(a))
+		ref := e.attemptRef(a)
+		ref.LostAt = lostAt
+		e.d.deps.Quarantine.RecordCrash(ctx, ref)
 	}
 	if e.req.Repeatable && e.takeRetry(a) {
 		return nil, false
@@ -281,7 +284,7 @@
 	if refusal == nil {
 		return p
 	}
-	p = &plan{sent: e.req, startBy: e.req.Deadline, prefixHashes: prefixHashes(e.req)}
+	p = &plan{sent: e.req, startBy: e.req.Deadline, prefixHashes: prefixHashes(e.req), sharedParts: sharedParts(e.req)}
 	if snapshot, ok := e.d.deps.Document(); ok {
 		if s, ok := findService(snapshot.Document, e.req.Service); ok {
 			p.services = append(p.services, s)
--- a/internal/entry/poison_test.go
+++ b/internal/entry/poison_test.go
@@ -143,5 +143,13 @@
 		}
 		require.LessOrEqual(t, s.crashCount(), maxSharedCrashes)
 		require.Greater(t, refused, 12)
+		late, err := s.StartEntry("a")
+		require.NoError(t, err)
+		time.Sleep(5 * time.Second)
+		crashes := s.crashCount()
+		r, err := s.send(late, "POST", chatPath, nil, chatWithSystem(poison, "late shop"))
+		require.NoError(t, err)
+		require.Equal(t, "not-run", r.outcome())
+		require.Equal(t, crashes, s.crashCount())
 	})
 }
--- a/internal/entry/topics.go
+++ b/internal/entry/topics.go
@@ -22,6 +22,7 @@
 	topicInventory   = "inventory"
 	topicNotices     = "notices"
 	topicMarks       = "marks"
+	topicParts       = "parts"
 	topicDrainingVMs = "drains"
 )
 
@@ -34,6 +35,7 @@
 	s.Add(topicNotices, noticesTopic{n.inventory})
 	s.Add(topicInventory, inventoryTopic{n.inventory})
 	s.Add(topicMarks, quarantine.Topic{Quarantine: n.quarantine})
+	s.Add(topicParts, quarantine.PartsTopic{Quarantine: n.quarantine})
 	s.Add(topicDrainingVMs, drainingVMsTopic{n})
 	return s
 }
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -70,6 +70,8 @@
 	RelayEvidence Kind = 28
 	// RelayTrial asks for the permission to try content that has crashed servers.
 	RelayTrial Kind = 29
+	// PartTrial asks the coordinator for permission to try a blocked part of prompts.
+	PartTrial Kind = 30
 )
 
 var kindNames = map[Kind]string{
@@ -82,7 +84,7 @@
 	DemandPull: "demand-pull", RelayState: "relay-state", RelayCrash: "relay-crash",
 	RelayCleared: "relay-cleared", RelayPoll: "relay-poll", RelaySums: "relay-sums",
 	RelayOrigins: "relay-origins", RelayOriginQuery: "relay-origin-query",
-	RelayEvidence: "relay-evidence", RelayTrial: "relay-trial",
+	RelayEvidence: "relay-evidence", RelayTrial: "relay-trial", PartTrial: "part-trial",
 }
 
 // String returns the kind's name, or its number if it has none.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -9,6 +9,10 @@
 // the mark, so that requests that merely ran on the same server as the one that
 // caused the crash can continue.
 //
+// Requests that are not alike may share a part of their prompts that crashes servers.
+// Package blame finds such parts: crashes count against all parts that ran there,
+// answers clear parts, and requests with a part that remains are refused.
+//
 // Sending a request again does not reset its mark: the mark expires when
 // Config.Retention has passed since the last crash.
 package quarantine
@@ -20,6 +24,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"buckthornpick/internal/blame"
 	"buckthornpick/internal/dispatch"
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/peer"
@@ -90,9 +95,13 @@
 	crashes   metrics.Counter
 	refusals  metrics.Counter
 
-	mu     sync.Mutex
-	marks  map[uint64]*mark // by fingerprint
-	trials trialTable       // used if this node is the coordinator
+	mu    sync.Mutex
+	marks map[uint64]*mark // by fingerprint
+	// parts holds the evidence against parts of prompts. partsVersion is the wall time
+	// of its last change in microseconds; it is guarded by mu.
+	parts        *blame.Tracker
+	partsVersion int64
+	trials       trialTable // used if this node is the coordinator
 }
 
 // New returns a quarantine and registers its message handlers with t.
@@ -104,17 +113,23 @@
 		marks:    map[uint64]*mark{},
 		trials:   newTrialTable(),
 	}
+	start := time.Now()
+	q.parts = blame.New(func() time.Duration { return time.Since(start) }, log)
 	t.Handle(peer.CrashMark, peer.HandleCall(q.handleCrashMark))
 	t.HandleNotify(peer.CrashClear, q.handleCrashClear)
 	t.Handle(peer.TrialBegin, peer.HandleCall(q.handleTrialBegin))
 	t.HandleNotify(peer.TrialEnd, q.handleTrialEnd)
+	t.Handle(peer.PartTrial, peer.HandleCall(q.handlePartTrial))
 	return q
 }
 
 // RecordCrash implements dispatch.Quarantine. It marks the fingerprint on this node
 // and on its peers.
 func (q *Quarantine) RecordCrash(ctx context.Context, c dispatch.AttemptRef) {
-	m := crashMsg{Fingerprint: c.Fingerprint, Attempt: string(c.Attempt), Server: c.Server}
+	m := crashMsg{
+		Fingerprint: c.Fingerprint, Attempt: string(c.Attempt), Server: c.Server,
+		Parts: c.Parts, Crash: blame.NewCrash(c.Server, 0, c.LostAt, minRestartTime), AgeMillis: time.Since(c.LostAt).Milliseconds(),
+	}
 	n := q.recordCrash(m)
 	q.crashes.Inc(1)
 	q.log.Log(EvCrash, "fingerprint", c.Fingerprint, "attempt", c.Attempt, "server", c.Server, "crashes", n)
@@ -140,6 +155,7 @@
 // recordCrash records a crash and returns the number of crashes of the
 // fingerprint.
 func (q *Quarantine) recordCrash(m crashMsg) int {
+	q.recordPartsCrash(m)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.expireLocked(time.Now())
@@ -209,9 +225,14 @@
 
 func (q *Quarantine) handleCrashClear(_ peer.Node, decode func(any) error) {
 	var m clearMsg
-	if decode(&m) == nil {
-		q.clearMark(m.Fingerprint)
+	if decode(&m) != nil {
+		return
+	}
+	if len(m.Parts) > 0 {
+		q.mergeParts(m.Parts)
+		return
 	}
+	q.clearMark(m.Fingerprint)
 }
 
 // refusalError returns the error for a content that has reached maxCrashes.
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -18,6 +18,18 @@
 // content on trial waits for the coordinator's permission, and one that has
 // reached maxCrashes is refused with fault.Exhausted.
 func (q *Quarantine) Permit(ctx context.Context, c dispatch.AttemptRef) (dispatch.Permit, error) {
+	if err := q.permitParts(ctx, c); err != nil {
+		return nil, err
+	}
+	permit, err := q.permitContent(ctx, c)
+	if err != nil || len(c.Parts) == 0 {
+		return permit, err
+	}
+	return &partsPermit{permit, q, c.Parts}, nil
+}
+
+// permitContent permits the whole content of the attempt as Permit does.
+func (q *Quarantine) permitContent(ctx context.Context, c dispatch.AttemptRef) (dispatch.Permit, error) {
 	for {
 		switch n := q.crashCount(c.Fingerprint); {
 		case n >= maxCrashes:
