relay: log the limits that backend servers name in their answers

The header is now decoded and each change logged (server-limit-changed, 3118); nothing is decided by it yet.

--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -39,6 +39,8 @@
 	// pausedUntil is the end of the time for which the server wants no requests, by
 	// the balancer's clock.
 	pausedUntil time.Duration
+	// limit is what the server has last said about the requests that it takes.
+	limit ServerLimit
 	// ownCalls and peerCalls are the numbers of calls that this entry and the other
 	// entries run at the server.
 	ownCalls  int
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -69,6 +69,16 @@
 	// Pause is how long the server wants no requests from this entry; 0 if it did
 	// not say so.
 	Pause time.Duration
+	Limit ServerLimit
+}
+
+// ServerLimit is the number of requests that a server takes from all entries together.
+type ServerLimit struct {
+	// IsNamed is true if the response names a limit, and IsMalformed if it cannot be
+	// read.
+	IsNamed, IsMalformed bool
+	// PerSecond is the number of requests a second; it may be 0.
+	PerSecond float64
 }
 
 // Codec reads and writes the headers of a protocol between callers and backend
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -220,6 +220,7 @@
 	if info.Pause > 0 {
 		q.relay.Balancer.pauseServer(c, info.Pause)
 	}
+	q.recordLimit(c, resp.Status, &info)
 	return info
 }
 
