relay, exchange: keep the limits that backend servers name, over all entries together

A server that had named 1.3 requests a second got 19 in 4 s from entries that it had told, where 13 are allowed: the header was read nowhere, and no entry knew what the others send. The class: a statement of a server about the whole site that has no place to be kept.

One entry, the first in rendezvous order of the server, permits the requests to it from a token bucket of three quarters of the limit; the others ask it before each request, also for further and second sends, resumed streams and trials. Until the time that comes with the answer the server is paused for the asking entry, so that nothing waits there while others have room; if all are paused, callers are refused with the time until the first pause ends. Limits are told with the state messages, the newest statement counts, and a success without the header ends one.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -60,6 +60,8 @@
 	// Evidence is the digest of the entry's evidence against content that crashes
 	// servers.
 	Evidence uint64 `msgpack:"d,omitempty"`
+	// Limits holds what the entry knows of limits that servers have named, by server.
+	Limits map[string]relay.LimitReport `msgpack:"m,omitempty"`
 }
 
 // Config holds the dependencies and settings of an Exchange.
@@ -130,6 +132,7 @@
 	c.Transport.HandleNotify(peer.RelayCleared, x.receiveCleared)
 	c.Transport.HandleNotify(peer.RelayEvidence, x.receiveEvidence)
 	c.Transport.Handle(peer.RelayTrial, peer.HandleCall(x.serveTrial))
+	c.Transport.Handle(peer.RelayPermit, peer.HandleCall(x.servePermit))
 	c.Transport.HandleNotify(peer.RelayOrigins, x.receiveOrigins)
 	c.Transport.Handle(peer.RelayOriginQuery, peer.HandleCall(x.serveOriginQuery))
 	return x
@@ -158,7 +161,7 @@
 
 // buildState returns the n-th state message.
 func (x *Exchange) buildState(n int) stateMessage {
-	message := stateMessage{Run: x.run, Spent: x.Quotas.Reports(n%siteSpendingEvery == 0), Loads: x.Balancer.Loads(), Evidence: x.Crashes.Digest()}
+	message := stateMessage{Run: x.run, Spent: x.Quotas.Reports(n%siteSpendingEvery == 0), Loads: x.Balancer.Loads(), Evidence: x.Crashes.Digest(), Limits: x.Balancer.LimitReports()}
 	if n%usageEvery == 0 {
 		message.Usage = x.Counts.Local()
 		message.Prefill = x.Balancer.PrefillStats()
@@ -191,6 +194,7 @@
 		x.Counts.Merge(message.Run, message.Usage)
 	}
 	x.compareEvidence(from, message.Run, message.Evidence)
+	x.mergeLimits(from, message.Limits)
 	x.mu.Lock()
 	if x.position.usesHubs && (!x.position.isHub || from.Zone != x.self.Zone) {
 		x.mu.Unlock() // included in the sums of hubs
--- a/internal/exchange/sums.go
+++ b/internal/exchange/sums.go
@@ -32,6 +32,8 @@
 	Prefill map[string]map[string]relay.PrefillStats `msgpack:"k,omitempty"`
 	// Evidence is the digest of the hub's evidence against content that crashes servers.
 	Evidence uint64 `msgpack:"d,omitempty"`
+	// Limits holds what the hub knows of limits that servers have named, by server.
+	Limits map[string]relay.LimitReport `msgpack:"m,omitempty"`
 }
 
 // restOfSiteName is the origin name of sums of the rest of the site.
@@ -110,7 +112,7 @@
 	message := x.zoneSumsLocked(x.Clock(), withUsage)
 	x.mu.Unlock()
 	withSiteSpending := n%(hubRoundsPerInterval*siteSpendingEvery) == 0
-	message.Entries, message.Evidence = site.Entries, x.Crashes.Digest()
+	message.Entries, message.Evidence, message.Limits = site.Entries, x.Crashes.Digest(), x.Balancer.LimitReports()
 	message.Spent = x.Quotas.AggregateReports(quota.ScopeZone, "", withSiteSpending)
 	addLoads(message.Loads, runningByServer(x.Balancer.Loads()))
 	if withUsage {
@@ -125,7 +127,7 @@
 
 // sendRestOfSite sends each entry of the zone the sums of all other entries.
 func (x *Exchange) sendRestOfSite(p position, site quota.Site, loads map[string]int, withSiteSpending bool) {
-	nodes, evidence := x.zoneEntries(p), x.Crashes.Digest()
+	nodes, evidence, limits := x.zoneEntries(p), x.Crashes.Digest(), x.Balancer.LimitReports()
 	ownLoads := map[string]map[string]int{}
 	x.mu.Lock()
 	loads = maps.Clone(loads)
@@ -143,7 +145,7 @@
 		subtractLoads(rest, ownLoads[node.ID])
 		x.send(node, peer.RelaySums, sumsMessage{
 			Run: x.run, Spent: x.Quotas.AggregateReports(quota.ScopeRestOfSite, node.ID, withSiteSpending), Loads: rest,
-			Entries: site.Entries, Reachable: site.Reachable, Evidence: evidence,
+			Entries: site.Entries, Reachable: site.Reachable, Evidence: evidence, Limits: limits,
 		})
 	}
 }
@@ -212,6 +214,7 @@
 		return // the transport has logged it
 	}
 	x.compareEvidence(from, m.Run, m.Evidence)
+	x.mergeLimits(from, m.Limits)
 	for run, windows := range m.Usage {
 		x.Counts.Merge(run, windows)
 	}
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -72,6 +72,8 @@
 	RelayTrial Kind = 29
 	// PartTrial asks the coordinator for permission to try a blocked part of prompts.
 	PartTrial Kind = 30
+	// RelayPermit asks for the permission to send a request to a server with a limit.
+	RelayPermit Kind = 31
 )
 
 var kindNames = map[Kind]string{
@@ -85,6 +87,7 @@
 	RelayCleared: "relay-cleared", RelayPoll: "relay-poll", RelaySums: "relay-sums",
 	RelayOrigins: "relay-origins", RelayOriginQuery: "relay-origin-query",
 	RelayEvidence: "relay-evidence", RelayTrial: "relay-trial", PartTrial: "part-trial",
+	RelayPermit: "relay-permit",
 }
 
 // String returns the kind's name, or its number if it has none.
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -39,8 +39,7 @@
 	// pausedUntil is the end of the time for which the server wants no requests, by
 	// the balancer's clock.
 	pausedUntil time.Duration
-	// limit is what the server has last said about the requests that it takes.
-	limit ServerLimit
+	limit       limitState
 	// ownCalls and peerCalls are the numbers of calls that this entry and the other
 	// entries run at the server.
 	ownCalls  int
@@ -141,7 +140,7 @@
 	switch {
 	case s.Leaving:
 		return route.Leaving
-	case now < s.pausedUntil:
+	case now < s.pausedUntil, s.limit.IsNamed && now < s.limit.pausedUntil:
 		return route.Paused
 	case s.health.isSuspect(now):
 		return route.Suspect
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -24,6 +24,9 @@
 	query           route.Query
 	picker          *route.Picker
 	sentAt          time.Time
+	// limit is set if the server has named a limit: the call needs a permit, and counts
+	// as a call at the server only after countCall.
+	limit *LimitReport
 }
 
 // estimatedRequests returns the number of requests at the server that the
@@ -38,9 +41,9 @@
 }
 
 // pick selects a server, other than those in tried, for a request, and only one of
-// origin unless that is nil. A maxTimeToFirstToken of 0 is no limit. Errors are those
-// of route.Picker.
-func (b *Balancer) pick(service string, info *RequestInfo, maxTimeToFirstToken time.Duration, tried map[string]bool, origin *StreamOrigin) (*choice, error) {
+// origin unless that is nil. A maxTimeToFirstToken of 0 is no limit. Servers with a
+// limit are left out unless withLimited is set. Errors are those of route.Picker.
+func (b *Balancer) pick(service string, info *RequestInfo, maxTimeToFirstToken time.Duration, tried map[string]bool, origin *StreamOrigin, withLimited bool) (*choice, error) {
 	b.mu.Lock()
 	now := b.clock()
 	for _, s := range b.servers {
@@ -51,11 +54,15 @@
 	}
 	picker := b.pickerLocked(service)
 	isAllowed := b.serversOfLocked(origin)
+	var isLimited map[string]bool
+	if !withLimited {
+		isLimited = b.limitedServersLocked(service)
+	}
 	b.mu.Unlock()
 	q := route.Query{
 		Now: time.Now(), Service: service, Context: sharedPrefixHash(info), PromptTokens: info.PromptTokens, MaxCachedTokens: info.SharedTokens(),
 		MaxTokens: info.MaxTokens, MaxFirstTokenDelay: maxTimeToFirstToken,
-		Exclude: func(id string) bool { return tried[id] || origin != nil && !isAllowed[id] },
+		Exclude: func(id string) bool { return tried[id] || isLimited[id] || origin != nil && !isAllowed[id] },
 	}
 	picked, err := picker.Pick(q)
 	if err != nil {
@@ -67,10 +74,23 @@
 	if !ok || s.Leaving {
 		return nil, &route.NoServerError{Service: service}
 	}
+	c := &choice{target: s.target, zone: s.Zone, version: s.Version, picked: picked, ownPromptTokens: info.PromptTokens - info.SharedTokens(), query: q, picker: picker, sentAt: q.Now}
+	if s.limit.IsNamed {
+		// Other requests do not ask as well until the answer has come.
+		s.limit.pausedUntil = max(s.limit.pausedUntil, now+permitTimeout)
+		report := s.limitReport(now)
+		c.limit = &report
+		return c, nil
+	}
+	b.countCallLocked(c, s)
+	return c, nil
+}
+
+// countCallLocked counts the call as one that runs at the server.
+func (b *Balancer) countCallLocked(c *choice, s *server) {
 	s.ownCalls++
-	b.prefillMeterLocked(service).addTokens(info.PromptTokens - picked.ExpectedCachedTokens)
-	picker.RecordDispatch(q.Now, s.ID, q)
-	return &choice{target: s.target, zone: s.Zone, version: s.Version, picked: picked, ownPromptTokens: info.PromptTokens - info.SharedTokens(), query: q, picker: picker, sentAt: q.Now}, nil
+	b.prefillMeterLocked(c.query.Service).addTokens(c.query.PromptTokens - c.picked.ExpectedCachedTokens)
+	c.picker.RecordDispatch(c.query.Now, s.ID, c.query)
 }
 
 // serversOfLocked returns the set of IDs of the servers of origin, nil if it is nil.
@@ -97,6 +117,14 @@
 	}
 }
 
+// pauseEnd returns the end of the server's pauses.
+func (s *server) pauseEnd() time.Duration {
+	if s.limit.IsNamed {
+		return max(s.pausedUntil, s.limit.pausedUntil)
+	}
+	return s.pausedUntil
+}
+
 // isLeaving reports whether the server announced its shutdown, or is no longer
 // registered.
 func (b *Balancer) isLeaving(t upstream.Target) bool {
@@ -118,8 +146,11 @@
 	defer b.mu.Unlock()
 	now, first := b.clock(), time.Duration(0)
 	for _, s := range b.servers {
-		if s.Service == service && s.stateAt(now) == route.Paused && (first == 0 || s.pausedUntil-now < first) {
-			first = s.pausedUntil - now
+		if s.Service != service || s.stateAt(now) != route.Paused {
+			continue
+		}
+		if wait := s.pauseEnd() - now; first == 0 || wait < first {
+			first = wait
 		}
 	}
 	if first == 0 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -42,6 +42,8 @@
 	// RequestTrial asks for the permission to try blocked content, of which there is one
 	// on the site at a time.
 	RequestTrial(context.Context, blame.Key) bool
+	// RequestPermit asks for the permission to send one request to a server with a limit.
+	RequestPermit(ctx context.Context, server string, known LimitReport) Permit
 	// ShareOrigins sends the origins of streams to entries that keep them.
 	ShareOrigins([]OriginRecord)
 	// FindOrigin asks the entries that keep the origin of the stream which the attempt
--- a/internal/relay/second.go
+++ b/internal/relay/second.go
@@ -62,7 +62,7 @@
 	q := s.request
 	q.tried[first.target.ID] = true
 	for len(s.failed) < maxUnsentSends && ctx.Err() == nil && !q.isDocumentStale() && !q.isTrial && !q.isContentBlocked() {
-		c, err := q.relay.Balancer.pick(q.service, &q.info, 0, q.tried, q.origin)
+		c, err := q.pick(ctx, 0)
 		if err != nil {
 			return
 		}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -41,7 +41,7 @@
 			return q.refuseFurtherSends(reasonCrashesServers, 0)
 		}
 		remaining := time.Until(q.deadline)
-		c, err := q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken(q.policy, remaining), q.tried, q.origin)
+		c, err := q.pick(ctx, maxTimeToFirstToken(q.policy, remaining))
 		if err != nil {
 			return q.refuseNoServer(err)
 		}
--- a/internal/relay/serverlimit.go
+++ b/internal/relay/serverlimit.go
@@ -1,6 +1,77 @@
 package relay
 
-import "buckthornpick/internal/upstream"
+import (
+	"context"
+	"time"
+
+	"buckthornpick/internal/upstream"
+)
+
+// A server with a limit takes a number of requests a second from all entries together.
+// One entry permits the requests to it: the first one in the rendezvous order of the
+// server's ID. All others ask it before each request, and do not choose the server
+// until a time that it names. Entries also tell each other the limits that they hear of.
+
+const (
+	// permitShare is the part of a limit that is permitted. Two entries may permit for
+	// one server while their views of the site differ.
+	permitShare = 0.75
+	// maxUnusedPermits limits the permits that collect while no entry asks.
+	maxUnusedPermits = 2
+	// minPermitsPerSecond lets a request through now and then whatever the limit, since
+	// only answers tell that it has ended.
+	minPermitsPerSecond = 0.05
+	// maxPermitWait limits the time after which an entry asks again.
+	maxPermitWait = 5 * time.Second
+	// permitTimeout limits the wait for a permit, and unreachablePermitWait is the time
+	// after which an entry asks again if there was no answer.
+	permitTimeout         = 100 * time.Millisecond
+	unreachablePermitWait = time.Second
+	// maxPermitRequests limits the servers for which a request asks for a permit.
+	maxPermitRequests = 3
+	// endedLimitRetention is how long entries tell each other that a limit has ended.
+	endedLimitRetention = 10 * time.Second
+	// limitAgeSlack is the least difference in age by which the same limit counts as
+	// heard again, so that passing it on does not make it younger.
+	limitAgeSlack = time.Second
+)
+
+// limitState is the state of a server's limit.
+type limitState struct {
+	ServerLimit
+	// heardAt is the time of the answer that named the limit, or no limit any more; 0 if
+	// none ever did. Times are those of the balancer's clock.
+	heardAt time.Duration
+	// pausedUntil is when this entry may ask for the next permit.
+	pausedUntil time.Duration
+
+	// The following fields are used at the entry that permits the requests.
+
+	// tokens are the permits to give at refilledAt; refilledAt is 0 before the first
+	// request for one.
+	tokens     float64
+	refilledAt time.Duration
+	// nextSlot is the time at which the next entry that gets no permit should ask again.
+	nextSlot time.Duration
+}
+
+// LimitReport is what an entry knows about the limit of a server.
+type LimitReport struct {
+	Incarnation int64   `msgpack:"i,omitempty"`
+	IsNamed     bool    `msgpack:"n,omitempty"`
+	PerSecond   float64 `msgpack:"r,omitempty"`
+	// AgeMillis is the time since the server said so.
+	AgeMillis int64 `msgpack:"a"`
+}
+
+// Permit is the answer to the request for a permit.
+type Permit struct {
+	IsGranted bool `msgpack:"g"`
+	// WaitMillis is the time until the asking entry should ask again.
+	WaitMillis int64 `msgpack:"w"`
+	// Known is what the permitting entry knows about the limit.
+	Known LimitReport `msgpack:"l"`
+}
 
 // recordLimit records what a response says about the server's limit. Only a success
 // without a limit ends it, since responses of other kinds may come from elsewhere.
@@ -21,9 +92,156 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, ok := b.servers[t.ID]
-	if !ok || s.target.Incarnation != t.Incarnation {
+	if !ok || s.target.Incarnation != t.Incarnation || s.limit.heardAt == 0 && !limit.IsNamed {
 		return ServerLimit{}, false
 	}
-	previous, s.limit = s.limit, limit
+	previous = s.limit.ServerLimit
+	s.limit.ServerLimit, s.limit.heardAt = limit, b.clock()
 	return previous, previous != limit
 }
+
+// limitReport returns what is known about the server's limit.
+func (s *server) limitReport(now time.Duration) LimitReport {
+	return LimitReport{Incarnation: s.Incarnation, IsNamed: s.limit.IsNamed, PerSecond: s.limit.PerSecond, AgeMillis: (now - s.limit.heardAt).Milliseconds()}
+}
+
+// LimitReports returns what this entry knows about the limits of servers, by the
+// server's ID.
+func (b *Balancer) LimitReports() map[string]LimitReport {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock()
+	var reports map[string]LimitReport
+	for id, s := range b.servers {
+		if s.limit.heardAt == 0 || !s.limit.IsNamed && now-s.limit.heardAt > endedLimitRetention {
+			continue
+		}
+		if reports == nil {
+			reports = map[string]LimitReport{}
+		}
+		reports[id] = s.limitReport(now)
+	}
+	return reports
+}
+
+// MergeLimits merges the reports of another entry. It returns those that changed a
+// limit.
+func (b *Balancer) MergeLimits(reports map[string]LimitReport) map[string]LimitReport {
+	if len(reports) == 0 {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock()
+	changed := map[string]LimitReport{}
+	for id, r := range reports {
+		if s, ok := b.servers[id]; ok && s.mergeLimit(now, r) {
+			changed[id] = r
+		}
+	}
+	return changed
+}
+
+// mergeLimit merges a report and reports whether it changed the limit.
+func (s *server) mergeLimit(now time.Duration, r LimitReport) bool {
+	heardAt := now - time.Duration(r.AgeMillis)*time.Millisecond
+	limit := ServerLimit{IsNamed: r.IsNamed, PerSecond: r.PerSecond}
+	isSame := limit == s.limit.ServerLimit
+	switch {
+	case r.Incarnation != s.Incarnation, heardAt <= s.limit.heardAt, !r.IsNamed && s.limit.heardAt == 0,
+		isSame && heardAt < s.limit.heardAt+limitAgeSlack:
+		return false
+	}
+	s.limit.ServerLimit, s.limit.heardAt = limit, heardAt
+	return !isSame
+}
+
+// limitedServersLocked returns the IDs of the servers of a service that have named a
+// limit.
+func (b *Balancer) limitedServersLocked(service string) map[string]bool {
+	ids := map[string]bool{}
+	for id, s := range b.servers {
+		if s.Service == service && s.limit.IsNamed {
+			ids[id] = true
+		}
+	}
+	return ids
+}
+
+// PermitSend decides, at the entry that permits the requests to the server, whether one
+// more may be sent; known is what the asking entry knows about the limit.
+func (b *Balancer) PermitSend(id string, known LimitReport) Permit {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock()
+	s, ok := b.servers[id]
+	if !ok || s.Leaving || s.Incarnation != known.Incarnation {
+		return Permit{WaitMillis: unreachablePermitWait.Milliseconds(), Known: known}
+	}
+	s.mergeLimit(now, known)
+	if !s.limit.IsNamed {
+		return Permit{IsGranted: true, Known: s.limitReport(now)}
+	}
+	isGranted, wait := s.limit.take(now)
+	return Permit{IsGranted: isGranted, WaitMillis: wait.Milliseconds(), Known: s.limitReport(now)}
+}
+
+// take takes a permit if there is one, and returns the time until the asking entry
+// should ask again.
+func (l *limitState) take(now time.Duration) (isGranted bool, wait time.Duration) {
+	perSecond := max(permitShare*l.PerSecond, minPermitsPerSecond)
+	interval := time.Duration(float64(time.Second) / perSecond)
+	if l.refilledAt > 0 {
+		l.tokens = min(maxUnusedPermits, l.tokens+perSecond*(now-l.refilledAt).Seconds())
+	}
+	l.refilledAt = now
+	if l.tokens >= 1 {
+		l.tokens--
+		isGranted = true
+	}
+	untilToken := time.Duration(max(0, 1-l.tokens) * float64(interval))
+	slot := min(max(l.nextSlot, now+untilToken), now+maxPermitWait)
+	l.nextSlot = slot + interval
+	return isGranted, slot - now
+}
+
+// recordPermit records the answer to the request for a permit, and counts the call if
+// it may be sent.
+func (b *Balancer) recordPermit(c *choice, p Permit) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.servers[c.target.ID]
+	if !ok || s.target.Incarnation != c.target.Incarnation {
+		return
+	}
+	now := b.clock()
+	s.mergeLimit(now, p.Known)
+	s.limit.pausedUntil = now + time.Duration(p.WaitMillis)*time.Millisecond
+	if p.IsGranted {
+		b.countCallLocked(c, s)
+	}
+}
+
+// pick selects a server as Balancer.pick does. It asks for a permit if the server has
+// named a limit, and selects another one if there is none.
+func (q *request) pick(ctx context.Context, maxTimeToFirstToken time.Duration) (*choice, error) {
+	for range maxPermitRequests {
+		c, err := q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken, q.tried, q.origin, true)
+		if err != nil || c.limit == nil {
+			return c, err
+		}
+		permitCtx, cancel := context.WithTimeout(ctx, permitTimeout)
+		permit := q.relay.Peers.RequestPermit(permitCtx, c.target.ID, *c.limit)
+		cancel()
+		q.relay.Balancer.recordPermit(c, permit)
+		if permit.IsGranted {
+			return c, nil
+		}
+	}
+	return q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken, q.tried, q.origin, false)
+}
+
+// NoPermit is the answer if the entry that permits cannot be asked.
+func NoPermit(known LimitReport) Permit {
+	return Permit{WaitMillis: unreachablePermitWait.Milliseconds(), Known: known}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -163,7 +163,7 @@
 		if obstacle := s.obstacleToResume(ctx, contest); obstacle != "" {
 			return s.logNotResumed(previous, obstacle, nil)
 		}
-		c, err := q.relay.Balancer.pick(q.service, &q.info, 0, q.tried, q.origin)
+		c, err := q.pick(ctx, 0)
 		if err != nil {
 			return s.logNotResumed(previous, "no-server", err)
 		}
