blame: block a part that was answered before after four separate crashes

Five requests with a part that had become deadly may crash five servers at one moment, which counts as one crash; with a limit of five separate crashes four more requests reached servers, and three are allowed. TestDeadlyPartStopsAfterFiveCrashesAtOneMoment failed with that limit ("4" is not less than or equal to "3") and passes with four.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -67,7 +67,7 @@
 	// crashLimit is the number of separate crashes from which on a key is blocked, and
 	// answeredCrashLimit that of a key of which an entry has seen a complete answer.
 	crashLimit         = 3
-	answeredCrashLimit = 5
+	answeredCrashLimit = 4
 	// separation is the time from which on two crashes count as separate. Servers that
 	// are killed or cut off together crash at one moment.
 	separation = 100 * time.Millisecond
