relay: a second server wins only once its answer is whole

A caller of a repeatable call got 502 although the first server would have answered in time: its send was cancelled at the head of the second server's response, and that one broke in its body. The second response is now read to its end, up to what is buffered, before it wins.

--- a/internal/relay/second.go
+++ b/internal/relay/second.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -84,7 +86,8 @@
 }
 
 // sendTo sends the request to one server. It cancels the first send once that server
-// has responded. The result is that of a send without a response.
+// has answered: with its whole body, or as much of it as is buffered. The result is that
+// of a send without a response.
 func (s *secondSend) sendTo(ctx context.Context, c *choice, cancelFirst func()) (*upstream.Response, sendResult) {
 	q := s.request
 	resp, err := q.relay.Pool.Do(ctx, c.target, q.buildRequest(c, "", time.Until(q.deadline)))
@@ -101,7 +104,12 @@
 		q.relay.Balancer.finishCall(c, signalFailed)
 		discardBody(resp)
 		return nil, sendResult{outcome: outcomeServerFailed, err: fault.New(fault.Ambiguous, "relay.second", c.target.ID, "server failed with status %d", resp.Status)}
-	case !s.isDecided.CompareAndSwap(false, true):
+	}
+	if err := bufferBody(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, s.recordFailedSend(ctx, c, fault.Wrap(err, fault.Ambiguous, "relay.second", c.target.ID, "response body is incomplete"))
+	}
+	if !s.isDecided.CompareAndSwap(false, true) {
 		q.relay.Balancer.finishCall(c, signalNeutral)
 		_ = resp.Body.Close()
 		return nil, sendResult{outcome: outcomeUnknown, err: errAnsweredElsewhere}
@@ -110,6 +118,20 @@
 	return resp, sendResult{}
 }
 
+// bufferBody reads the body of a response, up to maxBufferedBytes, which it then begins
+// with.
+func bufferBody(resp *upstream.Response) error {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	if err != nil {
+		return err
+	}
+	resp.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(data), resp.Body), resp.Body}
+	return nil
+}
+
 // errAnsweredElsewhere ends a send because another server's answer is forwarded.
 var errAnsweredElsewhere = errors.New("another server has answered")
 
