--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -289,6 +289,36 @@
 	})
 }
 
+// Registrations lapse together when the store has been away. Entries must not all take
+// themselves for the one that permits the requests to a server.
+func TestOneEntryPermitsWhileRegistrationsFail(t *testing.T) {
+	withTestSite(t, 3, func(s *testSite) {
+		time.Sleep(settleTime)
+		requireOnePermitter := func() {
+			for server := range 20 {
+				name, own := fmt.Sprint("s", server), 0
+				for _, e := range s.entries {
+					if permitter, isReachable := e.permitter(name); isReachable && permitter.ID == e.self.ID {
+						own++
+					}
+				}
+				require.LessOrEqual(t, own, 1, name)
+			}
+		}
+		requireOnePermitter()
+		for _, e := range s.entries {
+			e.entries.Replace(nil)
+		}
+		for range 10 {
+			time.Sleep(lapsedGrace / 12)
+			requireOnePermitter()
+		}
+		s.register()
+		time.Sleep(settleTime)
+		requireOnePermitter()
+	})
+}
+
 func TestHubsOfLargeSiteKnowUsageOfAllEntries(t *testing.T) {
 	withTestSite(t, 8, func(s *testSite) {
 		time.Sleep(settleTime)
--- a/internal/exchange/tracker.go
+++ b/internal/exchange/tracker.go
@@ -1,8 +1,10 @@
 package exchange
 
 import (
+	"slices"
 	"time"
 
+	"buckthornpick/internal/peer"
 	"buckthornpick/internal/quota"
 	"buckthornpick/internal/relay"
 	"buckthornpick/internal/usage"
@@ -25,6 +27,8 @@
 	// registered is the time at which each entry was last registered. A large site
 	// needs it because most entries send no messages to this one directly.
 	registered map[string]time.Duration
+	// left holds the entries whose last message said that they leave.
+	left map[string]bool
 }
 
 // entryState is the latest state that another entry has sent to this one.
@@ -41,7 +45,7 @@
 }
 
 func newEntryTracker(unregisteredGrace time.Duration) *entryTracker {
-	return &entryTracker{unregisteredGrace: unregisteredGrace, states: map[string]*entryState{}, registered: map[string]time.Duration{}}
+	return &entryTracker{unregisteredGrace: unregisteredGrace, states: map[string]*entryState{}, registered: map[string]time.Duration{}, left: map[string]bool{}}
 }
 
 // recordState stores the state of an entry. It reports whether the entry has
@@ -54,6 +58,10 @@
 	}
 	isKnownRun = ok && state.run == m.Run
 	state.receivedAt, state.run, state.loads, state.isLeaving = now, m.Run, m.Loads, m.IsLeaving
+	delete(t.left, id)
+	if m.IsLeaving {
+		t.left[id] = true
+	}
 	if m.Prefill != nil {
 		state.prefill = m.Prefill
 	}
@@ -113,6 +121,7 @@
 		switch {
 		case now-registeredAt >= t.unregisteredGrace:
 			delete(t.registered, id)
+			delete(t.left, id)
 		case usesHubs && !isRegistered[id] && t.states[id] == nil:
 			site.Entries++
 		}
@@ -120,6 +129,18 @@
 	return site, changes
 }
 
+// unregistered returns the IDs of the entries that were registered less than the given
+// time ago, are not among the registered ones now, and have not said that they leave.
+func (t *entryTracker) unregistered(now, within time.Duration, registered []peer.Node) []string {
+	var ids []string
+	for id, at := range t.registered {
+		if now-at < within && !t.left[id] && !slices.ContainsFunc(registered, func(n peer.Node) bool { return n.ID == id }) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // reachableLoads returns the number of requests that the reachable entries run at
 // each backend server.
 func (t *entryTracker) reachableLoads() map[string]int {
