blame, exchange: a cut convicts nothing, and evidence of many crashes stays cheap

A zone that was cut off by resets refused connections to the other zones. Each entry took all its servers for crashed, blamed the parts of some hundred runs, and a first part was blocked at all entries for 1.2 s.

The probe now asks other servers of the zone too: if none takes a connection nothing is blamed. A crash is told with all runs that an entry had there, digests that differ bring what was learned since they were equal, and only keys that changed are looked at.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -93,13 +93,16 @@
 
 	mu       sync.Mutex
 	evidence map[Key]*evidence
-	blocked  map[Key]bool
+	// candidates are the keys with enough crashes to be blocked if these are separate and
+	// not explained by another key.
+	candidates map[Key]bool
+	blocked    map[Key]bool
 	// answered holds keys of which this entry has lately seen complete answers.
 	answered *lru.Cache[Key, struct{}]
 	trial    trial
-	digest   uint64
-	// isChanged is set if digest has to be computed anew.
-	isChanged bool
+	// digest is the exclusive or of the hashes of all evidence.
+	digest    uint64
+	expiredAt time.Duration
 }
 
 // evidence is what speaks against one key.
@@ -107,17 +110,25 @@
 	// epoch is the number of times that answers have cleared the key.
 	epoch       uint32
 	wasAnswered bool
-	// crashes holds the time at which this entry has heard of each crash.
+	// crashes holds the time of each crash by this entry's clock.
 	crashes map[Crash]time.Duration
 	// trials is the number of trials in this epoch.
 	trials    int
 	changedAt time.Duration
+
+	// The following fields are set by noteLocked.
+
+	// learnedAt is the time at which this entry learned of the last change.
+	learnedAt time.Duration
+	// separateCount is the number of separate crashes.
+	separateCount int
+	hash          uint64
 }
 
 // New returns a tracker without evidence.
 func New(c clock.Clock, log *telemetry.Logger) *Tracker {
 	answered, _ := lru.New[Key, struct{}](maxAnswered) // fails only if the size is not positive
-	return &Tracker{clock: c, log: log, evidence: map[Key]*evidence{}, blocked: map[Key]bool{}, answered: answered}
+	return &Tracker{clock: c, log: log, evidence: map[Key]*evidence{}, candidates: map[Key]bool{}, blocked: map[Key]bool{}, answered: answered}
 }
 
 // RecordCrash records that the keys were running at a server when it crashed, the given
@@ -132,11 +143,12 @@
 		e := t.evidenceLocked(key)
 		if _, isKnown := e.crashes[crash]; !isKnown && len(e.crashes) < maxCrashesPerKey {
 			e.crashes[crash], e.changedAt = now-age, now
+			t.noteLocked(now, key, e)
 			added = append(added, key)
 		}
 	}
 	if len(added) > 0 {
-		t.updateLocked()
+		t.judgeLocked()
 	}
 	return added
 }
@@ -166,12 +178,13 @@
 	var cleared []Record
 	for _, key := range c.Keys() {
 		if e, ok := t.evidence[key]; ok && len(e.crashes) > 0 {
-			*e = evidence{epoch: e.epoch + 1, wasAnswered: true, crashes: map[Crash]time.Duration{}, changedAt: now}
+			*e = evidence{epoch: e.epoch + 1, wasAnswered: true, crashes: map[Crash]time.Duration{}, changedAt: now, hash: e.hash}
+			t.noteLocked(now, key, e)
 			cleared = append(cleared, e.record(key, now))
 		}
 	}
 	if len(cleared) > 0 {
-		t.updateLocked()
+		t.judgeLocked()
 	}
 	return cleared
 }
@@ -193,12 +206,24 @@
 	return 0
 }
 
+// expiryInterval is the time between two searches for expired evidence.
+const expiryInterval = time.Second
+
 // expireLocked deletes evidence that has not changed for its retention.
 func (t *Tracker) expireLocked(now time.Duration) {
-	size := len(t.evidence)
-	maps.DeleteFunc(t.evidence, func(key Key, e *evidence) bool { return now-e.changedAt > t.retentionLocked(key) })
-	if len(t.evidence) != size {
-		t.updateLocked()
+	if now-t.expiredAt < expiryInterval {
+		return
+	}
+	t.expiredAt = now
+	isChanged := false
+	for key, e := range t.evidence {
+		if now-e.changedAt > t.retentionLocked(key) {
+			t.deleteLocked(key)
+			isChanged = true
+		}
+	}
+	if isChanged {
+		t.judgeLocked()
 	}
 }
 
@@ -209,36 +234,78 @@
 	return suspectRetention
 }
 
-// updateLocked brings everything that depends on the evidence up to date.
-func (t *Tracker) updateLocked() {
-	t.isChanged = true
+func (t *Tracker) deleteLocked(key Key) {
+	t.digest ^= t.evidence[key].hash
+	delete(t.evidence, key)
+	delete(t.candidates, key)
+}
+
+// noteLocked brings everything that follows from the evidence against one key up to
+// date; judgeLocked must be called after it.
+func (t *Tracker) noteLocked(now time.Duration, key Key, e *evidence) {
+	e.learnedAt = now
+	e.separateCount = countSeparate(e.crashes, nil)
+	if len(e.crashes) >= crashLimit {
+		t.candidates[key] = true
+	} else {
+		delete(t.candidates, key)
+	}
+	t.digest ^= e.hash
+	e.hash = e.computeHash(key)
+	t.digest ^= e.hash
+}
+
+// computeHash returns a hash of what entries tell each other, but for times.
+func (e *evidence) computeHash(key Key) uint64 {
+	var b [25]byte
+	crashes := uint64(0)
+	for crash := range e.crashes {
+		crashes ^= uint64(crash)
+	}
+	binary.LittleEndian.PutUint64(b[0:], uint64(key))
+	binary.LittleEndian.PutUint64(b[8:], crashes)
+	binary.LittleEndian.PutUint32(b[16:], e.epoch)
+	binary.LittleEndian.PutUint32(b[20:], uint32(e.trials))
+	if e.wasAnswered {
+		b[24] = 1
+	}
+	return xxhash.Sum64(b[:])
+}
+
+// judgeLocked decides which keys are blocked.
+func (t *Tracker) judgeLocked() {
 	t.evictLocked()
+	if len(t.candidates) == 0 && len(t.blocked) == 0 {
+		return
+	}
 	before := t.blocked
 	t.blocked = map[Key]bool{}
-	defer func() { t.logChangesLocked(before) }()
-	var candidates []Key
-	separate := map[Key]int{}
-	for key, e := range t.evidence {
-		if separate[key] = countSeparate(e.crashes, nil); separate[key] >= e.crashLimit() {
-			candidates = append(candidates, key)
-		}
-	}
-	slices.SortFunc(candidates, func(a, b Key) int { return cmp.Compare(separate[b], separate[a]) })
+	candidates := slices.SortedFunc(maps.Keys(t.candidates), func(a, b Key) int {
+		return cmp.Compare(t.evidence[b].separateCount, t.evidence[a].separateCount)
+	})
 	for _, key := range candidates {
 		e := t.evidence[key]
-		isExplained := func(crash Crash) bool {
-			for other := range t.blocked {
-				o := t.evidence[other]
-				if _, ran := o.crashes[crash]; ran && separate[other] > separate[key] && o.crashLimit() <= e.crashLimit() {
-					return true
-				}
-			}
-			return false
+		if e.separateCount < e.crashLimit() {
+			break
 		}
-		if countSeparate(e.crashes, isExplained) >= e.crashLimit() {
+		if countSeparate(e.crashes, func(c Crash) bool { return t.isExplainedLocked(c, e) }) >= e.crashLimit() {
 			t.blocked[key] = true
 		}
 	}
+	t.logChangesLocked(before)
+}
+
+// isExplainedLocked reports whether a blocked key ran during the crash, and during more
+// crashes than the key with the evidence e. A key that was answered before explains no
+// crash of one that was not.
+func (t *Tracker) isExplainedLocked(crash Crash, e *evidence) bool {
+	for key := range t.blocked {
+		other := t.evidence[key]
+		if _, ran := other.crashes[crash]; ran && other.separateCount > e.separateCount && other.crashLimit() <= e.crashLimit() {
+			return true
+		}
+	}
+	return false
 }
 
 // logChangesLocked logs what was blocked or unblocked since before.
@@ -293,10 +360,10 @@
 	}
 	keys := slices.SortedFunc(maps.Keys(t.evidence), func(a, b Key) int {
 		x, y := t.evidence[a], t.evidence[b]
-		return cmp.Or(cmp.Compare(countSeparate(x.crashes, nil), countSeparate(y.crashes, nil)), cmp.Compare(x.changedAt, y.changedAt))
+		return cmp.Or(cmp.Compare(x.separateCount, y.separateCount), cmp.Compare(x.changedAt, y.changedAt))
 	})
 	for _, key := range keys[:len(keys)-maxKeys*3/4] {
-		delete(t.evidence, key)
+		t.deleteLocked(key)
 	}
 }
 
@@ -305,26 +372,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expireLocked(t.clock())
-	if !t.isChanged {
-		return t.digest
-	}
-	t.digest, t.isChanged = 0, false
-	var b [32]byte
-	for key, e := range t.evidence {
-		crashes := uint64(0)
-		for crash := range e.crashes {
-			crashes ^= uint64(crash)
-		}
-		binary.LittleEndian.PutUint64(b[0:], uint64(key))
-		binary.LittleEndian.PutUint64(b[8:], crashes)
-		binary.LittleEndian.PutUint32(b[16:], e.epoch)
-		binary.LittleEndian.PutUint32(b[20:], uint32(e.trials))
-		b[24] = 0
-		if e.wasAnswered {
-			b[24] = 1
-		}
-		t.digest ^= xxhash.Sum64(b[:])
-	}
 	return t.digest
 }
 
--- a/internal/blame/record.go
+++ b/internal/blame/record.go
@@ -26,14 +26,20 @@
 }
 
 // Records returns all evidence.
-func (t *Tracker) Records() []Record {
+func (t *Tracker) Records() []Record { return t.RecordsSince(0) }
+
+// RecordsSince returns the evidence that this entry has learned at the given time of the
+// tracker's clock or later.
+func (t *Tracker) RecordsSince(since time.Duration) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock()
 	t.expireLocked(now)
-	records := make([]Record, 0, len(t.evidence))
+	var records []Record
 	for key, e := range t.evidence {
-		records = append(records, e.record(key, now))
+		if e.learnedAt >= since {
+			records = append(records, e.record(key, now))
+		}
 	}
 	return records
 }
@@ -52,7 +58,7 @@
 		}
 	}
 	if len(news) > 0 {
-		t.updateLocked()
+		t.judgeLocked()
 	}
 	return news
 }
@@ -77,7 +83,7 @@
 	}
 	isNew := !isKnown || r.Epoch > e.epoch || r.WasAnswered && !e.wasAnswered || r.Trials > e.trials
 	if r.Epoch > e.epoch {
-		*e = evidence{epoch: r.Epoch, wasAnswered: e.wasAnswered, crashes: map[Crash]time.Duration{}}
+		*e = evidence{epoch: r.Epoch, wasAnswered: e.wasAnswered, crashes: map[Crash]time.Duration{}, hash: e.hash}
 	}
 	e.wasAnswered = e.wasAnswered || r.WasAnswered
 	e.trials = max(e.trials, r.Trials)
@@ -89,6 +95,7 @@
 	}
 	if isNew {
 		e.changedAt = max(e.changedAt, now-age)
+		t.noteLocked(now, r.Key, e)
 	}
 	return isNew
 }
--- a/internal/blame/trial.go
+++ b/internal/blame/trial.go
@@ -90,7 +90,7 @@
 	e.trials++
 	e.changedAt = now
 	t.trial = trial{key: key, epoch: e.epoch, crashCount: len(e.crashes), until: now + trialTimeout}
-	t.isChanged = true
+	t.noteLocked(now, key, e)
 	return e.record(key, now), true
 }
 
--- a/internal/exchange/blame.go
+++ b/internal/exchange/blame.go
@@ -14,28 +14,34 @@
 
 const (
 	// mismatchGrace is how long the evidence of an entry may differ from that of this one
-	// before this one sends its own. Notices under way take less.
+	// before this one sends its own, and between two times of sending it. Notices under
+	// way take less.
 	mismatchGrace = 400 * time.Millisecond
+	// evidenceOverlap is how much older evidence is sent than what this entry has learned
+	// since the evidence was last equal or sent.
+	evidenceOverlap = time.Second
+	// sendAllEvery: one in so many times, everything since the evidence was equal is sent.
+	sendAllEvery = 5
 	// maxRecordsPerMessage limits the evidence in one message.
 	maxRecordsPerMessage = 250
 )
 
-// crashMessage reports the content of one run at a server that has crashed.
+// crashMessage reports the content of the runs at a server that has crashed. Earlier
+// software versions know the whole content of one run only.
 type crashMessage struct {
 	Whole  blame.Key `msgpack:"c"`
 	Server string    `msgpack:"s"`
-	// RunID identifies the crash to entries of software versions without Crash.
-	RunID string      `msgpack:"r"`
-	Crash blame.Crash `msgpack:"i"`
-	Parts []blame.Key `msgpack:"k,omitempty"`
+	// RunID identifies the crash to entries of earlier versions.
+	RunID    string          `msgpack:"r"`
+	Crash    blame.Crash     `msgpack:"i"`
+	Contents []blame.Content `msgpack:"k,omitempty"`
 }
 
-// clearedMessage reports that a request with the key was answered, so that its crashes
-// no longer count.
+// clearedMessage reports that a request was answered, so that the crashes against its
+// content no longer count. Earlier software versions know one key without its records.
 type clearedMessage struct {
-	Key blame.Key `msgpack:"c"`
-	// Record is unset in messages of earlier software versions.
-	Record *blame.Record `msgpack:"r,omitempty"`
+	Key     blame.Key      `msgpack:"c"`
+	Records []blame.Record `msgpack:"r,omitempty"`
 }
 
 // evidenceMessage holds evidence that the receiver may have missed.
@@ -56,15 +62,13 @@
 // NotifyCrash implements relay.Peers.
 func (x *Exchange) NotifyCrash(n relay.CrashNotice) {
 	x.propagate(peer.RelayCrash, crashMessage{
-		Whole: n.Content.Whole, Server: n.Server, RunID: strconv.FormatUint(uint64(n.Crash), 36), Crash: n.Crash, Parts: n.Content.Parts,
+		Whole: n.Contents[0].Whole, Server: n.Server, RunID: strconv.FormatUint(uint64(n.Crash), 36), Crash: n.Crash, Contents: n.Contents,
 	}, peer.Node{})
 }
 
 // NotifyCleared implements relay.Peers.
 func (x *Exchange) NotifyCleared(records []blame.Record) {
-	for _, r := range records {
-		x.propagate(peer.RelayCleared, clearedMessage{r.Key, &r}, peer.Node{})
-	}
+	x.propagate(peer.RelayCleared, clearedMessage{records[0].Key, records}, peer.Node{})
 }
 
 // propagate sends a notice to the entries that this one exchanges messages with,
@@ -96,12 +100,18 @@
 	if m.Crash == 0 {
 		m.Crash = blame.NewCrash(m.RunID, 0, time.Unix(0, 0), time.Second)
 	}
-	content := blame.Content{Whole: m.Whole, Parts: m.Parts}
-	if len(x.Crashes.RecordCrash(m.Crash, 0, content.Keys())) == 0 {
+	if len(m.Contents) == 0 {
+		m.Contents = []blame.Content{{Whole: m.Whole}}
+	}
+	isNew, crashes := false, 0
+	for _, content := range m.Contents {
+		isNew = len(x.Crashes.RecordCrash(m.Crash, 0, content.Keys())) > 0 || isNew
+		crashes = max(crashes, x.Crashes.MaxCrashCount(&content))
+	}
+	if !isNew {
 		return
 	}
-	x.Log.Log(relay.EvContentCrashed, "content", m.Whole, "parts", m.Parts, "server", m.Server,
-		"crashes", x.Crashes.MaxCrashCount(&content), "told_by", from.ID)
+	x.Log.Log(relay.EvContentCrashed, "server", m.Server, "runs", len(m.Contents), "crashes", crashes, "told_by", from.ID)
 	x.propagate(peer.RelayCrash, m, from)
 }
 
@@ -110,52 +120,65 @@
 	if decode(&m) != nil {
 		return
 	}
-	if m.Record == nil {
-		cleared := x.Crashes.RecordAnswered(&blame.Content{Whole: m.Key})
-		if len(cleared) == 0 {
-			return
-		}
-		m.Record = &cleared[0]
-	} else if len(x.Crashes.Merge([]blame.Record{*m.Record})) == 0 {
-		return
+	if len(m.Records) == 0 {
+		m.Records = x.Crashes.RecordAnswered(&blame.Content{Whole: m.Key})
+	} else {
+		m.Records = x.Crashes.Merge(m.Records)
+	}
+	if len(m.Records) > 0 {
+		x.propagate(peer.RelayCleared, m, from)
 	}
-	x.propagate(peer.RelayCleared, m, from)
 }
 
-// compareEvidence compares the digest of another entry's evidence with this one's. It
-// sends all evidence if they have differed for longer than notices take, and at once to
-// an entry that has just started.
+// compareEvidence compares the digest of another entry's evidence with this one's. If
+// they have differed for longer than notices take, it sends what that entry may lack: what
+// this one has learned since they were equal, and everything to an entry that has just
+// started.
 func (x *Exchange) compareEvidence(from peer.Node, run string, digest uint64) {
 	isEqual := digest == x.Crashes.Digest()
 	now := x.Clock()
 	x.mu.Lock()
-	known, isKnown := x.evidence[from.ID]
-	isNewRun := !isKnown || known.run != run
-	if isNewRun || isEqual {
-		known = comparedEvidence{run: run}
-	}
-	if !isEqual && known.differsSince == 0 {
-		known.differsSince = now
-	}
-	isDue := !isEqual && (isNewRun || now-known.differsSince >= mismatchGrace)
-	if isDue {
-		known.differsSince = now
+	compared := x.evidence[from.ID]
+	if compared == nil || compared.run != run {
+		compared = &comparedEvidence{run: run}
+		x.evidence[from.ID] = compared
 	}
-	x.evidence[from.ID] = known
+	since, isDue := compared.update(now, isEqual)
 	x.mu.Unlock()
-	if isDue {
-		for chunk := range slices.Chunk(x.Crashes.Records(), maxRecordsPerMessage) {
-			x.send(from, peer.RelayEvidence, evidenceMessage{chunk})
-		}
+	if !isDue {
+		return
+	}
+	for chunk := range slices.Chunk(x.Crashes.RecordsSince(since), maxRecordsPerMessage) {
+		x.send(from, peer.RelayEvidence, evidenceMessage{chunk})
 	}
 }
 
-// comparedEvidence is the result of the last comparison with another entry.
+// comparedEvidence is the result of comparisons with another entry.
 type comparedEvidence struct {
 	run string
-	// differsSince is when the digests began to differ, or when the evidence was last
-	// sent; 0 if they were equal.
-	differsSince time.Duration
+	// equalAt is when the evidence was last equal, sentAt when this entry last sent its
+	// own, and sendCount how often it has since equalAt. Times are 0 if never.
+	equalAt, sentAt time.Duration
+	sendCount       int
+}
+
+// update records a comparison. If evidence has to be sent it returns true and the time
+// since which this entry has learned it.
+func (c *comparedEvidence) update(now time.Duration, isEqual bool) (since time.Duration, isDue bool) {
+	if isEqual {
+		c.equalAt, c.sendCount = now, 0
+		return 0, false
+	}
+	if last := max(c.equalAt, c.sentAt); last > 0 && now-last < mismatchGrace {
+		return 0, false
+	}
+	since = c.equalAt
+	if c.sendCount%sendAllEvery > 0 {
+		since = c.sentAt // the rest was sent before
+	}
+	c.sentAt = now
+	c.sendCount++
+	return max(0, since-evidenceOverlap), true
 }
 
 // forgetEvidenceLocked drops the comparisons with entries that send no messages any
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -275,8 +275,8 @@
 		for _, e := range s.entries {
 			if !e.IsHub() {
 				n++
-				notice := relay.CrashNotice{Crash: blame.Crash(n), Server: "s", Content: content}
-				e.Crashes.RecordCrash(notice.Crash, 0, notice.Content.Keys())
+				notice := relay.CrashNotice{Crash: blame.Crash(n), Server: "s", Contents: []blame.Content{content}}
+				e.Crashes.RecordCrash(notice.Crash, 0, content.Keys())
 				e.NotifyCrash(notice)
 			}
 		}
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -125,6 +125,24 @@
 	return s.pausedUntil
 }
 
+// neighbours returns up to n other servers of the server's availability zone that may
+// get requests.
+func (b *Balancer) neighbours(t upstream.Target, n int) []upstream.Target {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	self, ok := b.servers[t.ID]
+	if !ok {
+		return nil
+	}
+	var list []upstream.Target
+	for id, s := range b.servers {
+		if len(list) < n && id != t.ID && s.Zone == self.Zone && !s.Leaving {
+			list = append(list, s.target)
+		}
+	}
+	return list
+}
+
 // isLeaving reports whether the server announced its shutdown, or is no longer
 // registered.
 func (b *Balancer) isLeaving(t upstream.Target) bool {
--- a/internal/relay/content.go
+++ b/internal/relay/content.go
@@ -9,11 +9,11 @@
 	"buckthornpick/internal/blame"
 )
 
-// CrashNotice reports that a backend server crashed while it ran a request.
+// CrashNotice reports that a backend server crashed while it ran requests.
 type CrashNotice struct {
-	Crash   blame.Crash
-	Server  string
-	Content blame.Content
+	Crash    blame.Crash
+	Server   string
+	Contents []blame.Content
 }
 
 // contentOf returns the content of the request. The last part of its prompt belongs to
--- a/internal/relay/crashdetector.go
+++ b/internal/relay/crashdetector.go
@@ -17,11 +17,13 @@
 	probeTimeout = 500 * time.Millisecond
 	// minRestartTime is the least time between two crashes of a server that keeps its ID.
 	minRestartTime = 2 * time.Second
+	// maxNeighbourProbes limits the servers that are probed beside a crashed one.
+	maxNeighbourProbes = 4
 )
 
-// crashDetector distinguishes crashes of backend servers from lost responses. A
-// broken connection counts as a crash if the server accepts no connection shortly
-// afterwards.
+// crashDetector distinguishes crashes of backend servers from lost responses and cuts of
+// the network. A broken connection counts as a crash if the server accepts no connection
+// shortly afterwards, and others of its zone do.
 type crashDetector struct {
 	relay *Relay
 
@@ -68,6 +70,10 @@
 	runs := d.pendingRuns[t.ID]
 	delete(d.pendingRuns, t.ID)
 	d.mu.Unlock()
+	if result != upstream.ProbeAccepted && d.isCutOff(t) {
+		d.relay.Log.Log(EvCrashDoubted, "server", t.ID, "runs", len(runs))
+		return
+	}
 	if result == upstream.ProbeAccepted {
 		for _, run := range runs {
 			if run.isAnswered {
@@ -79,24 +85,45 @@
 	if d.relay.Balancer.isLeaving(t) {
 		return
 	}
-	crash := blame.NewCrash(t.ID, t.Incarnation, time.Now(), minRestartTime)
-	for _, run := range runs {
-		d.recordCrash(t, crash, run, result)
+	d.recordCrash(t, runs, result)
+}
+
+// isCutOff reports whether none of the other servers of the server's availability zone
+// accepts a connection either: the zone, or this entry, is cut off. It is false if there
+// are no others.
+func (d *crashDetector) isCutOff(t upstream.Target) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	others := d.relay.Balancer.neighbours(t, maxNeighbourProbes)
+	results := make(chan upstream.ProbeResult, len(others))
+	for _, other := range others {
+		go func() { results <- d.relay.Pool.Probe(ctx, other) }()
+	}
+	for range others {
+		if <-results == upstream.ProbeAccepted {
+			return false
+		}
 	}
+	return len(others) > 0
 }
 
-// recordCrash records a crash for the content of one run. Parts of prompts are not
+// recordCrash records a crash for the content of the runs. Parts of prompts are not
 // blamed for a host that does not answer: it may be cut off, and they are in many
 // requests.
-func (d *crashDetector) recordCrash(t upstream.Target, crash blame.Crash, run endedRun, result upstream.ProbeResult) {
-	notice := CrashNotice{Crash: crash, Server: t.ID, Content: run.content}
-	if result == upstream.ProbeUnanswered {
-		notice.Content.Parts = nil
+func (d *crashDetector) recordCrash(t upstream.Target, runs []endedRun, result upstream.ProbeResult) {
+	notice := CrashNotice{Crash: blame.NewCrash(t.ID, t.Incarnation, time.Now(), minRestartTime), Server: t.ID}
+	isNew := false
+	for _, run := range runs {
+		content := run.content
+		if result == upstream.ProbeUnanswered {
+			content.Parts = nil
+		}
+		isNew = len(d.relay.Crashes.RecordCrash(notice.Crash, 0, content.Keys())) > 0 || isNew
+		notice.Contents = append(notice.Contents, content)
+		d.relay.Log.Log(EvContentCrashed, "request", run.attemptID, "content", content.Whole, "parts", content.Parts,
+			"server", t.ID, "crashes", d.relay.Crashes.MaxCrashCount(&content))
 	}
-	added := d.relay.Crashes.RecordCrash(crash, 0, notice.Content.Keys())
-	d.relay.Log.Log(EvContentCrashed, "request", run.attemptID, "content", run.content.Whole, "parts", notice.Content.Parts,
-		"server", t.ID, "crashes", d.relay.Crashes.MaxCrashCount(&notice.Content))
-	if len(added) > 0 {
+	if isNew {
 		d.relay.Peers.NotifyCrash(notice)
 	}
 }
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -21,6 +21,7 @@
 	EvExchangePeersChanged = telemetry.Register(3111, "exchange-placed", slog.LevelInfo, "The set of entries with which this entry exchanges totals and loads has changed.")
 	EvSiteSizeChanged      = telemetry.Register(3112, "site-counted", slog.LevelInfo, "The number of a large site's entries, or of those whose spending is known, has changed; quotas are divided accordingly.")
 	EvStreamNotResumed     = telemetry.Register(3113, "stream-not-resumed", slog.LevelWarn, "A stream that broke or was silent was not resumed at another backend server; the reason is what prevented it.")
+	EvCrashDoubted         = telemetry.Register(3119, "crash-doubted", slog.LevelInfo, "Runs at a backend server broke, and neither it nor other servers of its zone accept connections: the zone or this entry is cut off, and no content is blamed.")
 	EvServerLimitChanged   = telemetry.Register(3118, "server-limit-changed", slog.LevelWarn, "A backend server has named in an answer how many requests a second it takes from all entries together, or names no limit any more.")
 	EvStreamPinned         = telemetry.Register(3114, "stream-pinned", slog.LevelInfo, "A caller resumes a stream; only servers of the service and software version that began it may continue it.")
 )
