--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -35,9 +35,9 @@
 // Content is what a request holds that may crash a server.
 type Content struct {
 	// Whole is the key of the whole content.
-	Whole Key
+	Whole Key `msgpack:"w"`
 	// Parts are the keys of the parts that other requests may share.
-	Parts []Key
+	Parts []Key `msgpack:"p,omitempty"`
 }
 
 // maxParts limits the parts of one request that can be blamed.
