--- a/internal/duty/reporter.go
+++ b/internal/duty/reporter.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"buckthornpick/internal/blame"
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/follow"
 	"buckthornpick/internal/kv"
@@ -82,7 +83,9 @@
 	Cloud  Cloud
 	Counts *usage.Counts
 	Size   *follow.SiteSize
-	Log    *telemetry.Logger
+	// Crashes holds the evidence against content, which is stored while any is blocked.
+	Crashes *blame.Tracker
+	Log     *telemetry.Logger
 
 	// nextWindow is the first window that this process has not reported since it
 	// acquired the lease with token.
@@ -99,6 +102,9 @@
 	safeFrom, ownFrom int64
 	// snapshotAt is when the last snapshot was started.
 	snapshotAt time.Time
+	// mayHaveStoredBlocked is true if the store may hold evidence against content that is
+	// no longer blocked.
+	mayHaveStoredBlocked bool
 }
 
 // Run reports until ctx is done.
@@ -195,6 +201,7 @@
 func (r *Reporter) restore(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	r.mayHaveStoredBlocked = true // by the previous holder
 	entry, found, err := r.Store.Get(ctx, SnapshotKey)
 	if err != nil || !found {
 		return err
@@ -210,8 +217,8 @@
 	return nil
 }
 
-// snapshot stores the counts of windows that are not reported yet, and the number
-// of entries. A failed snapshot does harm only if all entries fail before the next
+// snapshot stores the counts of windows that are not reported yet, the number of
+// entries and the evidence against blocked content. A failed snapshot does harm only if all entries fail before the next
 // one.
 func (r *Reporter) snapshot(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -222,7 +229,14 @@
 		if n, ok := r.Size.LastEstimate(); ok {
 			ops = append(ops, kv.Put(follow.SiteSizeKey, []byte(strconv.Itoa(n))))
 		}
+		blocked, isEmpty, encodeErr := r.Crashes.EncodeBlocked()
+		if encodeErr == nil && (!isEmpty || r.mayHaveStoredBlocked) {
+			ops = append(ops, kv.Put(blame.BlockedKey, blocked))
+		}
 		_, err = r.Store.Txn(ctx, []kv.Compare{r.Lease.Guard(r.token)}, ops)
+		if err == nil {
+			r.mayHaveStoredBlocked = !isEmpty
+		}
 	}
 	if err != nil && ctx.Err() == nil {
 		r.Log.Log(EvSnapshotFailed, "token", r.token, "step", fault.Step(err), "peer", fault.Peer(err), "error", err.Error())
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -129,6 +129,7 @@
 	serversFollower  *follow.Follower
 	entries          *follow.Entries
 	siteSize         *follow.SiteSize
+	crashes          *blame.Tracker
 	entriesFollower  *follow.Follower
 	secret           *follow.Secret
 	transport        *peer.Transport
@@ -197,13 +198,13 @@
 	run := exchange.RunName(p.settings.Node.ID, time.Now())
 	p.usageCounts = usage.NewCounts(run, b.UsageWindow(), clock.NewWall(p.clock, time.Now))
 	quotas := relay.NewQuotas(b.QuotaWindow(), p.clock)
-	crashes := blame.New(p.clock, p.cli.Log)
+	p.crashes = blame.New(p.clock, p.cli.Log)
 	p.exchange = exchange.New(exchange.Config{
-		Transport: p.transport, Entries: p.entries, Size: p.siteSize, Balancer: p.balancer, Quotas: quotas, Crashes: crashes, Origins: p.origins,
+		Transport: p.transport, Entries: p.entries, Size: p.siteSize, Balancer: p.balancer, Quotas: quotas, Crashes: p.crashes, Origins: p.origins,
 		Counts: p.usageCounts, Clock: p.clock, Log: log, UnregisteredGrace: p.maxDocumentAge() + b.QuotaWindow(),
 	}, run)
 	p.relay = relay.New(relay.Config{
-		Codec: p.adapter.Codec, Documents: p.documents, Balancer: p.balancer, Servers: p.servers, Pool: p.pool, Quotas: quotas, Crashes: crashes, Origins: p.origins,
+		Codec: p.adapter.Codec, Documents: p.documents, Balancer: p.balancer, Servers: p.servers, Pool: p.pool, Quotas: quotas, Crashes: p.crashes, Origins: p.origins,
 		Peers: p.exchange, Usage: p.usageCounts, Zone: p.settings.Node.Zone, Clock: p.clock, Log: log, Metrics: p.cli.Metrics,
 		Limits: relay.Limits{
 			MaxDocumentAge:      p.maxDocumentAge(),
@@ -287,6 +288,7 @@
 		p.documentFollower.Run, p.serversFollower.Run, p.servers.Run, p.entriesFollower.Run, p.transport.Run, p.exchange.Run,
 		func(ctx context.Context) error { return p.entries.Register(ctx, p.store) },
 		func(ctx context.Context) error { return p.siteSize.LoadStored(ctx, p.store, p.cli.Log) },
+		func(ctx context.Context) error { return p.crashes.LoadStored(ctx, p.store) },
 		func(ctx context.Context) error { return p.secret.Run(ctx, p.store) },
 	}
 	if p.cloud == nil {
@@ -298,7 +300,7 @@
 		return err
 	})
 	if slices.Contains(p.settings.Duties, config.DutyUsage) {
-		reporter := &duty.Reporter{Lease: p.dutyLease, Store: p.store, Cloud: p.cloud, Counts: p.usageCounts, Size: p.siteSize, Log: p.cli.Log}
+		reporter := &duty.Reporter{Lease: p.dutyLease, Store: p.store, Cloud: p.cloud, Counts: p.usageCounts, Size: p.siteSize, Crashes: p.crashes, Log: p.cli.Log}
 		tasks = append(tasks, reporter.Run)
 	}
 	if slices.Contains(p.settings.Duties, config.DutyScaling) {
