blame: an answered part no longer keeps others with as many crashes from being blocked

All candidates are judged again.

TestPartIsBlockedBesideAnsweredOnesWithAsManyCrashes fails without the change and passes.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -286,7 +286,7 @@
 	for _, key := range candidates {
 		e := t.evidence[key]
 		if e.separateCount < e.crashLimit() {
-			break
+			continue
 		}
 		if countSeparate(e.crashes, func(c Crash) bool { return t.isExplainedLocked(c, e) }) >= e.crashLimit() {
 			t.blocked[key] = true
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -111,6 +111,25 @@
 	require.True(t, isBlocked(s.trackers[0], newContent("dead")))
 }
 
+// A part with a higher limit and as many crashes does not keep another one from being
+// blocked.
+func TestPartIsBlockedBesideAnsweredOnesWithAsManyCrashes(t *testing.T) {
+	s := newSite(1)
+	for i := range 20 {
+		answered := newContent(fmt.Sprint("system", i))
+		s.trackers[0].RecordAnswered(&answered)
+	}
+	for range crashLimit {
+		parts := []string{"dead"}
+		for i := range 20 {
+			parts = append(parts, fmt.Sprint("system", i))
+		}
+		s.crash(newContent(parts...))
+	}
+	require.True(t, isBlocked(s.trackers[0], newContent("dead")))
+	require.False(t, isBlocked(s.trackers[0], newContent("system1")))
+}
+
 func TestServersThatEndTogetherCountAsOneCrash(t *testing.T) {
 	s := newSite(1)
 	for range 2 {
