blame: first parts of sound requests are no longer blocked beside the deadly one

A part that was never answered now explains the crashes of one that was, whatever their numbers. Parts that ran during the same crashes as another blocked one are tried after 2 s, like those that were answered before, and not after a minute.

TestPartThatWasAnsweredIsNotBlockedForCrashesOfTheDeadlyOne and TestPartsWithTheSameCrashesAreTriedSoon come with the change.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -280,8 +280,10 @@
 	}
 	before := t.blocked
 	t.blocked = map[Key]bool{}
+	// A key comes after those that may explain its crashes.
 	candidates := slices.SortedFunc(maps.Keys(t.candidates), func(a, b Key) int {
-		return cmp.Compare(t.evidence[b].separateCount, t.evidence[a].separateCount)
+		x, y := t.evidence[a], t.evidence[b]
+		return cmp.Or(cmp.Compare(x.crashLimit(), y.crashLimit()), cmp.Compare(y.separateCount, x.separateCount))
 	})
 	for _, key := range candidates {
 		e := t.evidence[key]
@@ -295,19 +297,28 @@
 	t.logChangesLocked(before)
 }
 
-// isExplainedLocked reports whether a blocked key ran during the crash, and during more
-// crashes than the key with the evidence e. A key that was answered before explains no
-// crash of one that was not.
+// isExplainedLocked reports whether a blocked key that is a better explanation of its
+// crashes than the key with the evidence e ran during the crash.
 func (t *Tracker) isExplainedLocked(crash Crash, e *evidence) bool {
 	for key := range t.blocked {
 		other := t.evidence[key]
-		if _, ran := other.crashes[crash]; ran && other.separateCount > e.separateCount && other.crashLimit() <= e.crashLimit() {
+		if _, ran := other.crashes[crash]; ran && other.isBetterExplanation(e) {
 			return true
 		}
 	}
 	return false
 }
 
+// isBetterExplanation reports whether a key explains crashes better than another: one
+// that was never answered better than one that was, and otherwise the one that ran
+// during more crashes.
+func (e *evidence) isBetterExplanation(other *evidence) bool {
+	if e.wasAnswered != other.wasAnswered {
+		return other.wasAnswered
+	}
+	return e.separateCount > other.separateCount
+}
+
 // logChangesLocked logs what was blocked or unblocked since before.
 func (t *Tracker) logChangesLocked(before map[Key]bool) {
 	for key := range t.blocked {
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -130,6 +130,39 @@
 	require.False(t, isBlocked(s.trackers[0], newContent("system1")))
 }
 
+// A part of all requests is in more crashes than the deadly one, before it is answered.
+func TestPartThatWasAnsweredIsNotBlockedForCrashesOfTheDeadlyOne(t *testing.T) {
+	s := newSite(1)
+	answered := newContent("system")
+	s.trackers[0].RecordAnswered(&answered)
+	s.crash(newContent("system"))
+	for range 6 {
+		s.crash(newContent("system", "dead"))
+	}
+	require.True(t, isBlocked(s.trackers[0], newContent("dead")))
+	require.False(t, isBlocked(s.trackers[0], newContent("system")))
+}
+
+// Two parts that ran during the same crashes cannot be told apart, but by a trial.
+func TestPartsWithTheSameCrashesAreTriedSoon(t *testing.T) {
+	s := newSite(1)
+	for range crashLimit {
+		s.crash(newContent("dead", "beside"))
+	}
+	beside := newContent("beside")
+	require.True(t, isBlocked(s.trackers[0], beside))
+	s.now += soonTrialDelay
+	require.True(t, s.trackers[0].Judge(&beside).CanTry)
+	_, isPermitted := s.trackers[0].PermitTrial(beside.Parts[0])
+	require.True(t, isPermitted)
+	s.trackers[0].RecordAnswered(&beside)
+	require.False(t, isBlocked(s.trackers[0], beside))
+	dead := newContent("dead")
+	s.now += soonTrialDelay
+	require.True(t, isBlocked(s.trackers[0], dead))
+	require.False(t, s.trackers[0].Judge(&dead).CanTry, "nothing else explains its crashes now")
+}
+
 func TestServersThatEndTogetherCountAsOneCrash(t *testing.T) {
 	s := newSite(1)
 	for range 2 {
--- a/internal/blame/trial.go
+++ b/internal/blame/trial.go
@@ -6,9 +6,10 @@
 	// trialTimeout is how long a trial excludes others if neither an answer nor a crash
 	// ends it.
 	trialTimeout = 10 * time.Second
-	// answeredTrialDelay is the time after the last crash of a blocked key before its
-	// first trial if the key has been answered before.
-	answeredTrialDelay = 2 * time.Second
+	// soonTrialDelay is the time after the last crash of a blocked key before its first
+	// trial if the key is likely to be innocent: if it has been answered before, or if
+	// another blocked key ran during all of its crashes.
+	soonTrialDelay = 2 * time.Second
 )
 
 // trialDelays holds the times before the trials of a blocked key, from its last crash
@@ -69,12 +70,31 @@
 		return 0, false
 	}
 	delay := trialDelays[e.trials]
-	if e.trials == 0 && e.wasAnswered {
-		delay = answeredTrialDelay
+	if e.trials == 0 && (e.wasAnswered || t.isRedundantLocked(key, e)) {
+		delay = soonTrialDelay
 	}
 	return e.changedAt + delay - t.clock(), true
 }
 
+// isRedundantLocked reports whether another blocked key ran during all crashes of the
+// key with the evidence e.
+func (t *Tracker) isRedundantLocked(key Key, e *evidence) bool {
+	for other := range t.blocked {
+		if other == key {
+			continue
+		}
+		ranInAll := true
+		for crash := range e.crashes {
+			_, ran := t.evidence[other].crashes[crash]
+			ranInAll = ranInAll && ran
+		}
+		if ranInAll {
+			return true
+		}
+	}
+	return false
+}
+
 // PermitTrial permits a trial of a blocked key if one is due and no other one runs. It
 // is called at the entry that permits the trials of the whole site, and returns what
 // the others have to hear of.
