--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -25,9 +25,12 @@
 	"buckthornpick/internal/telemetry"
 )
 
-// Key is the hash of a part of prompts or of the content of a request.
+// Key is the hash of a part of prompts or of the content of a request. The lowest bit is
+// set for parts only.
 type Key uint64
 
+func (k Key) isPart() bool { return k&1 == 1 }
+
 // Crash identifies the crash of one server. Entries that see the same crash give it
 // the same ID.
 type Crash uint64
@@ -46,9 +49,9 @@
 // NewContent returns the content with the given hash, and the IDs of the parts that it
 // may share with others.
 func NewContent(whole uint64, partIDs []string) Content {
-	c := Content{Whole: Key(whole)}
+	c := Content{Whole: Key(whole &^ 1)}
 	for _, id := range partIDs[:min(len(partIDs), maxParts)] {
-		c.Parts = append(c.Parts, Key(xxhash.Sum64String("part\x00"+id)))
+		c.Parts = append(c.Parts, Key(xxhash.Sum64String(id)|1))
 	}
 	return c
 }
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -53,6 +53,7 @@
 	require.Len(t, tracker.RecordCrash(1, 0, c.Keys()), 1)
 	require.Empty(t, tracker.RecordCrash(1, 0, c.Keys()), "a crash that was reported twice counts once")
 	require.Equal(t, 1, tracker.CrashCount(c.Whole))
+	require.Equal(t, 1, tracker.MaxCrashCount(&c))
 	require.Len(t, tracker.RecordAnswered(&c), 1)
 	require.Zero(t, tracker.CrashCount(c.Whole))
 	s.crashes = 1
@@ -158,7 +159,6 @@
 	s.trackers[0].RecordAnswered(&beside)
 	require.False(t, isBlocked(s.trackers[0], beside))
 	dead := newContent("dead")
-	s.now += soonTrialDelay
 	require.True(t, isBlocked(s.trackers[0], dead))
 	require.False(t, s.trackers[0].Judge(&dead).CanTry, "nothing else explains its crashes now")
 }
--- a/internal/blame/trial.go
+++ b/internal/blame/trial.go
@@ -10,6 +10,11 @@
 	// trial if the key is likely to be innocent: if it has been answered before, or if
 	// another blocked key ran during all of its crashes.
 	soonTrialDelay = 2 * time.Second
+	// partTrialDelay is that time for other parts with fewer crashes than
+	// partTrialCrashes: of rare ones that merely ran on servers that were killed, no
+	// answer may have been seen.
+	partTrialDelay   = 10 * time.Second
+	partTrialCrashes = 5
 )
 
 // trialDelays holds the times before the trials of a blocked key, from its last crash
@@ -70,8 +75,12 @@
 		return 0, false
 	}
 	delay := trialDelays[e.trials]
-	if e.trials == 0 && (e.wasAnswered || t.isRedundantLocked(key, e)) {
+	switch {
+	case e.trials > 0:
+	case e.wasAnswered || t.isRedundantLocked(key, e):
 		delay = soonTrialDelay
+	case key.isPart() && len(e.crashes) < partTrialCrashes:
+		delay = partTrialDelay
 	}
 	return e.changedAt + delay - t.clock(), true
 }
