--- a/internal/duty/reporter.go
+++ b/internal/duty/reporter.go
@@ -218,8 +218,8 @@
 }
 
 // snapshot stores the counts of windows that are not reported yet, the number of
-// entries and the evidence against blocked content. A failed snapshot does harm only if all entries fail before the next
-// one.
+// entries and the evidence against blocked content. A failed snapshot does harm only if
+// all entries fail before the next one.
 func (r *Reporter) snapshot(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -25,7 +25,7 @@
 	picker          *route.Picker
 	sentAt          time.Time
 	// limit is set if the server has named a limit: the call needs a permit, and counts
-	// as a call at the server only after countCall.
+	// as one that runs at the server only once recordPermit has recorded it.
 	limit *LimitReport
 }
 
