--- a/internal/relay/serverlimit.go
+++ b/internal/relay/serverlimit.go
@@ -73,6 +73,11 @@
 	Known LimitReport `msgpack:"l"`
 }
 
+// NoPermit is the answer if the entry that permits cannot be asked.
+func NoPermit(known LimitReport) Permit {
+	return Permit{WaitMillis: unreachablePermitWait.Milliseconds(), Known: known}
+}
+
 // recordLimit records what a response says about the server's limit. Only a success
 // without a limit ends it, since responses of other kinds may come from elsewhere.
 func (q *request) recordLimit(c *choice, status int, info *ResponseInfo) {
@@ -176,7 +181,7 @@
 	now := b.clock()
 	s, ok := b.servers[id]
 	if !ok || s.Leaving || s.Incarnation != known.Incarnation {
-		return Permit{WaitMillis: unreachablePermitWait.Milliseconds(), Known: known}
+		return NoPermit(known)
 	}
 	s.mergeLimit(now, known)
 	if !s.limit.IsNamed {
@@ -240,8 +245,3 @@
 	}
 	return q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken, q.tried, q.origin, false)
 }
-
-// NoPermit is the answer if the entry that permits cannot be asked.
-func NoPermit(known LimitReport) Permit {
-	return Permit{WaitMillis: unreachablePermitWait.Milliseconds(), Known: known}
-}
