quarantine: nodes that cannot agree on evidence stop passing it to and fro

No caller saw it; found by reading. A node that merged the evidence of another one raised its version whenever the digests differed. Some differences cannot be settled: evidence that is about to expire is not taken, and a full node drops the weakest. Two such nodes pushed their whole evidence to each other without end, as fast as messages arrive, to four peers each.

The version now rises only if the sender lacks something that it would take, and always above the node's own: a second cause kept the version if both fell into one microsecond, and the sender was then never told. Relays are not concerned: they send at most each 0.4 s.

TestNodesThatCannotAgreeOnEvidenceStopSpreadingIt: 20 passes, the test's limit, before; at most 3 now. TestNodesWithDifferentEvidenceAgree: digests differed before, and are equal now.

--- a/internal/blame/record.go
+++ b/internal/blame/record.go
@@ -68,11 +68,7 @@
 	age := millis(r.AgeMillis)
 	e, isKnown := t.evidence[r.Key]
 	if !isKnown {
-		retention := suspectRetention
-		if len(r.Crashes) >= crashLimit {
-			retention = blockedRetention
-		}
-		if age > retention-mergeMargin {
+		if age > maxMergeAge(len(r.Crashes)) {
 			return false
 		}
 		e = t.evidenceLocked(r.Key)
@@ -100,4 +96,52 @@
 	return isNew
 }
 
+// maxMergeAge returns the age up to which evidence with a number of crashes is taken from
+// another entry.
+func maxMergeAge(crashCount int) time.Duration {
+	if crashCount >= crashLimit {
+		return blockedRetention - mergeMargin
+	}
+	return suspectRetention - mergeMargin
+}
+
+// HasNewsFor reports whether an entry that has sent all its evidence lacks some of this
+// one's and would take it.
+func (t *Tracker) HasNewsFor(records []Record) bool {
+	known := make(map[Key]Record, len(records))
+	for _, r := range records {
+		known[r.Key] = r
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock()
+	t.expireLocked(now)
+	isFull := len(records) >= maxKeys*3/4 // it may have dropped what this entry has
+	for key, e := range t.evidence {
+		if r, ok := known[key]; ok && e.hasNewsFor(&r) {
+			return true
+		} else if !ok && !isFull && now-e.changedAt <= maxMergeAge(len(e.crashes)) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasNewsFor reports whether the evidence holds anything that a record of the same key
+// lacks.
+func (e *evidence) hasNewsFor(r *Record) bool {
+	if e.epoch != r.Epoch {
+		return e.epoch > r.Epoch
+	}
+	if e.wasAnswered && !r.WasAnswered || e.trials > r.Trials {
+		return true
+	}
+	for crash := range e.crashes {
+		if _, ok := r.Crashes[crash]; !ok && len(r.Crashes) < maxCrashesPerKey {
+			return true
+		}
+	}
+	return false
+}
+
 func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -105,7 +105,6 @@
 // encodedParts is the evidence as exchanged between nodes.
 type encodedParts struct {
 	Version int64          `msgpack:"v"`
-	Digest  uint64         `msgpack:"d"`
 	Records []blame.Record `msgpack:"r"`
 }
 
@@ -120,12 +119,13 @@
 // Encode implements spread.Topic.
 func (t PartsTopic) Encode() ([]byte, int64, error) {
 	version := t.Version() // read first: evidence that is newer does no harm
-	data, err := msgpack.Marshal(encodedParts{Version: version, Digest: t.Quarantine.parts.Digest(), Records: t.Quarantine.parts.Records()})
+	data, err := msgpack.Marshal(encodedParts{Version: version, Records: t.Quarantine.parts.Records()})
 	return data, version, err
 }
 
-// Merge implements spread.Topic. If this node has evidence that the sender lacks, its
-// version rises above the sender's.
+// Merge implements spread.Topic. If this node has evidence that the sender lacks and
+// would take, its version rises above the sender's. It does not for a mere difference,
+// which two nodes may not be able to settle: they would pass their evidence to and fro.
 func (t PartsTopic) Merge(value []byte) (bool, error) {
 	var received encodedParts
 	if err := msgpack.Unmarshal(value, &received); err != nil {
@@ -135,8 +135,8 @@
 	before := t.Version()
 	q.parts.Merge(received.Records)
 	version := received.Version
-	if q.parts.Digest() != received.Digest {
-		version = max(version+1, time.Now().UnixMicro())
+	if q.parts.HasNewsFor(received.Records) {
+		version = max(version+1, before+1, time.Now().UnixMicro())
 	}
 	q.raisePartsVersion(version)
 	return t.Version() > before, nil
