--- a/internal/relay/content.go
+++ b/internal/relay/content.go
@@ -67,13 +67,13 @@
 	return true
 }
 
-// isContentBlocked reports whether the request may not be sent any more because of its
+// judgeFurtherSend decides whether the request may be sent once more in view of its
 // content. A trial is sent once.
-func (q *request) isContentBlocked() bool {
+func (q *request) judgeFurtherSend() blame.Verdict {
 	if q.isTrial && q.sends == 0 {
-		return false
+		return blame.Verdict{}
 	}
-	return q.relay.Crashes.Judge(&q.content).IsBlocked
+	return q.relay.Crashes.Judge(&q.content)
 }
 
 // recordAnswered clears the content of a request that was answered completely at all
--- a/internal/relay/second.go
+++ b/internal/relay/second.go
@@ -63,7 +63,7 @@
 func (s *secondSend) send(ctx context.Context, first *choice, cancelFirst func()) {
 	q := s.request
 	q.tried[first.target.ID] = true
-	for len(s.failed) < maxUnsentSends && ctx.Err() == nil && !q.isDocumentStale() && !q.isTrial && !q.isContentBlocked() {
+	for len(s.failed) < maxUnsentSends && ctx.Err() == nil && !q.isDocumentStale() && !q.isTrial && !q.judgeFurtherSend().IsBlocked {
 		c, err := q.pick(ctx, 0)
 		if err != nil {
 			return
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -37,8 +37,8 @@
 		if !q.mayHaveRun && q.mayBeCut() {
 			return q.refuseFurtherSends(reasonStopping, retryAfterOtherEntry)
 		}
-		if q.isContentBlocked() {
-			return q.refuseFurtherSends(reasonCrashesServers, 0)
+		if verdict := q.judgeFurtherSend(); verdict.IsBlocked {
+			return q.refuseFurtherSends(reasonCrashesServers, verdict.RetryAfter)
 		}
 		remaining := time.Until(q.deadline)
 		c, err := q.pick(ctx, maxTimeToFirstToken(q.policy, remaining))
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -229,7 +229,7 @@
 		return "attempts-used"
 	case q.isDocumentStale():
 		return reasonDocumentTooOld
-	case q.isContentBlocked():
+	case q.judgeFurtherSend().IsBlocked:
 		return reasonCrashesServers
 	}
 	return ""
