relay: a permit for a server that was restarted or leaves is not used

No caller saw it; found by reading. If a limited server was restarted under its ID while an entry asked for the permit (up to 100 ms), the call was sent without being counted as running, and its end was counted: the balancer then took the new server for less loaded than it is. One that announced its leaving in that time still got the request. The server is chosen anew now.

TestPermitOfRestartedServerIsNotUsed comes with the change; before, recordPermit had no result to check, and the call went out.

--- a/internal/relay/serverlimit.go
+++ b/internal/relay/serverlimit.go
@@ -210,14 +210,14 @@
 	return isGranted, slot - now
 }
 
-// recordPermit records the answer to the request for a permit, and counts the call if
-// it may be sent.
-func (b *Balancer) recordPermit(c *choice, p Permit) {
+// recordPermit records the answer to the request for a permit. If the call may be sent it
+// counts it and returns true; it may not if the server was restarted or leaves meanwhile.
+func (b *Balancer) recordPermit(c *choice, p Permit) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, ok := b.servers[c.target.ID]
-	if !ok || s.target.Incarnation != c.target.Incarnation {
-		return
+	if !ok || s.Leaving || s.target.Incarnation != c.target.Incarnation {
+		return false
 	}
 	now := b.clock()
 	s.mergeLimit(now, p.Known)
@@ -225,6 +225,7 @@
 	if p.IsGranted {
 		b.countCallLocked(c, s)
 	}
+	return p.IsGranted
 }
 
 // pick selects a server as Balancer.pick does. It asks for a permit if the server has
@@ -238,8 +239,7 @@
 		permitCtx, cancel := context.WithTimeout(ctx, permitTimeout)
 		permit := q.relay.Peers.RequestPermit(permitCtx, c.target.ID, *c.limit)
 		cancel()
-		q.relay.Balancer.recordPermit(c, permit)
-		if permit.IsGranted {
+		if q.relay.Balancer.recordPermit(c, permit) {
 			return c, nil
 		}
 	}
--- a/internal/relay/serverlimit_test.go
+++ b/internal/relay/serverlimit_test.go
@@ -70,3 +70,31 @@
 	now += endedLimitRetention + time.Second
 	require.Empty(t, b.LimitReports())
 }
+
+// The server restarts while its permit is under way: a call that is not counted there must
+// not be sent, since its end would be counted.
+func TestPermitOfRestartedServerIsNotUsed(t *testing.T) {
+	now := time.Hour
+	network := memnet.New(1).Host("a", "z")
+	b := NewBalancer("a", "z", func() time.Duration { return now }, upstream.NewPool(network, metrics.NewRegistry()))
+	server := follow.Server{ID: "s", Service: "app", Address: "s:1", Incarnation: 7}
+	b.SetServers([]follow.Server{server})
+	b.setLimit(upstream.Target{ID: "s", Incarnation: 7}, ServerLimit{IsNamed: true, PerSecond: 1})
+	now += time.Second
+	pick := func() *choice {
+		c, err := b.pick("app", &RequestInfo{}, 0, nil, nil, true)
+		require.NoError(t, err)
+		require.NotNil(t, c.limit)
+		return c
+	}
+	require.True(t, b.recordPermit(pick(), Permit{IsGranted: true}))
+	require.Equal(t, 1, b.Loads()["s"].Running)
+	c := pick()
+	require.False(t, b.recordPermit(c, Permit{}))
+	now += time.Second
+	c = pick()
+	server.Incarnation = 8
+	b.SetServers([]follow.Server{server})
+	require.False(t, b.recordPermit(c, Permit{IsGranted: true}))
+	require.Empty(t, b.Loads())
+}
