--- a/internal/standin/memnet/conn.go
+++ b/internal/standin/memnet/conn.go
@@ -21,6 +21,9 @@
 	in, out       *pipe
 	remoteEnd     *conn
 	closeOnce     sync.Once
+	// isSilent marks a connection that delivers nothing any more; guarded by the
+	// network's mutex, and set at the dialling end only.
+	isSilent bool
 }
 
 func (c *conn) Read(b []byte) (int, error) {
--- a/internal/standin/memnet/faults.go
+++ b/internal/standin/memnet/faults.go
@@ -34,12 +34,67 @@
 func (n *Network) HealAll() {
 	n.update(func() {
 		clear(n.partitionedZones)
+		clear(n.cuts)
 		for _, h := range n.hosts {
 			h.partitioned = false
 		}
 	})
 }
 
+// CutKind is what happens to the connections across a cut.
+type CutKind int
+
+const (
+	// CutHangs stalls open connections and dials.
+	CutHangs CutKind = iota + 1
+	// CutResets resets open connections and dials.
+	CutResets
+	// CutRefusesNew keeps open connections and refuses dials.
+	CutRefusesNew
+)
+
+// cut is a host that is cut off from a zone.
+type cut struct{ host, zone string }
+
+// CutHost cuts the host off from all hosts of a zone until HealCut or HealAll.
+func (n *Network) CutHost(host, zone string, kind CutKind) {
+	n.update(func() { n.cuts[cut{host, zone}] = kind })
+	if kind != CutResets {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if n.cutOf(c.host, c.peer) == CutResets {
+			c.reset(c.host)
+			delete(n.conns, c)
+		}
+	}
+}
+
+// HealCut ends CutHost; stalled bytes are delivered.
+func (n *Network) HealCut(host, zone string) {
+	n.update(func() { delete(n.cuts, cut{host, zone}) })
+}
+
+// cutOf returns the cut between two hosts, 0 if there is none. Callers hold n.mu.
+func (n *Network) cutOf(a, b *host) CutKind {
+	return max(n.cuts[cut{a.name, b.zone}], n.cuts[cut{b.name, a.zone}])
+}
+
+// SilenceConnections stalls the open connections between a host and a zone for good.
+// New connections work.
+func (n *Network) SilenceConnections(host, zone string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.host.name == host && c.peer.zone == zone || c.peer.name == host && c.host.zone == zone {
+			c.isSilent = true
+			c.setStalled(true)
+		}
+	}
+}
+
 // PauseHost stalls delivery to and from the host, including its loopback
 // traffic, until ResumeHost.
 func (n *Network) PauseHost(name string) {
@@ -110,7 +165,7 @@
 	defer n.mu.Unlock()
 	f()
 	for c := range n.conns {
-		c.setStalled(!n.open(c.host, c.peer))
+		c.setStalled(c.isSilent || !n.open(c.host, c.peer))
 	}
 	close(n.changed)
 	n.changed = make(chan struct{})
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -37,6 +37,7 @@
 	listeners        map[addr]*listener
 	conns            map[*conn]struct{} // the dialling end of each connection
 	partitionedZones map[[2]string]bool
+	cuts             map[cut]CutKind
 	dialCount        uint64
 	nextPort         int
 	changed          chan struct{} // closed and replaced when the state of paths changes
@@ -56,6 +57,7 @@
 		listeners:        map[addr]*listener{},
 		conns:            map[*conn]struct{}{},
 		partitionedZones: map[[2]string]bool{},
+		cuts:             map[cut]CutKind{},
 		nextPort:         firstPort,
 		changed:          make(chan struct{}),
 	}
@@ -109,7 +111,7 @@
 	if a == b {
 		return true
 	}
-	return !a.partitioned && !b.partitioned && !n.partitionedZones[zonePair(a.zone, b.zone)]
+	return !a.partitioned && !b.partitioned && !n.partitionedZones[zonePair(a.zone, b.zone)] && n.cutOf(a, b) != CutHangs
 }
 
 // removeIfClosed unregisters the connection if both of its ends are closed.
@@ -246,6 +248,12 @@
 	if v.host.incarnation != v.incarnation {
 		return nil, net.ErrClosed
 	}
+	switch n.cutOf(v.host, n.host(name)) {
+	case CutResets:
+		return nil, syscall.ECONNRESET
+	case CutRefusesNew:
+		return nil, syscall.ECONNREFUSED
+	}
 	l := n.listeners[to]
 	if l == nil {
 		return nil, syscall.ECONNREFUSED
