follow, relay: a silent connection to the store no longer makes an old version refuse requests

Cause: a poll of the store on a connection that has gone silent was given up 1.5 s after its wait, and the next one took another idle connection of the same client, silent too; a refusal was given for as long as the old document stayed, whatever its age. Class: a bound that is kept only while nobody has to wait for the failure of a call to be noticed.

- A poll that is not answered 0.3 s after its wait is repeated at once with a short wait (store-poll-repeated, 3020).
The delay follows the store's answers, up to 1.5 s, so that a slow store is not asked twice each time.
- A client of the store closes its idle connections when a call times out, so that the next call opens a new one (netx.HTTPOptions.CloseIdleOnTimeout).
- A request is refused for good for want of a rule or key only with a document that was confirmed within the bound of a change (bounds.applyMillis, 2 s); otherwise it is 503 with a time.
- The poll of the document waits 0.9 s, not 1 s, so that the age stays below the bound when nothing is wrong: 0.1 store calls a second more for each entry that polls it.

--- a/internal/config/settings_relay.go
+++ b/internal/config/settings_relay.go
@@ -37,6 +37,9 @@
 	// RevokeMillis is the time within which a revoked bearer key is refused; default
 	// 5000.
 	RevokeMillis float64 `json:"revokeMillis"`
+	// ApplyMillis is the time within which a new version of the operators' document is
+	// in force; default 2000.
+	ApplyMillis float64 `json:"applyMillis"`
 	// GraceSeconds is the time from the first termination signal to the end of the
 	// process; default 8.
 	GraceSeconds float64 `json:"graceSeconds"`
@@ -67,7 +70,7 @@
 	s.Node.Region = defaultRegion
 	s.Log.Level = defaultLogLevel
 	s.Bounds = RelayBounds{
-		RevokeMillis: 5000, GraceSeconds: 8, QuotaWindowSeconds: 8, UsageWindowSeconds: 5,
+		RevokeMillis: 5000, ApplyMillis: 2000, GraceSeconds: 8, QuotaWindowSeconds: 8, UsageWindowSeconds: 5,
 		RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindowSeconds: 10, LeaseMillis: 3000, MaxConnections: defaultRelayConnections,
 	}
 }
@@ -96,7 +99,7 @@
 		field string
 		value float64
 	}{
-		{"bounds.revokeMillis", b.RevokeMillis}, {"bounds.graceSeconds", b.GraceSeconds},
+		{"bounds.revokeMillis", b.RevokeMillis}, {"bounds.applyMillis", b.ApplyMillis}, {"bounds.graceSeconds", b.GraceSeconds},
 		{"bounds.quotaWindowSeconds", b.QuotaWindowSeconds}, {"bounds.usageWindowSeconds", b.UsageWindowSeconds},
 		{"bounds.repeatWindowSeconds", b.RepeatWindowSeconds}, {"bounds.leaseMillis", b.LeaseMillis},
 	} {
@@ -112,6 +115,11 @@
 	return floatDuration(b.RevokeMillis, time.Millisecond)
 }
 
+// ApplyDelay returns ApplyMillis as a duration.
+func (b *RelayBounds) ApplyDelay() time.Duration {
+	return floatDuration(b.ApplyMillis, time.Millisecond)
+}
+
 // GracePeriod returns GraceSeconds as a duration.
 func (b *RelayBounds) GracePeriod() time.Duration { return floatDuration(b.GraceSeconds, time.Second) }
 
--- a/internal/follow/events.go
+++ b/internal/follow/events.go
@@ -27,5 +27,6 @@
 	EvSizeRecalled       = telemetry.Register(3017, "site-size-recalled", slog.LevelInfo, "The number of entries stored before a restart of the site was read; quotas are divided among at least that many until the registry is complete.")
 	EvSizeUnknown        = telemetry.Register(3018, "site-size-unknown", slog.LevelWarn, "The stored number of entries could not be read; the read is retried.")
 	EvStoreRestored      = telemetry.Register(3019, "store-restored", slog.LevelWarn, "The store came back from a copy of an earlier state, with a new generation; the view is read in full again.")
+	EvPollRepeated       = telemetry.Register(3020, "store-poll-repeated", slog.LevelInfo, "A poll of the store was not answered in time; it is repeated on a new connection.")
 	EvServersKept        = telemetry.Register(3013, "servers-kept", slog.LevelInfo, "Backend servers are missing from the registry after an outage of the store; they stay in use for a grace period in which they may register again.")
 )
--- a/internal/follow/zone.go
+++ b/internal/follow/zone.go
@@ -5,6 +5,7 @@
 	"context"
 	"hash/fnv"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"buckthornpick/internal/clock"
@@ -37,6 +38,11 @@
 	minRelaxedWait = 5 * time.Second
 	// peerPollMargin is added to a poll's wait to give the timeout of the call.
 	peerPollMargin = 400 * time.Millisecond
+	// minAnswerDelay and maxAnswerDelay limit how long after its wait a poll of the store
+	// is given up and repeated; the repeated poll waits for repeatedPollWait.
+	minAnswerDelay   = 300 * time.Millisecond
+	maxAnswerDelay   = 1500 * time.Millisecond
+	repeatedPollWait = 50 * time.Millisecond
 )
 
 // ZoneStore is a Store that polls for changes at an entry of the same zone that
@@ -53,6 +59,8 @@
 	changeLogs map[string]*changeLog
 	// storePauses holds the pause between two polls of the store, by prefix.
 	storePauses map[string]time.Duration
+	// answerDelay is how long after its wait a poll is given up, in nanoseconds.
+	answerDelay atomic.Int64
 }
 
 // pollRequest asks a watcher for the changes of a prefix after a revision.
@@ -94,6 +102,7 @@
 	for _, prefix := range prefixes {
 		z.changeLogs[prefix] = newChangeLog()
 	}
+	z.answerDelay.Store(int64(minAnswerDelay))
 	t.Handle(peer.RelayPoll, peer.HandleCall(z.servePoll))
 	return z
 }
@@ -159,7 +168,7 @@
 		wait = min(watcherPollWait, watcherPollPeriod-z.storePauses[prefix])
 	}
 	if role.watcher == nil {
-		return z.Store.Poll(ctx, prefix, after, wait)
+		return z.pollStore(ctx, prefix, after, wait)
 	}
 	generation := z.changeLogs[prefix].currentGeneration()
 	batch, err := z.pollPeer(ctx, *role.watcher, pollRequest{prefix, after, min(wait, peerPollWait), maxAge, generation})
@@ -167,7 +176,34 @@
 		return batch, nil
 	}
 	z.log.Log(EvWatcherStale, "entry", role.watcher.ID, "prefix", prefix, "revision", after, "error", err.Error())
-	return z.Store.Poll(ctx, prefix, after, min(wait, peerPollWait))
+	return z.pollStore(ctx, prefix, after, min(wait, peerPollWait))
+}
+
+// pollStore polls the store. A poll without an answer shortly after its wait is repeated,
+// since its connection may be silent for good; the store's client opens a new one then.
+func (z *ZoneStore) pollStore(ctx context.Context, prefix string, after int64, wait time.Duration) (kv.WatchBatch, error) {
+	sent := z.clock()
+	patience := wait + time.Duration(z.answerDelay.Load())
+	first, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	batch, err := z.Store.Poll(first, prefix, after, wait)
+	if err == nil || first.Err() == nil || ctx.Err() != nil {
+		z.recordAnswer(err, z.clock()-sent-wait)
+		return batch, err
+	}
+	z.log.Log(EvPollRepeated, "prefix", prefix, "revision", after, "waited_ms", patience.Milliseconds())
+	sent = z.clock()
+	batch, err = z.Store.Poll(ctx, prefix, after, repeatedPollWait)
+	z.recordAnswer(err, z.clock()-sent-repeatedPollWait)
+	return batch, err
+}
+
+// recordAnswer sets how long after its wait the next poll is given up, so that a store
+// that answers slowly is not asked twice each time.
+func (z *ZoneStore) recordAnswer(err error, delay time.Duration) {
+	if err == nil {
+		z.answerDelay.Store(int64(max(minAnswerDelay, min(2*delay, maxAnswerDelay))))
+	}
 }
 
 // pollPeer polls a watcher. It fails with fault.Unavailable if the watcher cannot
--- a/internal/netx/http.go
+++ b/internal/netx/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -31,6 +32,10 @@
 	// IdleTimeout is the time after which idle connections are closed; default
 	// 30 s.
 	IdleTimeout time.Duration
+	// CloseIdleOnTimeout closes all idle connections when a request times out without a
+	// response, because connections to one host tend to go silent together. It suits
+	// hosts that normally answer within the timeout.
+	CloseIdleOnTimeout bool
 }
 
 // HTTPClient returns a client that dials through n, ignores proxy settings of
@@ -62,10 +67,26 @@
 		IdleConnTimeout:     o.IdleTimeout,
 		DisableCompression:  true,
 	}
-	return &http.Client{
+	client := &http.Client{
 		Transport: transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
 	}
+	if o.CloseIdleOnTimeout {
+		client.Transport = idleCloser{transport}
+	}
+	return client
+}
+
+// idleCloser implements HTTPOptions.CloseIdleOnTimeout.
+type idleCloser struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t idleCloser) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(r)
+	if err != nil && errors.Is(r.Context().Err(), context.DeadlineExceeded) {
+		t.CloseIdleConnections()
+	}
+	return resp, err
 }
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -64,7 +64,7 @@
 		Host: host, Path: path, PromptTokens: q.info.PromptTokens, RequestID: q.info.AttemptID, Zone: q.relay.Zone, Now: q.arrivedAt,
 	})
 	if decision.Rule == rules.NoRule || decision.Then.Call == nil {
-		return &refusal{status: http.StatusNotFound, reason: reasonNoRule}
+		return q.refuseUnlisted(http.StatusNotFound, reasonNoRule)
 	}
 	q.ruleName, q.policy = decision.Name, decision.Then.Call
 	q.services = servicesOf(&decision.Then)
@@ -110,11 +110,22 @@
 		return unavailable(reasonDocumentTooOld, retryAfterOtherEntry)
 	}
 	if q.org == nil {
-		return &refusal{status: http.StatusUnauthorized, reason: reasonUnknownKey}
+		return q.refuseUnlisted(http.StatusUnauthorized, reasonUnknownKey)
 	}
 	return nil
 }
 
+// refuseUnlisted returns the refusal of a request whose rule or key the document does
+// not have. Callers take it as final, so it is given only while no version that may be
+// in force elsewhere can have them.
+func (q *request) refuseUnlisted(status int, reason string) *refusal {
+	if _, age := q.relay.Documents.Current(); age > q.relay.Limits.MaxRefusalAge {
+		q.documentAge, q.detail = age, reason
+		return unavailable(reasonDocumentTooOld, retryAfterOtherEntry)
+	}
+	return &refusal{status: status, reason: reason}
+}
+
 // isDocumentStale reports whether the document is too old to authenticate keys,
 // which may have been revoked since, and updates documentAge. For public calls,
 // which need no key, it returns false.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,9 @@
 	// MaxDocumentAge is how long after the document was last confirmed its keys are
 	// accepted.
 	MaxDocumentAge time.Duration
+	// MaxRefusalAge is how long after the document was last confirmed a request is
+	// refused because it has no such rule or key, which a newer version may have.
+	MaxRefusalAge time.Duration
 	// Retries limits the retries of each service's requests.
 	Retries quota.RetryLimits
 	// DefaultMaxBodyBytes limits request bodies if the document sets no limit.
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -67,7 +67,7 @@
 	// documentPollWait is the interval at which an unchanged document is
 	// confirmed. API keys are refused when the document was not confirmed for most
 	// of the revocation time.
-	documentPollWait = time.Second
+	documentPollWait = 900 * time.Millisecond
 	// serversPollWait and serversPollPause batch the registry's heartbeats, because
 	// each call to the store has a cost. They are bounded by the rule that a
 	// draining server receives no requests from 2 s after the store acknowledged
@@ -146,7 +146,7 @@
 // New creates a process that opens its listeners and connections on n.
 func New(a Adapter, s config.RelaySettings, p *cli.Process, n netx.Network, c clock.Clock) *Process {
 	process := &Process{adapter: a, settings: s, cli: p, network: n, clock: c}
-	process.platformClient = netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: maxIdlePlatformConns, DialTimeout: dialTimeout})
+	process.platformClient = netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: maxIdlePlatformConns, DialTimeout: dialTimeout, CloseIdleOnTimeout: true})
 	process.store = a.Store(s, process.platformClient, p)
 	if s.Cloud != "" {
 		process.cloud = a.Cloud(s, process.platformClient)
@@ -208,6 +208,7 @@
 		Peers: p.exchange, Usage: p.usageCounts, Zone: p.settings.Node.Zone, Clock: p.clock, Log: log, Metrics: p.cli.Metrics,
 		Limits: relay.Limits{
 			MaxDocumentAge:      p.maxDocumentAge(),
+			MaxRefusalAge:       b.ApplyDelay(),
 			Retries:             quota.RetryLimits{Ratio: b.RepeatRatio, Slack: b.RepeatSlack, Span: b.RepeatWindow()},
 			DefaultMaxBodyBytes: maxBodyBytes,
 		},
