upstream: answers of a server whose host is silent for two seconds are not lost

Callers got 502 (answer-lost) for requests at a server whose host delivered nothing for 1.6 s and went on. Cause: connections to servers set TCP_USER_TIMEOUT to 1.5 s, which also decides when keep-alive probes give up, whatever their count; a sound server may be silent for a second or so. It is 2.5 s now, with as many probes.

--- /dev/null
+++ b/internal/netx/deadpeer.go
@@ -0,0 +1,40 @@
+package netx
+
+import (
+	"net"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// DeadPeerTimeoutSetter is a connection, other than a TCP connection, that detects a
+// dead peer itself.
+type DeadPeerTimeoutSetter interface {
+	SetDeadPeerTimeout(timeout, probeInterval time.Duration)
+}
+
+// SetDeadPeerTimeout ends the connection when its peer has acknowledged neither data nor
+// keep-alive probes for the timeout. Probes are sent on an idle connection at the
+// interval. It has no effect on connections of other kinds; errors are ignored.
+func SetDeadPeerTimeout(c net.Conn, timeout, probeInterval time.Duration) {
+	switch c := c.(type) {
+	case *net.TCPConn:
+		setTCPDeadPeerTimeout(c, timeout, probeInterval)
+	case DeadPeerTimeoutSetter:
+		c.SetDeadPeerTimeout(timeout, probeInterval)
+	}
+}
+
+// setTCPDeadPeerTimeout sets TCP_USER_TIMEOUT, which also decides when probes give up,
+// whatever their count.
+func setTCPDeadPeerTimeout(c *net.TCPConn, timeout, probeInterval time.Duration) {
+	count := max(1, int(timeout/probeInterval))
+	_ = c.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: count})
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+}
--- a/internal/standin/memnet/conn.go
+++ b/internal/standin/memnet/conn.go
@@ -24,6 +24,11 @@
 	// isSilent marks a connection that delivers nothing any more; guarded by the
 	// network's mutex, and set at the dialling end only.
 	isSilent bool
+
+	// Of the dead-peer timeout, which netx.SetDeadPeerTimeout sets.
+	deadPeerMu      sync.Mutex
+	deadPeerTimeout time.Duration
+	deadPeerTimer   *time.Timer
 }
 
 func (c *conn) Read(b []byte) (int, error) {
@@ -49,6 +54,7 @@
 		latency, _ := c.net.delay(c.host, c.peer)
 		c.out.closeWrite(latency)
 		c.in.closeRead(latency)
+		c.updateDeadPeerTimer(false)
 		c.net.removeIfClosed(c)
 	})
 	return nil
@@ -83,6 +89,29 @@
 func (c *conn) setStalled(stalled bool) {
 	c.in.setStalled(stalled)
 	c.out.setStalled(stalled)
+	c.updateDeadPeerTimer(stalled)
+}
+
+// SetDeadPeerTimeout implements netx.DeadPeerTimeoutSetter: this end sees a reset once the
+// path has been stalled for the timeout and at least one keep-alive probe has failed.
+func (c *conn) SetDeadPeerTimeout(timeout, probeInterval time.Duration) {
+	c.deadPeerMu.Lock()
+	defer c.deadPeerMu.Unlock()
+	c.deadPeerTimeout = max(timeout, probeInterval)
+}
+
+// updateDeadPeerTimer starts the dead-peer timeout when the path becomes stalled and
+// stops it when bytes are delivered again.
+func (c *conn) updateDeadPeerTimer(stalled bool) {
+	c.deadPeerMu.Lock()
+	defer c.deadPeerMu.Unlock()
+	switch {
+	case !stalled && c.deadPeerTimer != nil:
+		c.deadPeerTimer.Stop()
+		c.deadPeerTimer = nil
+	case stalled && c.deadPeerTimer == nil && c.deadPeerTimeout > 0:
+		c.deadPeerTimer = time.AfterFunc(c.deadPeerTimeout, func() { c.reset(c.host) })
+	}
 }
 
 func (c *conn) opError(op string, err error) error {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,15 +9,17 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"buckthornpick/internal/netx"
 )
 
 const (
 	// readBuffer is the buffer size in bytes, enough for the status and headers of a
 	// response or a few events.
 	readBuffer = 2048
-	// deadPeerTimeout closes a connection whose peer acknowledges nothing, so that a
-	// server that lost power is detected before callers time out after 2 s.
-	deadPeerTimeout = 1500 * time.Millisecond
+	// deadPeerTimeout closes a connection whose peer acknowledges nothing. A sound
+	// server's host may do so for a second or two.
+	deadPeerTimeout = 2500 * time.Millisecond
 	// maxHeadBytes limits the status line and the headers of a response.
 	maxHeadBytes = 64 << 10
 	// keepAliveInterval is the interval of TCP keep-alive probes on an idle
@@ -35,12 +37,9 @@
 	idleUntil time.Time
 }
 
-// newConn returns a connection to a server. On TCP it sets the timeouts that
-// detect a dead peer.
+// newConn returns a connection to a server, which ends if the server is dead.
 func newConn(nc net.Conn, s *serverConns) *conn {
-	if tcp, ok := nc.(*net.TCPConn); ok {
-		setDeadPeerTimeouts(tcp)
-	}
+	netx.SetDeadPeerTimeout(nc, deadPeerTimeout, keepAliveInterval)
 	head := &headLimiter{source: nc}
 	return &conn{Conn: nc, reader: bufio.NewReaderSize(head, readBuffer), head: head, server: s}
 }
@@ -75,19 +74,6 @@
 	return n, err
 }
 
-// setDeadPeerTimeouts limits the time until a dead peer is detected. Errors are
-// ignored, since each request has a timeout of its own.
-func setDeadPeerTimeouts(tcp *net.TCPConn) {
-	_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2})
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(deadPeerTimeout.Milliseconds()))
-	})
-}
-
 // isReusable reports whether an idle connection is open and has no unread bytes,
 // which would belong to no request. It peeks at the socket without blocking.
 func (c *conn) isReusable() bool {
