relay: entries without a path to any server make their calls by way of other entries

Cause: an entry had no way to a server but its own. Class: a resource that the site has is out of reach for one member, and nothing lends it.

- upstream tells by the outcomes of dials that it has no path (path-lost, 3130), also if open connections hang or live on, and probes until it has one again (path-regained, 3131).
All decisions and counts stay with the entry that has the caller.
- If no entry has a path, the request is refused within 50 ms with a time (no-path).
- What servers say of themselves in an answer is recorded by one function for both.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -102,6 +102,9 @@
 	// evidence holds the last comparison of the evidence against content with that of
 	// each other entry, by its ID.
 	evidence map[string]*comparedEvidence
+	// avoidedHelpers holds the entries that are not asked to make calls for this one, and
+	// until when.
+	avoidedHelpers map[string]time.Duration
 	// lastReportAt is when the last state or sums were accepted.
 	lastReportAt time.Duration
 }
@@ -124,7 +127,7 @@
 	x := &Exchange{
 		Config: c, run: run, self: c.Transport.Self(),
 		tracker: newEntryTracker(c.UnregisteredGrace), site: quota.Site{Entries: 1, Reachable: 1},
-		hubSums: latestSums{}, prefillByRun: map[string]receivedPrefill{}, evidence: map[string]*comparedEvidence{},
+		hubSums: latestSums{}, prefillByRun: map[string]receivedPrefill{}, evidence: map[string]*comparedEvidence{}, avoidedHelpers: map[string]time.Duration{},
 	}
 	c.Transport.HandleNotify(peer.RelayState, x.receiveState)
 	c.Transport.HandleNotify(peer.RelaySums, x.receiveSums)
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -74,6 +74,8 @@
 	PartTrial Kind = 30
 	// RelayPermit asks for the permission to send a request to a server with a limit.
 	RelayPermit Kind = 31
+	// RelayDetour asks an entry to make a call to a backend server for the sender.
+	RelayDetour Kind = 32
 )
 
 var kindNames = map[Kind]string{
@@ -87,7 +89,7 @@
 	RelayCleared: "relay-cleared", RelayPoll: "relay-poll", RelaySums: "relay-sums",
 	RelayOrigins: "relay-origins", RelayOriginQuery: "relay-origin-query",
 	RelayEvidence: "relay-evidence", RelayTrial: "relay-trial", PartTrial: "part-trial",
-	RelayPermit: "relay-permit",
+	RelayPermit: "relay-permit", RelayDetour: "relay-detour",
 }
 
 // String returns the kind's name, or its number if it has none.
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -27,6 +27,8 @@
 	// limit is set if the server has named a limit: the call needs a permit, and counts
 	// as one that runs at the server only once recordPermit has recorded it.
 	limit *LimitReport
+	// via is the entry by way of which the call was made; empty if it was made directly.
+	via string
 }
 
 // estimatedRequests returns the number of requests at the server that the
@@ -107,12 +109,12 @@
 	return ids
 }
 
-// pauseServer stops requests to the server of a call for the given time, unless the
-// server was restarted since the call was sent.
-func (b *Balancer) pauseServer(c *choice, d time.Duration) {
+// pauseServer stops requests to a server for the given time, unless it was restarted
+// meanwhile.
+func (b *Balancer) pauseServer(t upstream.Target, d time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s, ok := b.servers[c.target.ID]; ok && s.target.Incarnation == c.target.Incarnation {
+	if s, ok := b.servers[t.ID]; ok && s.target.Incarnation == t.Incarnation {
 		s.pausedUntil = max(s.pausedUntil, b.clock()+d)
 	}
 }
--- /dev/null
+++ b/internal/relay/detour.go
@@ -0,0 +1,233 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"buckthornpick/internal/blame"
+	"buckthornpick/internal/fault"
+	"buckthornpick/internal/upstream"
+	"buckthornpick/internal/wait"
+)
+
+// An entry without a path to any server makes its calls by way of another entry: a detour.
+// It alone chooses the server, has the permits, quotas and retries of the request, and
+// counts the call; the other entry only sends it, over its own connections, and never by
+// another detour. What a server says of itself counts at both.
+
+// DetourCall is a call to a server that an entry makes for another one.
+type DetourCall struct {
+	Server      string `msgpack:"s"`
+	Incarnation int64  `msgpack:"i,omitempty"`
+	AttemptID   string `msgpack:"a"`
+	// KeyHash is that of the caller's key; empty if the call needs none.
+	KeyHash string        `msgpack:"k,omitempty"`
+	Content blame.Content `msgpack:"c"`
+	Method  string        `msgpack:"m"`
+	URI     string        `msgpack:"u"`
+	Host    string        `msgpack:"h"`
+	Header  http.Header   `msgpack:"f"`
+	Body    []byte        `msgpack:"b,omitempty"`
+	// RemainingMillis is the time until the deadline.
+	RemainingMillis int64 `msgpack:"r"`
+}
+
+// ErrCannotHelp is the cause of an error of ServeDetour if the entry makes no calls for
+// others at present. Nothing was sent.
+var ErrCannotHelp = errors.New("this entry makes no calls for others")
+
+// ErrNoDetour is the error of Peers.Detour if no other entry can make the call. Nothing was
+// sent.
+var ErrNoDetour = errors.New("no other entry has a path to servers")
+
+// do sends the request to the server of c, by a detour if this entry has no path to any
+// server. Errors are those of upstream.Pool.Do, and ErrNoDetour. lastEventID is that of
+// the event after which a stream goes on; empty for its start.
+func (q *request) do(ctx context.Context, c *choice, lastEventID string) (*upstream.Response, error) {
+	pool := q.relay.Pool
+	if pool.HasPath() {
+		resp, err := q.doDirectly(ctx, c, lastEventID)
+		isUnreached := err != nil && !upstream.MayHaveBeenSent(err) && !fault.Is(err, fault.Exhausted)
+		if !isUnreached || pool.HasPath() || ctx.Err() != nil {
+			return resp, err
+		}
+	}
+	resp, err := q.doByDetour(ctx, c, lastEventID)
+	if errors.Is(err, ErrNoDetour) && pool.FindPath(ctx) {
+		return q.doDirectly(ctx, c, lastEventID)
+	}
+	return resp, err
+}
+
+func (q *request) doDirectly(ctx context.Context, c *choice, lastEventID string) (*upstream.Response, error) {
+	return q.relay.Pool.Do(ctx, c.target, q.buildRequest(c, lastEventID, time.Until(q.deadline)))
+}
+
+func (q *request) doByDetour(ctx context.Context, c *choice, lastEventID string) (*upstream.Response, error) {
+	remaining := time.Until(q.deadline)
+	r := q.buildRequest(c, lastEventID, remaining)
+	call := DetourCall{
+		Server: c.target.ID, Incarnation: c.target.Incarnation, AttemptID: q.info.AttemptID, Content: q.content,
+		Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body, RemainingMillis: remaining.Milliseconds(),
+	}
+	if !q.policy.Public {
+		call.KeyHash = q.info.KeyHash
+	}
+	resp, entry, err := q.relay.Peers.Detour(ctx, &call)
+	c.via = entry
+	return resp, err
+}
+
+// ServeDetour makes a call for another entry. The error is fault.Unavailable or
+// fault.Exhausted if nothing was sent, with the cause ErrCannotHelp if that holds for calls
+// to all servers. The call counts as in progress until the response's body is closed.
+func (r *Relay) ServeDetour(ctx context.Context, from string, call *DetourCall) (*upstream.Response, error) {
+	if reason := r.obstacleToDetour(call.KeyHash); reason != "" {
+		return nil, cannotHelp(reason)
+	}
+	target, ok := r.Balancer.usableTarget(call.Server, call.Incarnation)
+	if !ok {
+		return nil, fault.New(fault.Unavailable, "relay.detour", call.Server, "the server is unknown, leaves or wants no requests")
+	}
+	startedAt := time.Now()
+	r.active.Add(1)
+	resp, err := r.Pool.Do(ctx, target, &upstream.Request{
+		Method: call.Method, URI: call.URI, Host: call.Host, Header: call.Header, Body: call.Body,
+		Matches: func(status int, h http.Header) bool { return r.Codec.MatchesAttempt(call.AttemptID, status, h) },
+	})
+	d := &detour{relay: r, ctx: ctx, from: from, call: call, target: target, startedAt: startedAt}
+	if err != nil {
+		if !r.Pool.HasPath() && !upstream.MayHaveBeenSent(err) {
+			err = cannotHelp(reasonNoPath)
+		}
+		d.end(err)
+		return nil, err
+	}
+	info := r.Codec.InspectResponse(resp.Status, resp.Header)
+	r.recordStatements(target, call.AttemptID, resp.Status, &info)
+	d.status, d.body = resp.Status, resp.Body
+	resp.Body = d
+	return resp, nil
+}
+
+// AwaitDetours waits until all requests and calls for other entries have ended, or ctx ends.
+func (r *Relay) AwaitDetours(ctx context.Context) {
+	for r.active.Load() > 0 && wait.For(ctx, detourCheckInterval) {
+	}
+}
+
+// detourCheckInterval is the interval at which AwaitDetours checks the calls in progress.
+const detourCheckInterval = 20 * time.Millisecond
+
+// cannotHelp returns an error with the cause ErrCannotHelp.
+func cannotHelp(reason string) error {
+	return fmt.Errorf("%w: %w", ErrCannotHelp, fault.New(fault.Unavailable, "relay.detour", "", "%s", reason))
+}
+
+// obstacleToDetour returns why this entry makes no calls for others; empty if it does. A
+// key that was taken away is refused here too, since this entry may have been frozen with
+// the call on its way.
+func (r *Relay) obstacleToDetour(keyHash string) string {
+	doc, age := r.Documents.Current()
+	switch {
+	case doc == nil:
+		return reasonNoDocument
+	case r.isDraining():
+		return reasonStopping
+	case !r.Pool.HasPath():
+		return reasonNoPath
+	case keyHash == "":
+		return ""
+	case age > r.Limits.MaxDocumentAge:
+		return reasonDocumentTooOld
+	}
+	if _, ok := doc.Organisation(keyHash); !ok {
+		return reasonUnknownKey
+	}
+	return ""
+}
+
+// usableTarget returns the server with the ID, unless it has another incarnation, leaves
+// or has asked for a pause.
+func (b *Balancer) usableTarget(id string, incarnation int64) (upstream.Target, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.servers[id]
+	if !ok || s.Leaving || s.Incarnation != incarnation || b.clock() < s.pausedUntil {
+		return upstream.Target{}, false
+	}
+	return s.target, true
+}
+
+// detour is a call made for another entry, and the body of its response.
+type detour struct {
+	relay     *Relay
+	ctx       context.Context
+	from      string
+	call      *DetourCall
+	target    upstream.Target
+	startedAt time.Time
+	status    int
+	body      io.ReadCloser
+	isEnded   bool
+}
+
+// Read implements io.Reader.
+func (d *detour) Read(p []byte) (int, error) {
+	n, err := d.body.Read(p)
+	if err != nil {
+		d.end(err)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (d *detour) Close() error {
+	d.end(nil)
+	return d.body.Close()
+}
+
+// end ends the call, once. A broken connection, as opposed to a call that was cancelled, is
+// passed to the crash detector, since the other entry cannot probe the server.
+func (d *detour) end(err error) {
+	if d.isEnded {
+		return
+	}
+	d.isEnded = true
+	d.relay.active.Add(-1)
+	text := ""
+	if err != nil && err != io.EOF {
+		text = err.Error()
+		if d.ctx.Err() == nil && upstream.MayHaveBeenSent(err) {
+			d.relay.detector.report(d.target, endedRun{content: d.call.Content, attemptID: d.call.AttemptID})
+		}
+	}
+	d.relay.Log.Log(EvDetourEnded, "request", d.call.AttemptID, "from", d.from, "server", d.target.ID, "status", d.status,
+		"total_ms", time.Since(d.startedAt).Milliseconds(), "error", text)
+}
+
+// recordPathChange logs that the path to all servers was lost or regained. Failures
+// until then say nothing about the servers.
+func (r *Relay) recordPathChange(isLost bool) {
+	r.Balancer.forgetUnreachable()
+	event := EvPathRegained
+	if isLost {
+		event = EvPathLost
+	}
+	r.Log.Log(event, "active", r.InFlight())
+}
+
+// forgetUnreachable uses servers again that are avoided, most of them because they could
+// not be reached.
+func (b *Balancer) forgetUnreachable() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.servers {
+		s.health.backoff, s.health.avoidedUntil = 0, 0
+	}
+	b.updatePickersLocked()
+}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -61,8 +61,10 @@
 	sends int
 	tried map[string]bool
 	// second is the second send that may be made beside the current one.
-	second          *secondSend
-	serverID        string
+	second   *secondSend
+	serverID string
+	// via is the entry by way of which the last call was made; empty if none was.
+	via             string
 	serverVersion   string
 	status          int
 	reason          string
@@ -159,6 +161,9 @@
 	if q.info.ResumedAttempt != "" {
 		attrs = append(attrs, "resumes", q.info.ResumedAttempt)
 	}
+	if q.via != "" {
+		attrs = append(attrs, "via", q.via)
+	}
 	if q.detail != "" {
 		attrs = append(attrs, "detail", q.detail)
 	}
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -29,6 +29,7 @@
 	reasonVersionGone        = "version-gone"
 	reasonServerRefused      = "server-refused"
 	reasonServersUnreachable = "servers-unreachable"
+	reasonNoPath             = "no-path"
 	reasonTimeout            = "timeout"
 	reasonAnswerLost         = "answer-lost"
 	reasonCallerLeft         = "caller-left"
@@ -62,6 +63,8 @@
 	retryAfterOtherEntry = 100 * time.Millisecond
 	// retryAfterBusy is about the response time of a plain service.
 	retryAfterBusy = 300 * time.Millisecond
+	// retryAfterNoPath is for a site of which no entry has a path to servers.
+	retryAfterNoPath = time.Second
 	// retryJitter is the largest random increase of the value as a fraction of it, so
 	// that callers that are refused at the same time do not retry at the same time.
 	retryJitter = 0.3
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,7 +1,7 @@
 // Package relay implements an HTTP proxy between callers and backend servers for
 // callers that give each attempt its own ID. An entry keeps a request until its
 // end, stores nothing and never hands it over to another entry, so at-most-once
-// execution depends only on what this entry has sent.
+// execution depends only on what this entry has sent, itself or by a detour.
 package relay
 
 import (
@@ -47,6 +47,9 @@
 	RequestTrial(context.Context, blame.Key) bool
 	// RequestPermit asks for the permission to send one request to a server with a limit.
 	RequestPermit(ctx context.Context, server string, known LimitReport) Permit
+	// Detour makes a call to a server by way of another entry, whose ID it returns.
+	// Errors are those of upstream.Pool.Do, and ErrNoDetour.
+	Detour(ctx context.Context, call *DetourCall) (*upstream.Response, string, error)
 	// ShareOrigins sends the origins of streams to entries that keep them.
 	ShareOrigins([]OriginRecord)
 	// FindOrigin asks the entries that keep the origin of the stream which the attempt
@@ -104,6 +107,7 @@
 		Config: c, retries: newRetryBudgets(c.Limits.Retries, c.Clock), instruments: newRelayMetrics(c.Metrics), durations: newDurationEstimates(),
 	}
 	r.detector = newCrashDetector(r)
+	c.Pool.OnPathChange(r.recordPathChange)
 	return r
 }
 
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -30,7 +30,7 @@
 
 // String returns the name of the outcome in log lines.
 func (o sendOutcome) String() string {
-	return [...]string{"unsent", "not-run", "unknown", "failed"}[o]
+	return [...]string{"unsent", "not-run", "unknown", "failed", "no-path"}[o]
 }
 
 // discardBody reads a short response to its end, so that the connection can be
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -20,6 +20,8 @@
 	// outcomeServerFailed: the server responded with a failure and did not report
 	// that the request had not run.
 	outcomeServerFailed
+	// outcomeNoPath: neither this entry nor another one has a path to servers.
+	outcomeNoPath
 )
 
 // retryState is the input of decideNextAction.
@@ -71,6 +73,8 @@
 		return actionEnd
 	}
 	switch s.outcome {
+	case outcomeNoPath:
+		return actionEnd
 	case outcomeNotSent:
 		if s.unsentCount >= maxUnsentSends {
 			return actionEnd
--- a/internal/relay/second.go
+++ b/internal/relay/second.go
@@ -90,7 +90,7 @@
 // of a send without a response.
 func (s *secondSend) sendTo(ctx context.Context, c *choice, cancelFirst func()) (*upstream.Response, sendResult) {
 	q := s.request
-	resp, err := q.relay.Pool.Do(ctx, c.target, q.buildRequest(c, "", time.Until(q.deadline)))
+	resp, err := q.do(ctx, c, "")
 	if err != nil {
 		return nil, s.recordFailedSend(ctx, c, err)
 	}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -142,15 +142,19 @@
 		return c, res
 	}
 	q.logFailedSend(c, &res)
-	q.serverID, q.serverVersion = next.choice.target.ID, next.choice.version
+	q.serverID, q.serverVersion, q.via = next.choice.target.ID, next.choice.version, next.choice.via
 	return next.choice, q.receive(ctx, next.choice, next.resp)
 }
 
 // sendTo sends the request to one server and forwards the response.
 func (q *request) sendTo(ctx context.Context, c *choice) sendResult {
-	remaining := time.Until(q.deadline)
 	q.serverID, q.serverVersion = c.target.ID, c.version
-	response, err := q.relay.Pool.Do(ctx, c.target, q.buildRequest(c, "", remaining))
+	response, err := q.do(ctx, c, "")
+	q.via = c.via
+	if errors.Is(err, ErrNoDetour) {
+		q.relay.Balancer.finishCall(c, signalNeutral)
+		return sendResult{outcome: outcomeNoPath, refusal: unavailable(reasonNoPath, retryAfterNoPath), err: err}
+	}
 	if err != nil && !upstream.MayHaveBeenSent(err) {
 		q.relay.Balancer.finishCall(c, unsentSignal(ctx, err))
 		return sendResult{outcome: outcomeNotSent, refusal: unavailable(reasonServersUnreachable, retryAfterBusy), err: err}
@@ -173,7 +177,7 @@
 // written. The server counts as unreachable unless the caller disconnected or
 // this entry had no free connection to it.
 func unsentSignal(ctx context.Context, err error) healthSignal {
-	if ctx.Err() != nil || fault.Is(err, fault.Exhausted) {
+	if ctx.Err() != nil || fault.Is(err, fault.Exhausted) || errors.Is(err, ErrNoDetour) {
 		return signalNeutral
 	}
 	return signalUnreachable
@@ -203,6 +207,9 @@
 		q.relay.Balancer.finishCall(c, signalNeutral)
 	case ctx.Err() != nil || errors.Is(err, errStreamStalled):
 		q.relay.Balancer.finishCall(c, signalFailed)
+	case c.via != "":
+		// The other entry has told crashes from cuts, or its own connection was lost.
+		q.relay.Balancer.finishCall(c, signalNeutral)
 	default:
 		q.relay.Balancer.finishCall(c, signalFailed)
 		q.relay.detector.report(c.target, endedRun{content: q.content, attemptID: q.info.AttemptID})
@@ -214,14 +221,19 @@
 // states about itself.
 func (q *request) inspect(c *choice, resp *upstream.Response) ResponseInfo {
 	info := q.relay.Codec.InspectResponse(resp.Status, resp.Header)
+	q.relay.recordStatements(c.target, q.info.AttemptID, resp.Status, &info)
+	return info
+}
+
+// recordStatements records what a server states about itself in a response.
+func (r *Relay) recordStatements(t upstream.Target, attemptID string, status int, info *ResponseInfo) {
 	if info.Leaving {
-		q.relay.Servers.MarkLeaving(c.target.ID, c.target.Incarnation)
+		r.Servers.MarkLeaving(t.ID, t.Incarnation)
 	}
 	if info.Pause > 0 {
-		q.relay.Balancer.pauseServer(c, info.Pause)
+		r.Balancer.pauseServer(t, info.Pause)
 	}
-	q.recordLimit(c, resp.Status, &info)
-	return info
+	r.recordLimit(t, attemptID, status, info)
 }
 
 // receive checks the status and headers of a response and forwards it. A success
--- a/internal/relay/serverlimit.go
+++ b/internal/relay/serverlimit.go
@@ -80,13 +80,13 @@
 
 // recordLimit records what a response says about the server's limit. Only a success
 // without a limit ends it, since responses of other kinds may come from elsewhere.
-func (q *request) recordLimit(c *choice, status int, info *ResponseInfo) {
+func (r *Relay) recordLimit(t upstream.Target, attemptID string, status int, info *ResponseInfo) {
 	isStatement := info.Limit.IsNamed && !info.Limit.IsMalformed || !info.Limit.IsNamed && isSuccess(status) && info.Signed
 	if !isStatement {
 		return
 	}
-	if previous, isChanged := q.relay.Balancer.setLimit(c.target, info.Limit); isChanged {
-		q.relay.Log.Log(EvServerLimitChanged, "request", q.info.AttemptID, "server", c.target.ID, "is_limited", info.Limit.IsNamed,
+	if previous, isChanged := r.Balancer.setLimit(t, info.Limit); isChanged {
+		r.Log.Log(EvServerLimitChanged, "request", attemptID, "server", t.ID, "is_limited", info.Limit.IsNamed,
 			"per_second", info.Limit.PerSecond, "was_limited", previous.IsNamed, "previous_per_second", previous.PerSecond)
 	}
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/upstream"
@@ -172,8 +171,7 @@
 			return s.logNotResumed(previous, "retry-budget", nil)
 		}
 		q.tried[c.target.ID] = true
-		remaining := time.Until(q.deadline)
-		resp, err := q.relay.Pool.Do(ctx, c.target, q.buildRequest(c, s.lastEventID, remaining))
+		resp, err := q.do(ctx, c, s.lastEventID)
 		if err != nil && !upstream.MayHaveBeenSent(err) {
 			q.relay.Balancer.finishCall(c, unsentSignal(ctx, err))
 			q.logFailedSend(c, &sendResult{outcome: outcomeNotSent, err: err})
@@ -185,7 +183,7 @@
 			info = q.inspect(c, resp)
 		}
 		if err == nil && resp.Status == http.StatusOK && info.Signed && contest.takeOver() {
-			q.serverID, q.serverVersion = c.target.ID, c.version
+			q.serverID, q.serverVersion, q.via = c.target.ID, c.version, c.via
 			q.relay.Log.Log(EvStreamResumed, "request", q.info.AttemptID, "from", previous.target.ID, "from_version", previous.version,
 				"server", c.target.ID, "version", c.version, "after", s.lastEventID)
 			return c, resp
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -213,6 +213,7 @@
 			DefaultMaxBodyBytes: maxBodyBytes,
 		},
 	})
+	p.exchange.HandleDetours(p.relay)
 	p.dutyLease = lease.New(lease.Config{
 		Key: DutyLeaseKey, Holder: p.settings.Node.ID, TTL: b.LeaseDuration(), ClockMargin: leaseClockMargin, StandbyInterval: dutyStandbyInterval,
 		IsCandidate: p.canHoldDutyLease,
@@ -286,7 +287,7 @@
 // the listeners. Without a cloud API there are no site-wide duties.
 func (p *Process) backgroundTasks() []func(context.Context) error {
 	tasks := []func(context.Context) error{
-		p.documentFollower.Run, p.serversFollower.Run, p.servers.Run, p.entriesFollower.Run, p.transport.Run, p.exchange.Run,
+		p.documentFollower.Run, p.serversFollower.Run, p.servers.Run, p.entriesFollower.Run, p.transport.Run, p.exchange.Run, p.pool.WatchPath,
 		func(ctx context.Context) error { return p.entries.Register(ctx, p.store) },
 		func(ctx context.Context) error { return p.siteSize.LoadStored(ctx, p.store, p.cli.Log) },
 		func(ctx context.Context) error { return p.crashes.LoadStored(ctx, p.store) },
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,9 +39,10 @@
 }
 
 // newConn returns a connection to a server, which ends if the server is dead.
-func newConn(nc net.Conn, s *serverConns) *conn {
+// receivedAt is set to the time of each read that returns bytes.
+func newConn(nc net.Conn, s *serverConns, receivedAt *atomic.Int64) *conn {
 	netx.SetDeadPeerTimeout(nc, deadPeerTimeout, keepAliveInterval)
-	head := &headLimiter{source: nc}
+	head := &headLimiter{source: nc, receivedAt: receivedAt}
 	return &conn{Conn: nc, reader: bufio.NewReaderSize(head, readBuffer), head: head, server: s}
 }
 
@@ -53,6 +55,8 @@
 	source    io.Reader
 	isLimited bool
 	remaining int
+	// receivedAt is the time of the last read that returned bytes, in Unix nanoseconds.
+	receivedAt *atomic.Int64
 }
 
 // start begins a head. Bytes that are already buffered are not counted.
@@ -63,14 +67,19 @@
 
 // Read implements io.Reader.
 func (l *headLimiter) Read(p []byte) (int, error) {
-	if !l.isLimited {
-		return l.source.Read(p)
+	if l.isLimited {
+		if l.remaining == 0 {
+			return 0, errHeadTooLarge
+		}
+		p = p[:min(len(p), l.remaining)]
 	}
-	if l.remaining == 0 {
-		return 0, errHeadTooLarge
+	n, err := l.source.Read(p)
+	if n > 0 {
+		l.receivedAt.Store(time.Now().UnixNano())
+	}
+	if l.isLimited {
+		l.remaining -= n
 	}
-	n, err := l.source.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
 	return n, err
 }
 
--- /dev/null
+++ b/internal/upstream/path.go
@@ -0,0 +1,189 @@
+package upstream
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"buckthornpick/internal/wait"
+)
+
+const (
+	// minFailedServers is the number of servers of which none could be reached since the
+	// last success from which on this host counts as having no path to any; fewer if
+	// there are fewer servers.
+	minFailedServers = 2
+	// pathCheckInterval is the time between two checks of the path, and pathProbeTimeout
+	// limits the time to open the connection of a probe.
+	pathCheckInterval = 250 * time.Millisecond
+	pathProbeTimeout  = 300 * time.Millisecond
+	// maxServerSilence is the time without a byte from any server, while calls are in
+	// progress, after which servers are probed: open connections may hang.
+	maxServerSilence = 700 * time.Millisecond
+	// findPathProbes is the number of servers that FindPath probes at once.
+	findPathProbes  = 3
+	findPathTimeout = 50 * time.Millisecond
+)
+
+// path tells whether this host has lost its path to all servers, as opposed to servers
+// that have died, by the outcomes of dials. Open connections do not count, since they may
+// live on when no new ones can be opened.
+type path struct {
+	mu sync.Mutex
+	// failed holds the servers that could not be reached since the last success.
+	failed map[string]bool
+	// succeededAt is when the last successful dial started.
+	succeededAt time.Time
+	isLost      bool
+	// isSearched is true while FindPath probes servers.
+	isSearched bool
+	onChange   func(isLost bool)
+}
+
+// recordDial records the outcome of a dial of one of serverCount servers. A failure of a
+// dial that started before the last successful one has no effect.
+func (p *path) recordDial(server string, startedAt time.Time, ok bool, serverCount int) {
+	p.mu.Lock()
+	wasLost := p.isLost
+	switch {
+	case ok:
+		p.succeededAt, p.isLost = startedAt, false
+		clear(p.failed)
+	case startedAt.Before(p.succeededAt):
+	default:
+		if p.failed == nil {
+			p.failed = map[string]bool{}
+		}
+		p.failed[server] = true
+		p.isLost = p.isLost || len(p.failed) >= min(minFailedServers, serverCount)
+	}
+	isLost := p.isLost
+	p.mu.Unlock()
+	if isLost != wasLost && p.onChange != nil {
+		p.onChange(isLost)
+	}
+}
+
+// OnPathChange sets the function that is called when the path to the servers is lost and
+// when it is regained. It must be called before the pool is used.
+func (p *Pool) OnPathChange(f func(isLost bool)) {
+	p.path.onChange = func(isLost bool) {
+		if isLost {
+			p.closeAllIdle() // they may hang
+		}
+		f(isLost)
+	}
+}
+
+// HasPath returns false if this host has no path to any server.
+func (p *Pool) HasPath() bool {
+	p.path.mu.Lock()
+	defer p.path.mu.Unlock()
+	return !p.path.isLost
+}
+
+// WatchPath probes one server at a time until ctx ends, while there is no path, and if no
+// server sends anything although calls are in progress. It always returns nil.
+func (p *Pool) WatchPath(ctx context.Context) error {
+	for wait.For(ctx, pathCheckInterval) {
+		if !p.HasPath() || p.isSilent() {
+			p.probeSome(ctx, 1, pathProbeTimeout)
+		}
+	}
+	return nil
+}
+
+// FindPath looks for a path to some servers, unless another call does so already, and
+// reports whether there is one. It takes findPathTimeout at most.
+func (p *Pool) FindPath(ctx context.Context) bool {
+	p.path.mu.Lock()
+	isFirst := p.path.isLost && !p.path.isSearched
+	p.path.isSearched = p.path.isSearched || isFirst
+	p.path.mu.Unlock()
+	if isFirst {
+		p.probeSome(ctx, findPathProbes, findPathTimeout)
+		p.path.mu.Lock()
+		p.path.isSearched = false
+		p.path.mu.Unlock()
+	}
+	return p.HasPath()
+}
+
+// isSilent reports whether calls have been in progress for maxServerSilence and no server
+// has sent a byte in that time.
+func (p *Pool) isSilent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	inUse := 0
+	for _, s := range p.servers {
+		inUse += s.openCount - len(s.idle)
+	}
+	if inUse == 0 {
+		p.busySince = time.Time{}
+		return false
+	}
+	if p.busySince.IsZero() {
+		p.busySince = now
+	}
+	return now.Sub(p.busySince) >= maxServerSilence && now.Sub(time.Unix(0, p.receivedAt.Load())) >= maxServerSilence
+}
+
+// probeSome probes n random servers at once and waits for the results.
+func (p *Pool) probeSome(ctx context.Context, n int, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	p.mu.Lock()
+	targets := slices.Collect(maps.Values(p.targets))
+	p.mu.Unlock()
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	var probes sync.WaitGroup
+	for _, t := range targets[:min(n, len(targets))] {
+		probes.Go(func() { p.Probe(ctx, t) })
+	}
+	probes.Wait()
+}
+
+// closeAllIdle closes all idle connections.
+func (p *Pool) closeAllIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		s.closeIdle()
+	}
+}
+
+// dial opens a connection to the server. A failure tells nothing about the path if the
+// context of the caller has ended, as opposed to ctx, which also limits the dial.
+func (p *Pool) dial(ctx, caller context.Context, t Target, s *serverConns) (*conn, error) {
+	startedAt := time.Now()
+	nc, err := p.network.Dial(ctx, t.Address)
+	if err == nil || caller.Err() == nil {
+		p.mu.Lock()
+		serverCount := len(p.targets)
+		p.mu.Unlock()
+		p.path.recordDial(t.ID, startedAt, err == nil, serverCount)
+	}
+	if err != nil {
+		p.decrementOpen(s)
+		return nil, err
+	}
+	p.opened.Inc(1)
+	p.receivedAt.Store(time.Now().UnixNano())
+	return newConn(nc, s, &p.receivedAt), nil
+}
+
+// metricsOfPath registers the gauge of the path.
+func (p *Pool) metricsOfPath(registry metrics.Registry) {
+	registry.GetOrRegister("upstream.path_lost", metrics.NewFunctionalGauge(func() int64 {
+		if p.HasPath() {
+			return 0
+		}
+		return 1
+	}))
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,9 +45,17 @@
 	network netx.Network
 	opened  metrics.Counter
 
+	// receivedAt is when a server last sent bytes, in Unix nanoseconds.
+	receivedAt atomic.Int64
+	path       path
+
 	mu sync.Mutex
-	// servers are keyed by server ID.
+	// targets and servers are keyed by server ID.
+	targets map[string]Target
 	servers map[string]*serverConns
+	// busySince is since when calls have been in progress, as of the last check; zero if
+	// there were none.
+	busySince time.Time
 }
 
 // serverConns holds the connections to one incarnation of a server.
@@ -59,10 +68,12 @@
 
 // NewPool returns a pool without connections.
 func NewPool(n netx.Network, registry metrics.Registry) *Pool {
-	return &Pool{
-		network: n, servers: map[string]*serverConns{},
+	p := &Pool{
+		network: n, targets: map[string]Target{}, servers: map[string]*serverConns{},
 		opened: metrics.GetOrRegisterCounter("upstream.connections_opened_total", registry),
 	}
+	p.metricsOfPath(registry)
+	return p
 }
 
 // SetTargets closes the idle connections to servers that are not listed or were
@@ -74,6 +85,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.targets = known
 	for id, s := range p.servers {
 		if t, ok := known[id]; !ok || t.Address != s.target.Address || t.Incarnation != s.target.Incarnation {
 			s.closeIdle()
@@ -128,15 +140,13 @@
 	}
 	s.openCount++
 	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	nc, err := p.network.Dial(ctx, t.Address)
+	c, err := p.dial(dialCtx, ctx, t, s)
 	if err != nil {
-		p.decrementOpen(s)
 		return nil, fault.Wrap(err, fault.Unavailable, "upstream.dial", t.ID, "cannot connect")
 	}
-	p.opened.Inc(1)
-	return newConn(nc, s), nil
+	return c, nil
 }
 
 // put keeps a connection for reuse until its idle timeout, or closes it if the
@@ -185,15 +195,13 @@
 	s := p.serverLocked(t)
 	s.openCount++
 	p.mu.Unlock()
-	nc, err := p.network.Dial(ctx, t.Address)
+	c, err := p.dial(ctx, context.Background(), t, s)
 	if err != nil {
-		p.decrementOpen(s)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return ProbeRefused
 		}
 		return ProbeUnanswered
 	}
-	p.opened.Inc(1)
-	p.put(newConn(nc, s), defaultIdleTimeout-idleMargin)
+	p.put(c, defaultIdleTimeout-idleMargin)
 	return ProbeAccepted
 }
