relay, exchange: brittle servers are not made to fall by requests that they turn away

Nothing read Server-Brittle: nine servers that named 1, 3 or 8 requests a second fell 27 to 34 times in 12 s of one and a half times their load, on 6 and on 82 entries. Cause: entries do not know what the others send at the moment, so together they exceed the room of a server. Now requests to a brittle server need a permit, as those to a server with a limit do: the permitting entry counts the places that are taken, for first sends, further and second ones, resumed streams, trials and detours alike.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -62,6 +62,9 @@
 	Evidence uint64 `msgpack:"d,omitempty"`
 	// Limits holds what the entry knows of limits that servers have named, by server.
 	Limits map[string]relay.LimitReport `msgpack:"m,omitempty"`
+	// Brittle holds the services whose servers are brittle, for an entry that has just
+	// started: how many requests each may turn away in a second.
+	Brittle map[string]float64 `msgpack:"t,omitempty"`
 }
 
 // Config holds the dependencies and settings of an Exchange.
@@ -133,6 +136,8 @@
 	c.Transport.HandleNotify(peer.RelaySums, x.receiveSums)
 	c.Transport.HandleNotify(peer.RelayCrash, x.receiveCrash)
 	c.Transport.HandleNotify(peer.RelayCleared, x.receiveCleared)
+	c.Transport.HandleNotify(peer.RelayBrittle, x.receiveBrittle)
+	c.Transport.HandleNotify(peer.RelayPlace, x.receivePlace)
 	c.Transport.HandleNotify(peer.RelayEvidence, x.receiveEvidence)
 	c.Transport.Handle(peer.RelayTrial, peer.HandleCall(x.serveTrial))
 	c.Transport.Handle(peer.RelayPermit, peer.HandleCall(x.servePermit))
@@ -164,7 +169,7 @@
 
 // buildState returns the n-th state message.
 func (x *Exchange) buildState(n int) stateMessage {
-	message := stateMessage{Run: x.run, Spent: x.Quotas.Reports(n%siteSpendingEvery == 0), Loads: x.Balancer.Loads(), Evidence: x.Crashes.Digest(), Limits: x.Balancer.LimitReports()}
+	message := stateMessage{Run: x.run, Spent: x.Quotas.Reports(n%siteSpendingEvery == 0), Loads: x.Balancer.Loads(), Evidence: x.Crashes.Digest(), Limits: x.Balancer.LimitReports(), Brittle: x.Balancer.BrittleServices()}
 	if n%usageEvery == 0 {
 		message.Usage = x.Counts.Local()
 		message.Prefill = x.Balancer.PrefillStats()
@@ -199,6 +204,14 @@
 	x.compareEvidence(from, message.Run, message.Evidence)
 	x.mergeLimits(from, message.Limits)
 	x.mu.Lock()
+	isStarting := len(x.tracker.states) == 0
+	x.mu.Unlock()
+	if isStarting {
+		for service, most := range message.Brittle {
+			x.Balancer.MergeBrittle(relay.BrittleNotice{Service: service, MaxTurnedAway: most})
+		}
+	}
+	x.mu.Lock()
 	if x.position.usesHubs && (!x.position.isHub || from.Zone != x.self.Zone) {
 		x.mu.Unlock() // included in the sums of hubs
 		return
--- a/internal/exchange/permit.go
+++ b/internal/exchange/permit.go
@@ -14,10 +14,10 @@
 // which entries register again after an outage of the store.
 const lapsedGrace = 4 * time.Second
 
-// permitRequest asks for the permission to send one request to a server with a limit.
-type permitRequest struct {
-	Server string            `msgpack:"s"`
-	Known  relay.LimitReport `msgpack:"l"`
+// placeMessage gives a place at a brittle server back.
+type placeMessage struct {
+	Server      string `msgpack:"s"`
+	Incarnation int64  `msgpack:"i,omitempty"`
 }
 
 // permitter returns the entry that permits the requests to a server: the first in
@@ -46,23 +46,41 @@
 }
 
 // RequestPermit implements relay.Peers.
-func (x *Exchange) RequestPermit(ctx context.Context, server string, known relay.LimitReport) relay.Permit {
-	permitter, isReachable := x.permitter(server)
+func (x *Exchange) RequestPermit(ctx context.Context, request relay.PermitRequest) relay.Permit {
+	permitter, isReachable := x.permitter(request.Server)
 	if permitter.ID == x.self.ID {
-		return x.Balancer.PermitSend(server, known)
+		return x.Balancer.PermitSend(x.self.ID, request)
 	}
 	if !isReachable {
-		return relay.NoPermit(known)
+		return relay.NoPermit(request.Known)
 	}
-	permit, err := peer.Call[relay.Permit](ctx, x.Transport, permitter, peer.RelayPermit, permitRequest{server, known})
+	permit, err := peer.Call[relay.Permit](ctx, x.Transport, permitter, peer.RelayPermit, request)
 	if err != nil {
-		return relay.NoPermit(known)
+		return relay.NoPermit(request.Known)
 	}
 	return permit
 }
 
-func (x *Exchange) servePermit(_ context.Context, _ peer.Node, request permitRequest) (relay.Permit, error) {
-	return x.Balancer.PermitSend(request.Server, request.Known), nil
+func (x *Exchange) servePermit(_ context.Context, from peer.Node, request relay.PermitRequest) (relay.Permit, error) {
+	return x.Balancer.PermitSend(from.ID, request), nil
+}
+
+// ReturnPlace implements relay.Peers. A place that is not given back is free again at the
+// deadline of its request.
+func (x *Exchange) ReturnPlace(server string, incarnation int64) {
+	permitter, isReachable := x.permitter(server)
+	if permitter.ID == x.self.ID {
+		x.Balancer.FreePlace(x.self.ID, server, incarnation)
+	} else if isReachable {
+		x.send(permitter, peer.RelayPlace, placeMessage{server, incarnation})
+	}
+}
+
+func (x *Exchange) receivePlace(from peer.Node, decode func(any) error) {
+	var m placeMessage
+	if decode(&m) == nil {
+		x.Balancer.FreePlace(from.ID, m.Server, m.Incarnation)
+	}
 }
 
 // mergeLimits merges the limits of servers that another entry knows.
@@ -71,3 +89,18 @@
 		x.Log.Log(relay.EvServerLimitChanged, "server", server, "is_limited", r.IsNamed, "per_second", r.PerSecond, "told_by", from.ID)
 	}
 }
+
+// NotifyBrittle implements relay.Peers.
+func (x *Exchange) NotifyBrittle(n relay.BrittleNotice) {
+	x.propagate(peer.RelayBrittle, n, peer.Node{})
+}
+
+func (x *Exchange) receiveBrittle(from peer.Node, decode func(any) error) {
+	var n relay.BrittleNotice
+	if decode(&n) != nil || !x.Balancer.MergeBrittle(n) {
+		return
+	}
+	x.Log.Log(relay.EvBrittlenessChanged, "service", n.Service, "server", n.Server, "is_brittle", true, "max_turned_away", n.MaxTurnedAway,
+		"turned_away", n.Server != "", "told_by", from.ID)
+	x.propagate(peer.RelayBrittle, n, from)
+}
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -76,6 +76,10 @@
 	RelayPermit Kind = 31
 	// RelayDetour asks an entry to make a call to a backend server for the sender.
 	RelayDetour Kind = 32
+	// RelayBrittle reports that servers of a service fall over if they turn requests away.
+	RelayBrittle Kind = 33
+	// RelayPlace gives a place at a brittle server back.
+	RelayPlace Kind = 34
 )
 
 var kindNames = map[Kind]string{
@@ -89,7 +93,7 @@
 	RelayCleared: "relay-cleared", RelayPoll: "relay-poll", RelaySums: "relay-sums",
 	RelayOrigins: "relay-origins", RelayOriginQuery: "relay-origin-query",
 	RelayEvidence: "relay-evidence", RelayTrial: "relay-trial", PartTrial: "part-trial",
-	RelayPermit: "relay-permit", RelayDetour: "relay-detour",
+	RelayPermit: "relay-permit", RelayDetour: "relay-detour", RelayBrittle: "relay-brittle", RelayPlace: "relay-place",
 }
 
 // String returns the kind's name, or its number if it has none.
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -27,6 +27,10 @@
 	servers       map[string]*server
 	document      *follow.Document
 	registered    []follow.Server
+	// brittle holds how many requests each server may turn away in a second, by service;
+	// returnPlace gives the permit of a call at such a server back.
+	brittle     map[string]float64
+	returnPlace func(server string, incarnation int64)
 	// entryCount is the number of the site's entries, at least 1.
 	entryCount int
 }
@@ -40,6 +44,7 @@
 	// the balancer's clock.
 	pausedUntil time.Duration
 	limit       limitState
+	room        room
 	// ownCalls and peerCalls are the numbers of calls that this entry and the other
 	// entries run at the server.
 	ownCalls  int
@@ -52,7 +57,7 @@
 func NewBalancer(selfID, zone string, c clock.Clock, pool *upstream.Pool) *Balancer {
 	return &Balancer{
 		selfID: selfID, zone: zone, clock: c, pool: pool, entryCount: 1,
-		pickers: map[string]*route.Picker{}, prefillMeters: map[string]*prefillMeter{}, servers: map[string]*server{},
+		pickers: map[string]*route.Picker{}, prefillMeters: map[string]*prefillMeter{}, servers: map[string]*server{}, brittle: map[string]float64{},
 	}
 }
 
@@ -89,6 +94,9 @@
 		existing, ok := b.servers[s.ID]
 		if !ok || existing.Incarnation != s.Incarnation {
 			existing = &server{}
+			if _, isBrittle := b.brittle[s.Service]; isBrittle {
+				existing.room = room{most: startShare * float64(s.Slots), at: b.clock()}
+			}
 		}
 		existing.Server = s
 		existing.target = upstream.Target{ID: s.ID, Address: s.Address, Incarnation: s.Incarnation, MaxConnections: b.maxConnectionsLocked(s.Service)}
@@ -140,7 +148,7 @@
 	switch {
 	case s.Leaving:
 		return route.Leaving
-	case now < s.pausedUntil, s.limit.IsNamed && now < s.limit.pausedUntil:
+	case now < s.pauseEnd():
 		return route.Paused
 	case s.health.isSuspect(now):
 		return route.Suspect
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -24,9 +24,11 @@
 	query           route.Query
 	picker          *route.Picker
 	sentAt          time.Time
-	// limit is set if the server has named a limit: the call needs a permit, and counts
-	// as one that runs at the server only once recordPermit has recorded it.
-	limit *LimitReport
+	// permit is set if the server has named a limit or is brittle: the call needs a permit,
+	// and counts as one that runs at the server only once recordPermit has recorded it.
+	permit *PermitRequest
+	// hasPlace is true if the permit is that of a brittle server and must be given back.
+	hasPlace bool
 	// via is the entry by way of which the call was made; empty if it was made directly.
 	via string
 }
@@ -43,9 +45,9 @@
 }
 
 // pick selects a server, other than those in tried, for a request, and only one of
-// origin unless that is nil. A maxTimeToFirstToken of 0 is no limit. Servers with a
-// limit are left out unless withLimited is set. Errors are those of route.Picker.
-func (b *Balancer) pick(service string, info *RequestInfo, maxTimeToFirstToken time.Duration, tried map[string]bool, origin *StreamOrigin, withLimited bool) (*choice, error) {
+// origin unless that is nil. A maxTimeToFirstToken of 0 is no limit. Servers for which a
+// permit is needed are left out unless withPermit is set. Errors are those of route.Picker.
+func (b *Balancer) pick(service string, info *RequestInfo, maxTimeToFirstToken time.Duration, tried map[string]bool, origin *StreamOrigin, withPermit bool) (*choice, error) {
 	b.mu.Lock()
 	now := b.clock()
 	for _, s := range b.servers {
@@ -56,15 +58,17 @@
 	}
 	picker := b.pickerLocked(service)
 	isAllowed := b.serversOfLocked(origin)
-	var isLimited map[string]bool
-	if !withLimited {
-		isLimited = b.limitedServersLocked(service)
+	var needsPermit map[string]bool
+	if !withPermit {
+		needsPermit = b.serversWithPermitLocked(service)
 	}
 	b.mu.Unlock()
 	q := route.Query{
 		Now: time.Now(), Service: service, Context: sharedPrefixHash(info), PromptTokens: info.PromptTokens, MaxCachedTokens: info.SharedTokens(),
 		MaxTokens: info.MaxTokens, MaxFirstTokenDelay: maxTimeToFirstToken,
-		Exclude: func(id string) bool { return tried[id] || isLimited[id] || origin != nil && !isAllowed[id] },
+		Exclude: func(id string) bool {
+			return tried[id] || needsPermit[id] || origin != nil && !isAllowed[id]
+		},
 	}
 	picked, err := picker.Pick(q)
 	if err != nil {
@@ -77,11 +81,13 @@
 		return nil, &route.NoServerError{Service: service}
 	}
 	c := &choice{target: s.target, zone: s.Zone, version: s.Version, picked: picked, ownPromptTokens: info.PromptTokens - info.SharedTokens(), query: q, picker: picker, sentAt: q.Now}
-	if s.limit.IsNamed {
-		// Other requests do not ask as well until the answer has come.
-		s.limit.pausedUntil = max(s.limit.pausedUntil, now+permitTimeout)
-		report := s.limitReport(now)
-		c.limit = &report
+	_, isBrittle := b.brittle[service]
+	if s.limit.IsNamed || isBrittle {
+		if s.limit.IsNamed {
+			// Other requests do not ask as well until the answer has come.
+			s.limit.pausedUntil = max(s.limit.pausedUntil, now+permitTimeout)
+		}
+		c.permit = &PermitRequest{Server: s.ID, Known: s.limitReport(now), IsBrittle: isBrittle, MaxTurnedAway: b.brittle[service]}
 		return c, nil
 	}
 	b.countCallLocked(c, s)
@@ -121,10 +127,11 @@
 
 // pauseEnd returns the end of the server's pauses.
 func (s *server) pauseEnd() time.Duration {
+	end := max(s.pausedUntil, s.room.pausedUntil)
 	if s.limit.IsNamed {
-		return max(s.pausedUntil, s.limit.pausedUntil)
+		end = max(end, s.limit.pausedUntil)
 	}
-	return s.pausedUntil
+	return end
 }
 
 // neighbours returns up to n other servers of the server's availability zone that may
@@ -230,6 +237,9 @@
 	if signal == signalServed {
 		usage.PromptTokens = c.query.PromptTokens
 	}
+	if c.hasPlace {
+		b.returnPlace(c.permit.Server, c.target.Incarnation)
+	}
 	c.picker.RecordFinish(time.Now(), c.target.ID, c.query, usage, signal == signalServed)
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -68,8 +68,9 @@
 	Leaving bool
 	// Pause is how long the server wants no requests from this entry; 0 if it did
 	// not say so.
-	Pause time.Duration
-	Limit ServerLimit
+	Pause       time.Duration
+	Limit       ServerLimit
+	Brittleness ServerBrittleness
 }
 
 // ServerLimit is the number of requests that a server takes from all entries together.
--- a/internal/relay/crashdetector.go
+++ b/internal/relay/crashdetector.go
@@ -85,6 +85,10 @@
 	if d.relay.Balancer.isLeaving(t) {
 		return
 	}
+	if d.relay.Balancer.mayHaveFallen(t) {
+		d.relay.Log.Log(EvCrashDoubted, "server", t.ID, "runs", len(runs), "fallen", true)
+		return
+	}
 	d.recordCrash(t, runs, result)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -42,11 +42,15 @@
 	NotifyCrash(CrashNotice)
 	// NotifyCleared tells the other entries which content was cleared.
 	NotifyCleared([]blame.Record)
+	// NotifyBrittle sends a notice of brittle servers to the other entries.
+	NotifyBrittle(BrittleNotice)
 	// RequestTrial asks for the permission to try blocked content, of which there is one
 	// on the site at a time.
 	RequestTrial(context.Context, blame.Key) bool
-	// RequestPermit asks for the permission to send one request to a server with a limit.
-	RequestPermit(ctx context.Context, server string, known LimitReport) Permit
+	// RequestPermit asks for the permission to send one request to a server with a limit
+	// or a brittle one. ReturnPlace gives the place at a brittle server back.
+	RequestPermit(context.Context, PermitRequest) Permit
+	ReturnPlace(server string, incarnation int64)
 	// Detour makes a call to a server by way of another entry, whose ID it returns.
 	// Errors are those of upstream.Pool.Do, and ErrNoDetour.
 	Detour(ctx context.Context, call *DetourCall) (*upstream.Response, string, error)
@@ -108,6 +112,7 @@
 	}
 	r.detector = newCrashDetector(r)
 	c.Pool.OnPathChange(r.recordPathChange)
+	c.Balancer.returnPlace = c.Peers.ReturnPlace
 	return r
 }
 
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -234,6 +234,7 @@
 		r.Balancer.pauseServer(t, info.Pause)
 	}
 	r.recordLimit(t, attemptID, status, info)
+	r.recordBrittleness(t, attemptID, status, info)
 }
 
 // receive checks the status and headers of a response and forwards it. A success
--- a/internal/relay/serverlimit.go
+++ b/internal/relay/serverlimit.go
@@ -64,6 +64,17 @@
 	AgeMillis int64 `msgpack:"a"`
 }
 
+// PermitRequest asks for the permission to send one request to a server.
+type PermitRequest struct {
+	Server string      `msgpack:"s"`
+	Known  LimitReport `msgpack:"l"`
+	// IsBrittle is true if the server takes a place at a brittle server until it is given
+	// back, or for RemainingMillis at most.
+	IsBrittle       bool    `msgpack:"b,omitempty"`
+	MaxTurnedAway   float64 `msgpack:"n,omitempty"`
+	RemainingMillis int64   `msgpack:"t,omitempty"`
+}
+
 // Permit is the answer to the request for a permit.
 type Permit struct {
 	IsGranted bool `msgpack:"g"`
@@ -161,12 +172,13 @@
 	return !isSame
 }
 
-// limitedServersLocked returns the IDs of the servers of a service that have named a
-// limit.
-func (b *Balancer) limitedServersLocked(service string) map[string]bool {
+// serversWithPermitLocked returns the IDs of the servers of a service for which a permit
+// is needed.
+func (b *Balancer) serversWithPermitLocked(service string) map[string]bool {
 	ids := map[string]bool{}
+	_, isBrittle := b.brittle[service]
 	for id, s := range b.servers {
-		if s.Service == service && s.limit.IsNamed {
+		if s.Service == service && (s.limit.IsNamed || isBrittle) {
 			ids[id] = true
 		}
 	}
@@ -174,20 +186,29 @@
 }
 
 // PermitSend decides, at the entry that permits the requests to the server, whether one
-// more may be sent; known is what the asking entry knows about the limit.
-func (b *Balancer) PermitSend(id string, known LimitReport) Permit {
+// more of the asking entry may be sent.
+func (b *Balancer) PermitSend(entry string, r PermitRequest) Permit {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock()
-	s, ok := b.servers[id]
-	if !ok || s.Leaving || s.Incarnation != known.Incarnation {
-		return NoPermit(known)
+	s, ok := b.servers[r.Server]
+	if !ok || s.Leaving || s.Incarnation != r.Known.Incarnation {
+		return NoPermit(r.Known)
 	}
-	s.mergeLimit(now, known)
-	if !s.limit.IsNamed {
-		return Permit{IsGranted: true, Known: s.limitReport(now)}
+	s.mergeLimit(now, r.Known)
+	if r.IsBrittle {
+		b.brittle[s.Service] = r.MaxTurnedAway
+		if wait := s.waitForPlace(now); wait > 0 {
+			return Permit{WaitMillis: wait.Milliseconds(), Known: s.limitReport(now)}
+		}
+	}
+	isGranted, wait := true, time.Duration(0)
+	if s.limit.IsNamed {
+		isGranted, wait = s.limit.take(now)
+	}
+	if r.IsBrittle && isGranted {
+		s.room.places = append(s.room.places, place{entry, now + time.Duration(r.RemainingMillis)*time.Millisecond})
 	}
-	isGranted, wait := s.limit.take(now)
 	return Permit{IsGranted: isGranted, WaitMillis: wait.Milliseconds(), Known: s.limitReport(now)}
 }
 
@@ -221,23 +242,30 @@
 	}
 	now := b.clock()
 	s.mergeLimit(now, p.Known)
-	s.limit.pausedUntil = now + time.Duration(p.WaitMillis)*time.Millisecond
+	until := now + time.Duration(p.WaitMillis)*time.Millisecond
+	if s.limit.IsNamed {
+		s.limit.pausedUntil = until
+	} else if !p.IsGranted {
+		s.room.pausedUntil = until
+	}
 	if p.IsGranted {
+		c.hasPlace = c.permit.IsBrittle
 		b.countCallLocked(c, s)
 	}
 	return p.IsGranted
 }
 
 // pick selects a server as Balancer.pick does. It asks for a permit if the server has
-// named a limit, and selects another one if there is none.
+// named a limit or is brittle, and selects another one if there is none.
 func (q *request) pick(ctx context.Context, maxTimeToFirstToken time.Duration) (*choice, error) {
 	for range maxPermitRequests {
 		c, err := q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken, q.tried, q.origin, true)
-		if err != nil || c.limit == nil {
+		if err != nil || c.permit == nil {
 			return c, err
 		}
+		c.permit.RemainingMillis = time.Until(q.deadline).Milliseconds()
 		permitCtx, cancel := context.WithTimeout(ctx, permitTimeout)
-		permit := q.relay.Peers.RequestPermit(permitCtx, c.target.ID, *c.limit)
+		permit := q.relay.Peers.RequestPermit(permitCtx, *c.permit)
 		cancel()
 		if q.relay.Balancer.recordPermit(c, permit) {
 			return c, nil
--- a/internal/relay/serverlimit_test.go
+++ b/internal/relay/serverlimit_test.go
@@ -84,7 +84,7 @@
 	pick := func() *choice {
 		c, err := b.pick("app", &RequestInfo{}, 0, nil, nil, true)
 		require.NoError(t, err)
-		require.NotNil(t, c.limit)
+		require.NotNil(t, c.permit)
 		return c
 	}
 	require.True(t, b.recordPermit(pick(), Permit{IsGranted: true}))
