tunnel: owners without a path to any server reach them by way of other nodes

The backend client's connections are now opened by way of another node while there is no path (internal/tunnel, docs/design/detours.md); the state of the path is shared with the relay's (netx.PathState).

TestRequestsOwnedByEntriesWithoutServersAreServed failed in its three cases before (20 failed of 60, 2 allowed) and passes.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -26,6 +26,7 @@
 	"buckthornpick/internal/quarantine"
 	"buckthornpick/internal/spread"
 	"buckthornpick/internal/telemetry"
+	"buckthornpick/internal/tunnel"
 )
 
 // Config holds a node's identity, its dependencies and the configuration of its
@@ -58,6 +59,9 @@
 	Peer      peer.Options
 	Spread    spread.Config
 	Drain     DrainConfig
+	// Tunnels is the network of Backends; nil if connections to backend servers are never
+	// opened by way of other nodes.
+	Tunnels *tunnel.Network
 }
 
 // Node is one entry node.
@@ -124,9 +128,22 @@
 	n.spreader = n.newSpreader()
 	n.gateway = gateway.New(cfg.Gateway, n, cfg.Log, cfg.Registry)
 	n.handlePeers()
+	if cfg.Tunnels != nil {
+		cfg.Tunnels.Attach(tunnel.Config{Transport: n.transport, Others: n.otherNodes, IsServer: n.isServer, Log: cfg.Log})
+	}
 	return n
 }
 
+// isServer reports whether a VM has the address.
+func (n *Node) isServer(address string) bool {
+	for _, vm := range n.inventory.View().VMs {
+		if vm.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // frameMarginBytes is reserved for the parts of a message other than the request
 // body and the answer.
 const frameMarginBytes = 1 << 20
--- a/internal/entryd/provision.go
+++ b/internal/entryd/provision.go
@@ -18,6 +18,7 @@
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/provider"
 	"buckthornpick/internal/provider/cloudhttp"
+	"buckthornpick/internal/tunnel"
 )
 
 const (
@@ -39,7 +40,8 @@
 	}
 	store := netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: platformIdleConns, CloseIdleOnTimeout: true})
 	cloud := netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: platformIdleConns, CloseIdleOnTimeout: true})
-	backends := netx.HTTPClient(n, netx.HTTPOptions{MaxIdlePerHost: backendIdleConns, DialTimeout: backendDialTimeout})
+	tunnels := tunnel.New(n)
+	backends := netx.HTTPClient(tunnels, netx.HTTPOptions{MaxIdlePerHost: backendIdleConns, DialTimeout: backendDialTimeout})
 	platformClient := cloudhttp.New(s.Cloud.URL, cloud, p.Log)
 	lister := vmLister{Client: platformClient, timeout: time.Duration(s.Cloud.Timeout)}
 	servers := backend.NewHTTPClient(backends, p.Log)
@@ -47,7 +49,7 @@
 		Self: member.Member{ID: s.Node.ID, Zone: s.Node.Zone, Address: s.Peers.Advertised[0],
 			HTTPAddress: s.Callers.Address, AdminURL: s.Admin.Advertised},
 		Peer:   peer.Options{ListenAddress: s.Peers.Address},
-		Secret: []byte(secret), Seeds: seedNodes(s.Peers.Seeds), Network: n,
+		Secret: []byte(secret), Seeds: seedNodes(s.Peers.Seeds), Network: n, Tunnels: tunnels,
 		Store:  etcd.New(etcd.Config{Endpoint: s.Store.URL, Timeout: time.Duration(s.Store.Timeout)}, store, p.Metrics),
 		Lister: lister, Notices: platformClient,
 		Backends: servers, KV: servers, Log: p.Log, Registry: p.Metrics,
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -80,6 +80,8 @@
 	RelayBrittle Kind = 33
 	// RelayPlace gives a place at a brittle server back.
 	RelayPlace Kind = 34
+	// Tunnel asks a node to open a connection to a backend server.
+	Tunnel Kind = 35
 )
 
 var kindNames = map[Kind]string{
@@ -93,7 +95,7 @@
 	RelayCleared: "relay-cleared", RelayPoll: "relay-poll", RelaySums: "relay-sums",
 	RelayOrigins: "relay-origins", RelayOriginQuery: "relay-origin-query",
 	RelayEvidence: "relay-evidence", RelayTrial: "relay-trial", PartTrial: "part-trial",
-	RelayPermit: "relay-permit", RelayDetour: "relay-detour", RelayBrittle: "relay-brittle", RelayPlace: "relay-place",
+	RelayPermit: "relay-permit", RelayDetour: "relay-detour", RelayBrittle: "relay-brittle", RelayPlace: "relay-place", Tunnel: "tunnel",
 }
 
 // String returns the kind's name, or its number if it has none.
--- a/internal/standin/memnet/faults.go
+++ b/internal/standin/memnet/faults.go
@@ -53,12 +53,13 @@
 	CutRefusesNew
 )
 
-// cut is a host that is cut off from a zone.
-type cut struct{ host, zone string }
+// cut is a host that is cut off from another one, or from all of a zone.
+type cut struct{ host, from string }
 
-// CutHost cuts the host off from all hosts of a zone until HealCut or HealAll.
-func (n *Network) CutHost(host, zone string, kind CutKind) {
-	n.update(func() { n.cuts[cut{host, zone}] = kind })
+// CutHost cuts the host off from another one, or from all hosts of a zone, until HealCut or
+// HealAll.
+func (n *Network) CutHost(host, from string, kind CutKind) {
+	n.update(func() { n.cuts[cut{host, from}] = kind })
 	if kind != CutResets {
 		return
 	}
@@ -73,13 +74,13 @@
 }
 
 // HealCut ends CutHost; stalled bytes are delivered.
-func (n *Network) HealCut(host, zone string) {
-	n.update(func() { delete(n.cuts, cut{host, zone}) })
+func (n *Network) HealCut(host, from string) {
+	n.update(func() { delete(n.cuts, cut{host, from}) })
 }
 
 // cutOf returns the cut between two hosts, 0 if there is none. Callers hold n.mu.
 func (n *Network) cutOf(a, b *host) CutKind {
-	return max(n.cuts[cut{a.name, b.zone}], n.cuts[cut{b.name, a.zone}])
+	return max(n.cuts[cut{a.name, b.zone}], n.cuts[cut{b.name, a.zone}], n.cuts[cut{a.name, b.name}], n.cuts[cut{b.name, a.name}])
 }
 
 // SilenceConnections stalls the open connections between a host and a zone for good.
--- a/internal/standin/site/entry.go
+++ b/internal/standin/site/entry.go
@@ -18,6 +18,7 @@
 	"buckthornpick/internal/provider"
 	"buckthornpick/internal/provider/cloudhttp"
 	"buckthornpick/internal/telemetry"
+	"buckthornpick/internal/tunnel"
 )
 
 // Tune changes the configuration of an entry before it starts.
@@ -82,9 +83,10 @@
 	storeClient := e.client(network, platformOptions)
 	cloudClient := e.client(network, platformOptions)
 	cloud := cloudhttp.New(s.cloudURL, cloudClient, log)
-	servers := backend.NewHTTPClient(e.client(network, netx.HTTPOptions{}), log)
+	tunnels := tunnel.New(network)
+	servers := backend.NewHTTPClient(e.client(tunnels, netx.HTTPOptions{}), log)
 	c := entry.Config{
-		Self: self, Secret: []byte(Secret), Seeds: s.seeds(self.ID), Network: network,
+		Self: self, Secret: []byte(Secret), Seeds: s.seeds(self.ID), Network: network, Tunnels: tunnels,
 		Store:  etcd.New(etcd.Config{Endpoint: s.storeURL}, storeClient, e.Registry),
 		Lister: cloud, Notices: cloud,
 		Backends: servers, KV: servers,
--- a/internal/upstream/path.go
+++ b/internal/upstream/path.go
@@ -14,10 +14,6 @@
 )
 
 const (
-	// minFailedServers is the number of servers of which none could be reached since the
-	// last success from which on this host counts as having no path to any; fewer if
-	// there are fewer servers.
-	minFailedServers = 2
 	// pathCheckInterval is the time between two checks of the path, and pathProbeTimeout
 	// limits the time to open the connection of a probe.
 	pathCheckInterval = 250 * time.Millisecond
@@ -30,49 +26,10 @@
 	findPathTimeout = 50 * time.Millisecond
 )
 
-// path tells whether this host has lost its path to all servers, as opposed to servers
-// that have died, by the outcomes of dials. Open connections do not count, since they may
-// live on when no new ones can be opened.
-type path struct {
-	mu sync.Mutex
-	// failed holds the servers that could not be reached since the last success.
-	failed map[string]bool
-	// succeededAt is when the last successful dial started.
-	succeededAt time.Time
-	isLost      bool
-	// isSearched is true while FindPath probes servers.
-	isSearched bool
-	onChange   func(isLost bool)
-}
-
-// recordDial records the outcome of a dial of one of serverCount servers. A failure of a
-// dial that started before the last successful one has no effect.
-func (p *path) recordDial(server string, startedAt time.Time, ok bool, serverCount int) {
-	p.mu.Lock()
-	wasLost := p.isLost
-	switch {
-	case ok:
-		p.succeededAt, p.isLost = startedAt, false
-		clear(p.failed)
-	case startedAt.Before(p.succeededAt):
-	default:
-		if p.failed == nil {
-			p.failed = map[string]bool{}
-		}
-		p.failed[server] = true
-		p.isLost = p.isLost || len(p.failed) >= min(minFailedServers, serverCount)
-	}
-	isLost := p.isLost
-	p.mu.Unlock()
-	if isLost != wasLost && p.onChange != nil {
-		p.onChange(isLost)
-	}
-}
-
 // OnPathChange sets the function that is called when the path to the servers is lost and
 // when it is regained. It must be called before the pool is used.
 func (p *Pool) OnPathChange(f func(isLost bool)) {
-	p.path.onChange = func(isLost bool) {
+	p.onPathChange = func(isLost bool) {
 		if isLost {
 			p.closeAllIdle() // they may hang
 		}
@@ -81,11 +38,7 @@
 }
 
 // HasPath returns false if this host has no path to any server.
-func (p *Pool) HasPath() bool {
-	p.path.mu.Lock()
-	defer p.path.mu.Unlock()
-	return !p.path.isLost
-}
+func (p *Pool) HasPath() bool { return !p.path.IsLost() }
 
 // WatchPath probes one server at a time until ctx ends, while there is no path, and if no
 // server sends anything although calls are in progress. It always returns nil.
@@ -101,15 +54,9 @@
 // FindPath looks for a path to some servers, unless another call does so already, and
 // reports whether there is one. It takes findPathTimeout at most.
 func (p *Pool) FindPath(ctx context.Context) bool {
-	p.path.mu.Lock()
-	isFirst := p.path.isLost && !p.path.isSearched
-	p.path.isSearched = p.path.isSearched || isFirst
-	p.path.mu.Unlock()
-	if isFirst {
+	if !p.HasPath() && p.isSearchingPath.CompareAndSwap(false, true) {
 		p.probeSome(ctx, findPathProbes, findPathTimeout)
-		p.path.mu.Lock()
-		p.path.isSearched = false
-		p.path.mu.Unlock()
+		p.isSearchingPath.Store(false)
 	}
 	return p.HasPath()
 }
@@ -167,7 +114,9 @@
 		p.mu.Lock()
 		serverCount := len(p.targets)
 		p.mu.Unlock()
-		p.path.recordDial(t.ID, startedAt, err == nil, serverCount)
+		if p.path.RecordDial(t.ID, startedAt, err == nil, serverCount) && p.onPathChange != nil {
+			p.onPathChange(err != nil)
+		}
 	}
 	if err != nil {
 		p.decrementOpen(s)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -47,7 +47,10 @@
 
 	// receivedAt is when a server last sent bytes, in Unix nanoseconds.
 	receivedAt atomic.Int64
-	path       path
+	path       netx.PathState
+	// onPathChange is called when the path to the servers is lost or regained; may be nil.
+	onPathChange    func(isLost bool)
+	isSearchingPath atomic.Bool
 
 	mu sync.Mutex
 	// targets and servers are keyed by server ID.
