relay, upstream: a request that may have run is not told not-run without a path; few dead servers do not make it lost

Now only unknown and failed sends give their own refusal. The same state serves internal/tunnel, whose probes run in Network.Run.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -59,8 +59,8 @@
 	Peer      peer.Options
 	Spread    spread.Config
 	Drain     DrainConfig
-	// Tunnels is the network of Backends; nil if connections to backend servers are never
-	// opened by way of other nodes.
+	// Tunnels is the network of Backends, which opens connections by way of other nodes if
+	// necessary; default one that Backends does not use.
 	Tunnels *tunnel.Network
 }
 
@@ -101,6 +101,9 @@
 
 // New creates a node. It is inactive until Run is called.
 func New(cfg Config) *Node {
+	if cfg.Tunnels == nil {
+		cfg.Tunnels = tunnel.New(cfg.Network)
+	}
 	n := &Node{cfg: cfg, log: cfg.Log, drain: newDrainState(), createdAt: time.Now()}
 	self := nodeOf(cfg.Self)
 	cfg.Peer.Secret = cfg.Secret
@@ -128,20 +131,19 @@
 	n.spreader = n.newSpreader()
 	n.gateway = gateway.New(cfg.Gateway, n, cfg.Log, cfg.Registry)
 	n.handlePeers()
-	if cfg.Tunnels != nil {
-		cfg.Tunnels.Attach(tunnel.Config{Transport: n.transport, Others: n.otherNodes, IsServer: n.isServer, Log: cfg.Log})
-	}
+	cfg.Tunnels.Attach(tunnel.Config{Transport: n.transport, Others: n.otherNodes, Servers: n.serverAddresses, Log: cfg.Log})
 	return n
 }
 
-// isServer reports whether a VM has the address.
-func (n *Node) isServer(address string) bool {
+// serverAddresses returns the addresses of the backend servers.
+func (n *Node) serverAddresses() []string {
+	var list []string
 	for _, vm := range n.inventory.View().VMs {
-		if vm.Address == address {
-			return true
+		if vm.Address != "" {
+			list = append(list, vm.Address)
 		}
 	}
-	return false
+	return list
 }
 
 // frameMarginBytes is reserved for the parts of a message other than the request
@@ -197,7 +199,7 @@
 	for _, task := range []func(context.Context) error{
 		n.transport.Run, n.members.Run, n.documents.Run, n.inventory.Run,
 		n.ledger.Run, n.dispatcher.Run, n.spreader.Run, n.departures.Run,
-		n.applyDocuments, n.applyViews, n.applyTables, n.pullFromSeeds, n.preloadClaims, n.reportDemand,
+		n.applyDocuments, n.applyViews, n.applyTables, n.pullFromSeeds, n.preloadClaims, n.reportDemand, n.cfg.Tunnels.Run,
 	} {
 		g.Go(func() error { return task(ctx) })
 	}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -108,7 +108,7 @@
 // response.
 func (q *request) refuseAfterSend(res *sendResult) *refusal {
 	if q.mayHaveRun {
-		if res.refusal != nil && res.outcome != outcomeNotRun && res.outcome != outcomeNotSent {
+		if res.refusal != nil && (res.outcome == outcomeUnknown || res.outcome == outcomeServerFailed) {
 			return res.refusal
 		}
 		return badGateway(reasonAnswerLost)
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,8 +36,6 @@
 	// probeInterval is the least time between two dials that look for a path.
 	probeInterval = 250 * time.Millisecond
 	chunkBytes    = 16 << 10
-	// unknownCount stands for the number of servers, of which there is more than one.
-	unknownCount = 1 << 10
 )
 
 // Config holds the dependencies of a Network.
@@ -44,9 +43,9 @@
 	Transport *peer.Transport
 	// Others returns the nodes that may open connections for this one.
 	Others func() []peer.Node
-	// IsServer reports whether an address is that of a backend server.
-	IsServer func(address string) bool
-	Log      *telemetry.Logger
+	// Servers returns the addresses of the backend servers.
+	Servers func() []string
+	Log     *telemetry.Logger
 }
 
 // Network is a netx.Network for connections to backend servers. Until Attach it opens all
@@ -56,10 +55,52 @@
 	config   atomic.Pointer[Config]
 	path     netx.PathState
 	probedAt atomic.Int64 // Unix nanoseconds
+	toProbe  chan []string
 }
 
 // New returns a network that opens connections through direct.
-func New(direct netx.Network) *Network { return &Network{Network: direct} }
+func New(direct netx.Network) *Network {
+	return &Network{Network: direct, toProbe: make(chan []string, 1)}
+}
+
+// Run dials the servers that tell whether there is a path, until ctx ends. It always returns
+// nil.
+func (n *Network) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case addresses := <-n.toProbe:
+			n.probe(ctx, addresses)
+		}
+	}
+}
+
+// probe dials servers at once and closes the connections.
+func (n *Network) probe(ctx context.Context, addresses []string) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var probes sync.WaitGroup
+	for _, address := range addresses {
+		probes.Go(func() {
+			if nc, err := n.dialDirectly(ctx, address); err == nil {
+				_ = nc.Close()
+			}
+		})
+	}
+	probes.Wait()
+}
+
+// requestProbe has servers probed, unless Run has others to probe.
+func (n *Network) requestProbe(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	select {
+	case n.toProbe <- addresses:
+	default:
+	}
+}
 
 // openRequest asks a node for a connection to a backend server, and openReply is the answer.
 type openRequest struct {
@@ -89,7 +130,7 @@
 			return nc, err
 		}
 	}
-	n.probe(address)
+	n.lookForPath(address)
 	others := c.Others()
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	var err error = fault.New(fault.Unavailable, "tunnel.dial", address, "no other node has a path")
@@ -109,29 +150,24 @@
 	if err != nil && context.Cause(ctx) == context.Canceled {
 		return nil, err
 	}
-	if n.path.RecordDial(address, startedAt, err == nil, unknownCount) {
+	all := n.config.Load().Servers()
+	if n.path.RecordDial(address, startedAt, err == nil, len(all)) {
 		event := EvEnded
 		if err != nil {
 			event = EvBegun
 		}
 		n.config.Load().Log.Log(event, "server", address)
 	}
+	n.requestProbe(n.path.ToCheck(all))
 	return nc, err
 }
 
-// probe dials the server in the background, unless another probe was made lately.
-func (n *Network) probe(address string) {
+// lookForPath has the server probed, unless that was done lately.
+func (n *Network) lookForPath(address string) {
 	last, now := n.probedAt.Load(), time.Now().UnixNano()
-	if now-last < int64(probeInterval) || !n.probedAt.CompareAndSwap(last, now) {
-		return
+	if now-last >= int64(probeInterval) && n.probedAt.CompareAndSwap(last, now) {
+		n.requestProbe([]string{address})
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-		defer cancel()
-		if nc, err := n.dialDirectly(ctx, address); err == nil {
-			_ = nc.Close()
-		}
-	}()
 }
 
 // dialVia opens a connection by way of another node.
@@ -164,7 +200,7 @@
 	if err := s.DecodeOpening(&r); err != nil {
 		return err
 	}
-	if n.path.IsLost() || !n.config.Load().IsServer(r.Address) {
+	if n.path.IsLost() || !slices.Contains(n.config.Load().Servers(), r.Address) {
 		return s.Send(ctx, openReply{Error: "this node has no path, or knows no such server"})
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
--- a/internal/upstream/path.go
+++ b/internal/upstream/path.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-
-	"buckthornpick/internal/wait"
 )
 
 const (
@@ -41,14 +39,36 @@
 func (p *Pool) HasPath() bool { return !p.path.IsLost() }
 
 // WatchPath probes one server at a time until ctx ends, while there is no path, and if no
-// server sends anything although calls are in progress. It always returns nil.
+// server sends anything although calls are in progress. It probes several at once if the
+// path may be lost. It always returns nil.
 func (p *Pool) WatchPath(ctx context.Context) error {
-	for wait.For(ctx, pathCheckInterval) {
-		if !p.HasPath() || p.isSilent() {
-			p.probeSome(ctx, 1, pathProbeTimeout)
+	tick := time.NewTicker(pathCheckInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case ids := <-p.toCheck:
+			p.probe(ctx, p.targetsOf(ids), pathProbeTimeout)
+		case <-tick.C:
+			if !p.HasPath() || p.isSilent() {
+				p.probeSome(ctx, 1, pathProbeTimeout)
+			}
 		}
 	}
-	return nil
+}
+
+// targetsOf returns the targets with the IDs.
+func (p *Pool) targetsOf(ids []string) []Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []Target
+	for _, id := range ids {
+		if t, ok := p.targets[id]; ok {
+			list = append(list, t)
+		}
+	}
+	return list
 }
 
 // FindPath looks for a path to some servers, unless another call does so already, and
@@ -83,14 +103,19 @@
 
 // probeSome probes n random servers at once and waits for the results.
 func (p *Pool) probeSome(ctx context.Context, n int, timeout time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	p.mu.Lock()
 	targets := slices.Collect(maps.Values(p.targets))
 	p.mu.Unlock()
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	p.probe(ctx, targets[:min(n, len(targets))], timeout)
+}
+
+// probe probes servers at once and waits for the results.
+func (p *Pool) probe(ctx context.Context, targets []Target, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	var probes sync.WaitGroup
-	for _, t := range targets[:min(n, len(targets))] {
+	for _, t := range targets {
 		probes.Go(func() { p.Probe(ctx, t) })
 	}
 	probes.Wait()
@@ -111,12 +136,7 @@
 	startedAt := time.Now()
 	nc, err := p.network.Dial(ctx, t.Address)
 	if err == nil || caller.Err() == nil {
-		p.mu.Lock()
-		serverCount := len(p.targets)
-		p.mu.Unlock()
-		if p.path.RecordDial(t.ID, startedAt, err == nil, serverCount) && p.onPathChange != nil {
-			p.onPathChange(err != nil)
-		}
+		p.recordDial(t, startedAt, err == nil)
 	}
 	if err != nil {
 		p.decrementOpen(s)
@@ -127,6 +147,23 @@
 	return newConn(nc, s, &p.receivedAt), nil
 }
 
+// recordDial records the outcome of a dial, and has other servers probed if the path may be
+// lost.
+func (p *Pool) recordDial(t Target, startedAt time.Time, ok bool) {
+	p.mu.Lock()
+	all := slices.Collect(maps.Keys(p.targets))
+	p.mu.Unlock()
+	if p.path.RecordDial(t.ID, startedAt, ok, len(all)) && p.onPathChange != nil {
+		p.onPathChange(!ok)
+	}
+	if ids := p.path.ToCheck(all); len(ids) > 0 {
+		select {
+		case p.toCheck <- ids:
+		default:
+		}
+	}
+}
+
 // metricsOfPath registers the gauge of the path.
 func (p *Pool) metricsOfPath(registry metrics.Registry) {
 	registry.GetOrRegister("upstream.path_lost", metrics.NewFunctionalGauge(func() int64 {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -51,6 +51,8 @@
 	// onPathChange is called when the path to the servers is lost or regained; may be nil.
 	onPathChange    func(isLost bool)
 	isSearchingPath atomic.Bool
+	// toCheck holds the IDs of servers to probe, to know whether the path is lost.
+	toCheck chan []string
 
 	mu sync.Mutex
 	// targets and servers are keyed by server ID.
@@ -72,7 +74,7 @@
 // NewPool returns a pool without connections.
 func NewPool(n netx.Network, registry metrics.Registry) *Pool {
 	p := &Pool{
-		network: n, targets: map[string]Target{}, servers: map[string]*serverConns{},
+		network: n, targets: map[string]Target{}, servers: map[string]*serverConns{}, toCheck: make(chan []string, 1),
 		opened: metrics.GetOrRegisterCounter("upstream.connections_opened_total", registry),
 	}
 	p.metricsOfPath(registry)
