upstream, relay: the path to the servers of each service is watched by itself

The path, its silence and its probes are now those of a service; so is what an entry cannot help with.

--- a/internal/exchange/detour.go
+++ b/internal/exchange/detour.go
@@ -95,7 +95,7 @@
 		if tries == maxDetourTries || ctx.Err() != nil {
 			break
 		}
-		if x.Transport.IsUnreachable(node.ID) || x.isAvoidedHelper(node.ID) {
+		if x.Transport.IsUnreachable(node.ID) || x.isAvoidedHelper(node.ID, call.Service) {
 			continue
 		}
 		tries++
@@ -103,7 +103,7 @@
 		if err == nil || !errors.Is(err, relay.ErrCannotHelp) {
 			return resp, node.ID, err
 		}
-		x.avoidHelper(node.ID)
+		x.avoidHelper(node.ID, call.Service)
 	}
 	return nil, "", fmt.Errorf("%w: %w", relay.ErrNoDetour, fault.New(fault.Unavailable, "exchange.detour", call.Server, "%d entries were asked", tries))
 }
@@ -164,20 +164,24 @@
 	return nil
 }
 
+// helperKey identifies an entry as a helper for calls to a service.
+type helperKey struct{ entry, service string }
+
 // isAvoidedHelper reports whether the entry has lately refused to make a call.
-func (x *Exchange) isAvoidedHelper(id string) bool {
+func (x *Exchange) isAvoidedHelper(entry, service string) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	until, ok := x.avoidedHelpers[id]
+	key := helperKey{entry, service}
+	until, ok := x.avoidedHelpers[key]
 	if ok && x.Clock() >= until {
-		delete(x.avoidedHelpers, id)
+		delete(x.avoidedHelpers, key)
 		return false
 	}
 	return ok
 }
 
-func (x *Exchange) avoidHelper(id string) {
+func (x *Exchange) avoidHelper(entry, service string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.avoidedHelpers[id] = x.Clock() + helperAvoidance
+	x.avoidedHelpers[helperKey{entry, service}] = x.Clock() + helperAvoidance
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -107,7 +107,7 @@
 	evidence map[string]*comparedEvidence
 	// avoidedHelpers holds the entries that are not asked to make calls for this one, and
 	// until when.
-	avoidedHelpers map[string]time.Duration
+	avoidedHelpers map[helperKey]time.Duration
 	// lastReportAt is when the last state or sums were accepted.
 	lastReportAt time.Duration
 }
@@ -130,7 +130,7 @@
 	x := &Exchange{
 		Config: c, run: run, self: c.Transport.Self(),
 		tracker: newEntryTracker(c.UnregisteredGrace), site: quota.Site{Entries: 1, Reachable: 1},
-		hubSums: latestSums{}, prefillByRun: map[string]receivedPrefill{}, evidence: map[string]*comparedEvidence{}, avoidedHelpers: map[string]time.Duration{},
+		hubSums: latestSums{}, prefillByRun: map[string]receivedPrefill{}, evidence: map[string]*comparedEvidence{}, avoidedHelpers: map[helperKey]time.Duration{},
 	}
 	c.Transport.HandleNotify(peer.RelayState, x.receiveState)
 	c.Transport.HandleNotify(peer.RelaySums, x.receiveSums)
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -99,7 +99,7 @@
 			}
 		}
 		existing.Server = s
-		existing.target = upstream.Target{ID: s.ID, Address: s.Address, Incarnation: s.Incarnation, MaxConnections: b.maxConnectionsLocked(s.Service)}
+		existing.target = upstream.Target{ID: s.ID, Group: s.Service, Address: s.Address, Incarnation: s.Incarnation, MaxConnections: b.maxConnectionsLocked(s.Service)}
 		next[s.ID] = existing
 		if !s.Leaving {
 			targets = append(targets, existing.target)
--- a/internal/relay/brittle.go
+++ b/internal/relay/brittle.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/http"
 	"slices"
 	"time"
 
@@ -77,7 +78,7 @@
 // recordBrittleness records what a response says about the brittleness of its server, and
 // whether it turns the request away.
 func (r *Relay) recordBrittleness(t upstream.Target, attemptID string, status int, info *ResponseInfo) {
-	isTurnedAway := info.NotRun && promisesNotRun(status)
+	isTurnedAway := info.NotRun && status == http.StatusServiceUnavailable
 	if !info.Brittleness.IsNamed && !(isSuccess(status) && info.Signed) {
 		return
 	}
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -14,13 +14,15 @@
 	"buckthornpick/internal/wait"
 )
 
-// An entry without a path to any server makes its calls by way of another entry: a detour.
+// An entry without a path to any server of a service makes its calls to them by way of
+// another entry: a detour.
 // It alone chooses the server, has the permits, quotas and retries of the request, and
 // counts the call; the other entry only sends it, over its own connections, and never by
 // another detour. What a server says of itself counts at both.
 
 // DetourCall is a call to a server that an entry makes for another one.
 type DetourCall struct {
+	Service     string `msgpack:"v"`
 	Server      string `msgpack:"s"`
 	Incarnation int64  `msgpack:"i,omitempty"`
 	AttemptID   string `msgpack:"a"`
@@ -45,19 +47,19 @@
 var ErrNoDetour = errors.New("no other entry has a path to servers")
 
 // do sends the request to the server of c, by a detour if this entry has no path to any
-// server. Errors are those of upstream.Pool.Do, and ErrNoDetour. lastEventID is that of
+// server of the service. Errors are those of upstream.Pool.Do, and ErrNoDetour. lastEventID is that of
 // the event after which a stream goes on; empty for its start.
 func (q *request) do(ctx context.Context, c *choice, lastEventID string) (*upstream.Response, error) {
 	pool := q.relay.Pool
-	if pool.HasPath() {
+	if pool.HasPath(c.target.Group) {
 		resp, err := q.doDirectly(ctx, c, lastEventID)
 		isUnreached := err != nil && !upstream.MayHaveBeenSent(err) && !fault.Is(err, fault.Exhausted)
-		if !isUnreached || pool.HasPath() || ctx.Err() != nil {
+		if !isUnreached || pool.HasPath(c.target.Group) || ctx.Err() != nil {
 			return resp, err
 		}
 	}
 	resp, err := q.doByDetour(ctx, c, lastEventID)
-	if errors.Is(err, ErrNoDetour) && pool.FindPath(ctx) {
+	if errors.Is(err, ErrNoDetour) && pool.FindPath(ctx, c.target.Group) {
 		return q.doDirectly(ctx, c, lastEventID)
 	}
 	return resp, err
@@ -71,7 +73,7 @@
 	remaining := time.Until(q.deadline)
 	r := q.buildRequest(c, lastEventID, remaining)
 	call := DetourCall{
-		Server: c.target.ID, Incarnation: c.target.Incarnation, AttemptID: q.info.AttemptID, Content: q.content,
+		Service: c.target.Group, Server: c.target.ID, Incarnation: c.target.Incarnation, AttemptID: q.info.AttemptID, Content: q.content,
 		Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body, RemainingMillis: remaining.Milliseconds(),
 	}
 	if !q.policy.Public {
@@ -86,7 +88,7 @@
 // fault.Exhausted if nothing was sent, with the cause ErrCannotHelp if that holds for calls
 // to all servers. The call counts as in progress until the response's body is closed.
 func (r *Relay) ServeDetour(ctx context.Context, from string, call *DetourCall) (*upstream.Response, error) {
-	if reason := r.obstacleToDetour(call.KeyHash); reason != "" {
+	if reason := r.obstacleToDetour(call); reason != "" {
 		return nil, cannotHelp(reason)
 	}
 	target, ok := r.Balancer.usableTarget(call.Server, call.Incarnation)
@@ -101,7 +103,7 @@
 	})
 	d := &detour{relay: r, ctx: ctx, from: from, call: call, target: target, startedAt: startedAt}
 	if err != nil {
-		if !r.Pool.HasPath() && !upstream.MayHaveBeenSent(err) {
+		if !r.Pool.HasPath(call.Service) && !upstream.MayHaveBeenSent(err) {
 			err = cannotHelp(reasonNoPath)
 		}
 		d.end(err)
@@ -131,21 +133,21 @@
 // obstacleToDetour returns why this entry makes no calls for others; empty if it does. A
 // key that was taken away is refused here too, since this entry may have been frozen with
 // the call on its way.
-func (r *Relay) obstacleToDetour(keyHash string) string {
+func (r *Relay) obstacleToDetour(call *DetourCall) string {
 	doc, age := r.Documents.Current()
 	switch {
 	case doc == nil:
 		return reasonNoDocument
 	case r.isDraining():
 		return reasonStopping
-	case !r.Pool.HasPath():
+	case !r.Pool.HasPath(call.Service):
 		return reasonNoPath
-	case keyHash == "":
+	case call.KeyHash == "":
 		return ""
 	case age > r.Limits.MaxDocumentAge:
 		return reasonDocumentTooOld
 	}
-	if _, ok := doc.Organisation(keyHash); !ok {
+	if _, ok := doc.Organisation(call.KeyHash); !ok {
 		return reasonUnknownKey
 	}
 	return ""
@@ -210,24 +212,26 @@
 		"total_ms", time.Since(d.startedAt).Milliseconds(), "error", text)
 }
 
-// recordPathChange logs that the path to all servers was lost or regained. Failures
-// until then say nothing about the servers.
-func (r *Relay) recordPathChange(isLost bool) {
-	r.Balancer.forgetUnreachable()
+// recordPathChange logs that the path to all servers of a service was lost or regained.
+// Failures until then say nothing about the servers.
+func (r *Relay) recordPathChange(service string, isLost bool) {
+	r.Balancer.forgetUnreachable(service)
 	event := EvPathRegained
 	if isLost {
 		event = EvPathLost
 	}
-	r.Log.Log(event, "active", r.InFlight())
+	r.Log.Log(event, "service", service, "active", r.InFlight())
 }
 
-// forgetUnreachable uses servers again that are avoided, most of them because they could
-// not be reached.
-func (b *Balancer) forgetUnreachable() {
+// forgetUnreachable uses servers of a service again that are avoided, most of them because
+// they could not be reached.
+func (b *Balancer) forgetUnreachable(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, s := range b.servers {
-		s.health.backoff, s.health.avoidedUntil = 0, 0
+		if s.Service == service {
+			s.health.backoff, s.health.avoidedUntil = 0, 0
+		}
 	}
 	b.updatePickersLocked()
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,6 +32,9 @@
 type Target struct {
 	ID      string
 	Address string
+	// Group is the service of the server. A host may have a path to one service and none to
+	// another one.
+	Group string
 	// Incarnation distinguishes successive starts of a server with the same ID.
 	Incarnation int64
 	// MaxConnections limits the number of this pool's open connections to the server;
@@ -45,22 +47,17 @@
 	network netx.Network
 	opened  metrics.Counter
 
-	// receivedAt is when a server last sent bytes, in Unix nanoseconds.
-	receivedAt atomic.Int64
-	path       netx.PathState
-	// onPathChange is called when the path to the servers is lost or regained; may be nil.
-	onPathChange    func(isLost bool)
-	isSearchingPath atomic.Bool
-	// toCheck holds the IDs of servers to probe, to know whether the path is lost.
-	toCheck chan []string
+	// onPathChange is called when the path to a group is lost or regained; may be nil.
+	onPathChange func(group string, isLost bool)
+	// toCheck holds servers to probe, to know whether the path is lost.
+	toCheck chan []Target
 
 	mu sync.Mutex
 	// targets and servers are keyed by server ID.
 	targets map[string]Target
 	servers map[string]*serverConns
-	// busySince is since when calls have been in progress, as of the last check; zero if
-	// there were none.
-	busySince time.Time
+	// groups are keyed by name.
+	groups map[string]*group
 }
 
 // serverConns holds the connections to one incarnation of a server.
@@ -74,7 +71,7 @@
 // NewPool returns a pool without connections.
 func NewPool(n netx.Network, registry metrics.Registry) *Pool {
 	p := &Pool{
-		network: n, targets: map[string]Target{}, servers: map[string]*serverConns{}, toCheck: make(chan []string, 1),
+		network: n, targets: map[string]Target{}, servers: map[string]*serverConns{}, groups: map[string]*group{}, toCheck: make(chan []Target, 1),
 		opened: metrics.GetOrRegisterCounter("upstream.connections_opened_total", registry),
 	}
 	p.metricsOfPath(registry)
