--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -59,10 +59,16 @@
 		}
 	}
 	resp, err := q.doByDetour(ctx, c, lastEventID)
-	if errors.Is(err, ErrNoDetour) && pool.FindPath(ctx, c.target.Group) {
+	if !errors.Is(err, ErrNoDetour) {
+		return resp, err
+	}
+	switch isReached, isAny := pool.FindPath(ctx, c.target); {
+	case isReached:
 		return q.doDirectly(ctx, c, lastEventID)
+	case isAny:
+		return nil, fault.New(fault.Unavailable, "relay.detour", c.target.ID, "no entry reaches it, and this one reaches others")
 	}
-	return resp, err
+	return nil, err
 }
 
 func (q *request) doDirectly(ctx context.Context, c *choice, lastEventID string) (*upstream.Response, error) {
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -131,6 +131,9 @@
 		}
 	}
 	n.lookForPath(address)
+	if isReached, _ := n.path.HasReached(address); isReached {
+		return n.dialDirectly(ctx, address)
+	}
 	others := c.Others()
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	var err error = fault.New(fault.Unavailable, "tunnel.dial", address, "no other node has a path")
--- a/internal/upstream/path.go
+++ b/internal/upstream/path.go
@@ -115,15 +115,19 @@
 	return now.Sub(g.busySince) >= maxServerSilence && now.Sub(time.Unix(0, g.receivedAt.Load())) >= maxServerSilence
 }
 
-// FindPath looks for a path to some servers of a group, unless another call does so already,
-// and reports whether there is one. It takes findPathTimeout at most.
-func (p *Pool) FindPath(ctx context.Context, name string) bool {
-	g := p.group(name)
+// FindPath looks for a path to the target and some others of its group, unless another call
+// does so already. It reports whether the target can be reached, and whether any server of
+// the group can. It takes findPathTimeout at most.
+func (p *Pool) FindPath(ctx context.Context, t Target) (isReached, isAny bool) {
+	g := p.group(t.Group)
 	if g.path.IsLost() && g.isSearched.CompareAndSwap(false, true) {
-		p.probe(ctx, p.randomTargets(g, findPathProbes), findPathTimeout)
+		p.probe(ctx, append(p.randomTargets(g, findPathProbes-1), t), findPathTimeout)
 		g.isSearched.Store(false)
 	}
-	return !g.path.IsLost()
+	if !g.path.IsLost() {
+		return true, true
+	}
+	return g.path.HasReached(t.ID)
 }
 
 // randomTargets returns up to n random servers of a group.
