--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -203,14 +203,7 @@
 	}
 	x.compareEvidence(from, message.Run, message.Evidence)
 	x.mergeLimits(from, message.Limits)
-	x.mu.Lock()
-	isStarting := len(x.tracker.states) == 0
-	x.mu.Unlock()
-	if isStarting {
-		for service, most := range message.Brittle {
-			x.Balancer.MergeBrittle(relay.BrittleNotice{Service: service, MaxTurnedAway: most})
-		}
-	}
+	x.learnBrittle(message.Brittle)
 	x.mu.Lock()
 	if x.position.usesHubs && (!x.position.isHub || from.Zone != x.self.Zone) {
 		x.mu.Unlock() // included in the sums of hubs
--- a/internal/exchange/permit.go
+++ b/internal/exchange/permit.go
@@ -104,3 +104,17 @@
 		"turned_away", n.Server != "", "told_by", from.ID)
 	x.propagate(peer.RelayBrittle, n, from)
 }
+
+// learnBrittle takes over which services are brittle from the first message of another entry.
+// Later on notices tell.
+func (x *Exchange) learnBrittle(services map[string]float64) {
+	x.mu.Lock()
+	isStarting := len(x.tracker.states) == 0
+	x.mu.Unlock()
+	if !isStarting {
+		return
+	}
+	for service, most := range services {
+		x.Balancer.MergeBrittle(relay.BrittleNotice{Service: service, MaxTurnedAway: most})
+	}
+}
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -47,8 +47,8 @@
 var ErrNoDetour = errors.New("no other entry has a path to servers")
 
 // do sends the request to the server of c, by a detour if this entry has no path to any
-// server of the service. Errors are those of upstream.Pool.Do, and ErrNoDetour. lastEventID is that of
-// the event after which a stream goes on; empty for its start.
+// server of the service. lastEventID is that of the event after which a stream goes on;
+// empty for its start. Errors are those of upstream.Pool.Do, and ErrNoDetour.
 func (q *request) do(ctx context.Context, c *choice, lastEventID string) (*upstream.Response, error) {
 	pool := q.relay.Pool
 	if pool.HasPath(c.target.Group) {
@@ -92,7 +92,7 @@
 
 // ServeDetour makes a call for another entry. The error is fault.Unavailable or
 // fault.Exhausted if nothing was sent, with the cause ErrCannotHelp if that holds for calls
-// to all servers. The call counts as in progress until the response's body is closed.
+// to all servers of the service. The call counts as in progress until the response's body is closed.
 func (r *Relay) ServeDetour(ctx context.Context, from string, call *DetourCall) (*upstream.Response, error) {
 	if reason := r.obstacleToDetour(call); reason != "" {
 		return nil, cannotHelp(reason)
@@ -122,14 +122,14 @@
 	return resp, nil
 }
 
-// AwaitDetours waits until all requests and calls for other entries have ended, or ctx ends.
-func (r *Relay) AwaitDetours(ctx context.Context) {
-	for r.active.Load() > 0 && wait.For(ctx, detourCheckInterval) {
+// AwaitIdle waits until all requests and calls for other entries have ended, or ctx ends.
+func (r *Relay) AwaitIdle(ctx context.Context) {
+	for r.active.Load() > 0 && wait.For(ctx, idleCheckInterval) {
 	}
 }
 
-// detourCheckInterval is the interval at which AwaitDetours checks the calls in progress.
-const detourCheckInterval = 20 * time.Millisecond
+// idleCheckInterval is the interval at which AwaitIdle checks the calls in progress.
+const idleCheckInterval = 20 * time.Millisecond
 
 // cannotHelp returns an error with the cause ErrCannotHelp.
 func cannotHelp(reason string) error {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -101,7 +101,7 @@
 	durations   *durationEstimates
 	// drainPlan is nil unless the relay drains.
 	drainPlan atomic.Pointer[DrainPlan]
-	// active is the number of requests in flight.
+	// active is the number of requests and of calls for other entries in flight.
 	active atomic.Int64
 }
 
@@ -116,7 +116,8 @@
 	return r
 }
 
-// InFlight returns the number of requests that have no final response yet.
+// InFlight returns the number of requests that have no final response yet, and of calls for
+// other entries.
 func (r *Relay) InFlight() int64 { return r.active.Load() }
 
 // DrainPlan holds the times of a planned stop.
--- a/internal/relay/serverlimit.go
+++ b/internal/relay/serverlimit.go
@@ -68,8 +68,8 @@
 type PermitRequest struct {
 	Server string      `msgpack:"s"`
 	Known  LimitReport `msgpack:"l"`
-	// IsBrittle is true if the server takes a place at a brittle server until it is given
-	// back, or for RemainingMillis at most.
+	// IsBrittle is true if the server is brittle. The request then takes a place there until
+	// it is given back, or for RemainingMillis at most.
 	IsBrittle       bool    `msgpack:"b,omitempty"`
 	MaxTurnedAway   float64 `msgpack:"n,omitempty"`
 	RemainingMillis int64   `msgpack:"t,omitempty"`
--- a/internal/relayd/stop.go
+++ b/internal/relayd/stop.go
@@ -33,7 +33,7 @@
 	p.cli.Log.Log(relay.EvDraining, "active", p.relay.InFlight(), "grace_ms", grace.Milliseconds())
 	time.Sleep(min(deregistrationDelay, grace/2))
 	err := callers.Drain(ctx)
-	p.relay.AwaitDetours(ctx)
+	p.relay.AwaitIdle(ctx)
 	p.exchange.Flush()
 	p.cli.Log.Log(relay.EvDrained, "active", p.relay.InFlight(), "complete", err == nil)
 }
--- a/internal/upstream/path.go
+++ b/internal/upstream/path.go
@@ -40,8 +40,10 @@
 	busySince time.Time
 }
 
-// groupLocked returns the group with the name and creates it if necessary.
-func (p *Pool) groupLocked(name string) *group {
+// group returns the group with the name and creates it if necessary.
+func (p *Pool) group(name string) *group {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	g, ok := p.groups[name]
 	if !ok {
 		g = &group{name: name}
@@ -50,12 +52,6 @@
 	return g
 }
 
-func (p *Pool) group(name string) *group {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.groupLocked(name)
-}
-
 // OnPathChange sets the function that is called when the path to all servers of a group is
 // lost and when it is regained. It must be called before the pool is used.
 func (p *Pool) OnPathChange(f func(group string, isLost bool)) { p.onPathChange = f }
