--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -15,10 +15,10 @@
 )
 
 // An entry without a path to any server of a service makes its calls to them by way of
-// another entry: a detour.
-// It alone chooses the server, has the permits, quotas and retries of the request, and
-// counts the call; the other entry only sends it, over its own connections, and never by
-// another detour. What a server says of itself counts at both.
+// another entry: a detour. The entry that has the caller chooses the server, has the
+// permits, quotas and retries of the request, and counts the call. The other entry only
+// sends it, over its own connections, and never by another detour. What a server says of
+// itself counts at both.
 
 // DetourCall is a call to a server that an entry makes for another one.
 type DetourCall struct {
@@ -92,7 +92,8 @@
 
 // ServeDetour makes a call for another entry. The error is fault.Unavailable or
 // fault.Exhausted if nothing was sent, with the cause ErrCannotHelp if that holds for calls
-// to all servers of the service. The call counts as in progress until the response's body is closed.
+// to all servers of the service. The call counts as in progress until the response's body is
+// closed.
 func (r *Relay) ServeDetour(ctx context.Context, from string, call *DetourCall) (*upstream.Response, error) {
 	if reason := r.obstacleToDetour(call); reason != "" {
 		return nil, cannotHelp(reason)
