originstore, relay, exchange: the origins of streams outlive all entries

Cause: the origin of a stream (service, software version) lived in the memory of entries only. After all had been killed nothing went on, and once the new views were 10 s old and the former version had left, the remaining one counted as the only one and texts were joined.

Change: (1) a resumable stream begins only at an origin that is declared in the store, under a rule that is declared for its service; an entry that reads the declarations after a caller has come back knows all origins that the stream can have, and concludes a single one only from there. (2) While a rule has several, hubs, or two entries of a small site, write batches of records to the store, at most one each 200 ms; an entry without a record reads them. (3) A caller whose stream cannot go on within its deadline is told so at once; one whose version may come back, when that is known. The former conclusion from views that are 4 s old is gone, and with it two of the listed limits. A store that came back from a copy makes the declarations incomplete until running entries have repeated theirs (6 s), or for two minutes if none was running.

TestRetryOfUnknownStreamIsRunOnlyWhileOneSoftwareVersionServes: an origin counts for 12.5 minutes after its last server left, not for two: an entry that is cut off may begin streams there for ten. The test waits longer, and checks the refusal after three minutes too. Whole tests of internal, platform, test and cmd pass.

--- a/internal/config/settings_relay.go
+++ b/internal/config/settings_relay.go
@@ -19,9 +19,12 @@
 	// disables all duties.
 	Cloud string `json:"cloud"`
 	// Duties are the duties that this relay may perform; default none.
-	Duties []string    `json:"duties"`
-	Bounds RelayBounds `json:"bounds"`
-	Log    LogSettings `json:"log"`
+	Duties []string `json:"duties"`
+	// Bootstrap is true if the whole site starts for the first time, so that there are no
+	// streams of earlier relays; default false.
+	Bootstrap bool        `json:"bootstrap"`
+	Bounds    RelayBounds `json:"bounds"`
+	Log       LogSettings `json:"log"`
 }
 
 // Duties are tasks that one relay at a time performs for the whole site.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -76,6 +76,7 @@
 	Quotas    *relay.Quotas
 	Crashes   *blame.Tracker
 	Origins   *relay.Origins
+	Archive   Archive
 	Counts    *usage.Counts
 	Clock     clock.Clock
 	Log       *telemetry.Logger
--- a/internal/exchange/origins.go
+++ b/internal/exchange/origins.go
@@ -20,6 +20,9 @@
 	// those that another entry asks.
 	originKeepers    = 2
 	originCandidates = 4
+	// originArchivers is the number of entries of a small site that write the origins of
+	// all streams to the store, each by itself, so that one may fail.
+	originArchivers = 2
 	// maxOriginsPerMessage limits the records in one message.
 	maxOriginsPerMessage = 500
 	// originForwardTimeout bounds the questions of a hub to hubs of other zones. It is
@@ -30,12 +33,22 @@
 // originsMessage holds the origins of streams that its sender began.
 type originsMessage struct {
 	Records []relay.OriginRecord `msgpack:"r"`
+	// IsForArchive is true if the receiver also writes the records to the store.
+	IsForArchive bool `msgpack:"a,omitempty"`
+}
+
+// Archive writes origins of streams to the store.
+type Archive interface {
+	relay.OriginStore
+	Add([]relay.OriginRecord)
 }
 
 // originQuestion asks for the origin of the stream that an attempt began.
 type originQuestion struct {
 	Rule      string `msgpack:"u"`
 	AttemptID string `msgpack:"a"`
+	// AskStore is true if the sender cannot read the store.
+	AskStore bool `msgpack:"s,omitempty"`
 }
 
 // originCandidatesOf returns the first n entries that may keep the origin of a stream
@@ -56,23 +69,59 @@
 
 // ShareOrigins implements relay.Peers. In a small site a record goes to entries that
 // are found by its attempt's ID, in a large one to the hubs of this zone, with which
-// there are connections anyway.
+// there are connections anyway. The archivers write them to the store.
 func (x *Exchange) ShareOrigins(records []relay.OriginRecord) {
+	if len(records) == 0 {
+		return
+	}
 	p := x.currentPosition()
 	if p.usesHubs {
-		x.sendOrigins(p.uplinks, records)
+		x.sendOrigins(p.uplinks, records, true)
+		if p.isHub {
+			x.Archive.Add(records)
+		}
 		return
 	}
 	others := x.Entries.Others()
+	archivers, isArchiver := x.archivers(others)
+	if isArchiver {
+		x.Archive.Add(records)
+	}
+	x.sendOrigins(archivers, records, true)
 	byKeeper := map[peer.Node][]relay.OriginRecord{}
 	for _, record := range records {
 		for _, node := range x.reachable(originCandidatesOf(record.AttemptID, others, originCandidates), originKeepers) {
-			byKeeper[node] = append(byKeeper[node], record)
+			if !slices.Contains(archivers, node) {
+				byKeeper[node] = append(byKeeper[node], record)
+			}
 		}
 	}
 	for node, list := range byKeeper {
-		x.sendOrigins([]peer.Node{node}, list)
+		x.sendOrigins([]peer.Node{node}, list, false)
+	}
+}
+
+// archivers returns the other entries of a small site that write the origins of all
+// streams to the store, and whether this entry is one too: the first reachable ones.
+func (x *Exchange) archivers(others []peer.Node) (archivers []peer.Node, isArchiver bool) {
+	nodes := x.reachable(others, originArchivers)
+	at, _ := slices.BinarySearchFunc(nodes, x.self, byID)
+	isArchiver = at < originArchivers
+	if isArchiver {
+		nodes = nodes[:min(len(nodes), originArchivers-1)]
 	}
+	return nodes, isArchiver
+}
+
+// KeepsOrigins reports whether this entry is one of those that write the origins of
+// streams to the store.
+func (x *Exchange) KeepsOrigins() bool {
+	p := x.currentPosition()
+	if p.usesHubs {
+		return p.isHub
+	}
+	_, isArchiver := x.archivers(x.Entries.Others())
+	return isArchiver
 }
 
 // reachable returns the first n nodes that are not known to be unreachable.
@@ -86,27 +135,31 @@
 	return list
 }
 
-func (x *Exchange) sendOrigins(nodes []peer.Node, records []relay.OriginRecord) {
+func (x *Exchange) sendOrigins(nodes []peer.Node, records []relay.OriginRecord, isForArchive bool) {
 	for chunk := range slices.Chunk(records, maxOriginsPerMessage) {
-		x.sendTo(nodes, peer.RelayOrigins, originsMessage{chunk})
+		x.sendTo(nodes, peer.RelayOrigins, originsMessage{chunk, isForArchive})
 	}
 }
 
 func (x *Exchange) receiveOrigins(_ peer.Node, decode func(any) error) {
 	var message originsMessage
-	if decode(&message) == nil {
-		x.Origins.MergeRecords(message.Records)
+	if decode(&message) != nil {
+		return // the transport has logged it
+	}
+	x.Origins.MergeRecords(message.Records)
+	if message.IsForArchive {
+		x.Archive.Add(message.Records)
 	}
 }
 
 // FindOrigin implements relay.Peers.
-func (x *Exchange) FindOrigin(ctx context.Context, rule, attemptID string) (relay.OriginAnswer, string) {
+func (x *Exchange) FindOrigin(ctx context.Context, rule, attemptID string, askStore bool) (relay.OriginAnswer, string) {
 	p := x.currentPosition()
 	nodes := slices.Concat(p.uplinks, p.remoteHubs)
 	if !p.usesHubs {
 		nodes = originCandidatesOf(attemptID, x.Entries.Others(), originCandidates+1)
 	}
-	return x.askOrigin(ctx, nodes, originQuestion{Rule: rule, AttemptID: attemptID})
+	return x.askOrigin(ctx, nodes, originQuestion{Rule: rule, AttemptID: attemptID, AskStore: askStore})
 }
 
 // askOrigin asks all nodes and returns the first record with the ID of the node, or
@@ -133,7 +186,7 @@
 		if r.err != nil {
 			continue
 		}
-		if r.answer.IsKnown {
+		if r.answer.IsKnown || r.answer.Only != nil {
 			return r.answer, r.node
 		}
 		all = all.Merge(r.answer)
@@ -145,6 +198,16 @@
 // the other zones if an entry of its own zone asks.
 func (x *Exchange) serveOriginQuery(ctx context.Context, from peer.Node, question originQuestion) (relay.OriginAnswer, error) {
 	own := x.Origins.Find(question.Rule, question.AttemptID)
+	if question.AskStore && !own.IsKnown {
+		stored, err := x.Archive.Find(ctx, question.Rule, question.AttemptID)
+		if err == nil && stored.IsKnown {
+			return relay.OriginAnswer{IsKnown: true, Origin: stored.Origin}, nil
+		}
+		if err == nil && stored.IsOnly {
+			own.Only = &stored.Origin
+			return own, nil
+		}
+	}
 	p := x.currentPosition()
 	if own.IsKnown || !p.isHub || from.Zone != x.self.Zone {
 		return own, nil
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -44,10 +44,10 @@
 	return 0
 }
 
-// pick selects a server, other than those in tried, for a request, and only one of
-// origin unless that is nil. A maxTimeToFirstToken of 0 is no limit. Servers for which a
+// pick selects a server, other than those in tried, for a request, and only one of the
+// given software versions unless versions is nil. A maxTimeToFirstToken of 0 is no limit. Servers for which a
 // permit is needed are left out unless withPermit is set. Errors are those of route.Picker.
-func (b *Balancer) pick(service string, info *RequestInfo, maxTimeToFirstToken time.Duration, tried map[string]bool, origin *StreamOrigin, withPermit bool) (*choice, error) {
+func (b *Balancer) pick(service string, info *RequestInfo, maxTimeToFirstToken time.Duration, tried, versions map[string]bool, withPermit bool) (*choice, error) {
 	b.mu.Lock()
 	now := b.clock()
 	for _, s := range b.servers {
@@ -57,7 +57,7 @@
 		}
 	}
 	picker := b.pickerLocked(service)
-	isAllowed := b.serversOfLocked(origin)
+	isAllowed := b.serversOfLocked(service, versions)
 	var needsPermit map[string]bool
 	if !withPermit {
 		needsPermit = b.serversWithPermitLocked(service)
@@ -67,7 +67,7 @@
 		Now: time.Now(), Service: service, Context: sharedPrefixHash(info), PromptTokens: info.PromptTokens, MaxCachedTokens: info.SharedTokens(),
 		MaxTokens: info.MaxTokens, MaxFirstTokenDelay: maxTimeToFirstToken,
 		Exclude: func(id string) bool {
-			return tried[id] || needsPermit[id] || origin != nil && !isAllowed[id]
+			return tried[id] || needsPermit[id] || versions != nil && !isAllowed[id]
 		},
 	}
 	picked, err := picker.Pick(q)
@@ -101,14 +101,15 @@
 	c.picker.RecordDispatch(c.query.Now, s.ID, c.query)
 }
 
-// serversOfLocked returns the set of IDs of the servers of origin, nil if it is nil.
-func (b *Balancer) serversOfLocked(origin *StreamOrigin) map[string]bool {
-	if origin == nil {
+// serversOfLocked returns the set of IDs of the service's servers of the given versions,
+// nil if versions is nil.
+func (b *Balancer) serversOfLocked(service string, versions map[string]bool) map[string]bool {
+	if versions == nil {
 		return nil
 	}
 	ids := map[string]bool{}
 	for id, s := range b.servers {
-		if s.Service == origin.Service && s.Version == origin.Version {
+		if s.Service == service && versions[s.Version] {
 			ids[id] = true
 		}
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -42,3 +42,8 @@
 
 // recordMillis adds a duration to a histogram.
 func recordMillis(h metrics.Histogram, d time.Duration) { h.Update(d.Milliseconds()) }
+
+// countOriginLookup counts a search for the origin of a stream by how it was found.
+func (m *relayMetrics) countOriginLookup(source originSource) {
+	metrics.GetOrRegisterCounter("relay.origin_lookups."+string(source)+"_total", m.registry).Inc(1)
+}
--- a/internal/relay/origins_test.go
+++ b/internal/relay/origins_test.go
@@ -36,41 +36,60 @@
 	return f.SetServers(list)
 }
 
-func TestOneVersionIsConcludedOnlyFromLongAndFreshView(t *testing.T) {
+// declare declares versions of "s" for the rule.
+func (f *originsFixture) declare(completeAt time.Duration, versions ...string) []OriginRecord {
+	d := DeclaredOrigins{InUse: newOriginUses(), ByRule: map[string][]StreamOrigin{}, ValidUntil: f.now + time.Hour, CompleteAt: completeAt}
+	d.InUse.Rules[RuleService{"r", "s"}] = true
+	for _, v := range versions {
+		d.InUse.Origins[StreamOrigin{"s", v}] = true
+		d.ByRule["r"] = append(d.ByRule["r"], StreamOrigin{"s", v})
+	}
+	return f.SetDeclared(d)
+}
+
+func TestOneVersionIsConcludedOnlyFromCompleteDeclarationsAndFreshView(t *testing.T) {
 	f := newOriginsFixture()
 	f.serve("1")
-	require.Equal(t, OriginAnswer{Seen: []StreamOrigin{originV1}}, f.Find("r", "x"), "an entry that has just started")
-	f.now += minOriginWatch
+	require.Equal(t, OriginAnswer{Seen: []StreamOrigin{originV1}}, f.Find("r", "x"), "nothing is declared")
+	require.Empty(t, f.DeclaredVersions("r", "s"))
+	f.declare(f.now+time.Second, "1")
+	require.False(t, f.Find("r", "x").IsSettled, "the declarations are not complete yet")
+	f.now += time.Second
 	require.True(t, f.Find("r", "x").IsSettled)
 	f.viewAge = maxOriginViewAge + 1
 	require.False(t, f.Find("r", "x").IsSettled, "the view is too old")
 	f.viewAge = 0
 	f.serve("1", "2")
 	f.serve("2")
+	f.declare(0, "2")
 	f.now += originHistory
 	require.Equal(t, OriginAnswer{Seen: []StreamOrigin{originV1, originV2}}, f.Find("r", "x"), "streams of version 1 may be resumed")
 	f.now++
 	require.Equal(t, OriginAnswer{Seen: []StreamOrigin{originV2}, IsSettled: true}, f.Find("r", "x"))
 	require.False(t, f.Find("other", "x").IsSettled)
+	require.Equal(t, map[string]bool{"2": true}, f.DeclaredVersions("r", "s"))
+	require.Empty(t, f.DeclaredVersions("other", "s"))
+	f.now += 2 * time.Hour
+	require.Empty(t, f.DeclaredVersions("r", "s"), "the copy of the declarations is too old")
 }
 
 func TestRecordsAreSharedOnceARuleHasTwoVersions(t *testing.T) {
 	f := newOriginsFixture()
 	f.serve("1")
-	require.True(t, f.Record("r", OriginRecord{"young", originV1}))
-	f.now += minOriginWatch
-	require.False(t, f.Record("r", OriginRecord{"a", originV1}))
-	f.MergeRecords([]OriginRecord{{"of another entry", originV1}})
-	require.Equal(t, []OriginRecord{{"a", originV1}}, f.serve("1", "2"))
+	require.True(t, f.Record("r", OriginRecord{"undeclared", originV1, 0}))
+	f.declare(0, "1")
+	require.False(t, f.Record("r", OriginRecord{"a", originV1, time.Second}))
+	f.MergeRecords([]OriginRecord{{"of another entry", originV1, 0}})
+	require.Equal(t, []OriginRecord{{"a", originV1, time.Second}}, f.serve("1", "2"))
 	require.Empty(t, f.serve("2"), "each record is shared once")
-	require.True(t, f.Record("r", OriginRecord{"b", originV2}))
+	require.True(t, f.Record("r", OriginRecord{"b", originV2, 0}))
 	require.Equal(t, OriginAnswer{IsKnown: true, Origin: originV1}, f.Find("r", "a"))
-	f.now += originRetention + 1
+	f.now += OriginRetention + 1
 	require.False(t, f.Find("r", "a").IsKnown, "expired")
 	require.Empty(t, f.queue)
 	for range maxOriginRecords + 5 {
 		f.now++
-		f.Record("r", OriginRecord{f.now.String(), originV2})
+		f.Record("r", OriginRecord{f.now.String(), originV2, 0})
 	}
 	require.Len(t, f.records, maxOriginRecords)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -57,8 +57,9 @@
 	// ShareOrigins sends the origins of streams to entries that keep them.
 	ShareOrigins([]OriginRecord)
 	// FindOrigin asks the entries that keep the origin of the stream which the attempt
-	// began under the rule. If one of them has a record, its ID is returned too.
-	FindOrigin(ctx context.Context, rule, attemptID string) (OriginAnswer, string)
+	// began under the rule, and what they find in the store if askStore is set. If one of
+	// them knows it, its ID is returned too.
+	FindOrigin(ctx context.Context, rule, attemptID string, askStore bool) (OriginAnswer, string)
 }
 
 // Registry is the view of the registry of backend servers.
@@ -83,13 +84,15 @@
 	Quotas    *Quotas
 	Crashes   *blame.Tracker
 	Origins   *Origins
-	Peers     Peers
-	Usage     UsageRecorder
-	Limits    Limits
-	Zone      string
-	Clock     clock.Clock
-	Log       *telemetry.Logger
-	Metrics   metrics.Registry
+	// OriginStore holds the origins of streams that outlive the entries.
+	OriginStore OriginStore
+	Peers       Peers
+	Usage       UsageRecorder
+	Limits      Limits
+	Zone        string
+	Clock       clock.Clock
+	Log         *telemetry.Logger
+	Metrics     metrics.Registry
 }
 
 // Relay forwards callers' requests to backend servers. It implements http.Handler.
--- a/internal/relay/resumption.go
+++ b/internal/relay/resumption.go
@@ -23,6 +23,9 @@
 	// may resume a stream before the record of its origin has arrived.
 	originLookupTimeout = 150 * time.Millisecond
 	originLookupPause   = 50 * time.Millisecond
+	// storeLookupTimeout bounds the lookup in the store, which may wait for the next of
+	// several reads that requests share.
+	storeLookupTimeout = 500 * time.Millisecond
 )
 
 // recordOrigin records which servers may continue the request's stream, before its
@@ -33,12 +36,33 @@
 	}
 	q.isOriginRecorded = true
 	q.origin = &StreamOrigin{Service: q.service, Version: c.version}
-	record := OriginRecord{AttemptID: q.info.AttemptID, Origin: *q.origin}
+	record := OriginRecord{AttemptID: q.info.AttemptID, Origin: *q.origin, Remaining: q.callerRemaining()}
 	if q.relay.Origins.Record(q.ruleName, record) {
 		q.relay.Peers.ShareOrigins([]OriginRecord{record})
 	}
 }
 
+// allowedVersions returns the software versions whose servers the request may be sent to,
+// nil for all. A new stream begins only at a version that is declared, so that entries
+// which start later know of it.
+func (q *request) allowedVersions() map[string]bool {
+	switch {
+	case q.origin != nil:
+		return map[string]bool{q.origin.Version: true}
+	case q.policy.Repetition == resumable:
+		return q.relay.Origins.DeclaredVersions(q.ruleName, q.service)
+	}
+	return nil
+}
+
+// callerRemaining returns how long the caller still waits, 0 if it has not said so.
+func (q *request) callerRemaining() time.Duration {
+	if q.info.Remaining == 0 {
+		return 0
+	}
+	return max(1, time.Until(q.arrivedAt.Add(q.info.Remaining)))
+}
+
 // pinToOrigin restricts a request that resumes a stream to the servers that may
 // continue it. It returns a refusal if these are not known, or if the rule no longer
 // allows their service.
@@ -46,58 +70,134 @@
 	if q.policy.Repetition != resumable || q.info.LastEventID == "" {
 		return nil
 	}
-	origin, source := q.findOrigin()
-	if source == "" {
-		return unavailable(reasonOriginUnknown, retryAfterOtherEntry)
+	found := q.findOrigin()
+	q.relay.instruments.countOriginLookup(found.source)
+	if found.source == sourceNone {
+		q.detail = originsText(found.seen)
+		return unavailable(reasonOriginUnknown, found.retryAfter)
 	}
 	q.relay.Log.Log(EvStreamPinned, "request", q.info.AttemptID, "resumes", q.info.ResumedAttempt, "after", q.info.LastEventID,
-		"service", origin.Service, "version", origin.Version, "known_by", source)
-	if !slices.Contains(q.services, origin.Service) {
-		q.detail = "the stream was begun by service " + origin.Service
-		return unavailable(reasonServiceChanged, retryAfterBusy)
+		"service", found.origin.Service, "version", found.origin.Version, "known_by", found.source, "entry", found.entry)
+	if !slices.Contains(q.services, found.origin.Service) {
+		q.detail = "the stream was begun by service " + found.origin.Service
+		return unavailable(reasonServiceChanged, q.retryAfterDeadline())
 	}
-	q.service, q.origin = origin.Service, &origin
+	q.service, q.origin = found.origin.Service, &found.origin
 	return nil
 }
 
-// Sources of a stream's origin other than the ID of an entry.
+// originSource is how the origin of a stream is known.
+type originSource string
+
 const (
-	// sourceSelf: this entry has the record.
-	sourceSelf = "self"
-	// sourceOnlyOrigin: no record was found, and the rule has lately had only one
-	// origin.
-	sourceOnlyOrigin = "only-version"
+	// sourceSelf, sourceEntry and sourceStore: this entry, another one or the store has a
+	// record.
+	sourceSelf  originSource = "self"
+	sourceEntry originSource = "entry"
+	sourceStore originSource = "store"
+	// sourceOnlyOrigin: there is no record, and the rule has had only one origin.
+	sourceOnlyOrigin originSource = "only-version"
+	// sourceNone: the origin is not known.
+	sourceNone originSource = "unknown"
 )
 
-// findOrigin returns the origin of the stream that the request resumes, and how it is
-// known; the source is empty if it is not.
-func (q *request) findOrigin() (origin StreamOrigin, source string) {
+// foundOrigin is the result of a search for the origin of a stream.
+type foundOrigin struct {
+	origin StreamOrigin
+	source originSource
+	// entry is the other entry that knew it; empty if none did.
+	entry string
+	// seen and retryAfter are set if the origin is not known: the origins that it may be,
+	// and when it makes sense to ask again.
+	seen       []StreamOrigin
+	retryAfter time.Duration
+}
+
+// findOrigin finds the origin of the stream that the request resumes: in the records of
+// this entry, of the store and of other entries, or because the rule has had only one.
+// That is concluded only from the store, since this entry may be cut off from it and not
+// know of another one.
+func (q *request) findOrigin() foundOrigin {
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
-	for n := 0; ; n++ {
-		own := q.relay.Origins.Find(q.ruleName, q.info.ResumedAttempt)
-		if own.IsKnown {
-			return own.Origin, sourceSelf
-		}
-		answer, entry := q.findOriginAtPeers(ctx)
-		if answer.IsKnown {
-			return answer.Origin, entry
+	own := func() foundOrigin {
+		if answer := q.relay.Origins.Find(q.ruleName, q.info.ResumedAttempt); answer.IsKnown {
+			return foundOrigin{origin: answer.Origin, source: sourceSelf}
 		}
-		all := own.Merge(answer)
-		if len(all.Seen) == 1 && all.IsSettled {
-			return all.Seen[0], sourceOnlyOrigin
-		}
-		if n > 0 || !wait.For(ctx, originLookupPause) {
-			q.detail = originsText(all.Seen)
-			return StreamOrigin{}, ""
+		return foundOrigin{source: sourceNone}
+	}
+	if found := own(); found.source != sourceNone {
+		return found
+	}
+	atEntries := make(chan foundOrigin, 1)
+	go func() { atEntries <- q.findOriginAtEntries(ctx, false) }()
+	inStore, isRead := q.findOriginInStore(ctx)
+	if inStore.source != sourceNone {
+		return inStore
+	}
+	found := <-atEntries
+	// The record may still have been on its way.
+	if found.source == sourceNone && wait.For(ctx, originLookupPause) {
+		if found = own(); found.source == sourceNone {
+			found = q.findOriginAtEntries(ctx, !isRead)
 		}
 	}
+	if found.source == sourceNone && isRead {
+		return inStore
+	}
+	return found
+}
+
+// findOriginInStore looks the origin up in the store. isRead is true if the store has
+// answered.
+func (q *request) findOriginInStore(ctx context.Context) (found foundOrigin, isRead bool) {
+	ctx, cancel := context.WithTimeout(ctx, storeLookupTimeout)
+	defer cancel()
+	stored, err := q.relay.OriginStore.Find(ctx, q.ruleName, q.info.ResumedAttempt)
+	switch {
+	case err != nil:
+		return foundOrigin{source: sourceNone}, false
+	case stored.IsKnown:
+		return foundOrigin{origin: stored.Origin, source: sourceStore}, true
+	case stored.IsOnly:
+		return foundOrigin{origin: stored.Origin, source: sourceOnlyOrigin}, true
+	}
+	found = foundOrigin{source: sourceNone, seen: stored.Seen, retryAfter: q.retryAfterDeadline()}
+	if stored.CompleteIn > 0 && len(stored.Seen) <= 1 {
+		found.retryAfter = max(retryAfterBusy, stored.CompleteIn)
+	}
+	return found, true
 }
 
-func (q *request) findOriginAtPeers(ctx context.Context) (OriginAnswer, string) {
+// findOriginAtEntries asks other entries, also for what they find in the store if askStore
+// is set.
+func (q *request) findOriginAtEntries(ctx context.Context, askStore bool) foundOrigin {
 	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
 	defer cancel()
-	return q.relay.Peers.FindOrigin(ctx, q.ruleName, q.info.ResumedAttempt)
+	answer, entry := q.relay.Peers.FindOrigin(ctx, q.ruleName, q.info.ResumedAttempt, askStore)
+	switch {
+	case answer.IsKnown:
+		return foundOrigin{origin: answer.Origin, source: sourceEntry, entry: entry}
+	case answer.Only != nil:
+		return foundOrigin{origin: *answer.Only, source: sourceOnlyOrigin, entry: entry}
+	}
+	return foundOrigin{source: sourceNone, seen: answer.Seen, retryAfter: retryAfterBusy}
+}
+
+// retryAfterDeadline is for a request that cannot be served within the time for which its
+// caller waits.
+func (q *request) retryAfterDeadline() time.Duration {
+	return max(retryAfterNoPath, q.callerRemaining())
+}
+
+// retryAfterVersionGone returns when to ask again for a stream whose version has no server
+// that accepts requests: when the servers that live are registered again, and if they
+// are, not within the caller's deadline.
+func (q *request) retryAfterVersionGone() time.Duration {
+	if goneIn := q.relay.Origins.GoneIn(*q.origin); goneIn > 0 {
+		return max(retryAfterBusy, goneIn)
+	}
+	return q.retryAfterDeadline()
 }
 
 // originsText returns a text that names the origins.
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -88,7 +88,7 @@
 	}
 	if q.origin != nil {
 		q.detail += " of version " + q.origin.Version
-		return q.refuseFurtherSends(reasonVersionGone, retryAfterBusy)
+		return q.refuseFurtherSends(reasonVersionGone, q.retryAfterVersionGone())
 	}
 	return q.refuseFurtherSends(reasonNoServer, retryAfterBusy)
 }
--- a/internal/relay/serverlimit.go
+++ b/internal/relay/serverlimit.go
@@ -259,7 +259,7 @@
 // named a limit or is brittle, and selects another one if there is none.
 func (q *request) pick(ctx context.Context, maxTimeToFirstToken time.Duration) (*choice, error) {
 	for range maxPermitRequests {
-		c, err := q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken, q.tried, q.origin, true)
+		c, err := q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken, q.tried, q.allowedVersions(), true)
 		if err != nil || c.permit == nil {
 			return c, err
 		}
@@ -271,5 +271,5 @@
 			return c, nil
 		}
 	}
-	return q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken, q.tried, q.origin, false)
+	return q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken, q.tried, q.allowedVersions(), false)
 }
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -25,6 +25,7 @@
 	"buckthornpick/internal/follow"
 	"buckthornpick/internal/lease"
 	"buckthornpick/internal/netx"
+	"buckthornpick/internal/originstore"
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/quota"
 	"buckthornpick/internal/relay"
@@ -137,6 +138,8 @@
 	usageCounts      *usage.Counts
 	balancer         *relay.Balancer
 	origins          *relay.Origins
+	declarer         *originstore.Declarer
+	archive          *originstore.Archive
 	relay            *relay.Relay
 	dutyLease        *lease.Lease
 	// isDraining is set during a planned stop and makes the readiness probe fail.
@@ -199,12 +202,13 @@
 	p.usageCounts = usage.NewCounts(run, b.UsageWindow(), clock.NewWall(p.clock, time.Now))
 	quotas := relay.NewQuotas(b.QuotaWindow(), p.clock)
 	p.crashes = blame.New(p.clock, p.cli.Log)
+	p.archive = originstore.NewArchive(originstore.ArchiveConfig{Store: p.store, RunName: run, Clock: p.clock, Log: log, Metrics: p.cli.Metrics})
 	p.exchange = exchange.New(exchange.Config{
-		Transport: p.transport, Entries: p.entries, Size: p.siteSize, Balancer: p.balancer, Quotas: quotas, Crashes: p.crashes, Origins: p.origins,
+		Transport: p.transport, Entries: p.entries, Size: p.siteSize, Balancer: p.balancer, Quotas: quotas, Crashes: p.crashes, Origins: p.origins, Archive: p.archive,
 		Counts: p.usageCounts, Clock: p.clock, Log: log, UnregisteredGrace: p.maxDocumentAge() + b.QuotaWindow(),
 	}, run)
 	p.relay = relay.New(relay.Config{
-		Codec: p.adapter.Codec, Documents: p.documents, Balancer: p.balancer, Servers: p.servers, Pool: p.pool, Quotas: quotas, Crashes: p.crashes, Origins: p.origins,
+		Codec: p.adapter.Codec, Documents: p.documents, Balancer: p.balancer, Servers: p.servers, Pool: p.pool, Quotas: quotas, Crashes: p.crashes, Origins: p.origins, OriginStore: p.archive,
 		Peers: p.exchange, Usage: p.usageCounts, Zone: p.settings.Node.Zone, Clock: p.clock, Log: log, Metrics: p.cli.Metrics,
 		Limits: relay.Limits{
 			MaxDocumentAge:      p.maxDocumentAge(),
@@ -214,6 +218,10 @@
 		},
 	})
 	p.exchange.HandleDetours(p.relay)
+	p.declarer = originstore.NewDeclarer(originstore.DeclarerConfig{
+		Store: p.store, Origins: p.origins, Clock: p.clock, Log: log, IsFirstStart: p.settings.Bootstrap, Maintains: p.exchange.KeepsOrigins,
+		Share: p.exchange.ShareOrigins,
+	})
 	p.dutyLease = lease.New(lease.Config{
 		Key: DutyLeaseKey, Holder: p.settings.Node.ID, TTL: b.LeaseDuration(), ClockMargin: leaseClockMargin, StandbyInterval: dutyStandbyInterval,
 		IsCandidate: p.canHoldDutyLease,
@@ -287,7 +295,7 @@
 // the listeners. Without a cloud API there are no site-wide duties.
 func (p *Process) backgroundTasks() []func(context.Context) error {
 	tasks := []func(context.Context) error{
-		p.documentFollower.Run, p.serversFollower.Run, p.servers.Run, p.entriesFollower.Run, p.transport.Run, p.exchange.Run, p.pool.WatchPath,
+		p.documentFollower.Run, p.serversFollower.Run, p.servers.Run, p.entriesFollower.Run, p.transport.Run, p.exchange.Run, p.pool.WatchPath, p.declarer.Run, p.archive.Run,
 		func(ctx context.Context) error { return p.entries.Register(ctx, p.store) },
 		func(ctx context.Context) error { return p.siteSize.LoadStored(ctx, p.store, p.cli.Log) },
 		func(ctx context.Context) error { return p.crashes.LoadStored(ctx, p.store) },
