quota, relay: what was spent before all entries failed is recalled from the store

Cause: after a failure of all entries the spending of the last 8 s was unknown, and quotas allowed half of their rate for 8 s.

Change: one entry of the site (the first reachable one, or hub) copies the spending of all organisations to the store each 300 ms. An entry that starts recalls it and counts besides, for the time since the copy and for entries that the copy lacks, the most that the leaky bucket lets through.

TestQuotaHoldsAcrossRestartsWithCopies: 150 random histories of six restarts each, none above 1.1 times the limit.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -278,6 +279,23 @@
 	return x.position.usesHubs
 }
 
+// KeepsSpending reports whether this entry copies the spending of the site to the store: the
+// first of the reachable entries, or of the hubs, which know of each other soonest.
+func (x *Exchange) KeepsSpending() bool {
+	x.mu.Lock()
+	p := x.position
+	x.mu.Unlock()
+	if p.usesHubs && !p.isHub {
+		return false
+	}
+	for _, node := range slices.Concat(p.uplinks, p.remoteHubs) {
+		if node.ID < x.self.ID && !x.Transport.IsUnreachable(node.ID) {
+			return false
+		}
+	}
+	return true
+}
+
 func (x *Exchange) logChanges(p position, site quota.Site, isPositionChanged, isSiteChanged bool, changes []reachabilityChange) {
 	if isPositionChanged {
 		x.Log.Log(relay.EvExchangePeersChanged, "large_site", p.usesHubs, "hub", p.isHub, "uplinks", idsOf(p.uplinks), "entries", site.Entries)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -109,6 +109,9 @@
 	assumedSpending float64
 	// isBucketStarted is set by the first call of drainBucket.
 	isBucketStarted bool
+	// earlier holds what is known from a copy of the spending before the start; nil if
+	// nothing is.
+	earlier *earlierSpending
 }
 
 // Origin describes whose spending a report holds and which process sent it.
@@ -171,14 +174,19 @@
 // Spend records an amount as spent by this entry if the quota allows it.
 func (c *Counter) Spend(now time.Duration, l Limits, s Site, amount float64) Decision {
 	share := s.share()
-	isColdStart := c.isNew(now) && !c.hasSiteSpending
+	lacksReports := c.isNew(now) && !c.hasSiteSpending
+	isColdStart := lacksReports && c.earlier == nil
 	rate, burst := share*bucketRateFactor*l.PerSecond, share*bucketBurstFactor*l.Burst
 	if isColdStart {
 		rate = share * coldStartRateFactor * l.PerSecond
 	}
-	c.drainBucket(now, rate, bucketBurstFactor*l.Burst, isColdStart)
+	c.drainBucket(now, rate, bucketBurstFactor*l.Burst, lacksReports)
 	c.recordRequested(now, amount)
-	decision := Decision{Spent: c.window.Sum(now), Limit: share * (l.PerSecond*l.Window.Seconds() + l.Burst)}
+	spent := c.window.Sum(now)
+	if lacksReports {
+		spent += share * c.earlier.sum(now, l)
+	}
+	decision := Decision{Spent: spent, Limit: share * (l.PerSecond*l.Window.Seconds() + l.Burst)}
 	windowExcess := max(decision.Spent+amount-decision.Limit, 0)
 	// A request larger than the burst is admitted once the bucket is empty.
 	bucketExcess := max(c.bucketLevel+amount-max(burst, amount), 0)
@@ -261,10 +269,10 @@
 	return true
 }
 
-// drainBucket drains the bucket at the given rate since the last call. On a cold
-// start the first call adds burst to the level for the unknown earlier spending.
-func (c *Counter) drainBucket(now time.Duration, rate, burst float64, isColdStart bool) {
-	if !c.isBucketStarted && isColdStart {
+// drainBucket drains the bucket at the given rate since the last call. If no entry has
+// reported the spending before the start, the first call adds burst to the level for it.
+func (c *Counter) drainBucket(now time.Duration, rate, burst float64, lacksReports bool) {
+	if !c.isBucketStarted && lacksReports {
 		// Use the whole burst, not the present share of it: the share grows as
 		// reports of other entries arrive.
 		c.assumedSpending = burst
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -43,6 +43,8 @@
 	inFlight    []inFlightReport
 	// calledEntries is the number of entries that receive requests; 0 is all.
 	calledEntries int
+	// copied is the last copy of the spending, nil if none is made.
+	copied *Recollection
 	// isUnregistered reports whether an entry has lost its registration.
 	isUnregistered func(i int) bool
 }
@@ -94,7 +96,48 @@
 			sim.exchangeReports(isConnected)
 		}
 		sim.deliver()
+		if sim.copied != nil && sim.now%copyInterval == 0 {
+			sim.copy()
+		}
+	}
+}
+
+const copyInterval = 300 * time.Millisecond
+
+// copy makes a copy of the spending at the first entry, which has recalled one itself if it
+// is new.
+func (sim *quotaSim) copy() {
+	e := sim.entries[0]
+	next := &Recollection{Parts: e.counter.Copy(sim.now), CopiedAt: sim.now - e.site.Lag, UnknownShare: 1 - float64(e.site.Reachable)/float64(e.site.Entries)}
+	if e.counter.isNew(sim.now) {
+		if e.counter.earlier == nil {
+			return
+		}
+		next.Gaps, next.UnknownShare = e.counter.earlier.gaps, max(next.UnknownShare, e.counter.earlier.unknownShare)
+	}
+	sim.copied = next
+}
+
+// restartAll restarts all entries after the given time, which recall the last copy.
+func (sim *quotaSim) restartAll(downtime time.Duration) {
+	sim.now += downtime
+	for i := range sim.entries {
+		sim.restart(i)
+		if sim.copied != nil {
+			sim.entries[i].counter.Recall(sim.now, *sim.copied)
+		}
+	}
+}
+
+// spentSince returns the sum of what was admitted since a time.
+func (sim *quotaSim) spentSince(at time.Duration) float64 {
+	sum := 0.0
+	for _, s := range sim.spent {
+		if s.start >= at {
+			sum += s.amount
+		}
 	}
+	return sum
 }
 
 // offer sends a request of the given cost to a random entry.
@@ -237,6 +280,43 @@
 	}
 }
 
+// The load of an organisation within its quota must be served soon after all entries have
+// failed. An organisation near its quota gets no less than without a copy.
+func TestUsualLoadIsServedAfterRestartOfAllEntries(t *testing.T) {
+	for load, least := range map[float64]float64{0.3: 0.85, 0.5: 0.85, 0.7: 0.85, 0.9: coldStartRateFactor / 0.9, 1: coldStartRateFactor} {
+		for _, downtime := range []time.Duration{300 * time.Millisecond, time.Second, 1500 * time.Millisecond} {
+			sim := newQuotaSim(7)
+			sim.copied = &Recollection{}
+			sim.run(20*time.Second, load*limits.PerSecond, 3000, allConnected)
+			sim.restartAll(downtime)
+			start := sim.now
+			sim.run(window, load*limits.PerSecond, 3000, allConnected)
+			require.GreaterOrEqual(t, sim.spentSince(start), least*load*limits.PerSecond*window.Seconds(), "load %v, down %v", load, downtime)
+			require.LessOrEqual(t, sim.maxSpentInWindow(), maxAllowedPerWindow())
+		}
+	}
+}
+
+// Copies of the spending are up to copyInterval old. Whatever was spent since, the quota
+// holds, also if all entries fail again and again.
+func TestQuotaHoldsAcrossRestartsWithCopies(t *testing.T) {
+	for seed := range uint64(150) {
+		sim := newQuotaSim(2 + int(seed%8))
+		sim.rng = rand.New(rand.NewPCG(seed, 7))
+		sim.copied = &Recollection{}
+		loads := []float64{0.2, 0.6, 1, 2, 6}
+		for range 6 {
+			for range 3 {
+				load := loads[sim.rng.IntN(len(loads))]
+				sim.run(time.Duration(200+sim.rng.IntN(4000))*time.Millisecond/10*10, load*limits.PerSecond, 3000, allConnected)
+			}
+			sim.restartAll(time.Duration(20+sim.rng.IntN(300)) * tick)
+		}
+		sim.run(10*time.Second, 2*limits.PerSecond, 3000, allConnected)
+		require.LessOrEqual(t, sim.maxSpentInWindow(), (1+allowedOvershoot)*(limits.PerSecond*window.Seconds()+limits.Burst), "seed %d", seed)
+	}
+}
+
 // The entry that keeps running reports the earlier spending of all entries.
 func TestQuotaHoldsAcrossRestartOfAllEntriesButOne(t *testing.T) {
 	for _, at := range []time.Duration{2, 4, 6, 8, 10} {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -28,4 +28,8 @@
 	EvBrittlenessChanged   = telemetry.Register(3133, "servers-brittle-changed", slog.LevelWarn, "The servers of a service say in their answers that they fall over if they have to turn many requests away, or no longer say so; or such a server has turned a request away, and all entries leave it alone for a while.")
 	EvServerLimitChanged   = telemetry.Register(3118, "server-limit-changed", slog.LevelWarn, "A backend server has named in an answer how many requests a second it takes from all entries together, or names no limit any more.")
 	EvStreamPinned         = telemetry.Register(3114, "stream-pinned", slog.LevelInfo, "A caller resumes a stream; only servers of the service and software version that began it may continue it.")
+	EvSpendingRecalled     = telemetry.Register(3121, "spending-recalled", slog.LevelInfo, "The copy of the organisations' spending was read after a start; until entries that have run for longer report, quotas count it and the most that may have been spent since.")
+	EvSpendingUnknown      = telemetry.Register(3122, "spending-unknown", slog.LevelWarn, "The copy of the organisations' spending could not be read; until it is, quotas allow half of their rate.")
+	EvSpendingUnreadable   = telemetry.Register(3123, "spending-unreadable", slog.LevelError, "The copy of the organisations' spending has an unknown format and is not used.")
+	EvSpendingNotCopied    = telemetry.Register(3124, "spending-not-copied", slog.LevelWarn, "The organisations' spending could not be copied to the store; if all entries fail now, quotas allow less after their restart.")
 )
--- a/internal/relay/quotas.go
+++ b/internal/relay/quotas.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,10 @@
 	mu sync.Mutex
 	// counters are keyed by the organisation's name.
 	counters map[string]*quota.Counter
+	// recalled is the copy of the spending before the start, recalled at recalledAt; nil if
+	// there is none.
+	recalled   *SpendingCopy
+	recalledAt time.Duration
 }
 
 // NewQuotas returns quotas over the given window, without any spending.
@@ -32,6 +37,7 @@
 	counter, ok := q.counters[organisation]
 	if !ok {
 		counter = quota.NewCounter(q.window, q.startedAt)
+		q.recallLocked(organisation, counter)
 		q.counters[organisation] = counter
 	}
 	return counter
@@ -102,6 +108,75 @@
 	}
 }
 
+// SpendingCopy is a copy of the spending of all entries. Times are on the clock of this
+// process.
+type SpendingCopy struct {
+	// CopiedAt is when the copy was made, less the age of what the process knew of others.
+	CopiedAt time.Duration
+	// Parts is the spending in the window before CopiedAt by organisation, in equal parts,
+	// oldest first. Organisations that are missing have spent nothing.
+	Parts map[string][]float64
+	// Gaps are the times of which the spending is not known, UnknownShare the fraction of
+	// the entries.
+	Gaps         []quota.Gap
+	UnknownShare float64
+}
+
+// isEmpty reports whether nothing was spent and nothing is unknown.
+func (s *SpendingCopy) isEmpty() bool {
+	for _, parts := range s.Parts {
+		if slices.ContainsFunc(parts, func(amount float64) bool { return amount > 0 }) {
+			return false
+		}
+	}
+	return len(s.Gaps) == 0
+}
+
+// Recall bounds the spending before the start by a copy.
+func (q *Quotas) Recall(spending *SpendingCopy) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.recalled, q.recalledAt = spending, q.clock()
+	for organisation, counter := range q.counters {
+		q.recallLocked(organisation, counter)
+	}
+	for organisation := range spending.Parts {
+		q.counterLocked(organisation) // also for the copies that this process makes
+	}
+}
+
+// recallLocked bounds the spending of one organisation by the copy, if there is one.
+func (q *Quotas) recallLocked(organisation string, counter *quota.Counter) {
+	if q.recalled != nil {
+		counter.Recall(q.recalledAt, quota.Recollection{
+			CopiedAt: q.recalled.CopiedAt, Parts: q.recalled.Parts[organisation], Gaps: q.recalled.Gaps, UnknownShare: q.recalled.UnknownShare,
+		})
+	}
+}
+
+// Copy returns a copy of the spending of all entries of the site; nil if this process does
+// not know it, because it has just started without one.
+func (q *Quotas) Copy(site quota.Site) *SpendingCopy {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock()
+	spending := &SpendingCopy{CopiedAt: now - site.Lag, Parts: make(map[string][]float64, len(q.counters))}
+	if site.Entries > site.Reachable {
+		spending.UnknownShare = 1 - float64(site.Reachable)/float64(site.Entries)
+	}
+	if now-q.startedAt < q.window {
+		if q.recalled == nil {
+			return nil
+		}
+		spending.Gaps = append(slices.Clone(q.recalled.Gaps), quota.Gap{From: q.recalled.CopiedAt, To: q.recalledAt})
+		spending.UnknownShare = max(spending.UnknownShare, q.recalled.UnknownShare)
+	}
+	for organisation, counter := range q.counters {
+		spending.Parts[organisation] = counter.Copy(now)
+	}
+	return spending
+}
+
 // retryBudgets holds this entry's retry budget of each service.
 type retryBudgets struct {
 	limits quota.RetryLimits
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -140,6 +140,7 @@
 	origins          *relay.Origins
 	declarer         *originstore.Declarer
 	archive          *originstore.Archive
+	spending         *relay.SpendingKeeper
 	relay            *relay.Relay
 	dutyLease        *lease.Lease
 	// isDraining is set during a planned stop and makes the readiness probe fail.
@@ -222,6 +223,7 @@
 		Store: p.store, Origins: p.origins, Clock: p.clock, Log: log, IsFirstStart: p.settings.Bootstrap, Maintains: p.exchange.KeepsOrigins,
 		Share: p.exchange.ShareOrigins,
 	})
+	p.spending = &relay.SpendingKeeper{Store: p.store, Quotas: quotas, Site: p.exchange.Site, IsKeeper: p.exchange.KeepsSpending, Clock: p.clock, Log: log}
 	p.dutyLease = lease.New(lease.Config{
 		Key: DutyLeaseKey, Holder: p.settings.Node.ID, TTL: b.LeaseDuration(), ClockMargin: leaseClockMargin, StandbyInterval: dutyStandbyInterval,
 		IsCandidate: p.canHoldDutyLease,
@@ -295,7 +297,7 @@
 // the listeners. Without a cloud API there are no site-wide duties.
 func (p *Process) backgroundTasks() []func(context.Context) error {
 	tasks := []func(context.Context) error{
-		p.documentFollower.Run, p.serversFollower.Run, p.servers.Run, p.entriesFollower.Run, p.transport.Run, p.exchange.Run, p.pool.WatchPath, p.declarer.Run, p.archive.Run,
+		p.documentFollower.Run, p.serversFollower.Run, p.servers.Run, p.entriesFollower.Run, p.transport.Run, p.exchange.Run, p.pool.WatchPath, p.declarer.Run, p.archive.Run, p.spending.Run,
 		func(ctx context.Context) error { return p.entries.Register(ctx, p.store) },
 		func(ctx context.Context) error { return p.siteSize.LoadStored(ctx, p.store, p.cli.Log) },
 		func(ctx context.Context) error { return p.crashes.LoadStored(ctx, p.store) },
