originstore, relay: streams of a former version of the entries go on during an upgrade

Cause, found by reading: entries of a version without declarations begin streams that nobody declares or records, so the new ones, which conclude a single origin only from complete declarations, refused every caller that came back for such a stream, for two minutes after the first of them had started.

Change: declarations that are first made at a running site say so, and until they are complete a single origin is concluded from the views of the entries, as the former version does. A view counts as fresh for 5 s instead of 4: where each entry polls the store itself, polls are up to 4.5 s apart, so that in about a tenth of the time streams of rules with a single origin were shared, and callers without a record refused.

--- a/internal/originstore/archive.go
+++ b/internal/originstore/archive.go
@@ -344,6 +344,7 @@
 	if declarations != nil {
 		answer.Seen = declarations.candidates(rule)
 		answer.CompleteIn = declarations.completeIn(kv.Generation(a.Store), a.wall.now())
+		answer.IsUpgrade = declarations.IsUpgrade && declarations.Generation == kv.Generation(a.Store)
 	}
 	if answer.CompleteIn == 0 && len(answer.Seen) <= 1 {
 		if len(answer.Seen) == 1 {
--- a/internal/originstore/declarations.go
+++ b/internal/originstore/declarations.go
@@ -47,6 +47,9 @@
 	Generation int64
 	// CompleteAt is when they hold the origins of all streams that may be resumed.
 	CompleteAt int64
+	// IsUpgrade is true if until then entries of a version without declarations may run, or
+	// have run.
+	IsUpgrade bool
 	// Origins and Rules hold when each was last in use, 0 while it is.
 	Origins map[relay.StreamOrigin]int64
 	Rules   map[relay.RuleService]int64
@@ -61,6 +64,7 @@
 	Format     int             `msgpack:"f"`
 	Generation int64           `msgpack:"g"`
 	CompleteAt int64           `msgpack:"c,omitempty"`
+	IsUpgrade  bool            `msgpack:"u,omitempty"`
 	Origins    []encodedOrigin `msgpack:"o"`
 	Rules      []encodedRule   `msgpack:"r"`
 }
@@ -88,7 +92,7 @@
 }
 
 func (d *Declarations) encode() ([]byte, error) {
-	e := encodedDeclarations{Format: format, Generation: d.Generation, CompleteAt: d.CompleteAt}
+	e := encodedDeclarations{Format: format, Generation: d.Generation, CompleteAt: d.CompleteAt, IsUpgrade: d.IsUpgrade}
 	for origin, goneAt := range d.Origins {
 		e.Origins = append(e.Origins, encodedOrigin{origin.Service, origin.Version, goneAt})
 	}
@@ -115,7 +119,7 @@
 		return nil, fault.New(fault.Invalid, "origins.decode", DeclarationsKey, "unknown format %d", e.Format)
 	}
 	d := newDeclarations()
-	d.Generation, d.CompleteAt = e.Generation, e.CompleteAt
+	d.Generation, d.CompleteAt, d.IsUpgrade = e.Generation, e.CompleteAt, e.IsUpgrade
 	for _, o := range e.Origins {
 		d.Origins[relay.StreamOrigin{Service: o.Service, Version: o.Version}] = o.GoneAt
 	}
--- a/internal/originstore/declarations_test.go
+++ b/internal/originstore/declarations_test.go
@@ -56,6 +56,7 @@
 	require.NoError(t, err)
 	want := newDeclarations()
 	want.Generation, want.CompleteAt = 2, 5
+	require.False(t, d.IsUpgrade)
 	want.declare(usesOf(v1))
 	want.Origins[v2] = 7
 	require.Equal(t, want, d)
--- a/internal/originstore/declarer.go
+++ b/internal/originstore/declarer.go
@@ -143,6 +143,7 @@
 		if stored != nil || d.copy != nil || !d.IsFirstStart {
 			next.CompleteAt = (now + relay.OriginRetention).Milliseconds()
 		}
+		next.IsUpgrade = stored == nil && d.copy == nil && !d.IsFirstStart
 	}
 	if d.copy != nil && (isNew || d.copy.Generation != generation) {
 		// The other entries that were running then declare theirs again too.
@@ -188,7 +189,7 @@
 func (d *Declarations) declared(validUntil, completeAt time.Duration) relay.DeclaredOrigins {
 	declared := relay.DeclaredOrigins{
 		InUse: relay.OriginUses{Origins: map[relay.StreamOrigin]bool{}, Rules: map[relay.RuleService]bool{}}, ByRule: map[string][]relay.StreamOrigin{},
-		ValidUntil: validUntil, CompleteAt: completeAt,
+		ValidUntil: validUntil, CompleteAt: completeAt, IsUpgrade: d.IsUpgrade,
 	}
 	for origin, goneAt := range d.Origins {
 		declared.InUse.Origins[origin] = goneAt == 0
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -22,8 +22,11 @@
 	originHistory = OriginRetention + maxOriginViewAge
 	// maxOriginViewAge is the age from which on a view of the registry does not count
 	// as settled: an entry that is cut off may not know of a new version. It exceeds
-	// the age between two polls.
-	maxOriginViewAge = 4 * time.Second
+	// the age between two polls of the store, whose wait and pause both count twice.
+	maxOriginViewAge = 5 * time.Second
+	// minOriginWatch is how long an entry must have watched the servers during an upgrade
+	// from a version without declarations before its view counts as settled.
+	minOriginWatch = 10 * time.Second
 	// reregistrationTime is the time within which the servers that live are registered again
 	// after the store was away, or has come back from a copy.
 	reregistrationTime = 3 * time.Second
@@ -66,6 +69,9 @@
 	// ValidUntil is when the declarations become too old to begin streams under them, and
 	// CompleteAt when they hold the origins of all streams.
 	ValidUntil, CompleteAt time.Duration
+	// IsUpgrade is true if until CompleteAt entries of a version without declarations may
+	// run, or have run.
+	IsUpgrade bool
 }
 
 // OriginStore finds origins of streams in the store.
@@ -84,8 +90,10 @@
 	Origin          StreamOrigin
 	// Seen holds the origins that the stream may have, sorted.
 	Seen []StreamOrigin
-	// CompleteIn is the time until Seen is complete; 0 if it is.
+	// CompleteIn is the time until Seen is complete; 0 if it is. IsUpgrade is true if it is
+	// not because of entries of a version without declarations.
 	CompleteIn time.Duration
+	IsUpgrade  bool
 }
 
 // OriginAnswer is what an entry knows about the origin of a stream.
@@ -436,7 +444,10 @@
 // IsSettled is only true with a single origin.
 func (o *Origins) answerLocked(name string) OriginAnswer {
 	seen, now := o.seenLocked(name), o.clock()
-	isDeclared := now >= o.declared.CompleteAt && now <= o.declared.ValidUntil && len(o.declared.ByRule[name]) == 1
+	isDeclared := now <= o.declared.ValidUntil && len(o.declared.ByRule[name]) == 1
+	if now < o.declared.CompleteAt {
+		isDeclared = isDeclared && o.declared.IsUpgrade && now-o.serversAt >= minOriginWatch
+	}
 	return OriginAnswer{Seen: seen, IsSettled: len(seen) == 1 && isDeclared && o.viewAge() <= maxOriginViewAge}
 }
 
--- a/internal/relay/resumption.go
+++ b/internal/relay/resumption.go
@@ -111,12 +111,15 @@
 	// and when it makes sense to ask again.
 	seen       []StreamOrigin
 	retryAfter time.Duration
+	// isSettled is true if the views of the entries have only one origin, isUpgrade if that
+	// decides because entries of a version without declarations may run.
+	isSettled, isUpgrade bool
 }
 
 // findOrigin finds the origin of the stream that the request resumes: in the records of
 // this entry, of the store and of other entries, or because the rule has had only one.
 // That is concluded only from the store, since this entry may be cut off from it and not
-// know of another one.
+// know of another one, or during an upgrade from the views of all entries.
 func (q *request) findOrigin() foundOrigin {
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
@@ -142,7 +145,12 @@
 			found = q.findOriginAtEntries(ctx, !isRead)
 		}
 	}
-	if found.source == sourceNone && isRead {
+	switch {
+	case found.source != sourceNone:
+		return found
+	case inStore.isUpgrade && found.isSettled:
+		return foundOrigin{origin: found.seen[0], source: sourceOnlyOrigin}
+	case isRead:
 		return inStore
 	}
 	return found
@@ -162,7 +170,7 @@
 	case stored.IsOnly:
 		return foundOrigin{origin: stored.Origin, source: sourceOnlyOrigin}, true
 	}
-	found = foundOrigin{source: sourceNone, seen: stored.Seen, retryAfter: q.retryAfterDeadline()}
+	found = foundOrigin{source: sourceNone, seen: stored.Seen, retryAfter: q.retryAfterDeadline(), isUpgrade: stored.IsUpgrade}
 	if stored.CompleteIn > 0 && len(stored.Seen) <= 1 {
 		found.retryAfter = max(retryAfterBusy, stored.CompleteIn)
 	}
@@ -181,7 +189,8 @@
 	case answer.Only != nil:
 		return foundOrigin{origin: *answer.Only, source: sourceOnlyOrigin, entry: entry}
 	}
-	return foundOrigin{source: sourceNone, seen: answer.Seen, retryAfter: retryAfterBusy}
+	all := q.relay.Origins.Find(q.ruleName, q.info.ResumedAttempt).Merge(answer)
+	return foundOrigin{source: sourceNone, seen: all.Seen, retryAfter: retryAfterBusy, isSettled: all.IsSettled && len(all.Seen) == 1}
 }
 
 // retryAfterDeadline is for a request that cannot be served within the time for which its
