quota: bursts at one instant do not exceed the quota with more than four entries

Cause: what an entry may spend before its reports arrive was the free quota divided by at most four entries. Change: divided by at most eight.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -72,7 +72,7 @@
 	// burstEntries is the number of entries over which a burst at one instant is
 	// expected to spread. A caller keeps its connection to one entry, so a burst at
 	// more entries comes from many callers, and admissionRatio limits those.
-	burstEntries = 4
+	burstEntries = 8
 )
 
 // Counter counts the spending of one organisation over all entries of a site:
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -352,8 +352,8 @@
 	limits = Limits{PerSecond: 1500, Burst: 1500, Window: window}
 	defer func() { limits = previousLimits }()
 	const calls, cost = 40, 100
-	for seed := range uint64(40) {
-		sim := newQuotaSim(3)
+	for seed := range uint64(120) {
+		sim := newQuotaSim([]int{3, 5, 7, 9}[seed%4])
 		sim.rng = rand.New(rand.NewPCG(seed, 3))
 		for range 60 {
 			sim.run(time.Duration(sim.rng.IntN(2500))*time.Millisecond, 0, cost, allConnected)
