quota: a recalled copy of the spending never refuses more than a cold start

Cause: where much was unknown before the restart (a copy 1.8 s old, a third of the entries cut off), known and unknown spending together filled the quota for the whole window, and nothing was allowed for 8 s, where without a copy half of the rate was.

Change: the bound of the cold start and that of the recalled copy each suffice; a request is admitted by either.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -107,7 +107,10 @@
 	// assumedSpending is the part of the initial bucketLevel that stands for the
 	// unknown spending before the start.
 	assumedSpending float64
-	// isBucketStarted is set by the first call of drainBucket.
+	// coldLevel is the level of the bucket that limits a cold start, as of bucketUpdatedAt;
+	// it drains at a lower rate.
+	coldLevel float64
+	// isBucketStarted is set by the first call of drainBuckets.
 	isBucketStarted bool
 	// earlier holds what is known from a copy of the spending before the start; nil if
 	// nothing is.
@@ -174,24 +177,25 @@
 // Spend records an amount as spent by this entry if the quota allows it.
 func (c *Counter) Spend(now time.Duration, l Limits, s Site, amount float64) Decision {
 	share := s.share()
-	lacksReports := c.isNew(now) && !c.hasSiteSpending
-	isColdStart := lacksReports && c.earlier == nil
 	rate, burst := share*bucketRateFactor*l.PerSecond, share*bucketBurstFactor*l.Burst
-	if isColdStart {
-		rate = share * coldStartRateFactor * l.PerSecond
-	}
-	c.drainBucket(now, rate, bucketBurstFactor*l.Burst, lacksReports)
+	coldRate := share * coldStartRateFactor * l.PerSecond
+	lacksReports := c.isNew(now) && !c.hasSiteSpending
+	c.drainBuckets(now, rate, coldRate, bucketBurstFactor*l.Burst, lacksReports)
 	c.recordRequested(now, amount)
-	spent := c.window.Sum(now)
+	decision := Decision{Spent: c.window.Sum(now), Limit: share * (l.PerSecond*l.Window.Seconds() + l.Burst)}
+	wait := waitFor(&decision, amount, burst, c.bucketLevel, rate)
 	if lacksReports {
-		spent += share * c.earlier.sum(now, l)
+		// Each of two bounds of the spending around the start is enough: that of a cold
+		// start, and that of the spending recalled from a copy.
+		wait = waitFor(&decision, amount, burst, c.coldLevel, coldRate)
+		if c.earlier != nil {
+			recalled := Decision{Spent: decision.Spent + share*c.earlier.sum(now, l), Limit: decision.Limit}
+			if w := waitFor(&recalled, amount, burst, c.bucketLevel, rate); w < wait {
+				decision, wait = recalled, w
+			}
+		}
 	}
-	decision := Decision{Spent: spent, Limit: share * (l.PerSecond*l.Window.Seconds() + l.Burst)}
-	windowExcess := max(decision.Spent+amount-decision.Limit, 0)
-	// A request larger than the burst is admitted once the bucket is empty.
-	bucketExcess := max(c.bucketLevel+amount-max(burst, amount), 0)
-	if windowExcess > 0 || bucketExcess > 0 {
-		wait := seconds(max(windowExcess, bucketExcess) / max(rate, 1))
+	if wait > 0 {
 		decision.RetryAfter = min(max(wait, minRetryAfter), l.Window)
 		return decision
 	}
@@ -208,6 +212,15 @@
 	return decision
 }
 
+// waitFor returns the time until an amount fits the limit of the window and the leaky
+// bucket, which drains at the given rate; 0 if it does.
+func waitFor(d *Decision, amount, burst, level, rate float64) time.Duration {
+	windowExcess := max(d.Spent+amount-d.Limit, 0)
+	// A request larger than the burst is admitted once the bucket is empty.
+	bucketExcess := max(level+amount-max(burst, amount), 0)
+	return seconds(max(windowExcess, bucketExcess) / max(rate, 1))
+}
+
 // exceedsUnreportedShare reports whether an amount exceeds this entry's share of
 // the free quota, counting what it spent in the last lag, which other entries may
 // not know yet. It bounds the overshoot when bursts reach several entries at one
@@ -269,17 +282,20 @@
 	return true
 }
 
-// drainBucket drains the bucket at the given rate since the last call. If no entry has
-// reported the spending before the start, the first call adds burst to the level for it.
-func (c *Counter) drainBucket(now time.Duration, rate, burst float64, lacksReports bool) {
+// drainBuckets drains both buckets at their rates since the last call. If no entry has
+// reported the spending before the start, the first call adds burst to their levels for it.
+func (c *Counter) drainBuckets(now time.Duration, rate, coldRate, burst float64, lacksReports bool) {
 	if !c.isBucketStarted && lacksReports {
 		// Use the whole burst, not the present share of it: the share grows as
 		// reports of other entries arrive.
 		c.assumedSpending = burst
 		c.bucketLevel += burst
+		c.coldLevel += burst
 	}
 	c.isBucketStarted = true
-	c.bucketLevel = max(0, c.bucketLevel-rate*(now-c.bucketUpdatedAt).Seconds())
+	elapsed := (now - c.bucketUpdatedAt).Seconds()
+	c.bucketLevel = max(0, c.bucketLevel-rate*elapsed)
+	c.coldLevel = max(0, c.coldLevel-coldRate*elapsed)
 	c.bucketUpdatedAt = now
 }
 
@@ -287,6 +303,7 @@
 func (c *Counter) recordSpent(now time.Duration, amount float64) {
 	c.window.Add(now, amount)
 	c.bucketLevel = max(0, c.bucketLevel+amount)
+	c.coldLevel = max(0, c.coldLevel+amount)
 }
 
 // Refund returns an amount that Spend recorded and the request did not use.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -297,6 +297,30 @@
 	}
 }
 
+// A copy that leaves no room, because much is not known of the time before the restart, must
+// not refuse more than no copy at all.
+func TestRecalledSpendingRefusesNoMoreThanNone(t *testing.T) {
+	spent := func(r *Recollection) float64 {
+		sim := newQuotaSim(7)
+		sim.run(20*time.Second, 0.8*limits.PerSecond, 3000, allConnected)
+		sim.restartAll(time.Second)
+		start := sim.now
+		if r != nil {
+			r.CopiedAt = sim.now - 2500*time.Millisecond
+			for _, e := range sim.entries {
+				e.counter.Recall(sim.now, *r)
+			}
+		}
+		sim.run(window, 0.8*limits.PerSecond, 3000, allConnected)
+		require.LessOrEqual(t, sim.maxSpentInWindow(), (1+allowedOvershoot)*(limits.PerSecond*window.Seconds()+limits.Burst))
+		return sim.spentSince(start)
+	}
+	parts := slices.Repeat([]float64{0.8 * limits.PerSecond}, windowParts)
+	for _, unknownShare := range []float64{0, 0.3, 1} {
+		require.GreaterOrEqual(t, spent(&Recollection{Parts: parts, UnknownShare: unknownShare}), 0.98*spent(nil), "unknown share %v", unknownShare)
+	}
+}
+
 // Copies of the spending are up to copyInterval old. Whatever was spent since, the quota
 // holds, also if all entries fail again and again.
 func TestQuotaHoldsAcrossRestartsWithCopies(t *testing.T) {
