--- a/internal/originstore/archive.go
+++ b/internal/originstore/archive.go
@@ -51,6 +51,7 @@
 	expiresAt time.Duration
 }
 
+// keyOf returns the key of an attempt's row.
 func keyOf(attemptID string) uint64 { return xxhash.Sum64String(attemptID) }
 
 // segment is a group of rows that is stored under one key.
@@ -242,20 +243,21 @@
 		case isExpired:
 			excess -= len(s.rows)
 			expired = append(expired, s)
-			ops = append(ops, kv.Delete(a.keyOf(s)))
+			ops = append(ops, kv.Delete(a.storeKey(s)))
 		case !s.isStored:
 			value, err := msgpack.Marshal(s.encode())
 			if err != nil {
 				continue // strings and bytes can always be encoded
 			}
 			written[s] = len(s.rows)
-			ops = append(ops, kv.Put(a.keyOf(s), value))
+			ops = append(ops, kv.Put(a.storeKey(s), value))
 		}
 	}
 	return ops, written, expired
 }
 
-func (a *Archive) keyOf(s *segment) string {
+// storeKey returns the key of a segment.
+func (a *Archive) storeKey(s *segment) string {
 	return RecordsPrefix + a.RunName + "/" + strconv.Itoa(s.number)
 }
 
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -45,8 +45,9 @@
 }
 
 // pick selects a server, other than those in tried, for a request, and only one of the
-// given software versions unless versions is nil. A maxTimeToFirstToken of 0 is no limit. Servers for which a
-// permit is needed are left out unless withPermit is set. Errors are those of route.Picker.
+// given software versions unless versions is nil. A maxTimeToFirstToken of 0 is no limit.
+// Servers for which a permit is needed are left out unless withPermit is set. Errors are
+// those of route.Picker.
 func (b *Balancer) pick(service string, info *RequestInfo, maxTimeToFirstToken time.Duration, tried, versions map[string]bool, withPermit bool) (*choice, error) {
 	b.mu.Lock()
 	now := b.clock()
