--- a/review/.standins/engine.go
+++ b/review/.standins/engine.go
@@ -47,6 +47,8 @@
 	born     int64 // in Unix milliseconds
 	server   *http.Server
 	sequence atomic.Int64
+	// begun counts the requests that the engine began to run.
+	begun    atomic.Int64
 	leaving  atomic.Bool
 	ended    atomic.Bool
 	stopBeat chan struct{}
@@ -147,6 +149,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	e.begun.Add(1)
 	if !sleep(r.Context(), e.work) {
 		return
 	}
--- a/review/.standins/leaving.go
+++ b/review/.standins/leaving.go
@@ -148,8 +148,9 @@
 		time.Sleep(leaveTime)
 		for _, e := range old {
 			e.exit()
+			s.logf("engine %s has exited; it began to run %d requests", e.id, e.begun.Load())
 		}
-		s.logf("these engines have exited; %d requests sent so far, %d served, %d refused, %d lost", sent.Load(), served.Load(), refused.Load(), lost.Load())
+		s.logf("%d requests sent so far, %d served, %d refused, %d lost", sent.Load(), served.Load(), refused.Load(), lost.Load())
 	}
 	isOver.Store(true)
 	callers.Wait()
