--- a/review/.standins/bodies.go
+++ b/review/.standins/bodies.go
@@ -27,7 +27,7 @@
 func bodiesCase(s *site, trouble bool) (broken bool, err error) {
 	const (
 		callersPerRelay = 33
-		bursts          = 9
+		bursts          = 13
 		// pause is the time between two bursts, after which all processes are ready again.
 		pause     = 4 * time.Second
 		maxEnds   = 2
