--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -334,3 +334,35 @@
 		}
 	})
 }
+
+// Entries are restarted in turn, as by an upgrade, while requests run at all of them.
+func TestUsageIsCountedOnceWhileEntriesAreRestartedInTurn(t *testing.T) {
+	withTestSite(t, 8, func(s *testSite) {
+		time.Sleep(settleTime)
+		window, _ := s.entries["a00"].Counts.CurrentWindow()
+		started := 0
+		for i, node := range s.nodes {
+			for _, e := range s.entries {
+				e.Counts.RecordStart(testOrganisation)
+				started++
+			}
+			time.Sleep(reportInterval * usageEvery * 3)
+			s.entries[node.ID].Flush()
+			s.kill(node.ID)
+			s.start(node)
+			s.register()
+			time.Sleep(reportInterval * time.Duration(1+i%3) / 2)
+		}
+		time.Sleep(settleTime)
+		end, _ := s.entries["a00"].Counts.CurrentWindow()
+		for _, zone := range []string{"a", "b", "c"} {
+			for _, id := range s.hubs(zone) {
+				counted := 0
+				for w := window; w <= end; w++ {
+					counted += s.entries[id].Counts.Sum(w)[testOrganisation]
+				}
+				require.LessOrEqual(t, counted, started, "hub %s", id)
+			}
+		}
+	})
+}
--- a/internal/exchange/tracker_test.go
+++ b/internal/exchange/tracker_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"buckthornpick/internal/relay"
+	"buckthornpick/internal/usage"
 )
 
 const unregisteredGrace = 11800 * time.Millisecond
@@ -54,3 +57,15 @@
 	_, changes = tracker.evaluate(3*time.Second, []string{"b"}, false)
 	require.Equal(t, []reachabilityChange{{"b", true, 0}}, changes)
 }
+
+// The first messages of a restarted entry may be lost, or hold no usage yet.
+func TestRestartedEntryDoesNotKeepTheUsageOfItsFormerRun(t *testing.T) {
+	tracker := newEntryTracker(unregisteredGrace)
+	former := usage.WindowCounts{7: {"o": 40}}
+	tracker.recordState("b", 0, &stateMessage{Run: "b/1", Usage: former, Prefill: map[string]relay.PrefillStats{"s": {Tokens: 9}}})
+	tracker.recordState("b", time.Second, &stateMessage{Run: "b/1"})
+	require.Equal(t, former, tracker.states["b"].usage)
+	tracker.recordState("b", 2*time.Second, &stateMessage{Run: "b/2"})
+	require.Empty(t, tracker.states["b"].usage)
+	require.Empty(t, tracker.states["b"].prefill)
+}
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -48,3 +48,12 @@
 	require.Equal(t, map[string]int{"o": 1 + 1 + 5}, restarted.Sum(window))
 	require.Empty(t, restarted.Sum(window-4))
 }
+
+// A hub may receive its own counts from an entry that took it for one of its zone.
+func TestOwnCountsThatComeBackAreNotCountedTwice(t *testing.T) {
+	c := NewCounts("a/1", 5*time.Second, clock.NewWall(clock.Boot, time.Now))
+	c.RecordStart("o")
+	window, _ := c.CurrentWindow()
+	c.Merge("a/1", c.Local())
+	require.Equal(t, map[string]int{"o": 1}, c.Sum(window))
+}
