exchange, usage: the usage of a former run is dropped, own counts that come back are ignored

Cause: a hub kept the usage of an entry's former run and passed it on under the new run's name, so hubs of other zones counted these requests twice. Change: entryTracker forgets usage and prefill statistics when the run changes; Counts.Merge ignores its own run.

--- a/internal/exchange/tracker.go
+++ b/internal/exchange/tracker.go
@@ -57,6 +57,9 @@
 		t.states[id] = state
 	}
 	isKnownRun = ok && state.run == m.Run
+	if !isKnownRun {
+		state.prefill, state.usage = nil, nil // of the former run
+	}
 	state.receivedAt, state.run, state.loads, state.isLeaving = now, m.Run, m.Loads, m.IsLeaving
 	delete(t.left, id)
 	if m.IsLeaving {
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -103,18 +103,20 @@
 	return runs
 }
 
-// Restore merges a snapshot into the counts, except those of this run.
+// Restore merges a snapshot into the counts.
 func (c *Counts) Restore(runs map[string]WindowCounts) {
 	for runID, windows := range runs {
-		if runID != c.runID {
-			c.Merge(runID, windows)
-		}
+		c.Merge(runID, windows)
 	}
 }
 
 // Merge adds the counts of another entry's run. Of two counts of the same window
-// the higher one is kept. Windows that are no longer retained are deleted.
+// the higher one is kept. Windows that are no longer retained are deleted. Counts of
+// this run that come back are ignored.
 func (c *Counts) Merge(runID string, windows WindowCounts) {
+	if runID == c.runID {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	window, _ := c.currentWindowLocked()
