duty: the surplus of a large zone is removed in steps of a quarter

Change: a step removes at most a quarter of a zone's servers of one kind, at least one; zones of up to seven are served as before.

--- a/internal/duty/pool.go
+++ b/internal/duty/pool.go
@@ -6,6 +6,10 @@
 	// scaleDownInterval is the minimum time between removals of servers in a zone.
 	// Each removal moves prompts to servers that have to process them again.
 	scaleDownInterval = 3 * time.Second
+	// maxRemovedShare is the share of a zone's servers of one kind that is removed at
+	// a time, but at least one server: the share of prompts that move at once is then
+	// bounded, and the time until a surplus is gone grows with its logarithm only.
+	maxRemovedShare = 0.25
 	// refusalBackoff is the time until the next order after an order of reclaimable
 	// servers in a zone was refused: a shortage lasts for seconds.
 	refusalBackoff = 4 * time.Second
@@ -38,7 +42,8 @@
 }
 
 // nextOrder returns the number of servers to order and whether to order now.
-// Servers are removed one at a time. Reclaimable servers may be refused in a
+// A surplus after a peak of load, or of the servers that a site starts with, is
+// removed in steps of maxRemovedShare. Reclaimable servers may be refused in a
 // shortage or reclaimed at any time: a refused order is repeated after
 // refusalBackoff, and servers that are overdue are ordered again.
 func (p *pool) nextOrder(now time.Duration, want, ready int, bootTime time.Duration) (n int, isDue bool) {
@@ -46,7 +51,8 @@
 		return 0, false
 	}
 	if want < p.ordered {
-		return p.ordered - 1, now-p.scaledDownAt >= scaleDownInterval
+		step := max(1, int(maxRemovedShare*float64(p.ordered)))
+		return max(want, p.ordered-step), now-p.scaledDownAt >= scaleDownInterval
 	}
 	isOverdue := p.key.isReclaimable && ready < want && now-p.orderedAt >= overdueBootTimes*bootTime
 	return want, want > p.ordered || isOverdue
--- a/internal/duty/pool_test.go
+++ b/internal/duty/pool_test.go
@@ -25,6 +25,22 @@
 	require.Equal(t, 6, n)
 }
 
+// A zone starts with 20 servers and needs 4: no step removes more than a quarter, and the
+// surplus is gone in less than half of the time that steps of one server take.
+func TestSurplusOfLargeZoneIsRemovedInSteps(t *testing.T) {
+	const surplus, want = 16, 4
+	p := newPool(poolKey{"a", false}, want+surplus)
+	now := time.Duration(0)
+	for ; p.ordered > want; now += scaleDownInterval {
+		n, isDue := p.nextOrder(now, want, p.ordered, bootTime)
+		require.True(t, isDue)
+		require.GreaterOrEqual(t, n, want)
+		require.LessOrEqual(t, p.ordered-n, max(1, p.ordered/4))
+		p.recordOrder(now, n, true)
+	}
+	require.Less(t, now, surplus*scaleDownInterval/2+scaleDownInterval)
+}
+
 func TestRefusedOnDemandOrderIsRetriedImmediately(t *testing.T) {
 	p := newPool(poolKey{"a", false}, 1)
 	p.recordOrder(0, 3, false)
