--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -79,7 +79,7 @@
 	defer r.active.Add(-1)
 	r.instruments.requests.Inc(1)
 	q := &request{relay: r, w: w, r: hr, arrivedAt: time.Now()}
-	if r.isDraining() {
+	if r.isDraining() || !r.InRotation() {
 		w.Header().Set("Connection", "close")
 	}
 	// Keeps net/http from adding a guessed Content-Type to forwarded responses.
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -395,13 +395,13 @@
 
 // checkReady returns an error if this entry must not receive callers.
 func (p *Process) checkReady() error {
-	doc, age := p.documents.Current()
+	doc, _ := p.documents.Current()
 	switch {
 	case p.isDraining.Load():
 		return errors.New("draining")
 	case doc == nil:
 		return errors.New("no document yet")
-	case age > p.maxDocumentAge():
+	case !p.relay.InRotation():
 		return errors.New("the document was not confirmed for too long")
 	}
 	return nil
