exchange: a failing test: entries restarted in turn count what others spent twice

Restarts in turn change the hubs of a zone. An entry that becomes a hub again, or ceases to be one, counts what was spent in between a second time.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -40,8 +40,9 @@
 	entries    map[string]*testEntry
 	nodes      []peer.Node
 	goroutines sync.WaitGroup
-	// spent is the amount that all entries have spent.
-	spent float64
+	// spent is the amount that all entries have spent, recent what spendSteadily spent.
+	spent  float64
+	recent []spending
 }
 
 // testEntry is a running entry of a testSite.
