quota, exchange: restarts in turn do not count spending twice

Cause: an entry that became a hub again, or ceased to be one, took the totals of the origins that it had not followed in between as new spending, though other reports had covered it; a hub that resumed passed the same jump on to its zone. A starting entry added what a starting hub knew of the whole window to what it took over from another one. Known spending was up to 3.2 times the truth with 18 entries restarted in turn, and organisations within their quota were refused.

Change: the exchange says until when reports of other origins covered an origin, and the counter aligns its total then instead of counting the difference. The totals of a hub count from when it became one: its sums bear a run of their own for each term. What starting entries had spent before their first report is provisional until the spending of the whole window arrives, which a starting entry passes on as well once it has it. The parts of a window that is passed on expire a quarter of a part late on average instead of half.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -99,6 +99,11 @@
 	// position was last changed at positionedAt.
 	position     position
 	positionedAt time.Duration
+	// hubTerms is how often this entry has become a hub.
+	hubTerms int
+	// coveredUntil is, by kind of message, when this entry last began to accept it, if it
+	// knew the same spending from messages of other kinds until then.
+	coveredUntil [sourceKinds]time.Duration
 	// hubSums are the sums received from hubs. prefillByRun holds the prefill
 	// statistics of entries of other zones by the run of the entry, which only a hub
 	// receives.
@@ -206,16 +211,20 @@
 	x.compareEvidence(from, message.Run, message.Evidence)
 	x.mergeLimits(from, message.Limits)
 	x.learnBrittle(message.Brittle)
+	kind := sourceOwnZone
+	if from.Zone != x.self.Zone {
+		kind = sourceOtherZone
+	}
 	x.mu.Lock()
-	if x.position.usesHubs && (!x.position.isHub || from.Zone != x.self.Zone) {
+	if !x.position.accepts(kind) {
 		x.mu.Unlock() // included in the sums of hubs
 		return
 	}
 	now := x.Clock()
 	isKnownRun := x.tracker.recordState(from.ID, now, &message)
-	isAlreadyCounted := x.recordReportLocked(now)
+	origin := quota.Origin{Name: from.ID, Run: message.Run, IsAlreadyCounted: x.recordReportLocked(now), IsKnownRun: isKnownRun, CoveredUntil: x.coveredUntil[kind]}
 	x.mu.Unlock()
-	x.Quotas.Merge(quota.Origin{Name: from.ID, Run: message.Run, IsAlreadyCounted: isAlreadyCounted, IsKnownRun: isKnownRun}, message.Spent)
+	x.Quotas.Merge(origin, message.Spent)
 }
 
 // updateSite determines this entry's position, the number of entries and of
@@ -261,6 +270,14 @@
 	if isChanged {
 		x.positionedAt = now
 	}
+	if p.isHub && !x.position.isHub {
+		x.hubTerms++
+	}
+	for kind := range sourceKinds {
+		if p.accepts(kind) && !x.position.accepts(kind) && x.isCoveredLocked(now) {
+			x.coveredUntil[kind] = now
+		}
+	}
 	x.position = p
 	return isChanged
 }
--- a/internal/exchange/position.go
+++ b/internal/exchange/position.go
@@ -85,3 +85,27 @@
 func (p position) isEquivalent(other position) bool {
 	return p.usesHubs == other.usesHubs && p.isHub == other.isHub && (!p.usesHubs || slices.Equal(p.uplinks, other.uplinks))
 }
+
+// sourceKind is a kind of message by which an entry learns what others have spent.
+type sourceKind int
+
+const (
+	sourceOwnZone    sourceKind = iota // states of the entries of its zone
+	sourceOtherZone                    // states of the entries of other zones
+	sourceZoneSums                     // sums of other zones
+	sourceRestOfSite                   // sums of the rest of the site
+	sourceKinds
+)
+
+// accepts reports whether an entry in this position merges the spending of such messages.
+func (p position) accepts(kind sourceKind) bool {
+	switch kind {
+	case sourceOwnZone:
+		return !p.usesHubs || p.isHub
+	case sourceOtherZone:
+		return !p.usesHubs
+	case sourceZoneSums:
+		return p.usesHubs && p.isHub
+	}
+	return p.usesHubs && !p.isHub
+}
--- a/internal/exchange/sums.go
+++ b/internal/exchange/sums.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"buckthornpick/internal/peer"
@@ -14,7 +15,8 @@
 // sumsMessage holds sums that a hub sends: those of its zone to the hubs of other
 // zones, and those of the rest of the site to each entry of its zone.
 type sumsMessage struct {
-	// Run identifies the hub's process; see RunName.
+	// Run identifies the hub's process and the time since it last became a hub, from
+	// which on its totals count; see sumsRun.
 	Run string `msgpack:"r"`
 	// Zone is the zone that the sums cover; empty for the rest of the site.
 	Zone string `msgpack:"z,omitempty"`
@@ -36,6 +38,15 @@
 	Limits map[string]relay.LimitReport `msgpack:"m,omitempty"`
 }
 
+// sumsRunLocked returns the run of this entry's sums. While it is not a hub, an entry learns
+// what others spend from other sums, which its totals lack.
+func (x *Exchange) sumsRunLocked() string {
+	if x.hubTerms <= 1 {
+		return x.run
+	}
+	return x.run + "#" + strconv.Itoa(x.hubTerms)
+}
+
 // restOfSiteName is the origin name of sums of the rest of the site.
 const restOfSiteName = "rest-of-site"
 
@@ -130,6 +141,7 @@
 	nodes, evidence, limits := x.zoneEntries(p), x.Crashes.Digest(), x.Balancer.LimitReports()
 	ownLoads := map[string]map[string]int{}
 	x.mu.Lock()
+	run := x.sumsRunLocked()
 	loads = maps.Clone(loads)
 	for _, zone := range x.hubSums.zoneSums(x.Clock()) {
 		addLoads(loads, zone.Loads)
@@ -144,7 +156,7 @@
 		rest := maps.Clone(loads)
 		subtractLoads(rest, ownLoads[node.ID])
 		x.send(node, peer.RelaySums, sumsMessage{
-			Run: x.run, Spent: x.Quotas.AggregateReports(quota.ScopeRestOfSite, node.ID, withSiteSpending), Loads: rest,
+			Run: run, Spent: x.Quotas.AggregateReports(quota.ScopeRestOfSite, node.ID, withSiteSpending), Loads: rest,
 			Entries: site.Entries, Reachable: site.Reachable, Evidence: evidence, Limits: limits,
 		})
 	}
@@ -164,7 +176,7 @@
 // zoneSumsLocked returns the loads, usage and prefill statistics of the zone's
 // other reachable entries. The caller adds those of this entry, and the spending.
 func (x *Exchange) zoneSumsLocked(now time.Duration, withUsage bool) sumsMessage {
-	message := sumsMessage{Run: x.run, Zone: x.self.Zone, Reachable: 1, Loads: x.tracker.reachableLoads()}
+	message := sumsMessage{Run: x.sumsRunLocked(), Zone: x.self.Zone, Reachable: 1, Loads: x.tracker.reachableLoads()}
 	if withUsage {
 		message.Usage, message.Prefill = map[string]usage.WindowCounts{}, map[string]map[string]relay.PrefillStats{}
 	}
@@ -219,23 +231,22 @@
 		x.Counts.Merge(run, windows)
 	}
 	x.mu.Lock()
-	isForHub, isFromOwnZone := m.Zone != "", from.Zone == x.self.Zone
-	if !x.position.usesHubs || isForHub != x.position.isHub || isForHub == isFromOwnZone {
+	kind, scope, isFromOwnZone := sourceZoneSums, quota.ScopeZone, from.Zone == x.self.Zone
+	if m.Zone == "" {
+		kind, scope = sourceRestOfSite, quota.ScopeRestOfSite
+	}
+	if !x.position.accepts(kind) || (kind == sourceRestOfSite) != isFromOwnZone {
 		x.mu.Unlock()
 		return
 	}
 	now := x.Clock()
 	isKnownRun := x.hubSums.record(from.ID, now, &m)
-	isAlreadyCounted := x.recordReportLocked(now)
+	origin := quota.Origin{Name: m.originName(), Scope: scope, Run: m.Run, IsAlreadyCounted: x.recordReportLocked(now), IsKnownRun: isKnownRun, CoveredUntil: x.coveredUntil[kind]}
 	for run, stats := range m.Prefill {
 		x.prefillByRun[run] = receivedPrefill{now, stats}
 	}
 	x.mu.Unlock()
-	scope := quota.ScopeZone
-	if !isForHub {
-		scope = quota.ScopeRestOfSite
-	}
-	x.Quotas.Merge(quota.Origin{Name: m.originName(), Scope: scope, Run: m.Run, IsAlreadyCounted: isAlreadyCounted, IsKnownRun: isKnownRun}, m.Spent)
+	x.Quotas.Merge(origin, m.Spent)
 }
 
 // coverageTTL is the time after a report during which the spending of the entries
@@ -247,11 +258,16 @@
 // reports whether the previous ones arrived less than coverageTTL ago, so that the
 // spending of the same entries has already been counted.
 func (x *Exchange) recordReportLocked(now time.Duration) (isAlreadyCounted bool) {
-	isAlreadyCounted = x.position.usesHubs && x.lastReportAt > 0 && now-x.lastReportAt < coverageTTL
+	isAlreadyCounted = x.position.usesHubs && x.isCoveredLocked(now)
 	x.lastReportAt = now
 	return isAlreadyCounted
 }
 
+// isCoveredLocked reports whether the last state or sums arrived less than coverageTTL ago.
+func (x *Exchange) isCoveredLocked(now time.Duration) bool {
+	return x.lastReportAt > 0 && now-x.lastReportAt < coverageTTL
+}
+
 // addHubSumsLocked returns the number of entries of a large site and their loads
 // from the sums of hubs. On a hub, direct and loads cover the entries that send
 // their state to it, and the sums of other zones are added.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -104,6 +104,10 @@
 	// hasSiteSpending is set once the spending before this entry started is known
 	// from a report.
 	hasSiteSpending bool
+	// provisional is what starting entries had spent before their first reports, recorded at
+	// provisionalAt at the latest, until a report has SiteSpending, which includes it.
+	provisional   float64
+	provisionalAt time.Duration
 	// assumedSpending is the part of the initial bucketLevel that stands for the
 	// unknown spending before the start.
 	assumedSpending float64
@@ -131,6 +135,9 @@
 	// IsKnownRun is set if the process has reported before. If it did not list the
 	// organisation then, it had spent nothing of its quota.
 	IsKnownRun bool
+	// CoveredUntil is the time until which reports of other origins included the spending
+	// of this one, whose reports were not merged; 0 if there was no such time.
+	CoveredUntil time.Duration
 }
 
 // Scope is the part of a site that a report covers.
@@ -325,8 +332,7 @@
 	// that callers requested since then, refused requests included.
 	Total     float64 `msgpack:"t"`
 	Requested float64 `msgpack:"a"`
-	// InWindow is the spending in the window. In an aggregate it may exceed Total,
-	// since Total counts other entries from their first report on.
+	// InWindow is the spending in the window; in an aggregate that of all entries.
 	InWindow float64 `msgpack:"w,omitempty"`
 	// SiteSpending is the spending of all entries in the window as known to the
 	// reporter, in equal parts of the window, oldest first. Starting entries need
@@ -337,10 +343,10 @@
 }
 
 // Report returns this entry's own spending. If withSiteSpending is set and this
-// entry has run for a whole window, the report includes SiteSpending.
+// entry knows the spending of a whole window, the report includes SiteSpending.
 func (c *Counter) Report(now time.Duration, withSiteSpending bool) SpendingReport {
 	report := SpendingReport{Total: c.ownSpent, Requested: c.ownRequested, InWindow: c.own.Sum(now), Uptime: now - c.started}
-	if withSiteSpending && !c.isNew(now) {
+	if withSiteSpending && (!c.isNew(now) || c.hasSiteSpending) {
 		report.SiteSpending = c.window.Parts(now)
 	}
 	return report
@@ -364,7 +370,8 @@
 // Merge adds the spending of a report to the counter. An entry that has run for
 // less than a window takes over SiteSpending from the first report that has it.
 // The spending of a run before its first report is counted too, unless it is
-// already counted or arrives as SiteSpending.
+// already counted or arrives as SiteSpending; so is what an origin has spent while
+// others covered it.
 func (c *Counter) Merge(now time.Duration, from Origin, report SpendingReport) {
 	r, isKnownReporter := c.reporters[from.Name]
 	if !isKnownReporter {
@@ -382,6 +389,9 @@
 		}
 		r.runOffsets[from.Run] = offset
 	}
+	if hasOffset && offset.reportedAt < from.CoveredUntil {
+		offset.spent, offset.requested = r.spent-report.Total, r.requested-report.Requested
+	}
 	offset.reportedAt = now
 	// The highest total of several runs counts, so no spending is counted twice and
 	// the other runs carry on if one stops reporting.
@@ -395,7 +405,8 @@
 	}
 	if c.isNew(now) && !c.hasSiteSpending && report.SiteSpending != nil {
 		c.hasSiteSpending = true
-		c.bucketLevel = max(0, c.bucketLevel-c.assumedSpending)
+		c.bucketLevel = max(0, c.bucketLevel-c.assumedSpending-c.provisional)
+		c.window.Add(c.provisionalAt, -c.provisional)
 		c.window.RaiseTo(now, report.SiteSpending)
 	}
 }
@@ -408,9 +419,18 @@
 	switch {
 	case isAlreadyCounted, c.isNew(now) && !isStarting:
 	case isStarting:
-		offset.spent += report.InWindow // Merge records it, so aggregates include it
-	default:
+		// Merge records it, so aggregates include it. What an aggregate knows of the time
+		// before its process is not in its total.
+		amount := min(report.InWindow, report.Total)
+		offset.spent += amount
+		if c.isNew(now) && !c.hasSiteSpending {
+			c.provisional += amount
+			c.provisionalAt = now
+		}
+	case from.Scope == ScopeEntry:
 		c.recordSpent(now, report.InWindow)
+	default:
+		c.recordSpent(now, max(0, report.InWindow-c.window.Sum(now)))
 	}
 }
 
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -52,13 +52,20 @@
 }
 
 // RaiseTo raises each part of the window to at least the sum that another window
-// returned from Parts at the time now. The difference is added at the end of the
-// part, so that it expires no earlier than the amounts it represents.
+// returned from Parts at the time now. The difference is spread over the later half of
+// the part, so that it expires at most half a part before the amounts it represents, and
+// a window that is passed on several times does not grow much.
 func (w *Window) RaiseTo(now time.Duration, parts []float64) {
+	const slots = slotsPerSpan / windowParts / 2
 	own := w.Parts(now)
 	for i := range min(len(parts), windowParts) {
-		if missing := parts[i] - own[i]; missing > 0 {
-			w.addAt(now-w.span+time.Duration(i+1)*w.span/windowParts-w.slotSpan, missing)
+		missing := parts[i] - own[i]
+		if missing <= 0 {
+			continue
+		}
+		end := now - w.span + time.Duration(i+1)*w.span/windowParts
+		for n := range slots {
+			w.addAt(end-time.Duration(n+1)*w.slotSpan, missing/slots)
 		}
 	}
 }
