quota: the usual load is served at once after a restart of all entries

Cause: with a copy of the spending before the start recalled, the leaky bucket still started full, so each entry refused everything until it had heard of the others and drained for seconds; and what the entries that the copy lacks may have spent counted in full for a whole window.

Change: the bounds from a copy hold whatever the level of the bucket was, so it starts empty with a copy; the unknown share fades as the window moves past the copy.

--- a/internal/quota/earlier.go
+++ b/internal/quota/earlier.go
@@ -28,6 +28,7 @@
 // earlierSpending is an upper bound of what all entries spent before a process started.
 type earlierSpending struct {
 	known        *Window
+	copiedAt     time.Duration
 	gaps         []Gap
 	unknownShare float64
 }
@@ -40,28 +41,39 @@
 	if !c.isNew(now) || now-r.CopiedAt > maxRecalledAge {
 		return
 	}
-	e := &earlierSpending{known: NewWindow(c.window.span), unknownShare: r.UnknownShare}
+	e := &earlierSpending{known: NewWindow(c.window.span), copiedAt: r.CopiedAt, unknownShare: r.UnknownShare}
 	e.known.RaiseTo(r.CopiedAt, r.Parts)
 	e.gaps = append(slices.Clone(r.Gaps), Gap{r.CopiedAt, now})
 	c.earlier = e
+	// The bounds of sum hold whatever the level of the bucket was, so it starts empty.
+	c.bucketLevel = max(0, c.bucketLevel-c.assumedSpending)
+	c.assumedSpending = 0
 }
 
 // sum returns the most that may have been spent before the start in the window before now.
-// In a gap the leaky bucket limits it.
+// In a gap, and at the entries that the copy lacks, the leaky bucket limits it.
 func (e *earlierSpending) sum(now time.Duration, l Limits) float64 {
 	if e == nil {
 		return 0
 	}
 	limit := l.PerSecond*l.Window.Seconds() + l.Burst
-	sum := e.known.Sum(now) + e.unknownShare*limit
+	sum := e.known.Sum(now)
+	if begin := now - l.Window; e.copiedAt > begin {
+		sum += e.unknownShare * min(limit, l.mostIn(e.copiedAt-begin))
+	}
 	for _, gap := range e.gaps {
-		if now-gap.To < l.Window {
-			sum += bucketBurstFactor*l.Burst + bucketRateFactor*l.PerSecond*(gap.To-gap.From).Seconds()
+		if begin := now - l.Window; gap.To > begin {
+			sum += l.mostIn(gap.To - max(gap.From, begin))
 		}
 	}
 	return min(sum, limit)
 }
 
+// mostIn returns the most that the leaky bucket lets all entries spend in the time d.
+func (l Limits) mostIn(d time.Duration) float64 {
+	return bucketBurstFactor*l.Burst + bucketRateFactor*l.PerSecond*d.Seconds()
+}
+
 // Copy returns the spending of all entries in the window before now for a Recollection, in
 // equal parts, oldest first. It lacks what is not known of the time before the start.
 func (c *Counter) Copy(now time.Duration) []float64 {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -157,6 +157,8 @@
 type reporter struct {
 	scope            Scope
 	spent, requested float64
+	// provisional is the part of spent that is in Counter.provisional.
+	provisional float64
 	// runOffsets are by Origin.Run.
 	runOffsets map[string]*runOffset
 }
@@ -295,9 +297,11 @@
 	if !c.isBucketStarted && lacksReports {
 		// Use the whole burst, not the present share of it: the share grows as
 		// reports of other entries arrive.
-		c.assumedSpending = burst
-		c.bucketLevel += burst
 		c.coldLevel += burst
+		if c.earlier == nil {
+			c.assumedSpending = burst
+			c.bucketLevel += burst
+		}
 	}
 	c.isBucketStarted = true
 	elapsed := (now - c.bucketUpdatedAt).Seconds()
@@ -360,6 +364,9 @@
 	for name, r := range c.reporters {
 		if name != excluded && (r.scope == ScopeEntry || scope == ScopeRestOfSite && r.scope == ScopeZone) {
 			report.Total += r.spent
+			if !c.countsProvisional(now) {
+				report.Total -= r.provisional
+			}
 			report.Requested += r.requested
 		}
 	}
@@ -385,7 +392,7 @@
 		offset = &runOffset{}
 		if isKnownReporter || !from.IsKnownRun {
 			offset.spent, offset.requested = r.spent-report.Total, r.requested-report.Requested
-			c.mergeEarlierSpending(now, offset, from, report)
+			c.mergeEarlierSpending(now, r, offset, from, report)
 		}
 		r.runOffsets[from.Run] = offset
 	}
@@ -413,7 +420,7 @@
 
 // mergeEarlierSpending counts what a run spent in the window before its first
 // report, unless that is already counted or arrives as SiteSpending.
-func (c *Counter) mergeEarlierSpending(now time.Duration, offset *runOffset, from Origin, report SpendingReport) {
+func (c *Counter) mergeEarlierSpending(now time.Duration, r *reporter, offset *runOffset, from Origin, report SpendingReport) {
 	isStarting := report.Uptime < c.window.span
 	isAlreadyCounted := from.IsAlreadyCounted && (from.Scope != ScopeEntry || !isStarting)
 	switch {
@@ -424,6 +431,7 @@
 		amount := min(report.InWindow, report.Total)
 		offset.spent += amount
 		if c.isNew(now) && !c.hasSiteSpending {
+			r.provisional += amount
 			c.provisional += amount
 			c.provisionalAt = now
 		}
@@ -434,6 +442,16 @@
 	}
 }
 
+// provisionalGrace is the time after the start within which a report with SiteSpending
+// arrives if any entry knows it.
+const provisionalGrace = 1500 * time.Millisecond
+
+// countsProvisional reports whether aggregates include the provisional amounts. If some
+// entries have run on, the receivers have counted these amounts.
+func (c *Counter) countsProvisional(now time.Duration) bool {
+	return !c.hasSiteSpending && now >= c.started+provisionalGrace
+}
+
 // expireRunOffsets drops the offsets of runs that have not reported for
 // runOffsetTTL.
 func (r *reporter) expireRunOffsets(now time.Duration) {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -297,6 +297,39 @@
 	}
 }
 
+// With a recent copy, the first requests after a failure of all entries must be served too,
+// also before the entries have heard of each other.
+func TestUsualLoadIsServedAtOnceAfterRestartOfAllEntries(t *testing.T) {
+	for _, entries := range []int{7, 17} {
+		for _, load := range []float64{0.3, 0.5} {
+			sim := newQuotaSim(entries)
+			sim.copied = &Recollection{}
+			sim.run(20*time.Second, load*limits.PerSecond, 1000, allConnected)
+			sim.restartAll(700 * time.Millisecond)
+			start := sim.now
+			sim.run(300*time.Millisecond, load*limits.PerSecond, 1000, func(int, int) bool { return false })
+			require.GreaterOrEqual(t, sim.spentSince(start), 0.85*load*limits.PerSecond*0.3, "alone, load %v, %d entries", load, entries)
+			sim.run(time.Second, load*limits.PerSecond, 1000, allConnected)
+			require.GreaterOrEqual(t, sim.spentSince(start), 0.95*load*limits.PerSecond*1.3, "load %v, %d entries", load, entries)
+		}
+	}
+}
+
+// What entries that a copy lacks may have spent before it leaves the window with time.
+func TestUnknownShareOfCopyFades(t *testing.T) {
+	sim := newQuotaSim(7)
+	sim.run(20*time.Second, 0.55*limits.PerSecond, 1000, allConnected)
+	sim.restartAll(time.Second)
+	parts := slices.Repeat([]float64{0.55 * limits.PerSecond}, windowParts)
+	for _, e := range sim.entries {
+		e.counter.Recall(sim.now, Recollection{Parts: parts, CopiedAt: sim.now - 1700*time.Millisecond, UnknownShare: 0.5})
+	}
+	sim.run(3*time.Second, 0.55*limits.PerSecond, 1000, allConnected)
+	start := sim.now
+	sim.run(4*time.Second, 0.55*limits.PerSecond, 1000, allConnected)
+	require.GreaterOrEqual(t, sim.spentSince(start), 0.95*0.55*limits.PerSecond*4)
+}
+
 // A copy that leaves no room, because much is not known of the time before the restart, must
 // not refuse more than no copy at all.
 func TestRecalledSpendingRefusesNoMoreThanNone(t *testing.T) {
