capacity: entries ask a server for its load just before a send

Cause: at a service of three servers, 109 entries place requests by calls that they told each other some 300 ms before, while a server's work takes 2.5 times as long in changing spans of 600 ms.

Where the servers of a service state how long work takes there and the document names a health path, an entry asks the server that it has chosen; unless that takes the request well, it asks up to two others and sends to the one with the earliest expected answer. Nothing changes elsewhere.

--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -121,6 +121,9 @@
 	// MaxConnectionsPerServer is the limit of connections of all relays together to
 	// one backend server; 0 is unlimited.
 	MaxConnectionsPerServer int `json:"maxConnectionsPerServer,omitempty" msgpack:"mx,omitempty"`
+	// HealthPath is the path under which a backend server answers at once and states its
+	// load; empty if relays must not ask it.
+	HealthPath string `json:"healthPath,omitempty" msgpack:"hp,omitempty"`
 	// Slots is the number of requests that one backend server runs concurrently; 0
 	// means unknown.
 	Slots int `json:"slots,omitempty" msgpack:"sl,omitempty"`
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"buckthornpick/internal/capacity"
 	"buckthornpick/internal/clock"
 	"buckthornpick/internal/config"
 	"buckthornpick/internal/follow"
@@ -31,6 +32,9 @@
 	// returnPlace gives the permit of a call at such a server back.
 	brittle     map[string]float64
 	returnPlace func(server string, incarnation int64)
+	// statesSlowness holds whether the servers of a service say how long work takes there, by
+	// service.
+	statesSlowness map[string]bool
 	// entryCount is the number of the site's entries, at least 1.
 	entryCount int
 }
@@ -44,7 +48,9 @@
 	// the balancer's clock.
 	pausedUntil time.Duration
 	limit       limitState
-	room        room
+	// load is what the server has said of its load.
+	load capacity.Server
+	room room
 	// ownCalls and peerCalls are the numbers of calls that this entry and the other
 	// entries run at the server.
 	ownCalls  int
@@ -58,6 +64,7 @@
 	return &Balancer{
 		selfID: selfID, zone: zone, clock: c, pool: pool, entryCount: 1,
 		pickers: map[string]*route.Picker{}, prefillMeters: map[string]*prefillMeter{}, servers: map[string]*server{}, brittle: map[string]float64{},
+		statesSlowness: map[string]bool{},
 	}
 }
 
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"buckthornpick/internal/capacity"
 )
 
 // PromptPart is a part of a prompt that several requests may share.
@@ -71,6 +73,9 @@
 	Pause       time.Duration
 	Limit       ServerLimit
 	Brittleness ServerBrittleness
+	// Load is what the server says of its load, if IsLoadStated.
+	Load         capacity.Statement
+	IsLoadStated bool
 }
 
 // ServerLimit is the number of requests that a server takes from all entries together.
@@ -95,4 +100,7 @@
 	MatchesAttempt(attemptID string, status int, h http.Header) bool
 	// InspectResponse reads the status and headers of a response.
 	InspectResponse(status int, h http.Header) ResponseInfo
+	// InspectHealth reads the headers of a health response: the ID of the server and, if ok,
+	// its load.
+	InspectHealth(h http.Header) (server string, load capacity.Statement, ok bool)
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -18,6 +18,10 @@
 	timeToFirstByte metrics.Histogram
 	totalTime       metrics.Histogram
 	timeToRefusal   metrics.Histogram
+	// turnedAway counts the requests that servers refused and stated their load with,
+	// loadChecks those before which a server was asked for its load, and loadMoves those
+	// that another server got instead.
+	turnedAway, loadChecks, loadMoves metrics.Counter
 }
 
 // newRelayMetrics registers the metrics of a relay.
@@ -32,6 +36,9 @@
 		timeToFirstByte: histogram("relay.first_byte_milliseconds"),
 		totalTime:       histogram("relay.request_milliseconds"),
 		timeToRefusal:   histogram("relay.refusal_milliseconds"),
+		turnedAway:      metrics.GetOrRegisterCounter("capacity.turned_away_total", r),
+		loadChecks:      metrics.GetOrRegisterCounter("capacity.load_checks_total", r),
+		loadMoves:       metrics.GetOrRegisterCounter("capacity.load_moves_total", r),
 	}
 }
 
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -233,6 +233,7 @@
 	if info.Pause > 0 {
 		r.Balancer.pauseServer(t, info.Pause)
 	}
+	r.recordLoad(t, attemptID, status, info)
 	r.recordLimit(t, attemptID, status, info)
 	r.recordBrittleness(t, attemptID, status, info)
 }
--- a/internal/relay/serverlimit.go
+++ b/internal/relay/serverlimit.go
@@ -255,9 +255,19 @@
 	return p.IsGranted
 }
 
-// pick selects a server as Balancer.pick does. It asks for a permit if the server has
-// named a limit or is brittle, and selects another one if there is none.
+// pick selects a server as Balancer.pick does, with a permit if one is needed, and by the
+// load that servers state when they are asked.
 func (q *request) pick(ctx context.Context, maxTimeToFirstToken time.Duration) (*choice, error) {
+	c, err := q.pickPermitted(ctx, maxTimeToFirstToken)
+	if err != nil {
+		return nil, err
+	}
+	return q.checkLoad(ctx, c), nil
+}
+
+// pickPermitted selects a server as Balancer.pick does. It asks for a permit if the server
+// has named a limit or is brittle, and selects another one if there is none.
+func (q *request) pickPermitted(ctx context.Context, maxTimeToFirstToken time.Duration) (*choice, error) {
 	for range maxPermitRequests {
 		c, err := q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken, q.tried, q.allowedVersions(), true)
 		if err != nil || c.permit == nil {
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -102,6 +102,19 @@
 	}
 }
 
+// CancelDispatch records that a request that RecordDispatch has recorded went to another
+// server instead.
+func (p *Picker) CancelDispatch(now time.Time, id string, q Query) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.servers[id]
+	if !ok {
+		return
+	}
+	s.recordChange(now, -1)
+	p.contexts.removeOnFailure(q.Context, s, false)
+}
+
 // RecordFirstToken records the time between the dispatch of a request and its first
 // token. c is the Choice that Pick returned for the request.
 func (p *Picker) RecordFirstToken(_ time.Time, id string, took time.Duration, c Choice) {
