capacity: entries join the times of their answers and learn speeds and knees

Cause: an entry learned the speed of a server from its own answers alone. 109 entries before 60 servers see a given server every ten seconds, so that a slow one is never learned.

Change: entries add up the times of answers by incarnation of a server (field c of the states and of the sums of hubs), and each estimates speeds against the service's median and the knee, from which more requests only make all slower. The picker uses a speed that differs for sure instead of its own, and a server above its knee costs more. A server without news returns to the usual in some ten seconds and is tried again.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"buckthornpick/internal/blame"
+	"buckthornpick/internal/capacity"
 	"buckthornpick/internal/clock"
 	"buckthornpick/internal/follow"
 	"buckthornpick/internal/peer"
@@ -40,6 +41,9 @@
 	// usageEvery: one in so many messages holds the usage counts and the prefill
 	// statistics, which change slowly.
 	usageEvery = 2
+	// answersEvery: one in so many of a hub's messages to the entries of its zone holds what
+	// answers say of servers.
+	answersEvery = 2
 	// siteSpendingEvery: one in so many messages holds the spending of all entries,
 	// which starting entries need.
 	siteSpendingEvery = 3
@@ -66,6 +70,8 @@
 	// Brittle holds the services whose servers are brittle, for an entry that has just
 	// started: how many requests each may turn away in a second.
 	Brittle map[string]float64 `msgpack:"t,omitempty"`
+	// Answers are what the entry's recent answers say of servers, by server.
+	Answers map[string]capacity.Report `msgpack:"c,omitempty"`
 }
 
 // Config holds the dependencies and settings of an Exchange.
@@ -171,7 +177,7 @@
 
 // buildState returns the n-th state message.
 func (x *Exchange) buildState(n int) stateMessage {
-	message := stateMessage{Run: x.run, Spent: x.Quotas.Reports(n%siteSpendingEvery == 0), Loads: x.Balancer.Loads(), Evidence: x.Crashes.Digest(), Limits: x.Balancer.LimitReports(), Brittle: x.Balancer.BrittleServices()}
+	message := stateMessage{Run: x.run, Spent: x.Quotas.Reports(n%siteSpendingEvery == 0), Loads: x.Balancer.Loads(), Evidence: x.Crashes.Digest(), Limits: x.Balancer.LimitReports(), Brittle: x.Balancer.BrittleServices(), Answers: x.Balancer.AnswerReports()}
 	if n%usageEvery == 0 {
 		message.Usage = x.Counts.Local()
 		message.Prefill = x.Balancer.PrefillStats()
@@ -230,10 +236,11 @@
 	now := x.Clock()
 	site, changes := x.tracker.evaluate(now, registered, x.position.usesHubs)
 	isPositionChanged := x.setPositionLocked(now, positionOf(x.self, others, site.Entries, x.Transport.IsUnreachable))
-	loads := x.tracker.reachableLoads()
+	loads, answers := x.tracker.reachableLoads(), x.tracker.reachableAnswers()
 	lag := reportInterval * 3 / 2 // the maximum wait of Run
 	if x.position.usesHubs {
 		site, loads = x.addHubSumsLocked(now, site, loads)
+		answers = x.addHubAnswersLocked(now, answers)
 		lag = hubLagIntervals * reportInterval
 	}
 	if now-x.positionedAt < positionGrace {
@@ -251,6 +258,9 @@
 	x.mu.Unlock()
 	x.logChanges(p, site, isPositionChanged, isSiteChanged, changes)
 	x.Balancer.SetPeerCalls(loads)
+	for _, change := range x.Balancer.SetAnswers(answers) {
+		x.Log.Log(relay.EvCapacityChanged, "server", change.Server, "speed", change.Speed, "limit", change.Limit)
+	}
 	x.Balancer.SetEntryCount(1 + len(others))
 	return p
 }
--- a/internal/exchange/sums.go
+++ b/internal/exchange/sums.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"buckthornpick/internal/capacity"
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/quota"
 	"buckthornpick/internal/relay"
@@ -34,6 +35,9 @@
 	Evidence uint64 `msgpack:"d,omitempty"`
 	// Limits holds what the hub knows of limits that servers have named, by server.
 	Limits map[string]relay.LimitReport `msgpack:"m,omitempty"`
+	// Answers are what recent answers say of servers, by server; nil in messages between
+	// those that hold them.
+	Answers map[string]capacity.Report `msgpack:"c"`
 }
 
 // restOfSiteName is the origin name of sums of the rest of the site.
@@ -65,8 +69,12 @@
 		s[name] = map[string]*receivedSums{}
 	}
 	previous := s[name][hub]
+	isKnownRun = previous != nil && previous.Run == m.Run
+	if isKnownRun && m.Answers == nil {
+		m.Answers = previous.Answers
+	}
 	s[name][hub] = &receivedSums{now, *m}
-	return previous != nil && previous.Run == m.Run
+	return isKnownRun
 }
 
 // best returns the latest sums with the given origin name from the hub that
@@ -115,37 +123,51 @@
 	message.Entries, message.Evidence, message.Limits = site.Entries, x.Crashes.Digest(), x.Balancer.LimitReports()
 	message.Spent = x.Quotas.AggregateReports(quota.ScopeZone, "", withSiteSpending)
 	addLoads(message.Loads, runningByServer(x.Balancer.Loads()))
+	capacity.AddReports(message.Answers, x.Balancer.AnswerReports())
 	if withUsage {
 		message.Usage[x.run] = x.Counts.Local()
 		message.Prefill[x.run] = x.Balancer.PrefillStats()
 	}
+	answers := message.Answers
+	if n%hubRoundsPerInterval != 0 {
+		message.Answers = nil
+	}
 	x.sendTo(p.remoteHubs, peer.RelaySums, message)
 	if n%hubRoundsPerInterval == 0 {
-		x.sendRestOfSite(p, site, message.Loads, withSiteSpending)
+		if n%(hubRoundsPerInterval*answersEvery) != 0 {
+			answers = nil
+		}
+		x.sendRestOfSite(p, site, message.Loads, answers, withSiteSpending)
 	}
 }
 
-// sendRestOfSite sends each entry of the zone the sums of all other entries.
-func (x *Exchange) sendRestOfSite(p position, site quota.Site, loads map[string]int, withSiteSpending bool) {
+// sendRestOfSite sends each entry of the zone the sums of all other entries; loads and
+// answers are those of the zone, and no answers are sent if these are nil.
+func (x *Exchange) sendRestOfSite(p position, site quota.Site, loads map[string]int, answers map[string]capacity.Report, withSiteSpending bool) {
 	nodes, evidence, limits := x.zoneEntries(p), x.Crashes.Digest(), x.Balancer.LimitReports()
-	ownLoads := map[string]map[string]int{}
+	ownLoads, ownAnswers := map[string]map[string]int{}, map[string]map[string]capacity.Report{}
 	x.mu.Lock()
-	loads = maps.Clone(loads)
+	loads, answers = maps.Clone(loads), maps.Clone(answers)
 	for _, zone := range x.hubSums.zoneSums(x.Clock()) {
 		addLoads(loads, zone.Loads)
+		if answers != nil {
+			capacity.AddReports(answers, zone.Answers)
+		}
 	}
 	for _, node := range nodes {
 		if state := x.tracker.states[node.ID]; state != nil && state.isReachable {
-			ownLoads[node.ID] = runningByServer(state.loads)
+			ownLoads[node.ID], ownAnswers[node.ID] = runningByServer(state.loads), state.answers
 		}
 	}
 	x.mu.Unlock()
 	for _, node := range nodes {
 		rest := maps.Clone(loads)
 		subtractLoads(rest, ownLoads[node.ID])
+		restAnswers := maps.Clone(answers)
+		capacity.SubtractReports(restAnswers, ownAnswers[node.ID])
 		x.send(node, peer.RelaySums, sumsMessage{
 			Run: x.run, Spent: x.Quotas.AggregateReports(quota.ScopeRestOfSite, node.ID, withSiteSpending), Loads: rest,
-			Entries: site.Entries, Reachable: site.Reachable, Evidence: evidence, Limits: limits,
+			Entries: site.Entries, Reachable: site.Reachable, Evidence: evidence, Limits: limits, Answers: restAnswers,
 		})
 	}
 }
@@ -164,7 +186,7 @@
 // zoneSumsLocked returns the loads, usage and prefill statistics of the zone's
 // other reachable entries. The caller adds those of this entry, and the spending.
 func (x *Exchange) zoneSumsLocked(now time.Duration, withUsage bool) sumsMessage {
-	message := sumsMessage{Run: x.run, Zone: x.self.Zone, Reachable: 1, Loads: x.tracker.reachableLoads()}
+	message := sumsMessage{Run: x.run, Zone: x.self.Zone, Reachable: 1, Loads: x.tracker.reachableLoads(), Answers: x.tracker.reachableAnswers()}
 	if withUsage {
 		message.Usage, message.Prefill = map[string]usage.WindowCounts{}, map[string]map[string]relay.PrefillStats{}
 	}
@@ -270,6 +292,22 @@
 	return quota.Site{Entries: max(direct.Entries, rest.Entries), Reachable: rest.Reachable}, rest.Loads
 }
 
+// addHubAnswersLocked returns what the answers of the other entries of a large site say of
+// servers; direct are those of the entries that send their state to this one.
+func (x *Exchange) addHubAnswersLocked(now time.Duration, direct map[string]capacity.Report) map[string]capacity.Report {
+	if x.position.isHub {
+		for _, zone := range x.hubSums.zoneSums(now) {
+			capacity.AddReports(direct, zone.Answers)
+		}
+		return direct
+	}
+	sum := map[string]capacity.Report{}
+	if rest := x.hubSums.best(restOfSiteName, now); rest != nil {
+		capacity.AddReports(sum, rest.Answers)
+	}
+	return sum
+}
+
 // positionGrace is the time after a change of this entry's position during which
 // the number of reachable entries does not fall: the entries that have to report
 // to this one from now on need some time until their first message arrives.
--- a/internal/exchange/tracker.go
+++ b/internal/exchange/tracker.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"buckthornpick/internal/capacity"
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/quota"
 	"buckthornpick/internal/relay"
@@ -36,6 +37,7 @@
 	receivedAt time.Duration
 	run        string
 	loads      map[string]relay.Load
+	answers    map[string]capacity.Report
 	prefill    map[string]relay.PrefillStats
 	usage      usage.WindowCounts
 	// isLeaving is set by the last message of an entry that stops.
@@ -57,7 +59,7 @@
 		t.states[id] = state
 	}
 	isKnownRun = ok && state.run == m.Run
-	state.receivedAt, state.run, state.loads, state.isLeaving = now, m.Run, m.Loads, m.IsLeaving
+	state.receivedAt, state.run, state.loads, state.isLeaving, state.answers = now, m.Run, m.Loads, m.IsLeaving, m.Answers
 	delete(t.left, id)
 	if m.IsLeaving {
 		t.left[id] = true
@@ -155,3 +157,14 @@
 	}
 	return running
 }
+
+// reachableAnswers returns what the recent answers of the reachable entries say of servers.
+func (t *entryTracker) reachableAnswers() map[string]capacity.Report {
+	sum := map[string]capacity.Report{}
+	for _, state := range t.states {
+		if state.isReachable {
+			capacity.AddReports(sum, state.answers)
+		}
+	}
+	return sum
+}
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -35,6 +35,9 @@
 	// statesSlowness holds whether the servers of a service say how long work takes there, by
 	// service.
 	statesSlowness map[string]bool
+	// answers are this entry's, and estimators by service hold what those of all entries say.
+	answers    *capacity.Answers
+	estimators map[string]*capacity.Estimator
 	// entryCount is the number of the site's entries, at least 1.
 	entryCount int
 }
@@ -49,8 +52,9 @@
 	pausedUntil time.Duration
 	limit       limitState
 	// load is what the server has said of its load.
-	load capacity.Server
-	room room
+	load     capacity.Server
+	estimate capacity.Estimate
+	room     room
 	// ownCalls and peerCalls are the numbers of calls that this entry and the other
 	// entries run at the server.
 	ownCalls  int
@@ -64,7 +68,7 @@
 	return &Balancer{
 		selfID: selfID, zone: zone, clock: c, pool: pool, entryCount: 1,
 		pickers: map[string]*route.Picker{}, prefillMeters: map[string]*prefillMeter{}, servers: map[string]*server{}, brittle: map[string]float64{},
-		statesSlowness: map[string]bool{},
+		statesSlowness: map[string]bool{}, answers: capacity.NewAnswers(), estimators: map[string]*capacity.Estimator{},
 	}
 }
 
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -29,6 +29,8 @@
 	permit *PermitRequest
 	// hasPlace is true if the permit is that of a brittle server and must be given back.
 	hasPlace bool
+	// isAnswerRecorded is true if the time to the first token was recorded.
+	isAnswerRecorded bool
 	// via is the entry by way of which the call was made; empty if it was made directly.
 	via string
 }
@@ -205,6 +207,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.prefillMeterLocked(c.query.Service).recordFirstToken(c.ownPromptTokens, elapsed)
+	c.isAnswerRecorded = true
+	if usual := c.picked.UsualFirstToken; usual > 0 && c.via == "" {
+		b.recordAnswerLocked(c.target.ID, c.target.Incarnation, elapsed.Seconds()/usual.Seconds())
+	}
 }
 
 // prefillMeterLocked returns the prefill meter of the service and creates it if
@@ -249,6 +255,9 @@
 	if !ok || s.target.Incarnation != c.target.Incarnation {
 		return
 	}
+	if signal == signalServed && !c.isAnswerRecorded && c.query.PromptTokens == 0 && c.via == "" {
+		b.recordAnswerLocked(s.ID, s.Incarnation, answerMillis(c))
+	}
 	s.ownCalls = max(0, s.ownCalls-1)
 	switch now := b.clock(); signal {
 	case signalServed, signalFailed:
--- a/internal/relay/loadcheck.go
+++ b/internal/relay/loadcheck.go
@@ -101,13 +101,13 @@
 	q.relay.instruments.loadChecks.Inc(1)
 	ctx, cancel := context.WithTimeout(ctx, capacity.CheckTime(millis(q.policy.TargetMillis)))
 	defer cancel()
-	choices, candidates := []*choice{c}, []capacity.Candidate{candidateOf(c)}
+	choices, candidates := []*choice{c}, []capacity.Candidate{q.relay.Balancer.candidateOf(c)}
 	q.queryLoads(ctx, path, choices, candidates)
 	if candidates[0].TakesWell() || ctx.Err() != nil {
 		return c
 	}
 	for _, other := range q.alternativesTo(c) {
-		candidate := candidateOf(other)
+		candidate := q.relay.Balancer.candidateOf(other)
 		if candidates[0].MayBeBetter(&candidate) {
 			choices, candidates = append(choices, other), append(candidates, candidate)
 		}
@@ -135,8 +135,13 @@
 }
 
 // candidateOf returns the candidate of a choice; its load is not known yet.
-func candidateOf(c *choice) capacity.Candidate {
+func (b *Balancer) candidateOf(c *choice) capacity.Candidate {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	candidate := capacity.Candidate{Latency: max(1, c.picked.PredictedFirstToken.Seconds()*1000)}
+	if s, ok := b.servers[c.target.ID]; ok {
+		candidate.Limit = s.estimate.Limit
+	}
 	for _, cost := range c.picked.Candidates {
 		if cost.ID == c.target.ID {
 			candidate.Cost = cost.Total - cost.Latency
--- a/internal/route/cost.go
+++ b/internal/route/cost.go
@@ -17,10 +17,15 @@
 	if !slices.ContainsFunc(costs, func(t CandidateCost) bool { return t.ID == c.server.ID }) {
 		costs[len(costs)-1] = c.cost
 	}
+	usual := time.Duration(0)
+	if c.server.model.isTrained() {
+		usual = time.Duration(c.server.model.predict(&c.features) * float64(time.Millisecond))
+	}
 	return Choice{
 		Server: c.server.Server, Reason: reason, Candidates: costs,
 		ExpectedCachedTokens: c.cost.CachedTokens,
 		PredictedFirstToken:  time.Duration(c.cost.Latency * float64(time.Millisecond)),
+		UsualFirstToken:      usual,
 		features:             c.features,
 		modelTrained:         c.server.model.isTrained(),
 	}
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -46,6 +46,9 @@
 	recentSum     int
 	// latencyRatio is the moving average of measured to predicted latency.
 	latencyRatio float64
+	// speed and limit are those of ApplyCapacity; 0 is unknown.
+	speed float64
+	limit int
 	// lastCacheEvent is the number of the last cache event applied.
 	lastCacheEvent int64
 	// eventEpoch is incremented at every gap in the cache events; blocks learned
@@ -98,6 +101,19 @@
 	return float64(max(s.inFlight, s.report.Running+s.report.Waiting+s.recentSum)), float64(s.report.Waiting)
 }
 
+// slowdown returns the factor by which the predicted latency is multiplied for one more
+// request at the given load.
+func (s *serverState) slowdown(requests float64) float64 {
+	factor := s.latencyRatio
+	if s.speed > 0 {
+		factor = s.speed
+	}
+	if s.limit > 0 && requests+1 > float64(s.limit) {
+		factor *= (requests + 1) / float64(s.limit)
+	}
+	return factor
+}
+
 func (s *serverState) hasFreshReport(now time.Time) bool {
 	return s.hasReport && now.Sub(s.report.MeasuredAt) < maxReportAge
 }
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -169,7 +169,7 @@
 	s := c.server
 	uncached := float64(q.PromptTokens - cached)
 	c.features = makeFeatures(uncached, s.remainingBacklog(q.Now), c.requests/s.weight(), c.waiting/s.weight())
-	latency := s.model.predict(&c.features) * s.latencyRatio
+	latency := s.model.predict(&c.features) * s.slowdown(c.requests)
 	penalty := targetPenalty(latency, p.cfg.Target.FirstTokenMillis)
 	t := &c.cost
 	t.Latency, t.TargetPenalty = latency, penalty
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -174,6 +174,17 @@
 	s.applyReport(now, load)
 }
 
+// ApplyCapacity sets how long work takes at server id as a multiple of what is usual at its
+// like, which replaces what this entry has learned itself, and the number of requests from
+// which on more only make all slower. 0 is unknown.
+func (p *Picker) ApplyCapacity(id string, speed float64, limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.servers[id]; ok {
+		s.speed, s.limit = speed, limit
+	}
+}
+
 // CacheEvents applies the cache events with the numbers from to to (inclusive) of
 // server id: the hashes of blocks stored and evicted. If gap is true or from does
 // not follow the last event applied, all blocks learned from earlier events of the
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -270,3 +270,29 @@
 	_, err = p.Pick(q)
 	require.NoError(t, err)
 }
+
+func TestCapacityOfServersDecidesPlacement(t *testing.T) {
+	now := time.Now()
+	p := NewPicker(Config{Self: "n1"})
+	p.SetServers(now, []Server{{ID: "a"}, {ID: "b"}})
+	share := func() (n int) {
+		for range 100 {
+			c, err := p.Pick(Query{Now: now})
+			require.NoError(t, err)
+			if c.Server.ID == "a" {
+				n++
+			}
+		}
+		return n
+	}
+	p.ApplyCapacity("a", 3, 0)
+	require.Zero(t, share(), "a is slow")
+	p.ApplyLoadReport(now, "b", backend.Load{Running: 90, MeasuredAt: now})
+	require.Equal(t, 100, share(), "a is slow and less loaded")
+	p.ApplyCapacity("a", 0, 0)
+	p.ApplyLoadReport(now, "a", backend.Load{Running: 12, MeasuredAt: now})
+	p.ApplyLoadReport(now, "b", backend.Load{Running: 16, MeasuredAt: now})
+	require.Equal(t, 100, share(), "alike, and a is less loaded")
+	p.ApplyCapacity("a", 0, 8)
+	require.Zero(t, share(), "a has more than it takes well")
+}
--- a/internal/route/types.go
+++ b/internal/route/types.go
@@ -131,6 +131,9 @@
 	Candidates           []CandidateCost
 	ExpectedCachedTokens int
 	PredictedFirstToken  time.Duration
+	// UsualFirstToken is the prediction for a server of usual speed; 0 if too little was
+	// observed to predict it.
+	UsualFirstToken time.Duration
 
 	// features are the inputs of the latency prediction.
 	features features
