--- a/internal/capacity/estimator.go
+++ b/internal/capacity/estimator.go
@@ -33,7 +33,9 @@
 	bestMemory = 10 * time.Second
 	busyMemory = 10 * time.Minute
 	bestGain   = time.Second
-	lightShare = 0.15
+	lightShare = 0.25
+	// minHeavyLoad is the least load in requests that may be the cause of longer times.
+	minHeavyLoad = 2
 	// minLoadRatio is by how much the load must exceed that at the server's best times.
 	minLoadRatio = 1.5
 	// limitGain is the time constant with which a limit falls, and limitGrowth the share of
@@ -130,8 +132,9 @@
 }
 
 // updateLimit lowers the limit to the load at which work would take as long as at best, if
-// it takes longer for sure under a heavier load, and raises it otherwise. Beyond the knee, a server ends as many
-// requests in a time as at the knee, so that times grow in proportion to the load.
+// it takes longer for sure under a heavier load, and raises it otherwise. Beyond the knee, a
+// server ends as many requests in a time as at the knee, so that times grow in proportion to
+// the load.
 func (s *serverEstimate) updateLimit(elapsed time.Duration, sums *Sums) {
 	if s.slots == 0 {
 		return
@@ -140,28 +143,34 @@
 		s.limit = float64(s.slots)
 	}
 	mean, running := sums.LogTime/sums.Count, sums.Running/sums.Count
+	heavy := max(minHeavyLoad, lightShare*float64(s.slots))
+	s.updateBest(elapsed, mean, running, running <= heavy)
+	excess := mean - s.best
+	isHeavier := running > max(minLoadRatio*s.bestRunning, heavy)
+	if !isHeavier || excess < math.Log(minKneeRatio)+kneeDeviations*timeSpread/math.Sqrt(sums.Count) {
+		s.limit = min(s.limit+limitGrowth*float64(s.slots)*elapsed.Seconds(), float64(s.slots))
+		return
+	}
+	if target := max(heavy, s.bestRunning, limitMargin*running*math.Exp(-excess)); target < s.limit {
+		s.limit += (1 - decay(elapsed, limitGain)) * (target - s.limit)
+	}
+}
+
+// updateBest moves the best times towards the present ones.
+func (s *serverEstimate) updateBest(elapsed time.Duration, mean, running float64, isLight bool) {
+	if !s.hasBest {
+		s.best, s.bestRunning, s.hasBest = mean, running, true
+	}
 	memory := busyMemory
 	switch {
 	case mean < s.best:
 		memory = bestGain
-	case running <= lightShare*float64(s.slots):
+	case isLight:
 		memory = bestMemory
 	}
-	if !s.hasBest {
-		s.best, s.bestRunning, s.hasBest = mean, running, true
-	}
 	share := 1 - decay(elapsed, memory)
 	s.best += share * (mean - s.best)
 	s.bestRunning += share * (running - s.bestRunning)
-	excess := mean - s.best
-	isHeavier := running > max(minLoadRatio*s.bestRunning, lightShare*float64(s.slots))
-	if !isHeavier || excess < math.Log(minKneeRatio)+kneeDeviations*timeSpread/math.Sqrt(sums.Count) {
-		s.limit = min(s.limit+limitGrowth*float64(s.slots)*elapsed.Seconds(), float64(s.slots))
-		return
-	}
-	if target := max(1, s.bestRunning, limitMargin*running*math.Exp(-excess)); target < s.limit {
-		s.limit += (1 - decay(elapsed, limitGain)) * (target - s.limit)
-	}
 }
 
 // Estimate returns the estimate of a server.
--- a/internal/capacity/estimator_test.go
+++ b/internal/capacity/estimator_test.go
@@ -124,7 +124,7 @@
 // TestNoiseIsNoKnee plays servers that share their machines with others and say nothing of
 // it, at loads that change by chance.
 func TestNoiseIsNoKnee(t *testing.T) {
-	for _, slots := range []int{6, 64} {
+	for _, slots := range []int{4, 6, 64} {
 		x := newEstimated(3, 20, slots)
 		slowUntil := make([]time.Duration, len(x.members))
 		load := func(int) int { return x.rng.IntN(1 + 2*slots/3) }
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -54,7 +54,9 @@
 	// load is what the server has said of its load.
 	load     capacity.Server
 	estimate capacity.Estimate
-	room     room
+	// estimateToldAt is when a change of the estimate was last told.
+	estimateToldAt time.Duration
+	room           room
 	// ownCalls and peerCalls are the numbers of calls that this entry and the other
 	// entries run at the server.
 	ownCalls  int
--- a/internal/relay/estimates.go
+++ b/internal/relay/estimates.go
@@ -21,7 +21,8 @@
 }
 
 // SetAnswers sets what the recent answers of the other entries say of servers, and updates
-// the servers' speeds and limits. It returns the changes.
+// the servers' speeds and limits. It returns changes, of each server one in
+// minChangeInterval.
 func (b *Balancer) SetAnswers(others map[string]capacity.Report) []EstimateChange {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -42,7 +43,7 @@
 		}
 		estimator.Update(now, list, others)
 		for _, m := range list {
-			changes = b.applyEstimateLocked(b.servers[m.ID], estimator.Estimate(m.ID), changes)
+			changes = b.applyEstimateLocked(now, b.servers[m.ID], estimator.Estimate(m.ID), changes)
 		}
 	}
 	for service := range b.estimators {
@@ -53,9 +54,12 @@
 	return changes
 }
 
+// minChangeInterval is the least time between two changes of a server that are told.
+const minChangeInterval = 10 * time.Second
+
 // applyEstimateLocked passes an estimate to the server's picker and appends to changes if it
 // has begun or ceased to differ from the usual.
-func (b *Balancer) applyEstimateLocked(s *server, e capacity.Estimate, changes []EstimateChange) []EstimateChange {
+func (b *Balancer) applyEstimateLocked(now time.Duration, s *server, e capacity.Estimate, changes []EstimateChange) []EstimateChange {
 	previous := s.estimate
 	s.estimate = e
 	if e == previous {
@@ -66,7 +70,9 @@
 		speed = 0 // what this entry has learned itself counts
 	}
 	b.pickerLocked(s.Service).ApplyCapacity(s.ID, speed, e.Limit)
-	if e.IsUnusual() != previous.IsUnusual() || (e.Limit > 0) != (previous.Limit > 0) {
+	isChange := e.IsUnusual() != previous.IsUnusual() || (e.Limit > 0) != (previous.Limit > 0)
+	if isChange && (s.estimateToldAt == 0 || now-s.estimateToldAt >= minChangeInterval) {
+		s.estimateToldAt = now
 		changes = append(changes, EstimateChange{s.ID, e})
 	}
 	return changes
