quota, config: the slack of quotas is used, and a large organisation at few entries is served

Cause: the users allow an organisation quota_slack tokens in a window beyond its quota and the overshoot, since entries know late what others let through; the product did not read it and refused that much below the quota instead. An entry that had all of an organisation's requests could spend an eighth of the free quota before its reports arrived.

Change: bounds.quotaSlackTokens, rendered where the platform names it: half of it is free for what has not been reported, a quarter for what is not known of the time before a restart. An entry that has most of the spending may use 0.4 of the free quota. Quotas that count requests have no slack.

--- a/internal/config/settings_relay.go
+++ b/internal/config/settings_relay.go
@@ -49,6 +49,10 @@
 	// QuotaWindowSeconds is the length of the window of organisations' quotas;
 	// default 8.
 	QuotaWindowSeconds float64 `json:"quotaWindowSeconds"`
+	// QuotaSlackTokens is the number of tokens that all relays together may let an
+	// organisation spend in a window beyond its quota and a tenth of it, because they
+	// learn late what the others let through; default 0.
+	QuotaSlackTokens float64 `json:"quotaSlackTokens"`
 	// UsageWindowSeconds is the length of the window of one usage report; default 5.
 	UsageWindowSeconds float64 `json:"usageWindowSeconds"`
 	// RepeatRatio and RepeatSlack are the retry budget of each service over all
@@ -110,6 +114,9 @@
 			ps.add(bound.field, "", "expected a number above 0, got %v", bound.value)
 		}
 	}
+	if !(b.QuotaSlackTokens >= 0) {
+		ps.add("bounds.quotaSlackTokens", "", "expected a number of at least 0, got %v", b.QuotaSlackTokens)
+	}
 	requireAtLeast(ps, "bounds.maxConnections", int64(b.MaxConnections), 1)
 }
 
--- a/internal/quota/earlier.go
+++ b/internal/quota/earlier.go
@@ -56,7 +56,7 @@
 	if e == nil {
 		return 0
 	}
-	limit := l.PerSecond*l.Window.Seconds() + l.Burst
+	limit := l.perWindow()
 	sum := e.known.Sum(now)
 	if begin := now - l.Window; e.copiedAt > begin {
 		sum += e.unknownShare * min(limit, l.mostIn(e.copiedAt-begin))
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -18,8 +18,14 @@
 	PerSecond, Burst float64
 	// Window is the length of the sliding window over which the limit holds.
 	Window time.Duration
+	// Slack is the amount that all entries together may spend in a window beyond the
+	// limit and its overshoot, because they know late what others spend.
+	Slack float64
 }
 
+// perWindow returns the limit of a window.
+func (l Limits) perWindow() float64 { return l.PerSecond*l.Window.Seconds() + l.Burst }
+
 // Site describes the entries of the site as one of them sees them.
 type Site struct {
 	// Entries is the number of entries, this one included.
@@ -69,6 +75,14 @@
 	// spend beyond it before their reports arrive: half of the overshoot that the
 	// users allow.
 	unreportedOvershoot = 0.05
+	// unreportedSlack is the fraction of the slack used for the same purpose, and
+	// recalledSlack that by which the bound of what was spent before a restart may be
+	// exceeded, since it supposes the worst of what is not known.
+	unreportedSlack = 0.5
+	recalledSlack   = 0.25
+	// ownPart is the fraction of the free quota that an entry with all of the spending
+	// may use before its reports arrive. Bursts at others may take the rest.
+	ownPart = 0.4
 	// burstEntries is the number of entries over which a burst at one instant is
 	// expected to spread. A caller keeps its connection to one entry, so a burst at
 	// more entries comes from many callers, and admissionRatio limits those.
@@ -191,14 +205,15 @@
 	lacksReports := c.isNew(now) && !c.hasSiteSpending
 	c.drainBuckets(now, rate, coldRate, bucketBurstFactor*l.Burst, lacksReports)
 	c.recordRequested(now, amount)
-	decision := Decision{Spent: c.window.Sum(now), Limit: share * (l.PerSecond*l.Window.Seconds() + l.Burst)}
+	decision := Decision{Spent: c.window.Sum(now), Limit: share * l.perWindow()}
+	margin := share * (unreportedOvershoot*l.perWindow() + unreportedSlack*l.Slack)
 	wait := waitFor(&decision, amount, burst, c.bucketLevel, rate)
 	if lacksReports {
 		// Each of two bounds of the spending around the start is enough: that of a cold
 		// start, and that of the spending recalled from a copy.
 		wait = waitFor(&decision, amount, burst, c.coldLevel, coldRate)
 		if c.earlier != nil {
-			recalled := Decision{Spent: decision.Spent + share*c.earlier.sum(now, l), Limit: decision.Limit}
+			recalled := Decision{Spent: decision.Spent + share*c.earlier.sum(now, l), Limit: share * (l.perWindow() + recalledSlack*l.Slack)}
 			if w := waitFor(&recalled, amount, burst, c.bucketLevel, rate); w < wait {
 				decision, wait = recalled, w
 			}
@@ -208,11 +223,11 @@
 		decision.RetryAfter = min(max(wait, minRetryAfter), l.Window)
 		return decision
 	}
-	if c.exceedsUnreportedShare(now, decision, s, amount) {
+	if c.exceedsUnreportedShare(now, decision, margin, s, amount) {
 		decision.RetryAfter = max(s.Lag, minRetryAfter)
 		return decision
 	}
-	if ratio := c.admissionRatio(now, decision, s.Lag); !c.admitAtRatio(ratio, amount) {
+	if ratio := c.admissionRatio(now, decision, margin, s.Lag); !c.admitAtRatio(ratio, amount) {
 		decision.RetryAfter = min(max(seconds(s.Lag.Seconds()/ratio), minRetryAfter), l.Window)
 		return decision
 	}
@@ -235,12 +250,13 @@
 // not know yet. It bounds the overshoot when bursts reach several entries at one
 // instant, which the earlier demand does not predict. An amount above the share
 // passes if nothing else is unreported.
-func (c *Counter) exceedsUnreportedShare(now time.Duration, decision Decision, s Site, amount float64) bool {
+func (c *Counter) exceedsUnreportedShare(now time.Duration, decision Decision, margin float64, s Site, amount float64) bool {
 	if s.Reachable <= 1 {
 		return false
 	}
 	unreported := c.own.SumLast(now, s.Lag)
-	share := (decision.Limit - decision.Spent + unreported + unreportedOvershoot*decision.Limit) / float64(min(s.Reachable, burstEntries))
+	part := max(1/float64(min(s.Reachable, burstEntries)), ownPart*c.ownShare(now, s.Lag))
+	share := (decision.Limit - decision.Spent + unreported + margin) * part
 	return unreported > 0 && unreported+amount > share
 }
 
@@ -257,6 +273,17 @@
 	c.ownRequested += amount
 }
 
+// ownShare returns the fraction of the spending in the window that was at this entry. It
+// leaves out the last lag, of which this entry knows its own spending only.
+func (c *Counter) ownShare(now, lag time.Duration) float64 {
+	unreported := c.own.SumLast(now, lag)
+	all := c.window.Sum(now) - unreported
+	if all <= 0 {
+		return 0
+	}
+	return min(max((c.own.Sum(now)-unreported)/all, 0), 1)
+}
+
 // admissionLags is the number of lags over which the free quota is spread. The
 // spending of the last lag has not been reported yet, so with one lag the same
 // free quota would be spent again until the reports arrive.
@@ -266,9 +293,9 @@
 // all entries together spend no more than the free quota before their reports
 // arrive. It limits the overshoot when many callers wait at all entries and the
 // quota becomes free again.
-func (c *Counter) admissionRatio(now time.Duration, decision Decision, lag time.Duration) float64 {
+func (c *Counter) admissionRatio(now time.Duration, decision Decision, margin float64, lag time.Duration) float64 {
 	demand := c.requested.Sum(now) * admissionLags * lag.Seconds() / demandSpan.Seconds()
-	free := decision.Limit - decision.Spent + unreportedOvershoot*decision.Limit
+	free := decision.Limit - decision.Spent + margin
 	if demand <= free {
 		return 1
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -435,6 +435,64 @@
 	require.InDelta(t, requested, len(sim.spent), 0.01*requested)
 }
 
+// Callers of a large organisation may keep their connections to few entries of a large site,
+// whose reports take long. Within its quota it is served, whichever entries they come to.
+func TestQuotaIsUsableWhereverRequestsCome(t *testing.T) {
+	defer setLimits(Limits{PerSecond: 87_000, Burst: 87_000, Window: window, Slack: allowedSlack})()
+	for _, entries := range []int{1, 2, 4, 17} {
+		for load, least := range map[float64]float64{0.55: 0.999, 0.8: 0.999, 0.9: 0.99} {
+			sim := newQuotaSim(17)
+			sim.maxHubDelay, sim.silenceTimeout = 400*time.Millisecond, time.Second
+			sim.calledEntries = entries
+			start := sim.now
+			sim.run(40*time.Second, load*limits.PerSecond, 4000, allConnected)
+			requested := 40 * load * limits.PerSecond
+			require.GreaterOrEqual(t, sim.spentSince(start), least*requested-4000, "load %v at %d entries", load, entries)
+		}
+	}
+}
+
+// setLimits sets the limits of a test and returns a function that resets them.
+func setLimits(l Limits) (reset func()) {
+	previous := limits
+	limits = l
+	return func() { limits = previous }
+}
+
+// The slack that the users allow may be used while reports are on their way, and no more of
+// it, whatever meets: bursts at all entries beside a steady load at one, a partition whose
+// entries are deregistered, failures of all entries.
+func TestQuotaHoldsWithSlack(t *testing.T) {
+	const cost = 5000
+	for seed := range uint64(45) {
+		rate := []float64{29_000, 87_000, 455_000}[seed%3]
+		reset := setLimits(Limits{PerSecond: rate, Burst: rate, Window: window, Slack: allowedSlack})
+		sim := newQuotaSim(17)
+		sim.rng = rand.New(rand.NewPCG(seed, 5))
+		sim.maxHubDelay, sim.silenceTimeout, sim.copied = 400*time.Millisecond, time.Second, &Recollection{}
+		isConnected := allConnected
+		for range 12 {
+			sim.calledEntries = []int{0, 1}[sim.rng.IntN(2)]
+			sim.run(time.Duration(1+sim.rng.IntN(5))*time.Second, []float64{0.5, 0.9, 3}[sim.rng.IntN(3)]*rate, cost, isConnected)
+			sim.calledEntries = 0
+			switch sim.rng.IntN(4) {
+			case 0:
+				sim.restartAll(time.Duration(20+sim.rng.IntN(200)) * tick)
+			case 1:
+				isConnected = func(a, b int) bool { return (a < 5) == (b < 5) }
+			case 2:
+				isConnected = allConnected
+			default:
+				for sent := 0.0; sent < 2*rate; sent += cost {
+					sim.offer(cost)
+				}
+			}
+		}
+		require.LessOrEqual(t, sim.maxSpentInWindow(), maxAllowedPerWindow(), "seed %d, %v a second", seed, rate)
+		reset()
+	}
+}
+
 // An entry that restarts while others run takes over their earlier spending from
 // the reports once. Counting it twice would refuse requests within the quota.
 func TestRestartedEntryDoesNotDoubleCountOthers(t *testing.T) {
--- a/internal/relay/quotas.go
+++ b/internal/relay/quotas.go
@@ -16,6 +16,8 @@
 	window    time.Duration
 	clock     clock.Clock
 	startedAt time.Duration
+	// slackTokens is the slack of quotas in tokens; see quota.Limits.
+	slackTokens float64
 
 	mu sync.Mutex
 	// counters are keyed by the organisation's name.
@@ -31,6 +33,9 @@
 	return &Quotas{window: window, clock: c, startedAt: c(), counters: map[string]*quota.Counter{}}
 }
 
+// AllowSlack sets the slack of quotas in tokens. It is called before the first Spend.
+func (q *Quotas) AllowSlack(tokens float64) { q.slackTokens = tokens }
+
 // counterLocked returns the counter of the organisation and creates it if
 // necessary.
 func (q *Quotas) counterLocked(organisation string) *quota.Counter {
@@ -58,6 +63,9 @@
 // Spend charges an amount to the organisation's quota if the quota allows it.
 func (q *Quotas) Spend(organisation *config.Organisation, site quota.Site, amount float64) quota.Decision {
 	limits := quota.Limits{PerSecond: organisation.Quota.PerSecond, Burst: organisation.Quota.Burst, Window: q.window}
+	if !organisation.Quota.ByRequest {
+		limits.Slack = q.slackTokens
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.counterLocked(organisation.Name).Spend(q.clock(), limits, site, amount)
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -202,6 +202,7 @@
 	run := exchange.RunName(p.settings.Node.ID, time.Now())
 	p.usageCounts = usage.NewCounts(run, b.UsageWindow(), clock.NewWall(p.clock, time.Now))
 	quotas := relay.NewQuotas(b.QuotaWindow(), p.clock)
+	quotas.AllowSlack(b.QuotaSlackTokens)
 	p.crashes = blame.New(p.clock, p.cli.Log)
 	p.archive = originstore.NewArchive(originstore.ArchiveConfig{Store: p.store, RunName: run, Clock: p.clock, Log: log, Metrics: p.cli.Metrics})
 	p.exchange = exchange.New(exchange.Config{
