rollout: move a service to another software version by an operators' order

No process read the orders for roll-outs: versions of a service served side by side as they came, and an order had no status.

Package rollout holds the decisions: what each entry may send to the new version (Gate, a share of its own requests, so that the sum holds over any entries), what the answers say (Judge) and the phase of an order (Decide). The duty of the lease's holder reads orders, decides, tells the entries in the messages that they exchange, and writes the outcome once, in one transaction with the status. Without bounds for it in the settings nothing of this runs and nothing is read.

--- a/cmd/buckthornpick-relay/main.go
+++ b/cmd/buckthornpick-relay/main.go
@@ -32,5 +32,6 @@
 		ReadinessPath: platform.ReadinessPath,
 		DocumentKey:   platform.DocumentKey, DecodeDocument: platform.DecodeDocument,
 		ServersPrefix: platform.ServersPrefix, DecodeServer: platform.DecodeServer,
+		Rollouts: platform.RolloutKeys(),
 	}).Main()
 }
--- a/internal/config/settings_relay.go
+++ b/internal/config/settings_relay.go
@@ -60,6 +60,13 @@
 	// LeaseMillis is the TTL of the lease on the duties, after which another relay
 	// can take them over from a failed one; default 3000.
 	LeaseMillis float64 `json:"leaseMillis"`
+	// ExposureShare and ExposureSlack limit the requests that reach a bad software version
+	// during a roll-out: ExposureShare of all requests of its service plus ExposureSlack.
+	// RollbackMillis is the time within which it gets none any more. Default 0 each: no
+	// roll-outs are carried out.
+	ExposureShare  float64 `json:"exposureShare"`
+	ExposureSlack  float64 `json:"exposureSlack"`
+	RollbackMillis float64 `json:"rollbackMillis"`
 	// MaxConnections is the maximum number of callers' connections; default 3000.
 	MaxConnections int `json:"maxConnections"`
 }
@@ -110,6 +117,15 @@
 			ps.add(bound.field, "", "expected a number above 0, got %v", bound.value)
 		}
 	}
+	if !(b.ExposureShare >= 0 && b.ExposureShare <= 1) {
+		ps.add("bounds.exposureShare", "", "expected a number from 0 to 1, got %v", b.ExposureShare)
+	}
+	if !(b.ExposureSlack >= 0) {
+		ps.add("bounds.exposureSlack", "", "expected a number of 0 or above, got %v", b.ExposureSlack)
+	}
+	if !(b.RollbackMillis >= 0) || b.ExposureShare > 0 && b.RollbackMillis == 0 {
+		ps.add("bounds.rollbackMillis", "", "expected a number above 0 beside exposureShare, got %v", b.RollbackMillis)
+	}
 	requireAtLeast(ps, "bounds.maxConnections", int64(b.MaxConnections), 1)
 }
 
@@ -146,6 +162,11 @@
 	return floatDuration(b.LeaseMillis, time.Millisecond)
 }
 
+// RollbackDelay returns RollbackMillis as a duration.
+func (b *RelayBounds) RollbackDelay() time.Duration {
+	return floatDuration(b.RollbackMillis, time.Millisecond)
+}
+
 func floatDuration(n float64, unit time.Duration) time.Duration {
 	return time.Duration(n * float64(unit))
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -19,6 +19,7 @@
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/quota"
 	"buckthornpick/internal/relay"
+	"buckthornpick/internal/rollout"
 	"buckthornpick/internal/telemetry"
 	"buckthornpick/internal/usage"
 	"buckthornpick/internal/wait"
@@ -66,6 +67,8 @@
 	// Brittle holds the services whose servers are brittle, for an entry that has just
 	// started: how many requests each may turn away in a second.
 	Brittle map[string]float64 `msgpack:"t,omitempty"`
+	// Rollouts holds the orders of roll-outs as the entry knows them, and what it has counted.
+	Rollouts *rollout.Message `msgpack:"v,omitempty"`
 }
 
 // Config holds the dependencies and settings of an Exchange.
@@ -79,8 +82,11 @@
 	Origins   *relay.Origins
 	Archive   Archive
 	Counts    *usage.Counts
-	Clock     clock.Clock
-	Log       *telemetry.Logger
+	// Rollouts and Board are nil if no roll-outs are carried out.
+	Rollouts *rollout.Gate
+	Board    *rollout.Board
+	Clock    clock.Clock
+	Log      *telemetry.Logger
 	// UnregisteredGrace is how long an entry without a registration counts as part
 	// of the site after its last message or registration.
 	UnregisteredGrace time.Duration
@@ -171,7 +177,7 @@
 
 // buildState returns the n-th state message.
 func (x *Exchange) buildState(n int) stateMessage {
-	message := stateMessage{Run: x.run, Spent: x.Quotas.Reports(n%siteSpendingEvery == 0), Loads: x.Balancer.Loads(), Evidence: x.Crashes.Digest(), Limits: x.Balancer.LimitReports(), Brittle: x.Balancer.BrittleServices()}
+	message := stateMessage{Run: x.run, Spent: x.Quotas.Reports(n%siteSpendingEvery == 0), Loads: x.Balancer.Loads(), Evidence: x.Crashes.Digest(), Limits: x.Balancer.LimitReports(), Brittle: x.Balancer.BrittleServices(), Rollouts: x.ownRollouts()}
 	if n%usageEvery == 0 {
 		message.Usage = x.Counts.Local()
 		message.Prefill = x.Balancer.PrefillStats()
@@ -206,6 +212,7 @@
 	x.compareEvidence(from, message.Run, message.Evidence)
 	x.mergeLimits(from, message.Limits)
 	x.learnBrittle(message.Brittle)
+	x.learnRollouts(message.Rollouts)
 	x.mu.Lock()
 	if x.position.usesHubs && (!x.position.isHub || from.Zone != x.self.Zone) {
 		x.mu.Unlock() // included in the sums of hubs
@@ -215,6 +222,7 @@
 	isKnownRun := x.tracker.recordState(from.ID, now, &message)
 	isAlreadyCounted := x.recordReportLocked(now)
 	x.mu.Unlock()
+	x.recordEntryEvidence(from.ID, message.Run, message.Rollouts)
 	x.Quotas.Merge(quota.Origin{Name: from.ID, Run: message.Run, IsAlreadyCounted: isAlreadyCounted, IsKnownRun: isKnownRun}, message.Spent)
 }
 
--- a/internal/exchange/sums.go
+++ b/internal/exchange/sums.go
@@ -8,6 +8,7 @@
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/quota"
 	"buckthornpick/internal/relay"
+	"buckthornpick/internal/rollout"
 	"buckthornpick/internal/usage"
 )
 
@@ -34,6 +35,9 @@
 	Evidence uint64 `msgpack:"d,omitempty"`
 	// Limits holds what the hub knows of limits that servers have named, by server.
 	Limits map[string]relay.LimitReport `msgpack:"m,omitempty"`
+	// Rollouts holds the orders of roll-outs as the hub knows them, and for other hubs what
+	// its zone has counted.
+	Rollouts *rollout.Message `msgpack:"v,omitempty"`
 }
 
 // restOfSiteName is the origin name of sums of the rest of the site.
@@ -115,6 +119,7 @@
 	message.Entries, message.Evidence, message.Limits = site.Entries, x.Crashes.Digest(), x.Balancer.LimitReports()
 	message.Spent = x.Quotas.AggregateReports(quota.ScopeZone, "", withSiteSpending)
 	addLoads(message.Loads, runningByServer(x.Balancer.Loads()))
+	message.Rollouts = x.zoneRollouts()
 	if withUsage {
 		message.Usage[x.run] = x.Counts.Local()
 		message.Prefill[x.run] = x.Balancer.PrefillStats()
@@ -127,7 +132,7 @@
 
 // sendRestOfSite sends each entry of the zone the sums of all other entries.
 func (x *Exchange) sendRestOfSite(p position, site quota.Site, loads map[string]int, withSiteSpending bool) {
-	nodes, evidence, limits := x.zoneEntries(p), x.Crashes.Digest(), x.Balancer.LimitReports()
+	nodes, evidence, limits, rollouts := x.zoneEntries(p), x.Crashes.Digest(), x.Balancer.LimitReports(), x.statedRollouts()
 	ownLoads := map[string]map[string]int{}
 	x.mu.Lock()
 	loads = maps.Clone(loads)
@@ -145,7 +150,7 @@
 		subtractLoads(rest, ownLoads[node.ID])
 		x.send(node, peer.RelaySums, sumsMessage{
 			Run: x.run, Spent: x.Quotas.AggregateReports(quota.ScopeRestOfSite, node.ID, withSiteSpending), Loads: rest,
-			Entries: site.Entries, Reachable: site.Reachable, Evidence: evidence, Limits: limits,
+			Entries: site.Entries, Reachable: site.Reachable, Evidence: evidence, Limits: limits, Rollouts: rollouts,
 		})
 	}
 }
@@ -215,6 +220,7 @@
 	}
 	x.compareEvidence(from, m.Run, m.Evidence)
 	x.mergeLimits(from, m.Limits)
+	x.learnRollouts(m.Rollouts)
 	for run, windows := range m.Usage {
 		x.Counts.Merge(run, windows)
 	}
@@ -235,6 +241,7 @@
 	if !isForHub {
 		scope = quota.ScopeRestOfSite
 	}
+	x.recordZoneEvidence(m.Zone, from.ID, m.Rollouts)
 	x.Quotas.Merge(quota.Origin{Name: m.originName(), Scope: scope, Run: m.Run, IsAlreadyCounted: isAlreadyCounted, IsKnownRun: isKnownRun}, m.Spent)
 }
 
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -31,6 +31,8 @@
 	hasPlace bool
 	// via is the entry by way of which the call was made; empty if it was made directly.
 	via string
+	// isJudged is true once the answer was counted for the verdict about a new version.
+	isJudged bool
 }
 
 // estimatedRequests returns the number of requests at the server that the
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"buckthornpick/internal/clock"
 	"buckthornpick/internal/follow"
 	"buckthornpick/internal/quota"
+	"buckthornpick/internal/rollout"
 	"buckthornpick/internal/telemetry"
 	"buckthornpick/internal/upstream"
 )
@@ -88,11 +89,13 @@
 	OriginStore OriginStore
 	Peers       Peers
 	Usage       UsageRecorder
-	Limits      Limits
-	Zone        string
-	Clock       clock.Clock
-	Log         *telemetry.Logger
-	Metrics     metrics.Registry
+	// Rollouts limits what is sent to new software versions; nil does not.
+	Rollouts *rollout.Recorder
+	Limits   Limits
+	Zone     string
+	Clock    clock.Clock
+	Log      *telemetry.Logger
+	Metrics  metrics.Registry
 }
 
 // Relay forwards callers' requests to backend servers. It implements http.Handler.
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -65,6 +65,7 @@
 		return q.recordAnsweredElsewhere(c)
 	}
 	q.relay.Balancer.finishCall(c, signalServed)
+	q.judgeAnswer(c, false)
 	q.recordAnswered(c, resp)
 	q.writeResponse(resp.Status, resp.Header, data)
 	return responseForwarded
@@ -89,6 +90,7 @@
 // run the request; the caller then gets 502.
 func (q *request) recordServerFailure(c *choice, resp *upstream.Response, data []byte) sendResult {
 	q.recordStarted()
+	q.judgeAnswer(c, true)
 	err := fault.New(fault.Ambiguous, "relay.receive", c.target.ID, "server failed with status %d", resp.Status)
 	res := sendResult{outcome: outcomeServerFailed, refusal: badGateway(reasonServerFailed), err: err}
 	if !promisesNotRun(resp.Status) {
@@ -190,6 +192,7 @@
 		q.abortConnection(err)
 	}
 	q.relay.Balancer.finishCall(c, signalServed)
+	q.judgeAnswer(c, false)
 	q.recordAnswered(c, resp)
 	q.reason = reasonServed
 	return responseForwarded
--- a/internal/relay/second.go
+++ b/internal/relay/second.go
@@ -102,6 +102,7 @@
 		return nil, sendResult{outcome: outcomeNotRun, err: statusError(c, resp.Status)}
 	case isServerFailure(resp.Status) || promisesNotRun(resp.Status) || !info.Signed && resp.Status < http.StatusMultipleChoices:
 		q.relay.Balancer.finishCall(c, signalFailed)
+		q.judgeAnswer(c, true)
 		discardBody(resp)
 		return nil, sendResult{outcome: outcomeServerFailed, err: fault.New(fault.Ambiguous, "relay.second", c.target.ID, "server failed with status %d", resp.Status)}
 	}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -202,6 +202,7 @@
 // broken connection, as opposed to a timeout, a silence or a caller that
 // disconnected, is passed to the crash detector.
 func (q *request) recordLostResponse(ctx context.Context, c *choice, err error) sendResult {
+	q.judgeLostAnswer(c, ctx.Err())
 	switch {
 	case q.r.Context().Err() != nil:
 		q.relay.Balancer.finishCall(c, signalNeutral)
--- a/internal/relay/serverlimit.go
+++ b/internal/relay/serverlimit.go
@@ -255,11 +255,11 @@
 	return p.IsGranted
 }
 
-// pick selects a server as Balancer.pick does. It asks for a permit if the server has
+// pickAmong selects a server as Balancer.pick does. It asks for a permit if the server has
 // named a limit or is brittle, and selects another one if there is none.
-func (q *request) pick(ctx context.Context, maxTimeToFirstToken time.Duration) (*choice, error) {
+func (q *request) pickAmong(ctx context.Context, maxTimeToFirstToken time.Duration, excluded, versions map[string]bool) (*choice, error) {
 	for range maxPermitRequests {
-		c, err := q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken, q.tried, q.allowedVersions(), true)
+		c, err := q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken, excluded, versions, true)
 		if err != nil || c.permit == nil {
 			return c, err
 		}
@@ -271,5 +271,5 @@
 			return c, nil
 		}
 	}
-	return q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken, q.tried, q.allowedVersions(), false)
+	return q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken, excluded, versions, false)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -98,6 +98,7 @@
 				isFirst = false
 				s.request.recordStarted()
 				s.request.recordOrigin(c)
+				s.request.judgeAnswer(c, false)
 				s.request.relay.Balancer.recordFirstToken(c)
 			}
 			if err := s.write(pending[:end]); err != nil {
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -45,6 +45,8 @@
 	DecodeDocument func([]byte) (*config.Document, error)
 	ServersPrefix  string
 	DecodeServer   func(key string, value []byte) (follow.Server, error)
+	// Rollouts are the keys of roll-outs; needed if the settings' bounds allow any.
+	Rollouts duty.RolloutKeys
 }
 
 // Daemon returns the description of the buckthornpick-relay binary.
@@ -143,6 +145,8 @@
 	spending         *relay.SpendingKeeper
 	relay            *relay.Relay
 	dutyLease        *lease.Lease
+	// rollouts is nil if the settings allow no roll-outs.
+	rollouts *rollouts
 	// isDraining is set during a planned stop and makes the readiness probe fail.
 	isDraining atomic.Bool
 }
@@ -155,6 +159,7 @@
 	if s.Cloud != "" {
 		process.cloud = a.Cloud(s, process.platformClient)
 	}
+	process.provisionRollouts()
 	process.provisionFollowers()
 	process.provisionRelay()
 	return process
@@ -178,6 +183,7 @@
 	})
 	p.servers = follow.NewServers(a.ServersPrefix, a.DecodeServer, p.clock, log, func(list []follow.Server) {
 		p.exchange.ShareOrigins(p.origins.SetServers(list))
+		p.rollouts.setServers(list)
 		p.balancer.SetServers(list)
 	})
 	p.zoneStore = follow.NewZoneStore(p.store, self, p.transport, p.entries, p.clock, log, a.DocumentKey, a.ServersPrefix, follow.EntriesPrefix)
@@ -204,13 +210,16 @@
 	quotas := relay.NewQuotas(b.QuotaWindow(), p.clock)
 	p.crashes = blame.New(p.clock, p.cli.Log)
 	p.archive = originstore.NewArchive(originstore.ArchiveConfig{Store: p.store, RunName: run, Clock: p.clock, Log: log, Metrics: p.cli.Metrics})
+	gate, board, recorder := p.rollouts.parts()
 	p.exchange = exchange.New(exchange.Config{
+		Rollouts: gate, Board: board,
 		Transport: p.transport, Entries: p.entries, Size: p.siteSize, Balancer: p.balancer, Quotas: quotas, Crashes: p.crashes, Origins: p.origins, Archive: p.archive,
 		Counts: p.usageCounts, Clock: p.clock, Log: log, UnregisteredGrace: p.maxDocumentAge() + b.QuotaWindow(),
 	}, run)
 	p.relay = relay.New(relay.Config{
 		Codec: p.adapter.Codec, Documents: p.documents, Balancer: p.balancer, Servers: p.servers, Pool: p.pool, Quotas: quotas, Crashes: p.crashes, Origins: p.origins, OriginStore: p.archive,
-		Peers: p.exchange, Usage: p.usageCounts, Zone: p.settings.Node.Zone, Clock: p.clock, Log: log, Metrics: p.cli.Metrics,
+		Rollouts: recorder,
+		Peers:    p.exchange, Usage: p.usageCounts, Zone: p.settings.Node.Zone, Clock: p.clock, Log: log, Metrics: p.cli.Metrics,
 		Limits: relay.Limits{
 			MaxDocumentAge:      p.maxDocumentAge(),
 			MaxRefusalAge:       b.ApplyDelay(),
@@ -303,14 +312,17 @@
 		func(ctx context.Context) error { return p.crashes.LoadStored(ctx, p.store) },
 		func(ctx context.Context) error { return p.secret.Run(ctx, p.store) },
 	}
+	tasks = append(tasks, p.rolloutTasks()...)
+	if p.cloud != nil || p.rollouts != nil {
+		tasks = append(tasks, func(ctx context.Context) error {
+			err := p.dutyLease.Run(ctx)
+			p.dutyLease.Release(context.WithoutCancel(ctx))
+			return err
+		})
+	}
 	if p.cloud == nil {
 		return tasks
 	}
-	tasks = append(tasks, func(ctx context.Context) error {
-		err := p.dutyLease.Run(ctx)
-		p.dutyLease.Release(context.WithoutCancel(ctx))
-		return err
-	})
 	if slices.Contains(p.settings.Duties, config.DutyUsage) {
 		reporter := &duty.Reporter{Lease: p.dutyLease, Store: p.store, Cloud: p.cloud, Counts: p.usageCounts, Size: p.siteSize, Crashes: p.crashes, Log: p.cli.Log}
 		tasks = append(tasks, reporter.Run)
@@ -401,6 +413,8 @@
 		return errors.New("draining")
 	case doc == nil:
 		return errors.New("no document yet")
+	case !p.rollouts.isInformed():
+		return errors.New("the orders of roll-outs are not known yet")
 	case age > p.maxDocumentAge():
 		return errors.New("the document was not confirmed for too long")
 	}
