--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -11,6 +11,9 @@
 	minCapacity = 0.9
 )
 
+// minSurgeAnswers is the number of answers of the new version before the surge.
+const minSurgeAnswers = 20
+
 // Capacity is the room of a service's servers that accept requests.
 type Capacity struct {
 	// OldSlots and NewSlots are the numbers of requests that the servers of the old and of
@@ -64,11 +67,12 @@
 		return Step{PhaseRolledBack, v.Reason, v}
 	}
 	outcomeAt := s.Deadline - b.margin(s.Duration)
+	isPromising := v.NewAnswers >= minSurgeAnswers && !v.IsSuspect || !s.HasOld
 	isGood := v.IsTested && !v.IsSuspect || !s.HasOld
 	switch {
-	case s.Now < s.Deadline-time.Duration((1-surgeAt)*float64(s.Duration)), s.Now < outcomeAt && !(isGood && s.Capacity.carries()):
+	case s.Now < s.Deadline-time.Duration((1-surgeAt)*float64(s.Duration)), s.Now < outcomeAt && !(isPromising && s.Capacity.carries()):
 		return Step{PhaseTrial, "", v}
-	case s.Now < outcomeAt-b.handOverSpan(s.Duration):
+	case s.Now < outcomeAt-b.handOverSpan(s.Duration), s.Now < outcomeAt && !isGood:
 		return Step{PhaseSurge, "", v}
 	case s.Now < outcomeAt:
 		return Step{PhaseHandOver, "", v}
