--- a/internal/duty/rollouts.go
+++ b/internal/duty/rollouts.go
@@ -165,7 +165,7 @@
 		return
 	}
 	if known.IsStated {
-		a.ID, a.From, a.deadline = known.ID, known.From, known.Deadline
+		a.ID, a.From, a.Barred, a.deadline = known.ID, known.From, known.Barred, known.Deadline
 	}
 	if known.Phase.IsFinal() && !a.Outcome.IsFinal() {
 		a.decided, a.reason = known.Phase, "decided by an earlier holder"
@@ -189,8 +189,11 @@
 	a := &activeOrder{deadline: writtenAt + duration, duration: duration}
 	a.modRevision = revision
 	a.Record = rollout.Record{ID: order.ID, Seen: order.ID, Service: order.Service, To: order.To}
+	if former := r.active[order.Service]; former != nil {
+		a.Barred = barredBy(former, order.To)
+	}
 	for version := range r.Gate.VersionsOf(order.Service) {
-		if version != order.To {
+		if version != order.To && !slices.Contains(a.Barred, version) {
 			a.From = append(a.From, version)
 		}
 	}
@@ -207,6 +210,15 @@
 		"left_ms", (a.deadline - r.Clock()).Milliseconds(), "duration_ms", duration.Milliseconds())
 }
 
+// barredBy returns the versions that get nothing after an order, for the next one.
+func barredBy(former *activeOrder, to string) []string {
+	barred := slices.Clone(former.Barred)
+	if former.Outcome == rollout.PhaseRolledBack && !slices.Contains(barred, former.To) {
+		barred = append(barred, former.To)
+	}
+	return slices.DeleteFunc(barred, func(version string) bool { return version == to })
+}
+
 // advance decides about an order and writes its outcome.
 func (r *Rollouts) advance(ctx context.Context, a *activeOrder, isWithdrawn bool) {
 	if a.To == "" || a.Outcome.IsFinal() {
@@ -248,9 +260,10 @@
 func (r *Rollouts) capacity(a *activeOrder) rollout.Capacity {
 	c := rollout.Capacity{Running: r.Running(a.Service)}
 	for version, slots := range r.Gate.VersionsOf(a.Service) {
-		if version == a.To {
+		switch {
+		case version == a.To:
 			c.NewSlots = slots
-		} else {
+		case slices.Contains(a.From, version):
 			c.OldSlots += slots
 		}
 	}
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -141,7 +141,7 @@
 func (g *Gate) clearLocked() {
 	for name, s := range g.services {
 		for version, v := range s.byVersion {
-			isOrdered := g.orders[name] != nil && g.orders[name].To == version
+			isOrdered := g.isOrderedLocked(name, version)
 			isOnly := len(s.byVersion) == 1
 			isKnown := g.isInformed && g.confirmedAt >= v.firstSeen
 			v.isCleared = !isOrdered && (v.isCleared || isOnly || isKnown)
@@ -149,6 +149,12 @@
 	}
 }
 
+// isOrderedLocked reports whether an order decides about a version.
+func (g *Gate) isOrderedLocked(service, version string) bool {
+	order := g.orders[service]
+	return order != nil && (order.To == version || slices.Contains(order.Barred, version))
+}
+
 // NeedsReading reports whether a version waits for a statement that does not come, so that
 // the orders should be read.
 func (g *Gate) NeedsReading(now time.Duration) bool {
@@ -162,7 +168,7 @@
 	}
 	for name, s := range g.services {
 		for version, v := range s.byVersion {
-			if !v.isCleared && (g.orders[name] == nil || g.orders[name].To != version) {
+			if !v.isCleared && !g.isOrderedLocked(name, version) {
 				return true
 			}
 		}
@@ -311,8 +317,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	order := g.orders[service]
-	if order == nil || order.To != version || order.isOpen() {
+	switch {
+	case order == nil:
 		return true
+	case order.To != version || order.isOpen():
+		return !slices.Contains(order.Barred, version)
 	}
 	if !order.Phase.isExposing() || now-g.issuedAt > g.bounds.MaxPermissionAge() {
 		return false
@@ -365,6 +374,7 @@
 			if order.isOpen() {
 				versions[version] = true
 			}
+		case order != nil && slices.Contains(order.Barred, version):
 		case order != nil && order.Phase == PhaseCompleted && slices.Contains(order.From, version):
 			// Its servers have stopped, or stop now.
 		case v.isCleared, order != nil && slices.Contains(order.From, version):
@@ -449,7 +459,7 @@
 // to requests of all sizes compare.
 func (r *Recorder) Record(service, rule, version, server string, took time.Duration, isFailure bool) {
 	order, ok := r.Gate.Known(service)
-	if ok && !order.Phase.IsFinal() {
+	if ok && !order.Phase.IsFinal() && !slices.Contains(order.Barred, version) {
 		r.Board.record(&order.OrderState, rule, version, server, took, isFailure)
 	}
 }
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -75,8 +75,10 @@
 	Service string `msgpack:"s"`
 	To      string `msgpack:"v"`
 	// From holds the versions that served when the order was first seen.
-	From  []string `msgpack:"f,omitempty"`
-	Phase Phase    `msgpack:"p"`
+	From []string `msgpack:"f,omitempty"`
+	// Barred holds versions that were rolled back before, which get nothing.
+	Barred []string `msgpack:"b,omitempty"`
+	Phase  Phase    `msgpack:"p"`
 	// LeftMillis is the time until the deadline when the message is sent; negative after it.
 	LeftMillis int64 `msgpack:"l,omitempty"`
 }
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -23,6 +23,8 @@
 	Service string   `json:"service"`
 	To      string   `json:"to"`
 	From    []string `json:"from"`
+	// Barred holds the versions that earlier orders of the service were rolled back from.
+	Barred []string `json:"barred,omitempty"`
 	// OrderedMillis and DeadlineMillis are Unix milliseconds.
 	OrderedMillis  int64 `json:"orderedMillis"`
 	DeadlineMillis int64 `json:"deadlineMillis"`
@@ -54,5 +56,5 @@
 
 // State returns what entries are told of the order, without its deadline.
 func (r Record) State() OrderState {
-	return OrderState{ID: r.ID, Seen: r.Seen, Service: r.Service, To: r.To, From: r.From, Phase: r.Outcome}
+	return OrderState{ID: r.ID, Seen: r.Seen, Service: r.Service, To: r.To, From: r.From, Barred: r.Barred, Phase: r.Outcome}
 }
