--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -20,6 +20,7 @@
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/quota"
 	"buckthornpick/internal/relay"
+	"buckthornpick/internal/rollout"
 	"buckthornpick/internal/telemetry"
 	"buckthornpick/internal/usage"
 	"buckthornpick/internal/wait"
@@ -72,6 +73,8 @@
 	Brittle map[string]float64 `msgpack:"t,omitempty"`
 	// Answers are what the entry's recent answers say of servers, by server.
 	Answers map[string]capacity.Report `msgpack:"c,omitempty"`
+	// Rollouts holds the orders of roll-outs as the entry knows them, and what it has counted.
+	Rollouts *rollout.Message `msgpack:"v,omitempty"`
 }
 
 // Config holds the dependencies and settings of an Exchange.
@@ -85,8 +88,11 @@
 	Origins   *relay.Origins
 	Archive   Archive
 	Counts    *usage.Counts
-	Clock     clock.Clock
-	Log       *telemetry.Logger
+	// Rollouts and Board are nil if no roll-outs are carried out.
+	Rollouts *rollout.Gate
+	Board    *rollout.Board
+	Clock    clock.Clock
+	Log      *telemetry.Logger
 	// UnregisteredGrace is how long an entry without a registration counts as part
 	// of the site after its last message or registration.
 	UnregisteredGrace time.Duration
@@ -182,7 +188,7 @@
 
 // buildState returns the n-th state message.
 func (x *Exchange) buildState(n int) stateMessage {
-	message := stateMessage{Run: x.run, Spent: x.Quotas.Reports(n%siteSpendingEvery == 0), Loads: x.Balancer.Loads(), Evidence: x.Crashes.Digest(), Limits: x.Balancer.LimitReports(), Brittle: x.Balancer.BrittleServices(), Answers: x.Balancer.AnswerReports()}
+	message := stateMessage{Run: x.run, Spent: x.Quotas.Reports(n%siteSpendingEvery == 0), Loads: x.Balancer.Loads(), Evidence: x.Crashes.Digest(), Limits: x.Balancer.LimitReports(), Brittle: x.Balancer.BrittleServices(), Answers: x.Balancer.AnswerReports(), Rollouts: x.ownRollouts()}
 	if n%usageEvery == 0 {
 		message.Usage = x.Counts.Local()
 		message.Prefill = x.Balancer.PrefillStats()
@@ -217,6 +223,7 @@
 	x.compareEvidence(from, message.Run, message.Evidence)
 	x.mergeLimits(from, message.Limits)
 	x.learnBrittle(message.Brittle)
+	x.learnRollouts(message.Rollouts)
 	kind := sourceOwnZone
 	if from.Zone != x.self.Zone {
 		kind = sourceOtherZone
@@ -230,6 +237,7 @@
 	isKnownRun := x.tracker.recordState(from.ID, now, &message)
 	origin := quota.Origin{Name: from.ID, Run: message.Run, IsAlreadyCounted: x.recordReportLocked(now), IsKnownRun: isKnownRun, CoveredUntil: x.coveredUntil[kind]}
 	x.mu.Unlock()
+	x.recordEntryEvidence(from.ID, message.Run, message.Rollouts)
 	x.Quotas.Merge(origin, message.Spent)
 }
 
--- a/internal/exchange/sums.go
+++ b/internal/exchange/sums.go
@@ -10,6 +10,7 @@
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/quota"
 	"buckthornpick/internal/relay"
+	"buckthornpick/internal/rollout"
 	"buckthornpick/internal/usage"
 )
 
@@ -40,6 +41,9 @@
 	// Answers are what recent answers say of servers, by server; nil in messages between
 	// those that hold them.
 	Answers map[string]capacity.Report `msgpack:"c"`
+	// Rollouts holds the orders of roll-outs as the hub knows them, and for other hubs what
+	// its zone has counted.
+	Rollouts *rollout.Message `msgpack:"v,omitempty"`
 }
 
 // sumsRunLocked returns the run of this entry's sums. While it is not a hub, an entry learns
@@ -135,6 +139,7 @@
 	message.Spent = x.Quotas.AggregateReports(quota.ScopeZone, "", withSiteSpending)
 	addLoads(message.Loads, runningByServer(x.Balancer.Loads()))
 	capacity.AddReports(message.Answers, x.Balancer.AnswerReports())
+	message.Rollouts = x.zoneRollouts()
 	if withUsage {
 		message.Usage[x.run] = x.Counts.Local()
 		message.Prefill[x.run] = x.Balancer.PrefillStats()
@@ -155,7 +160,7 @@
 // sendRestOfSite sends each entry of the zone the sums of all other entries; loads and
 // answers are those of the zone, and no answers are sent if these are nil.
 func (x *Exchange) sendRestOfSite(p position, site quota.Site, loads map[string]int, answers map[string]capacity.Report, withSiteSpending bool) {
-	nodes, evidence, limits := x.zoneEntries(p), x.Crashes.Digest(), x.Balancer.LimitReports()
+	nodes, evidence, limits, rollouts := x.zoneEntries(p), x.Crashes.Digest(), x.Balancer.LimitReports(), x.statedRollouts()
 	ownLoads, ownAnswers := map[string]map[string]int{}, map[string]map[string]capacity.Report{}
 	x.mu.Lock()
 	run := x.sumsRunLocked()
@@ -179,7 +184,7 @@
 		capacity.SubtractReports(restAnswers, ownAnswers[node.ID])
 		x.send(node, peer.RelaySums, sumsMessage{
 			Run: run, Spent: x.Quotas.AggregateReports(quota.ScopeRestOfSite, node.ID, withSiteSpending), Loads: rest,
-			Entries: site.Entries, Reachable: site.Reachable, Evidence: evidence, Limits: limits, Answers: restAnswers,
+			Entries: site.Entries, Reachable: site.Reachable, Evidence: evidence, Limits: limits, Answers: restAnswers, Rollouts: rollouts,
 		})
 	}
 }
@@ -249,6 +254,7 @@
 	}
 	x.compareEvidence(from, m.Run, m.Evidence)
 	x.mergeLimits(from, m.Limits)
+	x.learnRollouts(m.Rollouts)
 	for run, windows := range m.Usage {
 		x.Counts.Merge(run, windows)
 	}
@@ -268,6 +274,7 @@
 		x.prefillByRun[run] = receivedPrefill{now, stats}
 	}
 	x.mu.Unlock()
+	x.recordZoneEvidence(m.Zone, from.ID, m.Rollouts)
 	x.Quotas.Merge(origin, m.Spent)
 }
 
--- a/internal/relay/serverlimit.go
+++ b/internal/relay/serverlimit.go
@@ -255,10 +255,10 @@
 	return p.IsGranted
 }
 
-// pick selects a server as Balancer.pick does, with a permit if one is needed, and by the
-// load that servers state when they are asked.
-func (q *request) pick(ctx context.Context, maxTimeToFirstToken time.Duration) (*choice, error) {
-	c, err := q.pickPermitted(ctx, maxTimeToFirstToken)
+// pickAmong selects a server as Balancer.pick does, with a permit if one is needed, and by
+// the load that servers state when they are asked.
+func (q *request) pickAmong(ctx context.Context, maxTimeToFirstToken time.Duration, excluded, versions map[string]bool) (*choice, error) {
+	c, err := q.pickPermitted(ctx, maxTimeToFirstToken, excluded, versions)
 	if err != nil {
 		return nil, err
 	}
@@ -267,9 +267,9 @@
 
 // pickPermitted selects a server as Balancer.pick does. It asks for a permit if the server
 // has named a limit or is brittle, and selects another one if there is none.
-func (q *request) pickPermitted(ctx context.Context, maxTimeToFirstToken time.Duration) (*choice, error) {
+func (q *request) pickPermitted(ctx context.Context, maxTimeToFirstToken time.Duration, excluded, versions map[string]bool) (*choice, error) {
 	for range maxPermitRequests {
-		c, err := q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken, q.tried, q.allowedVersions(), true)
+		c, err := q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken, excluded, versions, true)
 		if err != nil || c.permit == nil {
 			return c, err
 		}
@@ -281,5 +281,5 @@
 			return c, nil
 		}
 	}
-	return q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken, q.tried, q.allowedVersions(), false)
+	return q.relay.Balancer.pick(q.service, &q.info, maxTimeToFirstToken, excluded, versions, false)
 }
