duty: more servers are ordered as soon as the load is known

Cause: no order was placed before the load had been measured for 6.4 s. Change: pool.target: the 6.4 s are asked for removals only.

--- a/internal/duty/pool.go
+++ b/internal/duty/pool.go
@@ -41,6 +41,17 @@
 	return &pool{key: key, ordered: ready, scaledDownAt: -scaleDownInterval, refusedAt: -refusalBackoff}
 }
 
+// target returns the number of servers to aim for, given the number that the load needs. It
+// answers a burst just after a start or a change of the holder: more servers are ordered as
+// soon as the load is known at all, and servers are removed only once it has been known for
+// long enough (mayRemove).
+func (p *pool) target(needed int, mayRemove bool) int {
+	if mayRemove {
+		return needed
+	}
+	return max(needed, p.ordered)
+}
+
 // nextOrder returns the number of servers to order and whether to order now.
 // A surplus after a peak of load, or of the servers that a site starts with, is
 // removed in steps of maxRemovedShare. Reclaimable servers may be refused in a
--- a/internal/duty/pool_test.go
+++ b/internal/duty/pool_test.go
@@ -41,6 +41,18 @@
 	require.Less(t, now, surplus*scaleDownInterval/2+scaleDownInterval)
 }
 
+func TestBurstAfterAStartOrdersServersBeforeAnyIsRemoved(t *testing.T) {
+	p := newPool(poolKey{"a", false}, 4)
+	n, isDue := p.nextOrder(0, p.target(7, false), 4, bootTime)
+	require.True(t, isDue)
+	require.Equal(t, 7, n)
+	p.recordOrder(0, n, true)
+	_, isDue = p.nextOrder(time.Hour, p.target(2, false), 7, bootTime)
+	require.False(t, isDue, "the load was measured for too short a time to remove servers")
+	_, isDue = p.nextOrder(time.Hour, p.target(2, true), 7, bootTime)
+	require.True(t, isDue)
+}
+
 func TestRefusedOnDemandOrderIsRetriedImmediately(t *testing.T) {
 	p := newPool(poolKey{"a", false}, 1)
 	p.recordOrder(0, 3, false)
--- a/internal/duty/scaler.go
+++ b/internal/duty/scaler.go
@@ -127,9 +127,10 @@
 	if !holdsLease {
 		return
 	}
-	if rate == 0 || !state.demand.IsFull(now) {
+	if rate == 0 {
 		return // the load is not known yet: keep the present servers
 	}
+	mayRemove := state.demand.IsFull(now)
 	zones := zonesOf(service)
 	want := fleet.ServerCounts(fleet.ServerCountInput{
 		Demand: demand, Running: int(runningPeak), Zones: zones, Min: service.Scaling.Min, Max: service.Scaling.Max,
@@ -138,8 +139,9 @@
 	load := loadFigures{demand: demand, running: runningPeak, rate: rate}
 	for _, zone := range zones {
 		n := want[zone.Name]
-		s.adjust(ctx, service, state.pool(poolKey{zone.Name, true}, ready), n.Reclaimable, ready, load)
-		s.adjust(ctx, service, state.pool(poolKey{zone.Name, false}, ready), n.OnDemand, ready, load)
+		reclaimable, onDemand := state.pool(poolKey{zone.Name, true}, ready), state.pool(poolKey{zone.Name, false}, ready)
+		s.adjust(ctx, service, reclaimable, reclaimable.target(n.Reclaimable, mayRemove), ready, load)
+		s.adjust(ctx, service, onDemand, onDemand.target(n.OnDemand, mayRemove), ready, load)
 	}
 }
 
