--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -241,6 +241,28 @@
 	})
 }
 
+// The peer's goAway may be read after the result of the last stream was sent, and before
+// the stream is removed.
+func TestConnectionDrainedBeforeItsLastStreamIsRemovedIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		c := newConn(newTransport(nodeA, newPipeNet(), testOptions()), near, nodeB, 1, true)
+		go c.run(t.Context())
+		c.drain(false)
+		synctest.Wait()
+		last := newStream(c, 2, Submit, false)
+		c.mu.Lock()
+		c.streams[last.id] = last
+		c.incoming++
+		c.mu.Unlock()
+		require.NoError(t, c.handleGoAway())
+		last.finish(io.EOF)
+		synctest.Wait()
+		require.Equal(t, errDrained, c.cause())
+	})
+}
+
 func TestSilentPeerAndIdleConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n, a, b := newPair(testOptions())
