peer: a drained connection is closed although its last stream is removed late

Cause: the side that has both sent and received a goAway frame closes the connection, but looked only when the frame came. The result of a stream is sent before the stream is removed, so that the peer's goAway could come in between; then neither side closed, until the connection was idle. TestSimultaneousDials saw two connections for that.

Change: if a stream is left then, the connection is closed when it is removed.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -44,9 +44,10 @@
 	// streams, in unix nanoseconds.
 	busySince int64
 	// While draining is set, this side opens no new streams. It sends a goAway
-	// frame when the last stream has ended; the side that has both sent and
-	// received one closes the connection.
-	draining, sentGoAway, gotGoAway bool
+	// frame when the last stream has ended; the side that has sent one when it
+	// receives one closes the connection. closesWhenIdle is set if it must wait for
+	// the removal of a stream whose result it has sent.
+	draining, sentGoAway, gotGoAway, closesWhenIdle bool
 }
 
 func newConn(t *Transport, nc net.Conn, remote Node, incarnation uint64, dialled bool) *conn {
--- a/internal/peer/keepalive.go
+++ b/internal/peer/keepalive.go
@@ -28,6 +28,10 @@
 			}
 		}
 		c.sendGoAway(ctx)
+		if c.isDrained() {
+			c.fail(errDrained)
+			return
+		}
 	}
 }
 
@@ -95,10 +99,19 @@
 	if c.sentGoAway && len(c.streams) == 0 {
 		return errDrained
 	}
+	c.closesWhenIdle = c.sentGoAway
 	c.wakeKeepAlive()
 	return nil
 }
 
+// isDrained reports whether this side must close the connection because its last stream
+// was removed after the peer's goAway frame had come.
+func (c *conn) isDrained() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closesWhenIdle && len(c.streams) == 0
+}
+
 // wasDrained reports whether a goAway frame was sent or received, so that the end
 // of the connection is not a failure.
 func (c *conn) wasDrained() bool {
