follow: lists of servers are passed on in the order of their changes

Cause: the list was made under the lock and passed on outside it, by the goroutines of requests, of the follower and of the expiry.

Change: a list is made and passed on under a lock of its own; a goroutine whose change is in a list that was passed on meanwhile passes on none. The other views (document, entries, secret) are written by one goroutine each.

The test waited in virtual time, which does not pass while a goroutine waits for a lock: it now waits in real time, for the same condition.

--- a/internal/follow/servers.go
+++ b/internal/follow/servers.go
@@ -72,8 +72,14 @@
 	log      *telemetry.Logger
 	onChange func([]Server)
 
+	// passOn is held while a list is made and passed on, and is locked before mu. A list
+	// is therefore never passed on after a newer one.
+	passOn sync.Mutex
+
 	mu      sync.Mutex
 	servers map[string]Server
+	// changes counts the changes, and passedOn those of them that the last list held.
+	changes, passedOn int
 	// tombstones holds a record of each server that was seen leaving or removed,
 	// by ID.
 	tombstones map[string]tombstone
@@ -94,7 +100,8 @@
 
 // NewServers returns an empty view of the registry under prefix. onChange is
 // called with the whole list, sorted by ID, after each change and each full read of
-// the registry.
+// the registry, or once for several of them. It is not called concurrently, and must not
+// call the view.
 func NewServers(prefix string, decode func(string, []byte) (Server, error), c clock.Clock, log *telemetry.Logger, onChange func([]Server)) *Servers {
 	return &Servers{
 		prefix: prefix, decode: decode, clock: c, log: log, onChange: onChange,
@@ -140,12 +147,24 @@
 	s.unlockAndNotify(true)
 }
 
-// unlockAndNotify unlocks the view, and calls onChange if the view has changed.
+// unlockAndNotify unlocks the view. If the view has changed, it returns once onChange was
+// called with a list that has the change.
 func (s *Servers) unlockAndNotify(isChanged bool) {
 	if !isChanged {
 		s.mu.Unlock()
 		return
 	}
+	s.changes++
+	change := s.changes
+	s.mu.Unlock()
+	s.passOn.Lock()
+	defer s.passOn.Unlock()
+	s.mu.Lock()
+	if s.passedOn >= change {
+		s.mu.Unlock()
+		return
+	}
+	s.passedOn = s.changes
 	list := s.listLocked()
 	s.mu.Unlock()
 	s.onChange(list)
--- a/internal/follow/servers_test.go
+++ b/internal/follow/servers_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -55,23 +54,26 @@
 // A list that was made earlier must not be passed on after a later one. The changes come
 // from goroutines of requests and from the follower.
 func TestServersArePassedOnInTheOrderOfTheirChanges(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		r := newServersFixture()
-		r.put(Server{ID: "a", Incarnation: 1})
-		isHeld := true
-		r.view.onChange = func(l []Server) {
-			if isHeld {
-				isHeld = false
-				time.Sleep(time.Second)
+	r := newServersFixture()
+	r.put(Server{ID: "a", Incarnation: 1})
+	isSlow, marked := true, make(chan struct{})
+	r.view.onChange = func(l []Server) {
+		if isSlow {
+			isSlow = false
+			go func() {
+				r.view.MarkLeaving("a", 1)
+				close(marked)
+			}()
+			select {
+			case <-marked: // the later list has overtaken this one
+			case <-time.After(100 * time.Millisecond):
 			}
-			r.list = l
 		}
-		go r.put(Server{ID: "b"})
-		synctest.Wait()
-		r.view.MarkLeaving("a", 1)
-		time.Sleep(2 * time.Second)
-		require.Equal(t, []string{"b"}, r.ready(), "a has announced its shutdown")
-	})
+		r.list = l
+	}
+	r.put(Server{ID: "b"})
+	<-marked
+	require.Equal(t, []string{"b"}, r.ready(), "a has announced its shutdown")
 }
 
 // A registry that has not changed for longer than the lease time is not an
