relay: the version of a stream is that of the process that writes it

Cause: the version was taken from the view of the registry when the server was selected.

Change: a response carries the time at which its connection was opened. The version counts as settled if the view was confirmed after that with the same start of the server, or a second has passed without news in a view that is being confirmed. If the view learns of another start, the stream is the new one's if it goes on, and of no version otherwise; the record is corrected here and at the other entries. New streams are not delayed. A stream goes on elsewhere only once its own version and that of the next server are settled: at once over connections that were open, within a second over new ones. Servers that name no version are left as they were.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -34,6 +34,8 @@
 	// stream without events yet, or not resumable.
 	origin           *StreamOrigin
 	isOriginRecorded bool
+	// isOriginUnsettled is true while another process of the server may be the writer.
+	isOriginUnsettled bool
 	// org is the organisation of the caller's key; nil if the key is unknown.
 	org     *config.Organisation
 	content blame.Content
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -152,6 +152,12 @@
 	unshared map[string]map[string]bool
 	// queue holds the keys of records in the order of their creation.
 	queue []queuedOrigin
+	// processes are those that may write streams. unsettled holds the keys of the records
+	// whose writer's version is not settled, judged at each change of the view and at the
+	// first record after each confirmation.
+	processes          processHistories
+	unsettled          map[string]bool
+	unsettledCheckedAt time.Duration
 }
 
 // ruleOrigins holds the origins that a rule has lately had.
@@ -169,6 +175,9 @@
 	createdAt time.Duration
 	// callerEnd is when the caller stops waiting; 0 is unknown.
 	callerEnd time.Duration
+	// writer and lastEventAt are set for a stream that this entry began.
+	writer      *StreamWriter
+	lastEventAt time.Duration
 }
 
 // toShare returns the record as it is sent to other entries.
@@ -191,6 +200,7 @@
 	return &Origins{
 		clock: c, viewAge: viewAge, uses: newOriginUses(), usesChanged: make(chan struct{}), stoppedAt: map[StreamOrigin]time.Duration{},
 		rules: map[string]*ruleOrigins{}, records: map[string]originRecord{}, unshared: map[string]map[string]bool{},
+		processes: processHistories{}, unsettled: map[string]bool{},
 	}
 }
 
@@ -213,7 +223,9 @@
 	}
 	o.servers = list
 	o.setAcceptingLocked()
-	return o.updateLocked()
+	o.processes.update(list, o.clock(), o.confirmedAtLocked())
+	corrected := o.settleLocked()
+	return append(corrected, o.updateLocked()...)
 }
 
 // setAcceptingLocked updates the origins with servers that accept requests.
@@ -412,6 +424,7 @@
 // deleteLocked deletes the record of an attempt, if there is one.
 func (o *Origins) deleteLocked(attemptID string) {
 	delete(o.unshared[o.records[attemptID].rule], attemptID)
+	delete(o.unsettled, attemptID)
 	delete(o.records, attemptID)
 }
 
--- a/internal/relay/origins_test.go
+++ b/internal/relay/origins_test.go
@@ -93,3 +93,63 @@
 	}
 	require.Len(t, f.records, maxOriginRecords)
 }
+
+// A server may start again in place as another version, of which the view learns late.
+func TestVersionOfAWriterIsSettledOnlyOnceItsProcessIsKnown(t *testing.T) {
+	const second = time.Second
+	list := func(incarnation int64, version string) []follow.Server {
+		return []follow.Server{{ID: "i", Incarnation: incarnation, Version: version}}
+	}
+	restarted := processHistories{} // confirmed at 10 s, and the new process learned of at 11 s
+	restarted.update(list(1, "1"), 5*second, 4*second)
+	same := processHistories{}
+	same.update(list(1, "1"), 5*second, 4*second)
+	restarted.update(list(2, "2"), 11*second, 10*second)
+	unchanged := processHistories{}
+	unchanged.update(list(1, "1"), 5*second, 4*second)
+	unchanged.update(list(2, "1"), 11*second, 10*second)
+	for name, c := range map[string]struct {
+		histories                                  processHistories
+		connectedAt, lastEventAt, now, confirmedAt time.Duration
+		version                                    string
+		verdict                                    writerVerdict
+	}{
+		"confirmed after the connection was opened":      {same, 10 * second, 10 * second, 10 * second, 10 * second, "1", writerSettled},
+		"not confirmed yet":                              {same, 10 * second, 11 * second, 11*second - 1, 9 * second, "", writerPending},
+		"a change would have been learned of":            {same, 10 * second, 11 * second, 11 * second, 9 * second, "1", writerSettled},
+		"the view is too old for that":                   {same, 10 * second, 20 * second, 20 * second, 9 * second, "", writerPending},
+		"the old process":                                {restarted, 10 * second, 0, 12 * second, 11 * second, "1", writerSettled},
+		"the new process, which has gone on":             {restarted, 10*second + 1, 11*second + 1, 12 * second, 11 * second, "2", writerSettled},
+		"either process":                                 {restarted, 10*second + 1, 11 * second, 12 * second, 11 * second, "", writerUnclear},
+		"either process, of one version":                 {unchanged, 10*second + 1, 11 * second, 12 * second, 11 * second, "1", writerSettled},
+		"a process that the view has not had for longer": {processHistories{}, 10 * second, 0, 12 * second, 11 * second, "", writerUnclear},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := &StreamWriter{Server: "i", Incarnation: 1, Version: "1", ConnectedAt: c.connectedAt}
+			version, verdict := c.histories.judge(w, c.lastEventAt, c.now, c.confirmedAt)
+			require.Equal(t, c.verdict, verdict)
+			require.Equal(t, c.version, version)
+		})
+	}
+}
+
+// The record of a stream is corrected when the view learns of the process that writes it,
+// and has no version while that may be either of two.
+func TestOriginIsCorrectedOnceTheWriterIsKnown(t *testing.T) {
+	f := newOriginsFixture()
+	f.SetServers([]follow.Server{{ID: "i", Service: "s", Incarnation: 1, Version: "1"}})
+	f.now, f.viewAge = f.now+time.Second, time.Second
+	f.Record("r", OriginRecord{"a", originV1, 0})
+	f.RecordWriter("a", &StreamWriter{Server: "i", Incarnation: 1, Version: "1", ConnectedAt: f.now})
+	_, isSettled, _ := f.Settle("a", false)
+	require.False(t, isSettled)
+	f.now += 100 * time.Millisecond
+	corrected := f.SetServers([]follow.Server{{ID: "i", Service: "s", Incarnation: 2, Version: "2"}})
+	require.Contains(t, corrected, OriginRecord{"a", StreamOrigin{Service: "s"}, 0})
+	f.now += 100 * time.Millisecond
+	origin, isSettled, corrected := f.Settle("a", true)
+	require.True(t, isSettled)
+	require.Equal(t, originV2, origin)
+	require.Equal(t, []OriginRecord{{"a", originV2, 0}}, corrected)
+	require.Equal(t, OriginAnswer{IsKnown: true, Origin: originV2}, f.Find("r", "a"))
+}
--- a/internal/relay/resumption.go
+++ b/internal/relay/resumption.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
 
 	"buckthornpick/internal/config"
+	"buckthornpick/internal/upstream"
 	"buckthornpick/internal/wait"
 )
 
@@ -30,14 +32,21 @@
 
 // recordOrigin records which servers may continue the request's stream, before its
 // first event is forwarded, so that other entries can continue it too.
-func (q *request) recordOrigin(c *choice) {
+func (q *request) recordOrigin(c *choice, resp *upstream.Response) {
 	if q.policy.Repetition != resumable || q.isOriginRecorded {
 		return
 	}
 	q.isOriginRecorded = true
 	q.origin = &StreamOrigin{Service: q.service, Version: c.version}
 	record := OriginRecord{AttemptID: q.info.AttemptID, Origin: *q.origin, Remaining: q.callerRemaining()}
-	if q.relay.Origins.Record(q.ruleName, record) {
+	mustShare := q.relay.Origins.Record(q.ruleName, record)
+	if q.info.AttemptID != "" {
+		q.relay.Origins.RecordWriter(q.info.AttemptID, q.writerOf(c, resp))
+		q.isOriginUnsettled = true
+		q.settleOrigin(true)
+		record.Origin = *q.origin
+	}
+	if mustShare {
 		q.relay.Peers.ShareOrigins([]OriginRecord{record})
 	}
 }
@@ -125,6 +134,12 @@
 	defer cancel()
 	own := func() foundOrigin {
 		if answer := q.relay.Origins.Find(q.ruleName, q.info.ResumedAttempt); answer.IsKnown {
+			awaitSettled(ctx, func() bool {
+				origin, isSettled, corrected := q.relay.Origins.Settle(q.info.ResumedAttempt, false)
+				q.relay.Peers.ShareOrigins(corrected)
+				answer.Origin = cmp.Or(origin, answer.Origin)
+				return isSettled
+			})
 			return foundOrigin{origin: answer.Origin, source: sourceSelf}
 		}
 		return foundOrigin{source: sourceNone}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -22,10 +23,19 @@
 // timeout.
 var errStreamStalled = errors.New("stream exceeded its stall timeout")
 
+// errOtherVersion ends a send that was to continue a stream, at a server whose software
+// version is not known to be that of the stream.
+var errOtherVersion = errors.New("the server may be of another software version than the stream")
+
 // forwardEvents forwards a stream of server-sent events as they arrive, complete
 // events only until the stream ends regularly. A resumable stream that breaks is
 // continued on another server.
 func (q *request) forwardEvents(ctx context.Context, c *choice, resp *upstream.Response) sendResult {
+	if q.origin != nil && !q.canContinue(ctx, c, resp) {
+		_ = resp.Body.Close()
+		q.relay.Balancer.finishCall(c, signalNeutral)
+		return sendResult{outcome: outcomeUnknown, refusal: badGateway(reasonAnswerLost), err: errOtherVersion}
+	}
 	s := &eventStream{request: q}
 	s.sendHead = func() { q.setHead(resp.Status, resp.Header); q.w.WriteHeader(resp.Status) }
 	for {
@@ -97,9 +107,10 @@
 			if isFirst {
 				isFirst = false
 				s.request.recordStarted()
-				s.request.recordOrigin(c)
+				s.request.recordOrigin(c, resp)
 				s.request.relay.Balancer.recordFirstToken(c)
 			}
+			s.request.settleOrigin(true)
 			if err := s.write(pending[:end]); err != nil {
 				s.callerLeft = true
 				return continuation{}, err
@@ -158,6 +169,9 @@
 func (s *eventStream) resume(ctx context.Context, previous *choice, contest *contest) (*choice, *upstream.Response) {
 	q := s.request
 	q.tried[previous.target.ID] = true
+	if !awaitSettled(ctx, func() bool { return q.settleOrigin(false) }) {
+		return s.logNotResumed(previous, cmp.Or(s.obstacleToResume(ctx, contest), "version-unclear"), nil)
+	}
 	for {
 		if obstacle := s.obstacleToResume(ctx, contest); obstacle != "" {
 			return s.logNotResumed(previous, obstacle, nil)
@@ -182,7 +196,9 @@
 		if err == nil {
 			info = q.inspect(c, resp)
 		}
-		if err == nil && resp.Status == http.StatusOK && info.Signed && contest.takeOver() {
+		hasContinued := err == nil && resp.Status == http.StatusOK && info.Signed
+		isOtherVersion := hasContinued && q.origin != nil && !q.canContinue(ctx, c, resp)
+		if hasContinued && !isOtherVersion && contest.takeOver() {
 			q.serverID, q.serverVersion, q.via = c.target.ID, c.version, c.via
 			q.relay.Log.Log(EvStreamResumed, "request", q.info.AttemptID, "from", previous.target.ID, "from_version", previous.version,
 				"server", c.target.ID, "version", c.version, "after", s.lastEventID)
@@ -193,6 +209,9 @@
 			discardBody(resp)
 			res.err = fault.New(fault.Ambiguous, "relay.stream", c.target.ID, "server did not continue the stream, status %d", resp.Status)
 		}
+		if isOtherVersion {
+			res.err = errOtherVersion
+		}
 		if contest.hasGoneOn() {
 			res.err = fault.New(fault.Ambiguous, "relay.stream", c.target.ID, "the silent server has gone on")
 		}
@@ -200,7 +219,7 @@
 			res.outcome = outcomeNotRun
 		}
 		signal := signalFailed
-		if info.NotRun || q.r.Context().Err() != nil || contest.hasGoneOn() {
+		if info.NotRun || isOtherVersion || q.r.Context().Err() != nil || contest.hasGoneOn() {
 			signal = signalNeutral
 		}
 		q.relay.Balancer.finishCall(c, signal)
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -55,7 +55,9 @@
 	// Framed is true if the body has a declared length or chunked encoding. The end
 	// of any other body is the end of its connection.
 	Framed bool
-	Body   io.ReadCloser
+	// ConnectedAt is when the connection had been opened; zero if that is not known.
+	ConnectedAt time.Time
+	Body        io.ReadCloser
 }
 
 // Do sends a request and reads the status and headers of its response. The end of
@@ -152,7 +154,7 @@
 		if x.request.Matches == nil || x.request.Matches(resp.StatusCode, resp.Header) {
 			framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 			return &Response{
-				Status: resp.StatusCode, Header: resp.Header, DeclaredLength: resp.ContentLength, Framed: framed,
+				Status: resp.StatusCode, Header: resp.Header, DeclaredLength: resp.ContentLength, Framed: framed, ConnectedAt: x.conn.connectedAt,
 				Body: &body{roundTrip: x, source: resp.Body, idleTimeout: idleTimeoutOf(resp), isFramed: framed},
 			}, nil
 		}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -36,6 +36,8 @@
 	head      *headLimiter
 	server    *serverConns
 	idleUntil time.Time
+	// connectedAt is when the connection had been opened.
+	connectedAt time.Time
 }
 
 // newConn returns a connection to a server, which ends if the server is dead.
@@ -43,7 +45,7 @@
 func newConn(nc net.Conn, s *serverConns, receivedAt *atomic.Int64) *conn {
 	netx.SetDeadPeerTimeout(nc, deadPeerTimeout, keepAliveInterval)
 	head := &headLimiter{source: nc, receivedAt: receivedAt}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(head, readBuffer), head: head, server: s}
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(head, readBuffer), head: head, server: s, connectedAt: time.Now()}
 }
 
 // errHeadTooLarge ends the read of a response whose head exceeds maxHeadBytes.
