follow, platform: a document that cannot be decoded confirms none

Cause: the follower's confirmation counted although the version that the store had could not be decoded, so that keys which it took away went on working. Whole numbers written as 15000.0 were enough for that.

Change: while the latest version cannot be decoded, the one in force ages from the confirmation before it, as while the store is away.

--- a/internal/follow/document.go
+++ b/internal/follow/document.go
@@ -52,7 +52,10 @@
 	log      *telemetry.Logger
 	follower *Follower
 	current  atomic.Pointer[Document]
-	onChange func(*Document)
+	// unreadableFrom is when the store last confirmed the version in force, by the
+	// follower's clock, if it has a later one that could not be decoded; nil otherwise.
+	unreadableFrom atomic.Pointer[time.Duration]
+	onChange       func(*Document)
 }
 
 // NewDocuments returns an empty holder for the document stored under key.
@@ -66,9 +69,15 @@
 func (d *Documents) SetFollower(f *Follower) { d.follower = f }
 
 // Current returns the version in force, or nil before the first one, and the
-// time since the store last confirmed it.
+// time since the store last confirmed it. A version that cannot be decoded confirms none,
+// so that what it may have taken away is not granted for longer than while the store
+// is away.
 func (d *Documents) Current() (*Document, time.Duration) {
-	return d.current.Load(), d.follower.Age()
+	age := d.follower.Age()
+	if from := d.unreadableFrom.Load(); from != nil {
+		age = max(age, d.follower.clock()-*from)
+	}
+	return d.current.Load(), age
 }
 
 // Replace implements Sink.
@@ -101,8 +110,13 @@
 	doc, err := d.decode(e.Value)
 	if err != nil {
 		d.log.Log(EvDocumentUnreadable, "revision", e.ModRevision, "error", err.Error())
+		if d.unreadableFrom.Load() == nil {
+			from := d.follower.clock() - d.follower.Age()
+			d.unreadableFrom.Store(&from)
+		}
 		return
 	}
+	defer d.unreadableFrom.Store(nil) // once the version is in force
 	if old := d.current.Load(); old != nil && doc.Revision <= old.Revision {
 		return
 	}
--- a/internal/follow/events.go
+++ b/internal/follow/events.go
@@ -13,7 +13,7 @@
 	EvStoreLost          = telemetry.Register(3002, "store-lost", slog.LevelWarn, "A call that updates a view failed; the view becomes stale until the store answers again.")
 	EvStoreRegained      = telemetry.Register(3003, "store-regained", slog.LevelInfo, "The store answers again after failed calls.")
 	EvDocumentInForce    = telemetry.Register(3004, "document-in-force", slog.LevelInfo, "A version of the operators' document came into force at this process.")
-	EvDocumentUnreadable = telemetry.Register(3005, "document-unreadable", slog.LevelError, "The operators' document cannot be decoded; the previous version stays in force.")
+	EvDocumentUnreadable = telemetry.Register(3005, "document-unreadable", slog.LevelError, "The operators' document cannot be decoded; the previous version stays in force, and ages as if the store had not confirmed it since.")
 	EvDocumentFaults     = telemetry.Register(3006, "document-faults", slog.LevelWarn, "The operators' document has faults, but it was accepted by another process and is in force.")
 	EvServerChanged      = telemetry.Register(3007, "server-changed", slog.LevelInfo, "A backend server was added, changed or removed.")
 	EvServerUnreadable   = telemetry.Register(3008, "server-unreadable", slog.LevelWarn, "An entry of the registry cannot be decoded; its backend server is not used.")
