cli, relayd: SIGHUP during the start does not end the relay

Cause: the signal was caught only once the settings had been read.

Change: the relay catches it first of all; one that comes before the settings are in force has them read again. Other daemons still end.

Measured: TestHangupBeforeSettingsAreReadDoesNotEndTheDaemon fails without the change.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -5,10 +5,12 @@
 	"context"
 	"errors"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"syscall"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -92,3 +94,35 @@
 		require.Equal(t, ExitFailure, <-codes)
 	})
 }
+
+// The settings are read through a pipe, so that the signal comes before they can be.
+func TestHangupBeforeSettingsAreReadDoesNotEndTheDaemon(t *testing.T) {
+	const variable = "CLI_TEST_SETTINGS"
+	if path := os.Getenv(variable); path != "" {
+		os.Args = []string{"test", "--config", path}
+		Daemon[config.PlannerSettings]{
+			Name: "test", Reloads: true,
+			Node: func(s *config.PlannerSettings) (config.NodeSettings, *config.LogSettings) { return s.Node, &s.Log },
+			Run: func(ctx context.Context, _ config.PlannerSettings, p *Process) error {
+				select {
+				case <-p.Hangups:
+					return nil
+				case <-time.After(5 * time.Second):
+					return errors.New("the signal is lost")
+				}
+			},
+		}.Main()
+	}
+	path := filepath.Join(t.TempDir(), "settings.json")
+	require.NoError(t, syscall.Mkfifo(path, 0o600))
+	daemon := exec.Command(os.Args[0], "-test.run=^TestHangupBeforeSettingsAreReadDoesNotEndTheDaemon$")
+	daemon.Env = append(os.Environ(), variable+"="+path)
+	require.NoError(t, daemon.Start())
+	settings, err := os.OpenFile(path, os.O_WRONLY, 0) // waits for the reader
+	require.NoError(t, err)
+	require.NoError(t, daemon.Process.Signal(syscall.SIGHUP))
+	_, err = settings.WriteString(goodPlanner)
+	require.NoError(t, err)
+	require.NoError(t, settings.Close())
+	require.NoError(t, daemon.Wait())
+}
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -7,6 +7,8 @@
 	"io"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/urfave/cli/v3"
@@ -27,6 +29,9 @@
 	Log      *telemetry.Logger
 	Metrics  metrics.Registry
 	Stdout   io.Writer
+	// Hangups receives a SIGHUP that came since the program started; nil unless the daemon
+	// reloads.
+	Hangups <-chan os.Signal
 }
 
 // Daemon describes a binary that runs until it is signalled to stop. T is the
@@ -38,11 +43,20 @@
 	Node func(*T) (config.NodeSettings, *config.LogSettings)
 	// Run serves until ctx ends, then shuts down gracefully and returns.
 	Run func(ctx context.Context, settings T, p *Process) error
+	// Reloads is true if Run handles Process.Hangups. SIGHUP ends other daemons.
+	Reloads bool
+
+	hangups chan os.Signal
 }
 
 // Main runs the daemon with the arguments of the process and exits with its exit
 // code.
 func (d Daemon[T]) Main() {
+	if d.Reloads {
+		// Before the settings are read, which takes milliseconds.
+		d.hangups = make(chan os.Signal, 1)
+		signal.Notify(d.hangups, syscall.SIGHUP)
+	}
 	os.Exit(Execute(context.Background(), d.Command(), os.Args, os.Stdout, os.Stderr))
 }
 
@@ -85,7 +99,7 @@
 	}
 	log, stopLog := startLog(c.Root().Writer, level, node)
 	defer stopLog()
-	return d.run(ctx, settings, &Process{Settings: c.String("config"), Log: log, Metrics: metrics.NewRegistry(), Stdout: c.Root().Writer})
+	return d.run(ctx, settings, &Process{Settings: c.String("config"), Log: log, Metrics: metrics.NewRegistry(), Stdout: c.Root().Writer, Hangups: d.hangups})
 }
 
 func (d Daemon[T]) run(ctx context.Context, settings T, p *Process) error {
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -6,11 +6,8 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"slices"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -50,8 +47,9 @@
 // Daemon returns the description of the buckthornpick-relay binary.
 func Daemon(a Adapter) cli.Daemon[config.RelaySettings] {
 	return cli.Daemon[config.RelaySettings]{
-		Name:  "buckthornpick-relay",
-		Usage: "forward requests that name each attempt, and share quotas and duties with the other entries",
+		Name:    "buckthornpick-relay",
+		Usage:   "forward requests that name each attempt, and share quotas and duties with the other entries",
+		Reloads: true,
 		Node: func(s *config.RelaySettings) (config.NodeSettings, *config.LogSettings) {
 			return s.Node, &s.Log
 		},
@@ -411,23 +409,18 @@
 // function is called. The values read at startup stay in force; reload logs whether
 // a restart is needed to apply the new ones.
 func (p *Process) reloadOnSignal() (stop func()) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
 	done := make(chan struct{})
 	go func() {
 		for {
 			select {
-			case <-signals:
+			case <-p.cli.Hangups:
 				p.reload()
 			case <-done:
 				return
 			}
 		}
 	}()
-	return func() {
-		signal.Stop(signals)
-		close(done)
-	}
+	return func() { close(done) }
 }
 
 // reload reads the settings file and logs whether it is valid, and whether its node,
