--- a/internal/follow/servers_test.go
+++ b/internal/follow/servers_test.go
@@ -51,6 +51,31 @@
 	return ids
 }
 
+// A list that was made earlier must not be passed on after a later one. The changes come
+// from goroutines of requests and from the follower.
+func TestServersArePassedOnInTheOrderOfTheirChanges(t *testing.T) {
+	r := newServersFixture()
+	r.put(Server{ID: "a", Incarnation: 1})
+	isSlow, marked := true, make(chan struct{})
+	r.view.onChange = func(l []Server) {
+		if isSlow {
+			isSlow = false
+			go func() {
+				r.view.MarkLeaving("a", 1)
+				close(marked)
+			}()
+			select {
+			case <-marked: // the later list has overtaken this one
+			case <-time.After(100 * time.Millisecond):
+			}
+		}
+		r.list = l
+	}
+	r.put(Server{ID: "b"})
+	<-marked
+	require.Equal(t, []string{"b"}, r.ready(), "a has announced its shutdown")
+}
+
 // A registry that has not changed for longer than the lease time is not an
 // outage: a server removed after that must be dropped immediately, without a
 // grace period.
