capacity: others are asked where the first server is silent

Cause: a server that did not answer in time got the request all the same, and one that may run once only was lost there.

Change: the first question and those to others have a time each; a server that can't be connected to counts as unreachable, as after a send.

--- a/internal/capacity/choose.go
+++ b/internal/capacity/choose.go
@@ -15,15 +15,15 @@
 	uncheckedOneIn = 32
 	// MaxAlternatives limits the servers that are asked for their load beside the first.
 	MaxAlternatives = 2
-	// A check takes at most checkShare of the time in which the answer is due, between
+	// A question takes at most checkShare of the time in which the answer is due, between
 	// minCheckTime and maxCheckTime.
-	checkShare   = 0.05
-	minCheckTime = 5 * time.Millisecond
-	maxCheckTime = 25 * time.Millisecond
+	checkShare   = 0.04
+	minCheckTime = 4 * time.Millisecond
+	maxCheckTime = 20 * time.Millisecond
 )
 
 // CheckTime returns how long a request whose answer is due in target may wait for the load
-// of servers; a target of 0 is unknown.
+// of the first server, and once more for those of others; a target of 0 is unknown.
 func CheckTime(target time.Duration) time.Duration {
 	if target <= 0 {
 		return maxCheckTime
--- a/internal/relay/loadcheck.go
+++ b/internal/relay/loadcheck.go
@@ -21,8 +21,8 @@
 
 const (
 	// loadQueryTimeout limits a query of a server's load. A request waits less for it, but a
-	// late answer keeps its connection.
-	loadQueryTimeout = 300 * time.Millisecond
+	// late answer keeps its connection. It exceeds the time to open one.
+	loadQueryTimeout = 400 * time.Millisecond
 	// checkedShare is the share of the latency target, or of the target gap of streams, from
 	// which on the predicted time to the first event of a stream makes a check worth its
 	// round trip: the streams that run beside it pause while its prompt is read.
@@ -75,6 +75,16 @@
 	return s.load.RecordCheck(b.clock(), isUsable)
 }
 
+// recordUnreachable records that no connection to a server could be opened.
+func (b *Balancer) recordUnreachable(t upstream.Target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s, ok := b.servers[t.ID]; ok && s.target.Incarnation == t.Incarnation {
+		s.health.recordUnreachable(b.clock())
+		b.detectZoneOutageLocked(s.Zone, b.clock())
+	}
+}
+
 // healthPathOf returns the path under which the server of c states its load, empty if it is
 // not to be asked.
 func (b *Balancer) healthPathOf(c *choice) string {
@@ -100,11 +110,9 @@
 		return c
 	}
 	q.relay.instruments.loadChecks.Inc(1)
-	ctx, cancel := context.WithTimeout(ctx, capacity.CheckTime(millis(q.policy.TargetMillis)))
-	defer cancel()
 	choices, candidates := []*choice{c}, []capacity.Candidate{q.relay.Balancer.candidateOf(c)}
 	q.queryLoads(ctx, path, choices, candidates)
-	if candidates[0].TakesWell() || ctx.Err() != nil {
+	if candidates[0].TakesWell() {
 		return c
 	}
 	for _, other := range q.alternativesTo(c) {
@@ -220,8 +228,10 @@
 }
 
 // queryLoads asks the servers of the choices for their loads and sets those of the
-// candidates that answer before ctx ends.
+// candidates that answer in time.
 func (q *request) queryLoads(ctx context.Context, path string, choices []*choice, candidates []capacity.Candidate) {
+	ctx, cancel := context.WithTimeout(ctx, capacity.CheckTime(millis(q.policy.TargetMillis)))
+	defer cancel()
 	type answer struct {
 		index  int
 		stated capacity.Statement
@@ -259,7 +269,9 @@
 		isUsable = isUsable && id == t.ID && stated.StatesSlowness()
 		discardBody(resp)
 	}
-	if r.Balancer.recordCheck(t, stated, isUsable) {
+	if err != nil && !upstream.MayHaveBeenSent(err) {
+		r.Balancer.recordUnreachable(t)
+	} else if r.Balancer.recordCheck(t, stated, isUsable) {
 		r.Log.Log(EvLoadChecksPaused, "server", t.ID, "error", fmt.Sprint(err))
 	}
 	return stated, isUsable
