capacity: at least 8 ms for a question; a learned slow server in the model

Cause: with a target of 120 ms a question had 4.8 ms, and one across zones over a new connection takes more.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -63,6 +63,8 @@
 type modelServer struct {
 	slots, knee int
 	speed       float64
+	// learned is the speed that entries know, 1 unless they have learned it.
+	learned float64
 	// lie replaces the server's statements; nil for true ones.
 	lie      func(Statement) Statement
 	slowness float64
@@ -122,7 +124,7 @@
 // have heard, and others if it does not take the request well when it is asked.
 func (m *model) checked(now time.Duration) int {
 	order := m.rng.Perm(len(m.servers))
-	if m.told[order[1]] < m.told[order[0]] {
+	if m.cost(order[1]) < m.cost(order[0]) {
 		order[0], order[1] = order[1], order[0]
 	}
 	list, asked := make([]Candidate, 0, len(order)), make([]int, 0, len(order))
@@ -134,7 +136,7 @@
 			}
 			continue
 		}
-		c := Candidate{Latency: float64(modelWork.Milliseconds()), Stated: s.state(now), Limit: s.knee}
+		c := Candidate{Latency: float64(modelWork.Milliseconds()) * s.learned, Stated: s.state(now), Limit: s.knee}
 		c.IsKnown = true
 		s.checks++
 		list, asked = append(list, c), append(asked, i)
@@ -145,6 +147,9 @@
 	return asked[Choose(list)]
 }
 
+// cost is that of a server to a picker that has heard of its load.
+func (m *model) cost(i int) float64 { return float64(30+m.told[i]) * m.servers[i].learned }
+
 func (m *model) twoChoices(time.Duration) int {
 	a, b := m.rng.IntN(len(m.servers)), m.rng.IntN(len(m.servers))
 	if m.told[b] < m.told[a] {
@@ -207,7 +212,7 @@
 func threeServers(change func(i int, s *modelServer)) *model {
 	m := newModel(make([]modelServer, 3)...)
 	for i := range m.servers {
-		m.servers[i] = modelServer{slots: 6, knee: 6, speed: 1, slowness: 1}
+		m.servers[i] = modelServer{slots: 6, knee: 6, speed: 1, learned: 1, slowness: 1}
 		change(i, &m.servers[i])
 	}
 	return m
@@ -224,6 +229,7 @@
 	}{
 		{"alike", func(int, *modelServer) {}, 0.25, 0.5},
 		{"one is three times slower", func(i int, s *modelServer) { s.speed = 1 + 2*float64(i/2) }, 0.5, 0.9},
+		{"one is three times slower, which is learned", func(i int, s *modelServer) { s.speed = 1 + 2*float64(i/2); s.learned = s.speed }, 0.25, 0.4},
 		{"slow down before they are full", func(_ int, s *modelServer) { s.knee = 4 }, 0.25, 0.5},
 		{"one always states that it is idle", func(i int, s *modelServer) {
 			if i == 0 {
--- a/internal/capacity/choose.go
+++ b/internal/capacity/choose.go
@@ -18,7 +18,7 @@
 	// A question takes at most checkShare of the time in which the answer is due, between
 	// minCheckTime and maxCheckTime.
 	checkShare   = 0.04
-	minCheckTime = 4 * time.Millisecond
+	minCheckTime = 8 * time.Millisecond
 	maxCheckTime = 20 * time.Millisecond
 )
 
