capacity: a prompt stays known as cached at a server that is passed by

Cause: a request that went elsewhere after a question took the chosen server from the holders of its prompt, and left its tokens in that server's backlog.

Change: the prompt stays known where it was expected, and the backlog is taken back.

--- a/internal/relay/loadcheck.go
+++ b/internal/relay/loadcheck.go
@@ -221,7 +221,7 @@
 	if previous, ok := b.servers[from.target.ID]; ok && previous.target.Incarnation == from.target.Incarnation {
 		previous.ownCalls = max(0, previous.ownCalls-1)
 	}
-	from.picker.CancelDispatch(from.query.Now, from.target.ID, from.query)
+	from.picker.CancelDispatch(from.query.Now, from.query, from.picked)
 	b.prefillMeterLocked(from.query.Service).addTokens(from.picked.ExpectedCachedTokens - from.query.PromptTokens)
 	b.countCallLocked(to, s)
 	return true
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -102,17 +102,21 @@
 	}
 }
 
-// CancelDispatch records that a request that RecordDispatch has recorded went to another
-// server instead.
-func (p *Picker) CancelDispatch(now time.Time, id string, q Query) {
+// CancelDispatch records that a request that RecordDispatch has recorded for the server of c
+// goes to another one instead. What the server was expected to have in its cache is kept.
+func (p *Picker) CancelDispatch(now time.Time, q Query, c Choice) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s, ok := p.servers[id]
+	s, ok := p.servers[c.Server.ID]
 	if !ok {
 		return
 	}
 	s.recordChange(now, -1)
-	p.contexts.removeOnFailure(q.Context, s, false)
+	s.backlogTokens = max(0, s.remainingBacklog(now)-float64(q.PromptTokens-c.ExpectedCachedTokens))
+	s.backlogAt = now
+	if c.ExpectedCachedTokens == 0 {
+		p.contexts.removeOnFailure(q.Context, s, false)
+	}
 }
 
 // RecordFirstToken records the time between the dispatch of a request and its first
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -296,3 +296,25 @@
 	p.ApplyCapacity("a", 0, 8)
 	require.Zero(t, share(), "a has more than it takes well")
 }
+
+func TestCancelledDispatchLeavesNoLoadAndKeepsCachedPrompt(t *testing.T) {
+	now := time.Now()
+	p := NewPicker(Config{Self: "n1"})
+	p.SetServers(now, []Server{{ID: "a"}, {ID: "b"}})
+	q := Query{Now: now, Context: 7, PromptTokens: 1000}
+	dispatch := func() Choice {
+		c, err := p.Pick(q)
+		require.NoError(t, err)
+		p.RecordDispatch(now, c.Server.ID, q)
+		return c
+	}
+	first := dispatch()
+	p.RecordFinish(now, first.Server.ID, q, backend.Usage{PromptTokens: 1000}, true)
+	second := dispatch()
+	require.Equal(t, first.Server.ID, second.Server.ID)
+	p.CancelDispatch(now, q, second)
+	third := dispatch()
+	require.Equal(t, first.Server.ID, third.Server.ID)
+	require.Equal(t, 1000, third.ExpectedCachedTokens)
+	require.Zero(t, third.Candidates[0].Requests)
+}
