rollout: judge the pace of streams, use a part of the slack, bear noise better

A version may be slow between events only; the mean time between a stream's events is counted beside the time to its first one. Half of the slack goes to the test, so that a service with few requests is tested within a short order. A third of the servers' sums no longer makes a good version look bad: the other servers must deviate by three standard deviations, and only all answers together make a version suspect at the deadline.

--- a/internal/duty/orders.go
+++ b/internal/duty/orders.go
@@ -134,7 +134,9 @@
 		}
 		statement.Orders = append(statement.Orders, state)
 	}
-	r.Gate.Learn(r.Clock(), statement)
+	for _, o := range r.Gate.Learn(r.Clock(), statement) {
+		r.Log.Log(rollout.EvLearned, "service", o.Service, "to", o.To, "phase", o.Phase.String(), "order", o.ID, "from_store", true)
+	}
 	return nil
 }
 
--- a/internal/duty/rollouts.go
+++ b/internal/duty/rollouts.go
@@ -31,6 +31,8 @@
 	Board  *rollout.Board
 	// Running returns the number of requests that all entries run at a service.
 	Running func(service string) int
+	// Entries returns the number of the site's entries.
+	Entries func() int
 	Clock   clock.Clock
 	Log     *telemetry.Logger
 	Metrics metrics.Registry
@@ -77,6 +79,12 @@
 	rolloutInterval = 100 * time.Millisecond
 	// rolloutRetryPause is the pause before a failed write is repeated.
 	rolloutRetryPause = 200 * time.Millisecond
+	// unknownServersMargin is how long before the deadline an order is taken up although the
+	// service has no servers.
+	unknownServersMargin = 2 * time.Second
+	// stoppedFor is the time after the deadline in which nothing is sent to the old versions
+	// of a completed order. Later, operators may have brought them back without an order.
+	stoppedFor = 30 * time.Second
 	// defaultRolloutDuration is that of an order which names none.
 	defaultRolloutDuration = time.Minute
 )
@@ -192,12 +200,15 @@
 	if former := r.active[order.Service]; former != nil {
 		a.Barred = barredBy(former, order.To)
 	}
-	for version := range r.Gate.VersionsOf(order.Service) {
+	versions := r.Gate.Versions(order.Service)
+	if len(versions) == 0 && r.Clock() < a.deadline-unknownServersMargin {
+		return // the servers are not known yet
+	}
+	for _, version := range versions {
 		if version != order.To && !slices.Contains(a.Barred, version) {
 			a.From = append(a.From, version)
 		}
 	}
-	slices.Sort(a.From)
 	r.recall(a)
 	a.DeadlineMillis = (r.wall.Now() + a.deadline - r.Clock()).Milliseconds()
 	a.OrderedMillis = a.DeadlineMillis - duration.Milliseconds()
@@ -259,7 +270,7 @@
 
 func (r *Rollouts) capacity(a *activeOrder) rollout.Capacity {
 	c := rollout.Capacity{Running: r.Running(a.Service)}
-	for version, slots := range r.Gate.VersionsOf(a.Service) {
+	for version, slots := range r.Gate.Places(a.Service) {
 		switch {
 		case version == a.To:
 			c.NewSlots = slots
@@ -357,7 +368,7 @@
 	}
 	now := r.Clock()
 	r.number++
-	s := rollout.Statement{Token: token, Number: r.number, ConfirmedMillis: (now - confirmedAt).Milliseconds()}
+	s := rollout.Statement{Token: token, Number: r.number, ConfirmedMillis: (now - confirmedAt).Milliseconds(), Entries: r.Entries()}
 	services := map[string]bool{}
 	for _, service := range slices.Sorted(maps.Keys(r.active)) {
 		a := r.active[service]
@@ -367,10 +378,15 @@
 		services[service] = true
 		state := a.State()
 		state.Phase, state.LeftMillis = a.phase, (a.deadline - now).Milliseconds()
+		if a.Outcome == rollout.PhaseCompleted && now > a.deadline+stoppedFor {
+			state.From = nil
+		}
 		s.Orders = append(s.Orders, state)
 	}
 	r.Board.Forget(services)
-	r.Gate.Learn(now, s)
+	for _, o := range r.Gate.Learn(now, s) {
+		r.Log.Log(rollout.EvLearned, "service", o.Service, "to", o.To, "phase", o.Phase.String(), "order", o.ID, "age_ms", 0)
+	}
 }
 
 func (r *Rollouts) logFailure(err error, service string) {
--- a/internal/exchange/rollouts.go
+++ b/internal/exchange/rollouts.go
@@ -14,18 +14,18 @@
 	return &rollout.Message{Statement: statement}
 }
 
-// ownRollouts returns the latest statement and what this entry has counted, zoneRollouts the
-// same with the sums of its zone.
+// ownRollouts returns the latest statement and, while an order runs, what this entry has
+// counted; zoneRollouts the same with the sums of its zone.
 func (x *Exchange) ownRollouts() *rollout.Message {
-	if x.Rollouts == nil {
-		return nil
+	if x.Rollouts == nil || !x.Rollouts.IsRunning() {
+		return x.statedRollouts()
 	}
 	return withEvidence(x.statedRollouts(), x.Board.Own())
 }
 
 func (x *Exchange) zoneRollouts() *rollout.Message {
-	if x.Rollouts == nil {
-		return nil
+	if x.Rollouts == nil || !x.Rollouts.IsRunning() {
+		return x.statedRollouts()
 	}
 	return withEvidence(x.statedRollouts(), x.Board.Zone())
 }
@@ -43,8 +43,11 @@
 
 // learnRollouts takes in what another entry knows of the orders.
 func (x *Exchange) learnRollouts(m *rollout.Message) {
-	if x.Rollouts != nil && m != nil && m.Statement != nil {
-		x.Rollouts.Learn(x.Clock(), *m.Statement)
+	if x.Rollouts == nil || m == nil || m.Statement == nil {
+		return
+	}
+	for _, o := range x.Rollouts.Learn(x.Clock(), *m.Statement) {
+		x.Log.Log(rollout.EvLearned, "service", o.Service, "to", o.To, "phase", o.Phase.String(), "order", o.ID, "age_ms", m.Statement.AgeMillis)
 	}
 }
 
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -33,6 +33,10 @@
 	via string
 	// isJudged is true once the answer was counted for the verdict about a new version.
 	isJudged bool
+	// firstEventAt is when the first event of this call arrived, and eventsBefore the number
+	// of events of the stream before it.
+	firstEventAt time.Time
+	eventsBefore int
 }
 
 // estimatedRequests returns the number of requests at the server that the
--- a/internal/relay/exposure.go
+++ b/internal/relay/exposure.go
@@ -75,6 +75,7 @@
 		return
 	}
 	c.isJudged = true
+	c.firstEventAt, c.eventsBefore = time.Now(), q.eventsForwarded
 	took := time.Since(c.sentAt)
 	if q.policy.Stream {
 		tokens := max(0, c.query.PromptTokens-c.picked.ExpectedCachedTokens)
@@ -83,6 +84,17 @@
 	x.Record(c.target.Group, q.ruleName, c.version, c.target.ID, took, isFailure)
 }
 
+// minPaceEvents is the number of events of a stream from which its pace is judged.
+const minPaceEvents = 4
+
+// judgePace counts the time between the events of a stream that has ended.
+func (q *request) judgePace(c *choice) {
+	events := q.eventsForwarded - c.eventsBefore
+	if x := q.relay.Rollouts; x != nil && events >= minPaceEvents {
+		x.RecordPace(c.target.Group, q.ruleName, c.version, c.target.ID, time.Since(c.firstEventAt)/time.Duration(events-1))
+	}
+}
+
 // judgeLostAnswer counts a call that was given up while its answer was due. A caller that
 // left early, or a connection that broke, says nothing about the version.
 func (q *request) judgeLostAnswer(c *choice, ctxErr error) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -32,6 +32,7 @@
 		next, err := s.copy(ctx, c, resp)
 		if err == nil {
 			q.relay.Balancer.finishCall(c, signalServed)
+			q.judgePace(c)
 			q.recordAnswered(c, resp)
 			q.reason = reasonServed
 			return responseForwarded
--- a/internal/relayd/rollouts.go
+++ b/internal/relayd/rollouts.go
@@ -65,7 +65,8 @@
 	reader := &duty.OrderReader{Store: p.store, Keys: p.adapter.Rollouts, Gate: r.gate, Clock: p.clock, Log: p.cli.Log}
 	holder := duty.NewRollouts(duty.RolloutsConfig{
 		Lease: p.dutyLease, Store: p.store, Keys: p.adapter.Rollouts, Bounds: r.bounds, Gate: r.gate, Board: r.board,
-		Running: func(service string) int { return runningAt(p.balancer, service) }, Clock: p.clock, Log: p.cli.Log, Metrics: p.cli.Metrics,
+		Running: func(service string) int { return runningAt(p.balancer, service) },
+		Entries: func() int { return p.exchange.Site().Entries }, Clock: p.clock, Log: p.cli.Log, Metrics: p.cli.Metrics,
 	})
 	return []func(context.Context) error{reader.Run, holder.Run}
 }
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -14,6 +14,8 @@
 	Failures int64 `msgpack:"f,omitempty"`
 	// Times holds the numbers of the other answers by bucket of their time.
 	Times map[int]int64 `msgpack:"t,omitempty"`
+	// Paces holds the numbers of streams by bucket of the mean time between their events.
+	Paces map[int]int64 `msgpack:"p,omitempty"`
 }
 
 // OrderEvidence holds the answers since an order, side by side.
@@ -30,20 +32,27 @@
 // bucketRatio is the ratio of the upper bounds of two successive buckets.
 const bucketRatio = 1.25
 
-// bucketOf returns the bucket of a time: bucket k holds times up to bucketRatio^k ms.
+// bucketOf returns the bucket of a time: bucket k holds times up to bucketRatio^k of a tenth
+// of a millisecond.
 func bucketOf(d time.Duration) int {
-	return max(0, int(math.Ceil(math.Log(max(1, d.Seconds()*1000))/math.Log(bucketRatio))))
+	return max(0, int(math.Ceil(math.Log(max(1, d.Seconds()*10_000))/math.Log(bucketRatio))))
 }
 
 func (c *Counts) add(other *Counts) {
 	c.Answers += other.Answers
 	c.Failures += other.Failures
-	if c.Times == nil && len(other.Times) > 0 {
-		c.Times = map[int]int64{}
+	c.Times, c.Paces = addBuckets(c.Times, other.Times), addBuckets(c.Paces, other.Paces)
+}
+
+// addBuckets returns the sum of two histograms; it may change the first one.
+func addBuckets(sum, added map[int]int64) map[int]int64 {
+	if sum == nil && len(added) > 0 {
+		sum = map[int]int64{}
 	}
-	for bucket, n := range other.Times {
-		c.Times[bucket] += n
+	for bucket, n := range added {
+		sum[bucket] += n
 	}
+	return sum
 }
 
 func (c *Counts) record(took time.Duration, isFailure bool) {
@@ -52,10 +61,11 @@
 		c.Failures++
 		return
 	}
-	if c.Times == nil {
-		c.Times = map[int]int64{}
-	}
-	c.Times[bucketOf(took)]++
+	c.Times = addBuckets(c.Times, map[int]int64{bucketOf(took): 1})
+}
+
+func (c *Counts) recordPace(pace time.Duration) {
+	c.Paces = addBuckets(c.Paces, map[int]int64{bucketOf(pace): 1})
 }
 
 func newOrderEvidence(id int64) *OrderEvidence {
@@ -114,12 +124,16 @@
 func (c *Counts) subtract(earlier *Counts) {
 	c.Answers = max(0, c.Answers-earlier.Answers)
 	c.Failures = max(0, c.Failures-earlier.Failures)
-	for bucket, n := range earlier.Times {
-		if _, ok := c.Times[bucket]; !ok {
-			continue
-		}
-		if c.Times[bucket] -= n; c.Times[bucket] <= 0 {
-			delete(c.Times, bucket)
+	subtractBuckets(c.Times, earlier.Times)
+	subtractBuckets(c.Paces, earlier.Paces)
+}
+
+func subtractBuckets(sum, earlier map[int]int64) {
+	for bucket, n := range earlier {
+		if sum[bucket] <= n {
+			delete(sum, bucket)
+		} else {
+			sum[bucket] -= n
 		}
 	}
 }
@@ -314,7 +328,7 @@
 }
 
 // record counts an answer of this entry.
-func (b *Board) record(order *OrderState, rule, version, server string, took time.Duration, isFailure bool) {
+func (b *Board) record(order *OrderState, rule, version, server string, count func(*Counts)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	evidence, ok := b.own[order.Service]
@@ -326,7 +340,7 @@
 	if version == order.To {
 		counts = func(rule string) *Counts { return evidence.newCounts(rule, server) }
 	}
-	counts(rule).record(took, isFailure)
+	count(counts(rule))
 }
 
 // Forget drops the evidence about services without an order.
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -183,36 +183,56 @@
 	return g.isInformed
 }
 
-// Learn takes a statement in, and reports whether it is newer than what was known. One with
-// token 0 holds what this entry has read and adds to what it knows.
-func (g *Gate) Learn(now time.Duration, s Statement) bool {
+// Learn takes a statement in, unless what is known is newer, and returns the orders that are
+// new or in another phase by it. A statement with token 0 holds what this entry has read and
+// adds to what it knows.
+func (g *Gate) Learn(now time.Duration, s Statement) (changed []OrderState) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	issuedAt, confirmedAt := now-millis(s.AgeMillis), now-millis(s.AgeMillis)-millis(s.ConfirmedMillis)
+	set := func(o OrderState) *knownOrder {
+		known := g.orders[o.Service]
+		if known == nil || known.ID != o.ID || known.Phase != o.Phase {
+			changed = append(changed, o)
+		}
+		return g.setOrderLocked(o)
+	}
 	if s.Token == 0 {
 		g.isInformed, g.confirmedAt = true, max(g.confirmedAt, confirmedAt)
 		for _, o := range s.Orders {
 			known := g.orders[o.Service]
 			if known == nil || !known.IsSame(&Order{ID: o.Seen, To: o.To}) || !known.Phase.IsFinal() && o.Phase.IsFinal() {
-				g.setOrderLocked(o)
+				set(o)
 			}
 		}
 		g.clearLocked()
-		return true
+		return changed
 	}
 	if s.Token < g.statement.Token || s.Token == g.statement.Token && s.Number <= g.statement.Number {
-		return false
+		return nil
 	}
 	g.statement, g.isInformed, g.issuedAt, g.confirmedAt = s, true, issuedAt, max(g.confirmedAt, confirmedAt)
 	stated := map[string]bool{}
 	for _, o := range s.Orders {
 		stated[o.Service] = true
-		known := g.setOrderLocked(o)
+		known := set(o)
 		known.Deadline, known.IsStated = issuedAt+millis(o.LeftMillis), true
 	}
 	maps.DeleteFunc(g.orders, func(service string, _ *knownOrder) bool { return !stated[service] })
 	g.clearLocked()
-	return true
+	return changed
+}
+
+// IsRunning reports whether an order has no outcome yet, so that answers are counted.
+func (g *Gate) IsRunning() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, order := range g.orders {
+		if !order.Phase.IsFinal() {
+			return true
+		}
+	}
+	return false
 }
 
 func (g *Gate) setOrderLocked(o OrderState) *knownOrder {
@@ -255,9 +275,20 @@
 	return known.KnownOrder, true
 }
 
-// VersionsOf returns the number of places of a service's servers that accept requests, by
+// Versions returns the versions of a service whose servers are registered, or were lately.
+func (g *Gate) Versions(service string) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.services[service]
+	if s == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(s.byVersion))
+}
+
+// Places returns the number of places at a service's servers that accept requests, by
 // version. A server whose places are unknown counts as one.
-func (g *Gate) VersionsOf(service string) map[string]int {
+func (g *Gate) Places(service string) map[string]int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	slots := map[string]int{}
@@ -336,7 +367,11 @@
 
 // limit returns the number of requests that may have gone to the new version.
 func (g *Gate) limit(o *knownOrder, fraction float64) float64 {
-	return g.startCredit + fraction*g.bounds.Share*float64(o.all)
+	slack := 0.0
+	if g.statement.Entries > 0 {
+		slack = slackFraction * g.bounds.Slack / float64(g.statement.Entries)
+	}
+	return g.startCredit + slack + fraction*g.bounds.Share*float64(o.all)
 }
 
 // mayExposeLocked reports whether one more request may go to the version of the order.
@@ -458,10 +493,25 @@
 // Record counts an answer of a server. took is the time that it took, scaled so that answers
 // to requests of all sizes compare.
 func (r *Recorder) Record(service, rule, version, server string, took time.Duration, isFailure bool) {
+	if order := r.running(service, version); order != nil {
+		r.Board.record(order, rule, version, server, func(c *Counts) { c.record(took, isFailure) })
+	}
+}
+
+// RecordPace counts the mean time between the events of a stream that a server has ended.
+func (r *Recorder) RecordPace(service, rule, version, server string, pace time.Duration) {
+	if order := r.running(service, version); order != nil {
+		r.Board.record(order, rule, version, server, func(c *Counts) { c.recordPace(pace) })
+	}
+}
+
+// running returns the order of a service if answers of the version are counted.
+func (r *Recorder) running(service, version string) *OrderState {
 	order, ok := r.Gate.Known(service)
-	if ok && !order.Phase.IsFinal() && !slices.Contains(order.Barred, version) {
-		r.Board.record(&order.OrderState, rule, version, server, took, isFailure)
+	if !ok || order.Phase.IsFinal() || slices.Contains(order.Barred, version) {
+		return nil
 	}
+	return &order.OrderState
 }
 
 func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -105,9 +105,11 @@
 	Number int64 `msgpack:"n"`
 	// AgeMillis is the time since the holder issued it, ConfirmedMillis that since the
 	// orders were last read.
-	AgeMillis       int64        `msgpack:"a"`
-	ConfirmedMillis int64        `msgpack:"c"`
-	Orders          []OrderState `msgpack:"o,omitempty"`
+	AgeMillis       int64 `msgpack:"a"`
+	ConfirmedMillis int64 `msgpack:"c"`
+	// Entries is the number of entries among which the slack is divided; 0 is unknown.
+	Entries int          `msgpack:"e,omitempty"`
+	Orders  []OrderState `msgpack:"o,omitempty"`
 }
 
 // Message is the part of the entries' messages that concerns roll-outs.
@@ -147,6 +149,10 @@
 	// surgeAt is the part of an order's time after which the surge begins: a version that
 	// does not bear it can still be rolled back.
 	surgeAt = 0.6
+	// slackFraction is the part of the slack that entries use from the start, so that a
+	// version is tested at a service with few requests too. The rest is for entries that
+	// start again.
+	slackFraction = 0.5
 	// minMargin is the least time between the outcome and the deadline, for the write.
 	minMargin = 500 * time.Millisecond
 )
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -97,10 +97,9 @@
 			all = v
 			continue
 		}
-		if v.IsBad && !all.IsBad || v.IsSuspect && !all.IsSuspect {
-			all.Deviations, all.Reason = v.Deviations, v.Reason
+		if v.IsBad && !all.IsBad {
+			all.IsBad, all.Deviations, all.Reason = true, v.Deviations, v.Reason
 		}
-		all.IsBad, all.IsSuspect = all.IsBad || v.IsBad, all.IsSuspect || v.IsSuspect
 	}
 	return all
 }
--- a/internal/rollout/verdict.go
+++ b/internal/rollout/verdict.go
@@ -11,14 +11,14 @@
 	badDeviations = 4.2
 	minExcess     = 6
 	// suspectDeviations is the same at the deadline, when there is no time to see more.
-	suspectDeviations = 2.8
+	suspectDeviations = 3.2
 	// manyBad is the excess of bad answers from which suspectDeviations are enough: a
 	// version may give so many only for a bounded time.
 	manyBad = 30
 	// otherDeviations and otherExcess: if several servers of the version have answered, it
 	// must look worse without the one that looks worst, which may be broken by itself.
-	otherDeviations = 2
-	otherExcess     = 2
+	otherDeviations = 3
+	otherExcess     = 3
 	// An answer is slow if it takes slowBuckets more than slowQuantile of those of the old
 	// version. minSlowShare is the least difference of the shares of slow answers: servers
 	// that are cold, or loaded otherwise, differ by less.
@@ -119,6 +119,9 @@
 		if c, ok := slowness.compare(old, byServer); ok {
 			v.consider("slow answers under "+rule, &c)
 		}
+		if c, ok := dragging.compare(old, byServer); ok {
+			v.consider("slow streams under "+rule, &c)
+		}
 	}
 	v.consider("failures under all rules", &allFailures)
 	v.IsTested = v.isTested(e)
@@ -173,33 +176,33 @@
 	failures = badKind{minFailureRate, 0, func(c, _ *Counts) (float64, float64) {
 		return float64(c.Failures), float64(c.Answers)
 	}}
-	slowness = badKind{minSlowRate, minSlowShare, func(c, old *Counts) (float64, float64) {
-		return old.slower(c), float64(c.Answers - c.Failures)
-	}}
+	slowness = badKind{minSlowRate, minSlowShare, func(c, old *Counts) (float64, float64) { return slower(c.Times, old.Times) }}
+	dragging = badKind{minSlowRate, minSlowShare, func(c, old *Counts) (float64, float64) { return slower(c.Paces, old.Paces) }}
 )
 
-// slower returns the number of answers in c that are slow by the measure of old.
-func (c *Counts) slower(other *Counts) float64 {
-	limit := c.quantileBucket(slowQuantile) + slowBuckets
-	n := int64(0)
-	for bucket, count := range other.Times {
+// slower returns how many of the times in a histogram are slow by the measure of another
+// one, and how many there are.
+func slower(times, measure map[int]int64) (slow, all float64) {
+	limit := quantileBucket(measure, slowQuantile) + slowBuckets
+	for bucket, n := range times {
+		all += float64(n)
 		if bucket > limit {
-			n += count
+			slow += float64(n)
 		}
 	}
-	return float64(n)
+	return slow, all
 }
 
 // quantileBucket returns the bucket that holds the quantile of the times.
-func (c *Counts) quantileBucket(q float64) int {
+func quantileBucket(times map[int]int64, q float64) int {
 	total, last := int64(0), 0
-	for bucket, n := range c.Times {
+	for bucket, n := range times {
 		total += n
 		last = max(last, bucket)
 	}
 	rest := int64(float64(total) * (1 - q))
 	for bucket := last; bucket >= 0; bucket-- {
-		if rest -= c.Times[bucket]; rest < 0 {
+		if rest -= times[bucket]; rest < 0 {
 			return bucket
 		}
 	}
