rollout: less makes a version suspect at the deadline; short orders

Orders may last a few seconds. An entry catches up on its share faster, the surge needs fewer answers, and a version is suspect with less proof that all its servers are worse: what is rolled back wrongly costs an order, what is completed wrongly costs the callers.

--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -37,7 +37,7 @@
 	minTrialServers = 2
 	// catchUp limits the part of requests that goes to the new version while its share has
 	// not been used up, as a multiple of the share.
-	catchUp = 4
+	catchUp = 6
 	// versionMemory is how long a version is remembered after its last server has left.
 	versionMemory = 30 * time.Second
 	// readAfter is the age of the last statement from which on an entry that needs one reads
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -12,7 +12,7 @@
 )
 
 // minSurgeAnswers is the number of answers of the new version before the surge.
-const minSurgeAnswers = 20
+const minSurgeAnswers = 12
 
 // Capacity is the room of a service's servers that accept requests.
 type Capacity struct {
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,6 +22,8 @@
 	// bad returns whether an answer of the new version fails or is slower, by the time since
 	// the order, the rule and the requests that the server got in the last second.
 	bad func(at time.Duration, rule string, busy float64, luck float64) (isFailure bool, slower float64)
+	// boot is the time after the order at which the new servers are registered.
+	boot time.Duration
 	// broken is the part of its answers that one of the new servers fails.
 	broken float64
 	// cutFrom is when a third of the entries stop to get statements; 0 is never. restartAt is
@@ -62,11 +65,14 @@
 	for i := range m.servers {
 		registered = append(registered, Server{ID: fmt.Sprint("old", i), Service: service, Version: "v1", Slots: 8}, Server{ID: fmt.Sprint("new", i), Service: service, Version: "v2", Slots: 8})
 	}
+	origin := time.Hour
+	present := func(now time.Duration) []Server {
+		return slices.DeleteFunc(slices.Clone(registered), func(s Server) bool { return s.Version == "v2" && now < origin+m.boot })
+	}
 	start := func(i int, now time.Duration) {
 		gates[i], boards[i] = NewGate(m.bounds, m.rng.Float64()), NewBoard()
-		gates[i].SetServers(now, registered)
+		gates[i].SetServers(now, present(now))
 	}
-	origin := time.Hour
 	for i := range gates {
 		start(i, origin)
 	}
@@ -97,6 +103,11 @@
 				start(i, now)
 			}
 		}
+		if m.boot > 0 && at >= m.boot && at < m.boot+modelTick {
+			for _, g := range gates {
+				g.SetServers(now, registered)
+			}
+		}
 		if now%(200*time.Millisecond) == 0 && !order.Phase.IsFinal() {
 			evidence := Evidence{}
 			for i, b := range boards {
@@ -271,6 +282,9 @@
 		if i%2 == 0 {
 			m.broken = 0.4
 		}
+		if i%4 == 1 {
+			m.duration, m.boot = 12*time.Second, 3*time.Second
+		}
 		r := m.play()
 		requireBounded(t, m, r)
 		if r.outcome != PhaseCompleted {
--- a/internal/rollout/verdict.go
+++ b/internal/rollout/verdict.go
@@ -11,14 +11,15 @@
 	badDeviations = 4.2
 	minExcess     = 6
 	// suspectDeviations is the same at the deadline, when there is no time to see more.
-	suspectDeviations = 3.2
+	suspectDeviations = 3
 	// manyBad is the excess of bad answers from which suspectDeviations are enough: a
 	// version may give so many only for a bounded time.
 	manyBad = 30
-	// otherDeviations and otherExcess: if several servers of the version have answered, it
-	// must look worse without the one that looks worst, which may be broken by itself.
-	otherDeviations = 3
-	otherExcess     = 3
+	// otherDeviations: if several servers of the version have answered, it must look worse by
+	// so many standard deviations, and as many answers, without the one that looks worst,
+	// which may be broken by itself. Less is enough to make it suspect.
+	otherDeviations        = 3
+	suspectOtherDeviations = 1.5
 	// An answer is slow if it takes slowBuckets more than slowQuantile of those of the old
 	// version. minSlowShare is the least difference of the shares of slow answers: servers
 	// that are cold, or loaded otherwise, differ by less.
@@ -34,7 +35,7 @@
 	// completed, and minRuleAnswers that under each rule with a share of mainRuleShare of
 	// the service's answers or more.
 	minNewAnswers  = 60
-	minRuleAnswers = 12
+	minRuleAnswers = 15
 	mainRuleShare  = 0.1
 )
 
@@ -80,8 +81,8 @@
 }
 
 // isShared reports whether the servers other than the worst one also look worse than the
-// old version. One server alone is the version.
-func (c *comparison) isShared() bool {
+// old version, by a number of standard deviations and of answers. One server alone is the version.
+func (c *comparison) isShared(deviations float64) bool {
 	if len(c.byServer) < 2 {
 		return true
 	}
@@ -92,7 +93,7 @@
 		}
 	}
 	rest := sample{c.total.excess - worst.excess, c.total.variance - worst.variance}
-	return rest.excess >= otherExcess && rest.deviations() >= otherDeviations
+	return rest.excess >= deviations && rest.deviations() >= deviations
 }
 
 // Judge compares the answers of a new version with those of the old one under the same
@@ -131,10 +132,9 @@
 // consider takes a comparison into the verdict.
 func (v *Verdict) consider(name string, c *comparison) {
 	excess, deviations := c.total.excess, c.total.deviations()
-	isShared := c.isShared()
 	isMany := excess >= manyBad && deviations >= suspectDeviations
-	isBad := isShared && (isMany || excess >= minExcess && deviations >= badDeviations)
-	isSuspect := isShared && excess >= minExcess/2 && deviations >= suspectDeviations
+	isBad := c.isShared(otherDeviations) && (isMany || excess >= minExcess && deviations >= badDeviations)
+	isSuspect := c.isShared(suspectOtherDeviations) && excess >= minExcess/2 && deviations >= suspectDeviations
 	isGraver := isBad && !v.IsBad || isSuspect && !v.IsSuspect
 	if isGraver || deviations > v.Deviations && (isBad || !v.IsBad && (isSuspect || !v.IsSuspect)) {
 		v.Deviations, v.Reason = deviations, fmt.Sprintf("%s: %.0f more than expected", name, excess)
