rollout: requests that were not sent do not count; servers of two versions are not ordered again

An entry counted requests that it refused, so in an overload the share of what arrived was exceeded. A holder that begins during a roll-out took the servers of both versions for ordered and would have ordered from there; it now waits for the end.

--- a/internal/duty/scaler.go
+++ b/internal/duty/scaler.go
@@ -52,8 +52,11 @@
 	Documents *follow.Documents
 	Balancer  *relay.Balancer
 	Demand    Demand
-	Clock     clock.Clock
-	Log       *telemetry.Logger
+	// IsRollingOut reports whether servers of two versions run for a service, or did until
+	// now, because of a roll-out; nil means never.
+	IsRollingOut func(service string) bool
+	Clock        clock.Clock
+	Log          *telemetry.Logger
 }
 
 // NewScaler returns a scaler that has not measured any load yet.
@@ -130,6 +133,9 @@
 	if rate == 0 || !state.demand.IsFull(now) {
 		return // the load is not known yet: keep the present servers
 	}
+	if len(state.pools) == 0 && s.IsRollingOut != nil && s.IsRollingOut(service.Name) {
+		return // the servers that are ready are not those that were ordered
+	}
 	zones := zonesOf(service)
 	want := fleet.ServerCounts(fleet.ServerCountInput{
 		Demand: demand, Running: int(runningPeak), Zones: zones, Min: service.Scaling.Min, Max: service.Scaling.Max,
--- a/internal/exchange/sums.go
+++ b/internal/exchange/sums.go
@@ -119,7 +119,10 @@
 	message.Entries, message.Evidence, message.Limits = site.Entries, x.Crashes.Digest(), x.Balancer.LimitReports()
 	message.Spent = x.Quotas.AggregateReports(quota.ScopeZone, "", withSiteSpending)
 	addLoads(message.Loads, runningByServer(x.Balancer.Loads()))
-	message.Rollouts = x.zoneRollouts()
+	message.Rollouts = x.statedRollouts()
+	if n%hubRoundsPerInterval == 0 {
+		message.Rollouts = x.zoneRollouts()
+	}
 	if withUsage {
 		message.Usage[x.run] = x.Counts.Local()
 		message.Prefill[x.run] = x.Balancer.PrefillStats()
--- a/internal/relay/exposure.go
+++ b/internal/relay/exposure.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"buckthornpick/internal/route"
 )
 
@@ -33,12 +35,17 @@
 	if chosen.IsExposed {
 		c, err := q.pickAmong(ctx, maxTimeToFirstToken, union(q.tried, chosen.Excluded), intersection(versions, chosen.Versions))
 		if err == nil {
+			metrics.GetOrRegisterCounter("rollout.exposed_total", q.relay.Metrics).Inc(1)
 			return c, nil
 		}
-		x.Gate.Withdraw(q.service)
-		chosen = x.Gate.Open(q.service)
+		x.Gate.Withdraw(q.service, chosen)
+		chosen = x.Gate.ChooseOld(q.service)
+	}
+	c, err := q.pickAmong(ctx, maxTimeToFirstToken, q.tried, intersection(versions, chosen.Versions))
+	if err != nil {
+		x.Gate.Withdraw(q.service, chosen)
 	}
-	return q.pickAmong(ctx, maxTimeToFirstToken, q.tried, intersection(versions, chosen.Versions))
+	return c, err
 }
 
 // intersection returns the versions that both sets allow; nil allows all.
--- a/internal/relayd/rollouts.go
+++ b/internal/relayd/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"buckthornpick/internal/clock"
 	"buckthornpick/internal/config"
@@ -44,6 +45,19 @@
 
 func (r *rollouts) isInformed() bool { return r == nil || r.gate.IsInformed() }
 
+// rolloutEnd is the time after an order's deadline until the servers that have stopped are
+// no longer registered.
+const rolloutEnd = 10 * time.Second
+
+// isRollingOut reports whether servers of two versions may be registered for a service.
+func (r *rollouts) isRollingOut(service string) bool {
+	if r == nil {
+		return false
+	}
+	order, ok := r.gate.Known(service)
+	return ok && (!order.Phase.IsFinal() || order.IsStated && r.clock() < order.Deadline+rolloutEnd)
+}
+
 // setServers passes the registered servers on, before requests may be sent to them.
 func (r *rollouts) setServers(list []follow.Server) {
 	if r == nil {
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -322,23 +322,31 @@
 	return Route{Versions: s.open(order)}
 }
 
-// Open returns where a request may be sent without exposure.
-func (g *Gate) Open(service string) Route {
+// ChooseOld returns where a request may be sent without exposure, and counts it.
+func (g *Gate) ChooseOld(service string) Route {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s := g.services[service]
+	s, order := g.services[service], g.orders[service]
+	if order != nil && !order.Phase.IsFinal() {
+		order.all++
+	}
 	if s == nil {
 		return Route{}
 	}
-	return Route{Versions: s.open(g.orders[service])}
+	return Route{Versions: s.open(order)}
 }
 
-// Withdraw undoes the count of an exposed request that was not sent.
-func (g *Gate) Withdraw(service string) {
+// Withdraw undoes the count of a request that was not sent as the route says.
+func (g *Gate) Withdraw(service string, r Route) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if order := g.orders[service]; order != nil && order.exposed > 0 {
-		order.exposed--
+	order := g.orders[service]
+	if order == nil || order.Phase.IsFinal() {
+		return
+	}
+	order.all = max(0, order.all-1)
+	if r.IsExposed {
+		order.exposed = max(0, order.exposed-1)
 	}
 }
 
