--- a/internal/exchange/sums.go
+++ b/internal/exchange/sums.go
@@ -139,7 +139,10 @@
 	message.Spent = x.Quotas.AggregateReports(quota.ScopeZone, "", withSiteSpending)
 	addLoads(message.Loads, runningByServer(x.Balancer.Loads()))
 	capacity.AddReports(message.Answers, x.Balancer.AnswerReports())
-	message.Rollouts = x.zoneRollouts()
+	message.Rollouts = x.statedRollouts()
+	if n%hubRoundsPerInterval == 0 {
+		message.Rollouts = x.zoneRollouts()
+	}
 	if withUsage {
 		message.Usage[x.run] = x.Counts.Local()
 		message.Prefill[x.run] = x.Balancer.PrefillStats()
--- a/internal/relayd/rollouts.go
+++ b/internal/relayd/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"buckthornpick/internal/clock"
 	"buckthornpick/internal/config"
@@ -44,6 +45,19 @@
 
 func (r *rollouts) isInformed() bool { return r == nil || r.gate.IsInformed() }
 
+// rolloutEnd is the time after an order's deadline until the servers that have stopped are
+// no longer registered.
+const rolloutEnd = 10 * time.Second
+
+// isRollingOut reports whether servers of two versions may be registered for a service.
+func (r *rollouts) isRollingOut(service string) bool {
+	if r == nil {
+		return false
+	}
+	order, ok := r.gate.Known(service)
+	return ok && (!order.Phase.IsFinal() || order.IsStated && r.clock() < order.Deadline+rolloutEnd)
+}
+
 // setServers passes the registered servers on, before requests may be sent to them.
 func (r *rollouts) setServers(list []follow.Server) {
 	if r == nil {
@@ -65,7 +79,8 @@
 	reader := &duty.OrderReader{Store: p.store, Keys: p.adapter.Rollouts, Gate: r.gate, Clock: p.clock, Log: p.cli.Log}
 	holder := duty.NewRollouts(duty.RolloutsConfig{
 		Lease: p.dutyLease, Store: p.store, Keys: p.adapter.Rollouts, Bounds: r.bounds, Gate: r.gate, Board: r.board,
-		Running: func(service string) int { return runningAt(p.balancer, service) }, Clock: p.clock, Log: p.cli.Log, Metrics: p.cli.Metrics,
+		Running: func(service string) int { return runningAt(p.balancer, service) },
+		Entries: func() int { return p.exchange.Site().Entries }, Clock: p.clock, Log: p.cli.Log, Metrics: p.cli.Metrics,
 	})
 	return []func(context.Context) error{reader.Run, holder.Run}
 }
