quota: a part of the slack raises the limit of the window and the bucket

Cause: with the slack only for what has not been reported, an organisation that sends more than its usual was refused at its bare quota, while the users count what they allow.

Change: the slack beyond a twentieth of the window's limit is used: 0.3 of it for what has not been reported, 0.3 for the limit, 0.15 for the burst of the bucket. Organisations whose slack is smaller than that are limited as before.

--- a/internal/quota/earlier.go
+++ b/internal/quota/earlier.go
@@ -71,7 +71,7 @@
 
 // mostIn returns the most that the leaky bucket lets all entries spend in the time d.
 func (l Limits) mostIn(d time.Duration) float64 {
-	return bucketBurstFactor*l.Burst + bucketRateFactor*l.PerSecond*d.Seconds()
+	return l.bucketBurst() + bucketRateFactor*l.PerSecond*d.Seconds()
 }
 
 // Copy returns the spending of all entries in the window before now for a Recollection, in
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -24,7 +24,17 @@
 }
 
 // perWindow returns the limit of a window.
-func (l Limits) perWindow() float64 { return l.PerSecond*l.Window.Seconds() + l.Burst }
+func (l Limits) perWindow() float64 {
+	return l.PerSecond*l.Window.Seconds() + l.Burst + windowSlack*l.usableSlack()
+}
+
+// usableSlack returns the part of the slack that is not reserved.
+func (l Limits) usableSlack() float64 {
+	return max(0, l.Slack-reservedSlack*(l.PerSecond*l.Window.Seconds()+l.Burst))
+}
+
+// bucketBurst returns the size of the leaky bucket.
+func (l Limits) bucketBurst() float64 { return bucketBurstFactor*l.Burst + bucketSlack*l.usableSlack() }
 
 // Site describes the entries of the site as one of them sees them.
 type Site struct {
@@ -75,11 +85,15 @@
 	// spend beyond it before their reports arrive: half of the overshoot that the
 	// users allow.
 	unreportedOvershoot = 0.05
-	// unreportedSlack is the fraction of the slack used for the same purpose, and
-	// recalledSlack that by which the bound of what was spent before a restart may be
-	// exceeded, since it supposes the worst of what is not known.
-	unreportedSlack = 0.5
-	recalledSlack   = 0.25
+	// unreportedSlack is the fraction of the slack used for the same purpose, windowSlack
+	// that added to the limit of the window, and bucketSlack that added to the burst of
+	// the leaky bucket.
+	unreportedSlack = 0.3
+	windowSlack     = 0.3
+	bucketSlack     = 0.15
+	// reservedSlack is the fraction of the limit of the window for which the slack is
+	// kept: for the worst of bursts that meet a partition or a restart.
+	reservedSlack = 0.05
 	// ownPart is the fraction of the free quota that an entry with all of the spending
 	// may use before its reports arrive. Bursts at others may take the rest.
 	ownPart = 0.4
@@ -200,20 +214,20 @@
 // Spend records an amount as spent by this entry if the quota allows it.
 func (c *Counter) Spend(now time.Duration, l Limits, s Site, amount float64) Decision {
 	share := s.share()
-	rate, burst := share*bucketRateFactor*l.PerSecond, share*bucketBurstFactor*l.Burst
+	rate, burst := share*bucketRateFactor*l.PerSecond, share*l.bucketBurst()
 	coldRate := share * coldStartRateFactor * l.PerSecond
 	lacksReports := c.isNew(now) && !c.hasSiteSpending
-	c.drainBuckets(now, rate, coldRate, bucketBurstFactor*l.Burst, lacksReports)
+	c.drainBuckets(now, rate, coldRate, l.bucketBurst(), lacksReports)
 	c.recordRequested(now, amount)
 	decision := Decision{Spent: c.window.Sum(now), Limit: share * l.perWindow()}
-	margin := share * (unreportedOvershoot*l.perWindow() + unreportedSlack*l.Slack)
+	margin := share * (unreportedOvershoot*l.perWindow() + unreportedSlack*l.usableSlack())
 	wait := waitFor(&decision, amount, burst, c.bucketLevel, rate)
 	if lacksReports {
 		// Each of two bounds of the spending around the start is enough: that of a cold
 		// start, and that of the spending recalled from a copy.
 		wait = waitFor(&decision, amount, burst, c.coldLevel, coldRate)
 		if c.earlier != nil {
-			recalled := Decision{Spent: decision.Spent + share*c.earlier.sum(now, l), Limit: share * (l.perWindow() + recalledSlack*l.Slack)}
+			recalled := Decision{Spent: decision.Spent + share*c.earlier.sum(now, l), Limit: decision.Limit}
 			if w := waitFor(&recalled, amount, burst, c.bucketLevel, rate); w < wait {
 				decision, wait = recalled, w
 			}
