quota: an entry alone may spend its share of what the others have left

Cause: an entry that reaches no other compared all known spending with its share of the quota, so it refused everything until what the others had spent before left the window; also right after its start, when reports have arrived and the count of reachable entries has not.

Change: others' spending counts by the entry's share. Over all entries that are alone the sum stays within the quota.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -60,8 +60,9 @@
 // Decision is the result of a quota check and the figures behind it.
 type Decision struct {
 	Allowed bool
-	// Spent is the known spending of all entries in the window, Limit the amount
-	// that the reachable entries may spend in it.
+	// Spent is the known spending of all entries in the window, in part that of others if
+	// none of them is reachable, Limit the amount that the reachable entries may spend in
+	// it.
 	Spent, Limit float64
 	// RetryAfter is the estimated time until a request of the same cost fits; set
 	// only if the request is refused.
@@ -219,7 +220,7 @@
 	lacksReports := c.isNew(now) && !c.hasSiteSpending
 	c.drainBuckets(now, rate, coldRate, l.bucketBurst(), lacksReports)
 	c.recordRequested(now, amount)
-	decision := Decision{Spent: c.window.Sum(now), Limit: share * l.perWindow()}
+	decision := Decision{Spent: c.countedSpending(now, s, share), Limit: share * l.perWindow()}
 	margin := share * (unreportedOvershoot*l.perWindow() + unreportedSlack*l.usableSlack())
 	wait := waitFor(&decision, amount, burst, c.bucketLevel, rate)
 	if lacksReports {
@@ -250,6 +251,18 @@
 	return decision
 }
 
+// countedSpending returns the spending that counts against the limit of the reachable
+// entries. An entry that reaches no other may spend its share of what the others are known
+// to have left: the sum over all of them stays within the quota.
+func (c *Counter) countedSpending(now time.Duration, s Site, share float64) float64 {
+	spent := c.window.Sum(now)
+	if s.Reachable > 1 {
+		return spent
+	}
+	own := min(c.own.Sum(now), spent)
+	return own + share*(spent-own)
+}
+
 // waitFor returns the time until an amount fits the limit of the window and the leaky
 // bucket, which drains at the given rate; 0 if it does.
 func waitFor(d *Decision, amount, burst, level, rate float64) time.Duration {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -389,6 +389,31 @@
 	}
 }
 
+// What others spent before an entry lost its connections, or reports before it counts them as
+// reachable, must not use up this entry's share of the quota.
+func TestEntryAloneMaySpendItsShare(t *testing.T) {
+	for _, load := range []float64{0.3, 0.55} {
+		sim := newQuotaSim(7)
+		sim.run(20*time.Second, load*limits.PerSecond, 1000, allConnected)
+		start := sim.now
+		sim.calledEntries = 1
+		sim.run(6*time.Second, load*limits.PerSecond/7, 1000, func(a, b int) bool { return a != 0 && b != 0 })
+		require.GreaterOrEqual(t, sim.spentSince(start), 0.95*6*load*limits.PerSecond/7, "load %v", load)
+	}
+}
+
+func TestQuotaHoldsWhenAllEntriesAreAlone(t *testing.T) {
+	for _, load := range []float64{0.5, 1, 6} {
+		sim := newQuotaSim(7)
+		sim.run(12*time.Second, load*limits.PerSecond, 3000, allConnected)
+		for range 4 {
+			sim.run(5*time.Second, 6*limits.PerSecond, 3000, func(int, int) bool { return false })
+			sim.run(3*time.Second, load*limits.PerSecond, 3000, allConnected)
+		}
+		require.LessOrEqual(t, sim.maxSpentInWindow(), (1+allowedOvershoot)*(limits.PerSecond*window.Seconds()+limits.Burst), "load %v", load)
+	}
+}
+
 // Entries that start without a connection to each other count each other's
 // earlier spending once they connect.
 func TestSpendingBeforeFirstReportIsCounted(t *testing.T) {
