exchange: what nobody covered is counted, and hubs stay while entries restart

Cause: an entry took what it had not followed for a while as covered by other reports if any report had arrived lately.

Change: an origin is covered until messages arrived that include the same entries. All that have been registered lately count for the decision to use hubs, which all entries see alike, and an entry that has just started goes by the sums of its hubs.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -101,9 +101,12 @@
 	positionedAt time.Duration
 	// hubTerms is how often this entry has become a hub.
 	hubTerms int
-	// coveredUntil is, by kind of message, when this entry last began to accept it, if it
-	// knew the same spending from messages of other kinds until then.
-	coveredUntil [sourceKinds]time.Duration
+	// acceptedAt is when the last message of each kind was accepted, and coveredUntil until
+	// when messages of other kinds included what those of a kind report, which were not
+	// accepted then.
+	acceptedAt, coveredUntil [sourceKinds]time.Duration
+	// hubHeardAt is when the last sums of the rest of the site arrived, accepted or not.
+	hubHeardAt time.Duration
 	// hubSums are the sums received from hubs. prefillByRun holds the prefill
 	// statistics of entries of other zones by the run of the entry, which only a hub
 	// receives.
@@ -222,7 +225,7 @@
 	}
 	now := x.Clock()
 	isKnownRun := x.tracker.recordState(from.ID, now, &message)
-	origin := quota.Origin{Name: from.ID, Run: message.Run, IsAlreadyCounted: x.recordReportLocked(now), IsKnownRun: isKnownRun, CoveredUntil: x.coveredUntil[kind]}
+	origin := quota.Origin{Name: from.ID, Run: message.Run, IsAlreadyCounted: x.recordReportLocked(now, kind), IsKnownRun: isKnownRun, CoveredUntil: x.coveredUntil[kind]}
 	x.mu.Unlock()
 	x.Quotas.Merge(origin, message.Spent)
 }
@@ -238,7 +241,7 @@
 	x.mu.Lock()
 	now := x.Clock()
 	site, changes := x.tracker.evaluate(now, registered, x.position.usesHubs)
-	isPositionChanged := x.setPositionLocked(now, positionOf(x.self, others, site.Entries, x.Transport.IsUnreachable))
+	isPositionChanged := x.setPositionLocked(now, positionOf(x.self, others, x.sizeLocked(now, site.Entries), x.Transport.IsUnreachable))
 	loads := x.tracker.reachableLoads()
 	lag := reportInterval * 3 / 2 // the maximum wait of Run
 	if x.position.usesHubs {
@@ -274,14 +277,38 @@
 		x.hubTerms++
 	}
 	for kind := range sourceKinds {
-		if p.accepts(kind) && !x.position.accepts(kind) && x.isCoveredLocked(now) {
-			x.coveredUntil[kind] = now
+		if p.accepts(kind) && !x.position.accepts(kind) {
+			x.coveredUntil[kind] = x.coveredUntilLocked(now, kind)
 		}
 	}
 	x.position = p
 	return isChanged
 }
 
+// coveredUntilLocked returns when messages that cover those of a kind arrived last; 0 if they
+// did not arrive less than coverageTTL ago.
+func (x *Exchange) coveredUntilLocked(now time.Duration, kind sourceKind) time.Duration {
+	latest := time.Duration(0)
+	for _, other := range covering[kind] {
+		latest = max(latest, x.acceptedAt[other])
+	}
+	if now-latest >= coverageTTL {
+		return 0
+	}
+	return latest
+}
+
+// sizeLocked returns the number of entries that decides whether hubs are used: all that have
+// been registered lately, which all entries of a site count alike while some of them restart.
+// An entry that has just started goes by its hubs.
+func (x *Exchange) sizeLocked(now time.Duration, entries int) int {
+	entries = max(entries, 1+len(x.tracker.registered))
+	if x.hubHeardAt > 0 && now-x.hubHeardAt < silenceTimeout {
+		entries = max(entries, maxMeshEntries+1)
+	}
+	return entries
+}
+
 // IsHub reports whether this entry is a hub of a large site.
 func (x *Exchange) IsHub() bool {
 	x.mu.Lock()
--- a/internal/exchange/position.go
+++ b/internal/exchange/position.go
@@ -97,6 +97,14 @@
 	sourceKinds
 )
 
+// covering lists, by kind, the kinds of messages that include the same spending.
+var covering = [sourceKinds][]sourceKind{
+	sourceOwnZone:    {sourceRestOfSite},
+	sourceOtherZone:  {sourceZoneSums, sourceRestOfSite},
+	sourceZoneSums:   {sourceOtherZone, sourceRestOfSite},
+	sourceRestOfSite: {sourceOtherZone, sourceZoneSums},
+}
+
 // accepts reports whether an entry in this position merges the spending of such messages.
 func (p position) accepts(kind sourceKind) bool {
 	switch kind {
--- a/internal/exchange/restarts_test.go
+++ b/internal/exchange/restarts_test.go
@@ -48,9 +48,15 @@
 // of the full mesh changes between the mesh and hubs. What is spent meanwhile must be counted
 // once by each entry, whichever way its reports come.
 func TestRestartsInTurnDoNotDoubleCount(t *testing.T) {
-	for _, inZone := range []int{6, 8} {
-		t.Run(fmt.Sprint(3*inZone, " entries"), func(t *testing.T) {
-			withTestSite(t, inZone, func(s *testSite) {
+	for _, entries := range []int{17, 18, 24} {
+		t.Run(fmt.Sprint(entries, " entries"), func(t *testing.T) {
+			withTestSite(t, (entries+2)/3, func(s *testSite) {
+				for _, node := range s.nodes[entries:] {
+					s.kill(node.ID)
+				}
+				s.nodes = s.nodes[:entries]
+				s.register()
+				time.Sleep(unregisteredGrace)
 				s.spendSteadily(testQuotaWindow+settleTime, 10)
 				s.requireNoneCountedTwice("before")
 				restarts := 2 * len(s.nodes)
--- a/internal/exchange/sums.go
+++ b/internal/exchange/sums.go
@@ -234,6 +234,9 @@
 	kind, scope, isFromOwnZone := sourceZoneSums, quota.ScopeZone, from.Zone == x.self.Zone
 	if m.Zone == "" {
 		kind, scope = sourceRestOfSite, quota.ScopeRestOfSite
+		if isFromOwnZone {
+			x.hubHeardAt = x.Clock()
+		}
 	}
 	if !x.position.accepts(kind) || (kind == sourceRestOfSite) != isFromOwnZone {
 		x.mu.Unlock()
@@ -241,7 +244,7 @@
 	}
 	now := x.Clock()
 	isKnownRun := x.hubSums.record(from.ID, now, &m)
-	origin := quota.Origin{Name: m.originName(), Scope: scope, Run: m.Run, IsAlreadyCounted: x.recordReportLocked(now), IsKnownRun: isKnownRun, CoveredUntil: x.coveredUntil[kind]}
+	origin := quota.Origin{Name: m.originName(), Scope: scope, Run: m.Run, IsAlreadyCounted: x.recordReportLocked(now, kind), IsKnownRun: isKnownRun, CoveredUntil: x.coveredUntil[kind]}
 	for run, stats := range m.Prefill {
 		x.prefillByRun[run] = receivedPrefill{now, stats}
 	}
@@ -254,20 +257,15 @@
 // hub.
 const coverageTTL = 3 * time.Second
 
-// recordReportLocked records that a state or sums arrived. In a large site it
-// reports whether the previous ones arrived less than coverageTTL ago, so that the
-// spending of the same entries has already been counted.
-func (x *Exchange) recordReportLocked(now time.Duration) (isAlreadyCounted bool) {
-	isAlreadyCounted = x.position.usesHubs && x.isCoveredLocked(now)
-	x.lastReportAt = now
+// recordReportLocked records that a message was accepted. In a large site it reports whether
+// the previous one arrived less than coverageTTL ago, so that the spending of the same entries
+// has already been counted.
+func (x *Exchange) recordReportLocked(now time.Duration, kind sourceKind) (isAlreadyCounted bool) {
+	isAlreadyCounted = x.position.usesHubs && x.lastReportAt > 0 && now-x.lastReportAt < coverageTTL
+	x.lastReportAt, x.acceptedAt[kind] = now, now
 	return isAlreadyCounted
 }
 
-// isCoveredLocked reports whether the last state or sums arrived less than coverageTTL ago.
-func (x *Exchange) isCoveredLocked(now time.Duration) bool {
-	return x.lastReportAt > 0 && now-x.lastReportAt < coverageTTL
-}
-
 // addHubSumsLocked returns the number of entries of a large site and their loads
 // from the sums of hubs. On a hub, direct and loads cover the entries that send
 // their state to it, and the sums of other zones are added.
