quota, relay: refused callers are told to return as the quota has room

Cause: callers refused for their organisation's quota were told the time until one request fits, with 30 % jitter, so they returned together and most were refused again.

Change: each entry gives out the times at which its part of the quota's rate has room, one after the other, and at most a third of the time left to the caller. No jitter is added to these.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -122,6 +122,9 @@
 	ownRequested float64
 	// admissionCredit is the amount that admitAtRatio has accrued and not yet used.
 	admissionCredit float64
+	// returnsUntil is the time up to which PlanReturn has given out this entry's part of the
+	// room.
+	returnsUntil time.Duration
 	// reporters hold the reported spending of other entries, by Origin.Name.
 	reporters map[string]*reporter
 	// bucketLevel is the level of the leaky bucket as of bucketUpdatedAt: spending
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -86,6 +86,9 @@
 	w.Header()["Content-Type"] = nil
 	defer q.logEnd()
 	if refused := q.admit(); refused != nil {
+		if refused.reason == reasonQuota {
+			q.planReturn(refused)
+		}
 		q.refuse(refused)
 		return
 	}
--- a/internal/relay/quotas.go
+++ b/internal/relay/quotas.go
@@ -62,13 +62,26 @@
 
 // Spend charges an amount to the organisation's quota if the quota allows it.
 func (q *Quotas) Spend(organisation *config.Organisation, site quota.Site, amount float64) quota.Decision {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.counterLocked(organisation.Name).Spend(q.clock(), q.limits(organisation), site, amount)
+}
+
+// limits returns the limits of an organisation that has a quota.
+func (q *Quotas) limits(organisation *config.Organisation) quota.Limits {
 	limits := quota.Limits{PerSecond: organisation.Quota.PerSecond, Burst: organisation.Quota.Burst, Window: q.window}
 	if !organisation.Quota.ByRequest {
 		limits.Slack = q.slackTokens
 	}
+	return limits
+}
+
+// PlanReturn returns when the caller of a refused request is to come back; see
+// quota.Counter.PlanReturn.
+func (q *Quotas) PlanReturn(organisation *config.Organisation, site quota.Site, d quota.Decision, amount float64, patience time.Duration) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.counterLocked(organisation.Name).Spend(q.clock(), limits, site, amount)
+	return q.counterLocked(organisation.Name).PlanReturn(q.clock(), q.limits(organisation), site, d, amount, patience)
 }
 
 // Refund returns the charge of a request that did not run.
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -44,6 +44,8 @@
 	reason string
 	// retryAfter is the value of the Retry-After header before jitter; 0 omits it.
 	retryAfter time.Duration
+	// isPlanned is set if retryAfter is planned for this caller, so that no jitter is added.
+	isPlanned bool
 }
 
 // unavailable returns a refusal with status 503, which guarantees to callers that
@@ -70,6 +72,22 @@
 	retryJitter = 0.3
 )
 
+// patienceShare is the fraction of the time left to a caller for which it waits before it
+// comes back.
+const patienceShare = 1.0 / 3
+
+// planReturn sets when the caller of a request beyond its organisation's quota is to come
+// back.
+func (q *request) planReturn(refused *refusal) {
+	patience := time.Duration(patienceShare * float64(time.Until(q.deadline)))
+	if patience <= 0 {
+		return
+	}
+	amount := quotaCost(q.org.Quota, &q.info)
+	refused.retryAfter = q.relay.Quotas.PlanReturn(q.org, q.relay.Peers.Site(), q.quotaDecision, amount, patience)
+	refused.isPlanned = true
+}
+
 // addJitter increases d by a random fraction of up to retryJitter.
 func addJitter(d time.Duration) time.Duration {
 	return d + time.Duration(retryJitter*rand.Float64()*float64(d))
@@ -78,7 +96,11 @@
 // write writes the refusal to the caller, with its reason as the body.
 func (r *refusal) write(w http.ResponseWriter) {
 	if r.retryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(addJitter(r.retryAfter).Seconds(), 'f', 3, 64))
+		after := r.retryAfter
+		if !r.isPlanned {
+			after = addJitter(after)
+		}
+		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	text := r.reason + "\n"
