quota: what leaves the window makes room before it has left

Change: half of what leaves the window in these lags counts as free for the ratio.

A trial with all of it and for the share of one entry too broke TestQuotaHoldsUnderSimultaneousBursts and was left out.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -319,13 +319,17 @@
 // free quota would be spent again until the reports arrive.
 const admissionLags = 2
 
+// leavingShare is the fraction of the spending that leaves the window in these lags which
+// counts as free already.
+const leavingShare = 0.5
+
 // admissionRatio returns the fraction of the requested amounts to admit so that
 // all entries together spend no more than the free quota before their reports
 // arrive. It limits the overshoot when many callers wait at all entries and the
 // quota becomes free again.
 func (c *Counter) admissionRatio(now time.Duration, decision Decision, margin float64, lag time.Duration) float64 {
 	demand := c.requested.Sum(now) * admissionLags * lag.Seconds() / demandSpan.Seconds()
-	free := decision.Limit - decision.Spent + margin
+	free := decision.Limit - decision.Spent + margin + leavingShare*c.window.leavingWithin(now, admissionLags*lag)
 	if demand <= free {
 		return 1
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -427,6 +427,19 @@
 	require.LessOrEqual(t, sim.maxSpentInWindow(), maxAllowedPerWindow())
 }
 
+// An organisation that sends more than its quota for long gets most of it, although reports
+// take long: what leaves the window makes room at once.
+func TestLastingOverloadGetsMostOfTheQuota(t *testing.T) {
+	sim := newQuotaSim(17)
+	sim.maxHubDelay, sim.silenceTimeout = 400*time.Millisecond, time.Second
+	sim.run(12*time.Second, 2.2*limits.PerSecond, 3000, allConnected)
+	start := sim.now
+	sim.run(4*window, 2.2*limits.PerSecond, 3000, allConnected)
+	limit := limits.PerSecond*window.Seconds() + limits.Burst
+	require.GreaterOrEqual(t, sim.spentSince(start), 0.9*4*limit)
+	require.LessOrEqual(t, sim.maxSpentInWindow(), (1+allowedOvershoot)*limit)
+}
+
 // Bursts that reach several entries at one instant could each spend the same free
 // quota, since the reports of the other entries have not arrived.
 func TestQuotaHoldsUnderSimultaneousBursts(t *testing.T) {
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -102,6 +102,18 @@
 	return sum
 }
 
+// leavingWithin returns the sum of the amounts that leave the window in the time d after now.
+func (w *Window) leavingWithin(now, d time.Duration) float64 {
+	sum := 0.0
+	for _, s := range w.slots {
+		if s.start+w.slotSpan > now+d-w.span {
+			break
+		}
+		sum += s.amount
+	}
+	return sum
+}
+
 // expire drops the slots that ended before the span.
 func (w *Window) expire(now time.Duration) {
 	n := 0
