--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -24,7 +24,17 @@
 }
 
 // perWindow returns the limit of a window.
-func (l Limits) perWindow() float64 { return l.PerSecond*l.Window.Seconds() + l.Burst }
+func (l Limits) perWindow() float64 {
+	return l.PerSecond*l.Window.Seconds() + l.Burst + windowSlack*l.usableSlack()
+}
+
+// usableSlack returns the part of the slack that is not reserved.
+func (l Limits) usableSlack() float64 {
+	return max(0, l.Slack-reservedSlack*(l.PerSecond*l.Window.Seconds()+l.Burst))
+}
+
+// bucketBurst returns the size of the leaky bucket.
+func (l Limits) bucketBurst() float64 { return bucketBurstFactor*l.Burst + bucketSlack*l.usableSlack() }
 
 // Site describes the entries of the site as one of them sees them.
 type Site struct {
@@ -50,8 +60,9 @@
 // Decision is the result of a quota check and the figures behind it.
 type Decision struct {
 	Allowed bool
-	// Spent is the known spending of all entries in the window, Limit the amount
-	// that the reachable entries may spend in it.
+	// Spent is the known spending of all entries in the window, in part that of others if
+	// none of them is reachable, Limit the amount that the reachable entries may spend in
+	// it.
 	Spent, Limit float64
 	// RetryAfter is the estimated time until a request of the same cost fits; set
 	// only if the request is refused.
@@ -75,11 +86,15 @@
 	// spend beyond it before their reports arrive: half of the overshoot that the
 	// users allow.
 	unreportedOvershoot = 0.05
-	// unreportedSlack is the fraction of the slack used for the same purpose, and
-	// recalledSlack that by which the bound of what was spent before a restart may be
-	// exceeded, since it supposes the worst of what is not known.
-	unreportedSlack = 0.5
-	recalledSlack   = 0.25
+	// unreportedSlack is the fraction of the slack used for the same purpose, windowSlack
+	// that added to the limit of the window, and bucketSlack that added to the burst of
+	// the leaky bucket.
+	unreportedSlack = 0.3
+	windowSlack     = 0.3
+	bucketSlack     = 0.15
+	// reservedSlack is the fraction of the limit of the window for which the slack is
+	// kept: for the worst of bursts that meet a partition or a restart.
+	reservedSlack = 0.05
 	// ownPart is the fraction of the free quota that an entry with all of the spending
 	// may use before its reports arrive. Bursts at others may take the rest.
 	ownPart = 0.4
@@ -107,6 +122,9 @@
 	ownRequested float64
 	// admissionCredit is the amount that admitAtRatio has accrued and not yet used.
 	admissionCredit float64
+	// returnsUntil is the time up to which PlanReturn has given out this entry's part of the
+	// room.
+	returnsUntil time.Duration
 	// reporters hold the reported spending of other entries, by Origin.Name.
 	reporters map[string]*reporter
 	// bucketLevel is the level of the leaky bucket as of bucketUpdatedAt: spending
@@ -200,20 +218,20 @@
 // Spend records an amount as spent by this entry if the quota allows it.
 func (c *Counter) Spend(now time.Duration, l Limits, s Site, amount float64) Decision {
 	share := s.share()
-	rate, burst := share*bucketRateFactor*l.PerSecond, share*bucketBurstFactor*l.Burst
+	rate, burst := share*bucketRateFactor*l.PerSecond, share*l.bucketBurst()
 	coldRate := share * coldStartRateFactor * l.PerSecond
 	lacksReports := c.isNew(now) && !c.hasSiteSpending
-	c.drainBuckets(now, rate, coldRate, bucketBurstFactor*l.Burst, lacksReports)
+	c.drainBuckets(now, rate, coldRate, l.bucketBurst(), lacksReports)
 	c.recordRequested(now, amount)
-	decision := Decision{Spent: c.window.Sum(now), Limit: share * l.perWindow()}
-	margin := share * (unreportedOvershoot*l.perWindow() + unreportedSlack*l.Slack)
+	decision := Decision{Spent: c.countedSpending(now, s, share), Limit: share * l.perWindow()}
+	margin := share * (unreportedOvershoot*l.perWindow() + unreportedSlack*l.usableSlack())
 	wait := waitFor(&decision, amount, burst, c.bucketLevel, rate)
 	if lacksReports {
 		// Each of two bounds of the spending around the start is enough: that of a cold
 		// start, and that of the spending recalled from a copy.
 		wait = waitFor(&decision, amount, burst, c.coldLevel, coldRate)
 		if c.earlier != nil {
-			recalled := Decision{Spent: decision.Spent + share*c.earlier.sum(now, l), Limit: share * (l.perWindow() + recalledSlack*l.Slack)}
+			recalled := Decision{Spent: decision.Spent + share*c.earlier.sum(now, l), Limit: decision.Limit}
 			if w := waitFor(&recalled, amount, burst, c.bucketLevel, rate); w < wait {
 				decision, wait = recalled, w
 			}
@@ -236,6 +254,18 @@
 	return decision
 }
 
+// countedSpending returns the spending that counts against the limit of the reachable
+// entries. An entry that reaches no other may spend its share of what the others are known
+// to have left: the sum over all of them stays within the quota.
+func (c *Counter) countedSpending(now time.Duration, s Site, share float64) float64 {
+	spent := c.window.Sum(now)
+	if s.Reachable > 1 {
+		return spent
+	}
+	own := min(c.own.Sum(now), spent)
+	return own + share*(spent-own)
+}
+
 // waitFor returns the time until an amount fits the limit of the window and the leaky
 // bucket, which drains at the given rate; 0 if it does.
 func waitFor(d *Decision, amount, burst, level, rate float64) time.Duration {
@@ -289,13 +319,17 @@
 // free quota would be spent again until the reports arrive.
 const admissionLags = 2
 
+// leavingShare is the fraction of the spending that leaves the window in these lags which
+// counts as free already.
+const leavingShare = 0.5
+
 // admissionRatio returns the fraction of the requested amounts to admit so that
 // all entries together spend no more than the free quota before their reports
 // arrive. It limits the overshoot when many callers wait at all entries and the
 // quota becomes free again.
 func (c *Counter) admissionRatio(now time.Duration, decision Decision, margin float64, lag time.Duration) float64 {
 	demand := c.requested.Sum(now) * admissionLags * lag.Seconds() / demandSpan.Seconds()
-	free := decision.Limit - decision.Spent + margin
+	free := decision.Limit - decision.Spent + margin + leavingShare*c.window.leavingWithin(now, admissionLags*lag)
 	if demand <= free {
 		return 1
 	}
