--- a/internal/config/settings_relay.go
+++ b/internal/config/settings_relay.go
@@ -22,9 +22,52 @@
 	Duties []string `json:"duties"`
 	// Bootstrap is true if the whole site starts for the first time, so that there are no
 	// streams of earlier relays; default false.
-	Bootstrap bool        `json:"bootstrap"`
-	Bounds    RelayBounds `json:"bounds"`
-	Log       LogSettings `json:"log"`
+	Bootstrap bool          `json:"bootstrap"`
+	Bounds    RelayBounds   `json:"bounds"`
+	Limits    MachineLimits `json:"limits"`
+	Log       LogSettings   `json:"log"`
+}
+
+// MachineLimits are the limits that the VM sets for a process.
+type MachineLimits struct {
+	// MemoryMegabytes is the memory in units of 1,000,000 bytes; default 0, unknown: callers may then hold as
+	// much as on a VM with 512 MB.
+	MemoryMegabytes float64 `json:"memoryMegabytes"`
+	// FileDescriptors is the number of file descriptors; default 0, unknown.
+	FileDescriptors int `json:"fileDescriptors"`
+}
+
+const (
+	megabyte = 1_000_000
+	// minMemoryMegabytes is the least memory with which a process can serve a request of the
+	// largest size.
+	minMemoryMegabytes = 64
+	// minFileDescriptors is the least number of descriptors with which callers, backend
+	// servers, peers and the store all get some.
+	minFileDescriptors = 128
+	// callerDescriptorShare is the share of the file descriptors that callers may take.
+	callerDescriptorShare = 0.75
+)
+
+// MemoryBytes returns the memory in bytes, 0 if it is unknown.
+func (l *MachineLimits) MemoryBytes() int64 { return int64(l.MemoryMegabytes * megabyte) }
+
+func (l *MachineLimits) validate(ps *Problems) {
+	if l.MemoryMegabytes != 0 && !(l.MemoryMegabytes >= minMemoryMegabytes) {
+		ps.add("limits.memoryMegabytes", "", "expected at least %d, or 0 if it is unknown, got %v", minMemoryMegabytes, l.MemoryMegabytes)
+	}
+	if l.FileDescriptors != 0 && l.FileDescriptors < minFileDescriptors {
+		ps.add("limits.fileDescriptors", "", "expected at least %d, or 0 if it is unknown, got %d", minFileDescriptors, l.FileDescriptors)
+	}
+}
+
+// MaxCallers returns the maximum number of callers' connections, which leaves descriptors
+// for backend servers, peers and the probe of readiness.
+func (s *RelaySettings) MaxCallers() int {
+	if s.Limits.FileDescriptors == 0 {
+		return s.Bounds.MaxConnections
+	}
+	return min(s.Bounds.MaxConnections, int(callerDescriptorShare*float64(s.Limits.FileDescriptors)))
 }
 
 // Duties are tasks that one relay at a time performs for the whole site.
@@ -93,6 +136,7 @@
 		requireHostPort(&ps, "metrics", s.Metrics)
 	}
 	s.Bounds.validate(&ps)
+	s.Limits.validate(&ps)
 	s.Log.validate(&ps)
 	return ps
 }
