A memory budget for callers; crowds take neither memory nor places

Cause: a body's declared length was allocated, each request was built once more to be sent, and nothing bounded their sum, that of heads, of answers that are not read, or of connections that stay; a stalled body on a path without a rule held its connection for ever.

Change: internal/membudget counts what connections, heads, bodies and answers hold, reserved by what has arrived; whoever is stalled yields first, then the newest large bodies; a quarter is for small requests. Bodies are held once, in parts. At the limit of connections a new caller takes the place of one that stays without progress. Bodies that no handler reads, readers that take nothing and unauthenticated peers are bounded. The runtime's limit is below the VM's memory.

--- a/internal/config/settings_relay.go
+++ b/internal/config/settings_relay.go
@@ -47,6 +47,9 @@
 	minFileDescriptors = 128
 	// callerDescriptorShare is the share of the file descriptors that callers may take.
 	callerDescriptorShare = 0.75
+	// handshakeDescriptorShare is the share that connections of peers may take which are
+	// not authenticated yet.
+	handshakeDescriptorShare = 0.0625
 )
 
 // MemoryBytes returns the memory in bytes, 0 if it is unknown.
@@ -193,3 +196,9 @@
 func floatDuration(n float64, unit time.Duration) time.Duration {
 	return time.Duration(n * float64(unit))
 }
+
+// MaxHandshakes returns the maximum number of connections of peers that are not
+// authenticated yet; 0 is the default of the inner protocol.
+func (s *RelaySettings) MaxHandshakes() int {
+	return int(handshakeDescriptorShare * float64(s.Limits.FileDescriptors))
+}
--- a/internal/netx/callers.go
+++ b/internal/netx/callers.go
@@ -10,6 +10,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"buckthornpick/internal/membudget"
 )
 
 const (
@@ -28,6 +30,15 @@
 	Timeouts func() (header, idle time.Duration)
 	// OnTimeout is called before a connection is closed that waited in vain.
 	OnTimeout func(peer net.Addr, reason TimeoutReason, waited time.Duration)
+	// MaxConnections is the maximum number of connections; 0 means no limit. At the limit, a
+	// new connection takes the place of one that is of no use (see leastUseful), and
+	// waits if there is none.
+	MaxConnections int
+	// PlacePatience is how long a caller may be silent in the middle of a request, or take
+	// nothing of a response, before its place may go to another; default 1 s.
+	PlacePatience time.Duration
+	// Memory, if not nil, bounds the memory of connections and of the heads of requests.
+	Memory *membudget.Budget
 }
 
 // TimeoutReason is the reason for closing a connection that waits for a request.
@@ -39,6 +50,12 @@
 	IdleTimeout   TimeoutReason = "idle-timeout"
 	// Draining: Drain was called.
 	Draining TimeoutReason = "stopping"
+	// Crowded: another caller needed the place of the connection.
+	Crowded TimeoutReason = "crowded"
+	// WriteTimeout: the caller took nothing of a response for WriteStallTimeout.
+	WriteTimeout TimeoutReason = "write-timeout"
+	// MemoryShort: there was no room for a head in the memory budget.
+	MemoryShort TimeoutReason = "memory-short"
 )
 
 // CallerListener accepts connections for an HTTP/1 server and enforces timeouts by
@@ -55,16 +72,26 @@
 	drainStart time.Time
 	// drained is closed when no connection is left after drainStart.
 	drained chan struct{}
+	// places is the number of connections that have a place, and left receives when one
+	// was given up.
+	places int
+	left   chan struct{}
 }
 
 // NewCallerListener returns a listener on top of l.
 func NewCallerListener(l net.Listener, o CallerOptions) *CallerListener {
-	return &CallerListener{Listener: l, options: o, conns: map[*callerConn]struct{}{}, drained: make(chan struct{})}
+	if o.PlacePatience == 0 {
+		o.PlacePatience = defaultPlacePatience
+	}
+	return &CallerListener{Listener: l, options: o, conns: map[*callerConn]struct{}{}, drained: make(chan struct{}), left: make(chan struct{}, 1)}
 }
 
 // Accept implements net.Listener. After Drain it returns http.ErrServerClosed.
 func (l *CallerListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.awaitPlace()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.drainStart.IsZero() {
@@ -76,11 +103,26 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &callerConn{Conn: conn, listener: l, phase: phaseHeader, since: time.Now()}
+	now := time.Now()
+	c := &callerConn{Conn: conn, listener: l, address: hostOf(conn.RemoteAddr()), phase: phaseHeader, since: now, pace: startPace(now), hasPlace: true}
+	c.memory = l.options.Memory.Open(membudget.Connections, c.address, c.abort)
 	l.conns[c] = struct{}{}
+	l.places++
 	return c, nil
 }
 
+// hostOf returns the host of an address without its port.
+func hostOf(a net.Addr) string {
+	if a == nil {
+		return ""
+	}
+	host, _, err := net.SplitHostPort(a.String())
+	if err != nil {
+		return a.String()
+	}
+	return host
+}
+
 // Drain closes the listener and the idle connections, and waits until the others
 // have ended. It returns the error of ctx if ctx ends first, and may be called
 // again. http.Server.Shutdown would also close connections from which a header has
@@ -147,7 +189,14 @@
 type callerConn struct {
 	net.Conn
 	listener *CallerListener
+	// address is the caller's, without the port.
+	address string
+	// memory holds the connection's bytes and those of a head.
+	memory *membudget.Holder
+	// hasBase is set by the first Read, once the connection's own bytes are reserved.
+	hasBase bool
 
+	// mu is not held in calls of memory, which may set deadlines itself.
 	mu    sync.Mutex
 	phase connPhase
 	// since is the start of the phase, and latest the deadline of http.Server for it.
@@ -156,6 +205,15 @@
 	hasRequest bool
 	// isIdleArmed is set once http.Server has set the deadline of phaseIdle.
 	isIdleArmed bool
+	// isReadingBody is true in phaseRequest while there is a deadline for the body.
+	isReadingBody bool
+	// pace is the progress of the caller's bytes.
+	pace pace
+	// writingSince is the time since which a write waits for the caller, zero if none does.
+	writingSince time.Time
+	// isCut is set when writes must not go on, and hasPlace until the connection's place is
+	// given to another.
+	isCut, hasPlace bool
 }
 
 // TrackState is the http.Server.ConnState hook.
@@ -168,18 +226,25 @@
 		return
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	switch state {
 	case http.StateActive:
 		c.hasRequest = true
 	case http.StateIdle:
 		c.phase, c.since, c.isIdleArmed = phaseIdle, time.Now(), false
 	}
+	c.mu.Unlock()
+	if state == http.StateIdle {
+		c.memory.Return(connectionBytes)
+		c.memory.SetYield(c.abort)
+	}
 }
 
 // SetReadDeadline implements net.Conn. The deadline of a header or of the idle time
 // is shortened to the limit in force.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
+	if t.IsZero() {
+		c.memory.Keep() // a request was read
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -194,6 +259,7 @@
 		c.isIdleArmed = true
 	}
 	if c.phase == phaseRequest {
+		c.isReadingBody = !t.IsZero()
 		return c.Conn.SetReadDeadline(t)
 	}
 	c.latest = t
@@ -237,10 +303,17 @@
 
 // Read implements net.Conn. After a timeout, http.Server closes the connection.
 func (c *callerConn) Read(b []byte) (int, error) {
+	if !c.hasBase {
+		if !c.memory.Reserve(context.Background(), connectionBytes, headPatience) {
+			return 0, c.refuseHead()
+		}
+		c.hasBase = true
+	}
 	for {
+		c.startRead()
 		n, err := c.Conn.Read(b)
-		if n > 0 {
-			c.endIdle()
+		if c.endRead(n) && !c.memory.Reserve(context.Background(), headCost(b[:n]), headPatience) {
+			return 0, c.refuseHead()
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.extendDeadline() {
 			return n, err
@@ -248,14 +321,25 @@
 	}
 }
 
-// endIdle starts the header's phase when the first bytes of a request were read.
-func (c *callerConn) endIdle() {
+// startRead records that the connection waits for bytes of the caller.
+func (c *callerConn) startRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == phaseIdle {
-		c.phase, c.since = phaseHeader, time.Now()
+	c.pace.wait(time.Now())
+}
+
+// endRead records that n bytes were read, and starts the header's phase if they are the
+// first of a request. It reports whether they belong to a head.
+func (c *callerConn) endRead(n int) (isHead bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.pace.add(n, now)
+	if n > 0 && c.phase == phaseIdle {
+		c.phase, c.since, c.pace = phaseHeader, now, startPace(now)
 		_ = c.Conn.SetReadDeadline(c.deadlineLocked()) // fails if the connection is closed
 	}
+	return n > 0 && c.phase == phaseHeader
 }
 
 // extendDeadline reports whether the limit was raised since the deadline that has
@@ -285,6 +369,8 @@
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	err := c.Conn.Close()
+	c.memory.Close()
+	c.leavePlace()
 	c.listener.remove(c)
 	return err
 }
--- /dev/null
+++ b/internal/netx/crowd.go
@@ -0,0 +1,251 @@
+package netx
+
+import (
+	"bytes"
+	"errors"
+	"maps"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"buckthornpick/internal/membudget"
+)
+
+const (
+	// connectionBytes is the memory of a caller's connection: buffers, goroutine, state.
+	connectionBytes = 16 << 10
+	// fieldBytes is the memory that a line of a head takes in maps of headers and their
+	// copies, whatever its length.
+	fieldBytes = 512
+	// headPatience is how long a connection waits for room for a head.
+	headPatience         = time.Second
+	defaultPlacePatience = 500 * time.Millisecond
+	// placeCheckInterval is the time between two looks for a place.
+	placeCheckInterval = 20 * time.Millisecond
+	// writePieceBytes is the largest number of bytes that are written at once.
+	writePieceBytes = 64 << 10
+	// receiveBufferBytes bounds what the kernel reads ahead of a caller's connection.
+	receiveBufferBytes = 64 << 10
+)
+
+// WriteStallTimeout is the time after which the connection of a caller is closed that takes
+// nothing of a response.
+const WriteStallTimeout = 15 * time.Second
+
+// errMemoryShort ends a connection without room for its head.
+var errMemoryShort = errors.New("no room for the head of a request")
+
+// headCost returns the memory that a part of a head takes, in bytes.
+func headCost(part []byte) int64 {
+	return int64(len(part) + fieldBytes*bytes.Count(part, []byte{'\n'}))
+}
+
+// abort closes the connection under its HTTP server, which then cleans up.
+func (c *callerConn) abort() { _ = c.Conn.Close() }
+
+// refuseHead closes the connection, of which no request was read.
+func (c *callerConn) refuseHead() error {
+	c.report(MemoryShort, time.Since(c.state().since))
+	c.abort()
+	return errMemoryShort
+}
+
+func (c *callerConn) report(reason TimeoutReason, waited time.Duration) {
+	if c.listener.options.OnTimeout != nil {
+		c.listener.options.OnTimeout(c.RemoteAddr(), reason, waited)
+	}
+}
+
+// Write implements net.Conn. It fails when the caller takes nothing for WriteStallTimeout.
+func (c *callerConn) Write(b []byte) (int, error) {
+	defer c.endWrite()
+	written := 0
+	for {
+		if !c.startWrite() {
+			return written, os.ErrDeadlineExceeded
+		}
+		n, err := c.Conn.Write(b[written : written+min(len(b)-written, writePieceBytes)])
+		written += n
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded) && n > 0: // slow, but not stalled
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			c.report(WriteTimeout, WriteStallTimeout)
+			return written, err
+		case err != nil || written == len(b):
+			return written, err
+		}
+	}
+}
+
+// startWrite sets the deadline of a write. It returns false if the caller was cut off.
+func (c *callerConn) startWrite() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writingSince = time.Now()
+	if c.isCut {
+		return false
+	}
+	return c.Conn.SetWriteDeadline(c.writingSince.Add(WriteStallTimeout)) == nil
+}
+
+func (c *callerConn) endWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writingSince = time.Time{}
+}
+
+// SetWriteDeadline implements net.Conn. A deadline in the past ends all writes; others are
+// replaced by that of each write.
+func (c *callerConn) SetWriteDeadline(t time.Time) error {
+	if !t.IsZero() && !t.After(time.Now()) {
+		c.mu.Lock()
+		c.isCut = true
+		c.mu.Unlock()
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// awaitPlace waits until there is room for a further connection, and closes one that is of
+// no use if there is none. It returns early when the listener drains.
+func (l *CallerListener) awaitPlace() {
+	for l.options.MaxConnections > 0 {
+		conns := l.crowd()
+		if conns == nil {
+			return
+		}
+		now := time.Now()
+		states := make([]connState, len(conns))
+		for i, c := range conns {
+			states[i] = c.state()
+		}
+		if i := leastUseful(states, now, l.options.PlacePatience); i >= 0 {
+			conns[i].report(Crowded, now.Sub(states[i].since))
+			conns[i].abort()
+			conns[i].leavePlace()
+			continue
+		}
+		timer := time.NewTimer(placeCheckInterval)
+		select {
+		case <-l.left:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// crowd returns the connections if all places are taken, and nil otherwise.
+func (l *CallerListener) crowd() []*callerConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.places < l.options.MaxConnections || !l.drainStart.IsZero() {
+		return nil
+	}
+	return slices.Collect(maps.Keys(l.conns))
+}
+
+// leavePlace gives the place of the connection to another, once. Its descriptor is closed;
+// its HTTP server may still linger for a while.
+func (c *callerConn) leavePlace() {
+	c.mu.Lock()
+	hadPlace := c.hasPlace
+	c.hasPlace = false
+	c.mu.Unlock()
+	if !hadPlace {
+		return
+	}
+	c.listener.mu.Lock()
+	c.listener.places--
+	c.listener.mu.Unlock()
+	select {
+	case c.listener.left <- struct{}{}:
+	default:
+	}
+}
+
+// pace measures the progress of a caller that sends bytes.
+type pace struct {
+	// paidUntil is the time up to which the bytes that came suffice at the least rate.
+	paidUntil time.Time
+	// waitingSince is zero unless the connection waits for bytes, and endedAt is the time
+	// at which it last did.
+	waitingSince, endedAt time.Time
+}
+
+func startPace(now time.Time) pace { return pace{paidUntil: now, endedAt: now} }
+
+// wait records that the connection waits from now on. The time for which it did not is not
+// the caller's.
+func (p *pace) wait(now time.Time) {
+	p.paidUntil = p.paidUntil.Add(now.Sub(p.endedAt))
+	p.waitingSince = now
+}
+
+// add records that n bytes came.
+func (p *pace) add(n int, now time.Time) {
+	p.paidUntil = p.paidUntil.Add(time.Duration(n) * time.Second / membudget.LeastRate)
+	if p.paidUntil.After(now) {
+		p.paidUntil = now
+	}
+	p.waitingSince, p.endedAt = time.Time{}, now
+}
+
+// connState is what a connection waits for, and since when.
+type connState struct {
+	address string
+	// isIdle is true between two requests, and isStoppable while a caller sends a request
+	// or reads its response.
+	isIdle, isStoppable bool
+	// since is the time of the last progress.
+	since time.Time
+}
+
+// state returns the state of the connection.
+func (c *callerConn) state() connState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := connState{address: c.address, since: c.since}
+	switch {
+	case !c.hasPlace:
+	case !c.writingSince.IsZero():
+		s.isStoppable, s.since = true, c.writingSince
+	case c.phase == phaseIdle:
+		s.isIdle = true
+	case !c.pace.waitingSince.IsZero() && (c.phase == phaseHeader || c.isReadingBody):
+		s.isStoppable, s.since = true, c.pace.paidUntil
+	}
+	return s
+}
+
+// leastUseful returns the index of the connection whose place a new caller may take: one
+// that is idle, or whose caller has for patience stopped in the middle of a request or of its
+// response, of the address with the most of these, the longest without progress. It is -1 if there is
+// none. It answers crowds that open connections and stay; an address alone is no reason,
+// since callers may share one.
+func leastUseful(conns []connState, now time.Time, patience time.Duration) int {
+	isUseless := func(c connState) bool { return c.isIdle || c.isStoppable && now.Sub(c.since) >= patience }
+	counts := map[string]int{}
+	for _, c := range conns {
+		if isUseless(c) {
+			counts[c.address]++
+		}
+	}
+	best := -1
+	for i, c := range conns {
+		if !isUseless(c) {
+			continue
+		}
+		if best < 0 || counts[c.address] > counts[conns[best].address] || c.address == conns[best].address && c.since.Before(conns[best].since) {
+			best = i
+		}
+	}
+	return best
+}
+
+// BoundReceiveBuffers bounds what the kernel reads ahead of connections that l accepts. It
+// has no effect on listeners other than those of TCP; errors are ignored.
+func BoundReceiveBuffers(l net.Listener) {
+	if tcp, ok := l.(*net.TCPListener); ok {
+		setReceiveBuffer(tcp, receiveBufferBytes)
+	}
+}
--- a/internal/netx/deadpeer.go
+++ b/internal/netx/deadpeer.go
@@ -38,3 +38,14 @@
 		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 }
+
+// setReceiveBuffer sets SO_RCVBUF, which accepted connections take over.
+func setReceiveBuffer(l *net.TCPListener, size int) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+	})
+}
--- a/internal/netx/limit.go
+++ b/internal/netx/limit.go
@@ -11,6 +11,23 @@
 	return &limitListener{Listener: l, slots: make(chan struct{}, n), closed: make(chan struct{})}
 }
 
+// Limited is a network whose listeners keep at most MaxConnections accepted connections open
+// at a time, with receive buffers that are bounded.
+type Limited struct {
+	Network
+	MaxConnections int
+}
+
+// Listen implements Network.
+func (n Limited) Listen(address string) (net.Listener, error) {
+	l, err := n.Network.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	BoundReceiveBuffers(l)
+	return LimitListener(l, n.MaxConnections), nil
+}
+
 type limitListener struct {
 	net.Listener
 	slots     chan struct{}
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -21,6 +21,10 @@
 	// MaxStreams is the maximum number of concurrent streams that each side
 	// opens on a connection; default 16384.
 	MaxStreams int
+	// MaxHandshakes is the maximum number of accepted connections that are not
+	// authenticated yet; default 256. A further one takes the place of one that has had
+	// time enough, or is closed.
+	MaxHandshakes int
 	// QueueFrames is the capacity of the send queue of a connection, in frames;
 	// default 1024.
 	QueueFrames int
@@ -45,6 +49,7 @@
 	defaultMaxFrameBytes    = 8 << 20
 	defaultWindow           = 64
 	defaultMaxStreams       = 16384
+	defaultMaxHandshakes    = 256
 	defaultQueueFrames      = 1024
 	defaultPingInterval     = time.Second
 	defaultIdlePingInterval = 15 * time.Second
@@ -57,6 +62,7 @@
 	setDefault(&o.MaxFrameBytes, defaultMaxFrameBytes)
 	setDefault(&o.Window, defaultWindow)
 	setDefault(&o.MaxStreams, defaultMaxStreams)
+	setDefault(&o.MaxHandshakes, defaultMaxHandshakes)
 	setDefault(&o.QueueFrames, defaultQueueFrames)
 	setDefault(&o.PingInterval, defaultPingInterval)
 	setDefault(&o.IdlePingInterval, defaultIdlePingInterval)
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -57,7 +57,7 @@
 
 	connections, lost, handshakeErrors, notifyDropped metrics.Counter
 
-	handshakeSlots chan struct{} // semaphore: holds one token per running handshake of an accepted connection
+	pending pendingHandshakes
 
 	started chan struct{} // closed when runCtx is set
 	stopped chan struct{} // closed when Run is ending
@@ -82,7 +82,7 @@
 		lost:            metrics.GetOrRegisterCounter("peer.lost", registry),
 		handshakeErrors: metrics.GetOrRegisterCounter("peer.handshake_errors", registry),
 		notifyDropped:   metrics.GetOrRegisterCounter("peer.notify_dropped", registry),
-		handshakeSlots:  make(chan struct{}, maxHandshakes),
+		pending:         pendingHandshakes{max: o.withDefaults().MaxHandshakes},
 		started:         make(chan struct{}),
 		stopped:         make(chan struct{}),
 		peers:           map[string]*peerState{},
@@ -141,12 +141,7 @@
 	return true
 }
 
-const (
-	acceptRetryDelay = 100 * time.Millisecond
-	// maxHandshakes bounds the accepted connections that are not authenticated
-	// yet; further ones are closed.
-	maxHandshakes = 1024
-)
+const acceptRetryDelay = 100 * time.Millisecond
 
 func (t *Transport) acceptLoop(ctx context.Context, l net.Listener) {
 	for {
@@ -165,9 +160,7 @@
 			}
 			continue
 		}
-		select {
-		case t.handshakeSlots <- struct{}{}:
-		default:
+		if !t.pending.add(nc, time.Now()) {
 			_ = nc.Close()
 			continue
 		}
@@ -179,7 +172,7 @@
 
 func (t *Transport) serveAccepted(ctx context.Context, nc net.Conn) {
 	theirs, err := t.handshake(ctx, nc, t.acceptHandshake)
-	<-t.handshakeSlots
+	t.pending.remove(nc)
 	if err != nil {
 		return
 	}
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -2,11 +2,8 @@
 
 import (
 	"encoding/binary"
-	"errors"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
@@ -148,35 +145,7 @@
 	if q.r.ContentLength > limit {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
 	}
-	connection := http.NewResponseController(q.w)
-	_ = connection.SetReadDeadline(q.deadline) // fails if the connection is closed
-	body, err := readAll(http.MaxBytesReader(q.w, q.r.Body, limit), q.r.ContentLength)
-	if err == nil {
-		_ = connection.SetReadDeadline(time.Time{})
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		q.w.Header().Set("Connection", "close") // else net/http waits for the rest before it responds
-		return &refusal{status: http.StatusRequestTimeout, reason: reasonBodyTimeout}
-	case errors.As(err, &tooLarge):
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
-	case err != nil:
-		q.detail = err.Error()
-		return &refusal{status: http.StatusBadRequest, reason: reasonBadRequest}
-	}
-	q.body = body
-	return nil
-}
-
-// readAll reads r to its end; length is its declared length, negative if unknown.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
+	return q.readContent(limit)
 }
 
 // headerSize returns the size of the request URI and the headers in bytes.
--- a/internal/relay/content.go
+++ b/internal/relay/content.go
@@ -34,7 +34,9 @@
 		_, _ = h.WriteString(q.org.Name)
 	}
 	_, _ = h.WriteString("\x00" + q.r.Method + "\x00" + q.r.RequestURI + "\x00")
-	_, _ = h.Write(q.body)
+	for _, part := range q.body {
+		_, _ = h.Write(part)
+	}
 	return h.Sum64()
 }
 
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -10,6 +10,7 @@
 
 	"buckthornpick/internal/blame"
 	"buckthornpick/internal/fault"
+	"buckthornpick/internal/membudget"
 	"buckthornpick/internal/upstream"
 	"buckthornpick/internal/wait"
 )
@@ -78,9 +79,15 @@
 func (q *request) doByDetour(ctx context.Context, c *choice, lastEventID string) (*upstream.Response, error) {
 	remaining := time.Until(q.deadline)
 	r := q.buildRequest(c, lastEventID, remaining)
+	// The body is joined and encoded once more.
+	memory := q.relay.Memory.Open(membudget.Bodies, callerHost(q.r), nil)
+	defer memory.Close()
+	if !memory.Reserve(ctx, 2*int64(r.Body.Len()), answerRoomPatience) {
+		return nil, fault.Wrap(errMemoryShort, fault.Exhausted, "relay.detour", c.target.ID, "not sent")
+	}
 	call := DetourCall{
 		Service: c.target.Group, Server: c.target.ID, Incarnation: c.target.Incarnation, AttemptID: q.info.AttemptID, Content: q.content,
-		Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body, RemainingMillis: remaining.Milliseconds(),
+		Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body.Join(), RemainingMillis: remaining.Milliseconds(),
 	}
 	if !q.policy.Public {
 		call.KeyHash = q.info.KeyHash
@@ -102,13 +109,18 @@
 	if !ok {
 		return nil, fault.New(fault.Unavailable, "relay.detour", call.Server, "the server is unknown, leaves or wants no requests")
 	}
+	memory := r.Memory.Open(membudget.Bodies, from, nil)
+	if !memory.Reserve(ctx, 2*int64(len(call.Body)), 0) { // the frame, and the body decoded from it
+		memory.Close()
+		return nil, cannotHelp(reasonMemoryShort)
+	}
 	startedAt := time.Now()
 	r.active.Add(1)
 	resp, err := r.Pool.Do(ctx, target, &upstream.Request{
-		Method: call.Method, URI: call.URI, Host: call.Host, Header: call.Header, Body: call.Body,
+		Method: call.Method, URI: call.URI, Host: call.Host, Header: call.Header, Body: upstream.Body{call.Body},
 		Matches: func(status int, h http.Header) bool { return r.Codec.MatchesAttempt(call.AttemptID, status, h) },
 	})
-	d := &detour{relay: r, ctx: ctx, from: from, call: call, target: target, startedAt: startedAt}
+	d := &detour{relay: r, ctx: ctx, from: from, call: call, target: target, startedAt: startedAt, memory: memory}
 	if err != nil {
 		if !r.Pool.HasPath(call.Service) && !upstream.MayHaveBeenSent(err) {
 			err = cannotHelp(reasonNoPath)
@@ -182,6 +194,7 @@
 	startedAt time.Time
 	status    int
 	body      io.ReadCloser
+	memory    *membudget.Holder
 	isEnded   bool
 }
 
@@ -207,6 +220,7 @@
 		return
 	}
 	d.isEnded = true
+	d.memory.Close()
 	d.relay.active.Add(-1)
 	text := ""
 	if err != nil && err != io.EOF {
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -8,7 +8,9 @@
 	"buckthornpick/internal/blame"
 	"buckthornpick/internal/config"
 	"buckthornpick/internal/follow"
+	"buckthornpick/internal/membudget"
 	"buckthornpick/internal/quota"
+	"buckthornpick/internal/upstream"
 )
 
 // request is the state of one attempt of a caller, from its arrival to its final
@@ -19,7 +21,10 @@
 	r         *http.Request
 	arrivedAt time.Time
 	info      RequestInfo
-	body      []byte
+	body      upstream.Body
+	// bodyMemory and answerMemory hold the memory of the body and of an answer that waits for
+	// the caller to read it; nil if there is none.
+	bodyMemory, answerMemory *membudget.Holder
 
 	// doc is the configuration document that the request was matched with, and
 	// documentAge the time since it was last confirmed.
@@ -84,6 +89,7 @@
 	}
 	// Keeps net/http from adding a guessed Content-Type to forwarded responses.
 	w.Header()["Content-Type"] = nil
+	defer q.releaseMemory()
 	defer q.logEnd()
 	if refused := q.admit(); refused != nil {
 		q.refuse(refused)
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -18,6 +18,7 @@
 	reasonHeaderTooLarge     = "header-too-large"
 	reasonBodyTooLarge       = "body-too-large"
 	reasonBodyTimeout        = "body-timeout"
+	reasonMemoryShort        = "memory-short"
 	reasonQuota              = "quota"
 	reasonCrashesServers     = "crashes-servers"
 	reasonNoServer           = "no-server"
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"buckthornpick/internal/blame"
 	"buckthornpick/internal/clock"
 	"buckthornpick/internal/follow"
+	"buckthornpick/internal/membudget"
 	"buckthornpick/internal/quota"
 	"buckthornpick/internal/telemetry"
 	"buckthornpick/internal/upstream"
@@ -89,10 +90,12 @@
 	Peers       Peers
 	Usage       UsageRecorder
 	Limits      Limits
-	Zone        string
-	Clock       clock.Clock
-	Log         *telemetry.Logger
-	Metrics     metrics.Registry
+	// Memory bounds what callers' requests and their answers hold; nil is no bound.
+	Memory  *membudget.Budget
+	Zone    string
+	Clock   clock.Clock
+	Log     *telemetry.Logger
+	Metrics metrics.Registry
 }
 
 // Relay forwards callers' requests to backend servers. It implements http.Handler.
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -47,7 +47,7 @@
 // maxBufferedBytes are forwarded as they arrive.
 func (q *request) forwardBuffered(ctx context.Context, c *choice, resp *upstream.Response) sendResult {
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	data, err := io.ReadAll(io.LimitReader(q.reserveAnswer(ctx, resp.Body), maxBufferedBytes))
 	if err != nil {
 		return q.recordLostResponse(ctx, c, fault.Wrap(err, fault.Ambiguous, "relay.whole", c.target.ID, "response body is incomplete"))
 	}
@@ -161,6 +161,9 @@
 		q.w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	}
 	q.w.WriteHeader(status)
+	// A caller that does not read its answer yields by the end of its connection.
+	connection := http.NewResponseController(q.w)
+	q.answerMemory.SetYield(func() { _ = connection.SetWriteDeadline(expiredDeadline) })
 	if _, err := q.w.Write(data); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		q.reason = reasonCallerLeft
 	}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -8,11 +8,14 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime"
+	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"buckthornpick/internal/blame"
@@ -24,6 +27,7 @@
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/follow"
 	"buckthornpick/internal/lease"
+	"buckthornpick/internal/membudget"
 	"buckthornpick/internal/netx"
 	"buckthornpick/internal/originstore"
 	"buckthornpick/internal/peer"
@@ -96,9 +100,16 @@
 	peerPingInterval = 700 * time.Millisecond
 	peerPingTimeout  = 700 * time.Millisecond
 
-	maxHeaderBytes    = 64 << 10
-	maxBodyBytes      = 4 << 20
-	readHeaderTimeout = 10 * time.Second
+	maxHeaderBytes = 64 << 10
+	// maxProbeConnections and maxProbeHeaderBytes bound what strangers take at the
+	// listeners of the readiness probe and of the metrics.
+	maxProbeConnections = 64
+	// probePatience is how long a connection may keep a place there while others wait. The
+	// load balancer sends its request at once.
+	probePatience       = 100 * time.Millisecond
+	maxProbeHeaderBytes = 8 << 10
+	maxBodyBytes        = 4 << 20
+	readHeaderTimeout   = 10 * time.Second
 	// idleTimeout exceeds every idle timeout that the operators' document may set
 	// for callers.
 	idleTimeout = 2 * time.Minute
@@ -145,6 +156,7 @@
 	dutyLease        *lease.Lease
 	// isDraining is set during a planned stop and makes the readiness probe fail.
 	isDraining atomic.Bool
+	memory     *membudget.Budget
 }
 
 // New creates a process that opens its listeners and connections on n.
@@ -155,11 +167,22 @@
 	if s.Cloud != "" {
 		process.cloud = a.Cloud(s, process.platformClient)
 	}
+	process.provisionMemory()
 	process.provisionFollowers()
 	process.provisionRelay()
 	return process
 }
 
+// provisionMemory creates the memory budget and limits the runtime's memory.
+func (p *Process) provisionMemory() {
+	capacity, limit := membudget.Capacity(p.settings.Limits.MemoryBytes())
+	p.memory = membudget.New(capacity, p.cli.Log, p.cli.Metrics)
+	if limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
+	p.cli.Metrics.GetOrRegister("process.goroutines", metrics.NewFunctionalGauge(func() int64 { return int64(runtime.NumGoroutine()) }))
+}
+
 // provisionFollowers creates the caches of stored data, the followers that keep
 // them up to date, and the transport to other entries.
 func (p *Process) provisionFollowers() {
@@ -170,6 +193,7 @@
 	p.secret = follow.NewSecret(log)
 	p.transport = peer.New(self, p.network, log, p.cli.Metrics, peer.Options{
 		SecretSource: p.secret.Bytes, PingInterval: peerPingInterval, IdlePingInterval: peerPingInterval, PingTimeout: peerPingTimeout,
+		MaxHandshakes: p.settings.MaxHandshakes(),
 	})
 	// The origins of streams learn of a second version before requests are sent there.
 	p.documents = follow.NewDocuments(a.DocumentKey, a.DecodeDocument, log, func(d *follow.Document) {
@@ -210,7 +234,7 @@
 	}, run)
 	p.relay = relay.New(relay.Config{
 		Codec: p.adapter.Codec, Documents: p.documents, Balancer: p.balancer, Servers: p.servers, Pool: p.pool, Quotas: quotas, Crashes: p.crashes, Origins: p.origins, OriginStore: p.archive,
-		Peers: p.exchange, Usage: p.usageCounts, Zone: p.settings.Node.Zone, Clock: p.clock, Log: log, Metrics: p.cli.Metrics,
+		Peers: p.exchange, Usage: p.usageCounts, Zone: p.settings.Node.Zone, Clock: p.clock, Log: log, Metrics: p.cli.Metrics, Memory: p.memory,
 		Limits: relay.Limits{
 			MaxDocumentAge:      p.maxDocumentAge(),
 			MaxRefusalAge:       b.ApplyDelay(),
@@ -261,7 +285,7 @@
 	for _, run := range p.backgroundTasks() {
 		g.Go(func() error { return run(runCtx) })
 	}
-	for l, server := range map[net.Listener]*http.Server{listeners.callers: p.callerServer(listeners.callers), listeners.readiness: p.readinessServer()} {
+	for l, server := range map[net.Listener]*http.Server{listeners.callers: p.callerServer(listeners.callers), listeners.readiness: p.readinessServer(listeners.readiness)} {
 		g.Go(func() error { return serve(server, l) })
 		g.Go(func() error {
 			<-runCtx.Done()
@@ -270,7 +294,7 @@
 	}
 	if p.settings.Metrics != "" {
 		pages := &cli.AdminPages{Metrics: p.cli.Metrics, Ready: p.checkReady}
-		admin, err := cli.ListenAdmin(p.network, p.settings.Metrics, nil, pages.Handler(), p.cli.Log)
+		admin, err := cli.ListenAdmin(netx.Limited{Network: p.network, MaxConnections: maxProbeConnections}, p.settings.Metrics, nil, pages.Handler(), p.cli.Log)
 		if err != nil {
 			return err
 		}
@@ -328,7 +352,7 @@
 // listeners holds the listeners of callers and of the readiness probe.
 type listeners struct {
 	callers   *netx.CallerListener
-	readiness net.Listener
+	readiness *netx.CallerListener
 }
 
 func (p *Process) listen() (listeners, error) {
@@ -337,14 +361,21 @@
 	if err != nil {
 		return l, err
 	}
-	l.callers = netx.NewCallerListener(netx.LimitListener(accepted, p.settings.Bounds.MaxConnections), netx.CallerOptions{
-		Timeouts: p.callerTimeouts,
-		OnTimeout: func(peer net.Addr, reason netx.TimeoutReason, waited time.Duration) {
-			p.cli.Log.Log(EvCallerClosed, "peer", peer.String(), "reason", string(reason), "waited_ms", waited.Milliseconds())
-		},
+	netx.BoundReceiveBuffers(accepted)
+	logClosed := func(peer net.Addr, reason netx.TimeoutReason, waited time.Duration) {
+		p.cli.Log.Log(EvCallerClosed, "peer", peer.String(), "reason", string(reason), "waited_ms", waited.Milliseconds())
+	}
+	l.callers = netx.NewCallerListener(accepted, netx.CallerOptions{
+		Timeouts: p.callerTimeouts, OnTimeout: logClosed, MaxConnections: p.settings.MaxCallers(), Memory: p.memory,
 	})
-	l.readiness, err = p.openListener("readiness", p.settings.Readiness)
-	return l, err
+	accepted, err = p.openListener("readiness", p.settings.Readiness)
+	if err != nil {
+		return l, err
+	}
+	netx.BoundReceiveBuffers(accepted)
+	// No budget: the probe must succeed also while callers hold all of it.
+	l.readiness = netx.NewCallerListener(accepted, netx.CallerOptions{OnTimeout: logClosed, MaxConnections: maxProbeConnections, PlacePatience: probePatience})
+	return l, nil
 }
 
 func (p *Process) openListener(name, address string) (net.Listener, error) {
@@ -368,7 +399,7 @@
 // bounds; those of the current document are enforced by the listener.
 func (p *Process) callerServer(callers *netx.CallerListener) *http.Server {
 	return &http.Server{
-		Handler: p.relay, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: netx.BoundUnreadBodies(p.relay), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: callers.TrackState,
 	}
 }
@@ -383,14 +414,17 @@
 	return time.Duration(limits.HeaderTimeoutMillis) * time.Millisecond, time.Duration(limits.IdleTimeoutMillis) * time.Millisecond
 }
 
-func (p *Process) readinessServer() *http.Server {
+func (p *Process) readinessServer(l *netx.CallerListener) *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+p.adapter.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
 		if err := p.checkReady(); err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		}
 	})
-	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{
+		Handler: netx.BoundUnreadBodies(mux), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxProbeHeaderBytes,
+		ConnState: l.TrackState,
+	}
 }
 
 // checkReady returns an error if this entry must not receive callers.
@@ -431,7 +465,7 @@
 }
 
 // reload reads the settings file and logs whether it is valid, and whether its node,
-// callers, store or bounds settings differ from those in force. Other settings are
+// callers, store, bounds or limits settings differ from those in force. Other settings are
 // not compared.
 func (p *Process) reload() {
 	next, err := config.Load[config.RelaySettings](p.cli.Settings)
@@ -439,5 +473,5 @@
 		p.cli.Log.Log(EvReloadFailed, "error", err.Error())
 		return
 	}
-	p.cli.Log.Log(EvReloaded, "restart_due", next.Node != p.settings.Node || next.Callers != p.settings.Callers || next.Store != p.settings.Store || next.Bounds != p.settings.Bounds)
+	p.cli.Log.Log(EvReloaded, "restart_due", next.Node != p.settings.Node || next.Callers != p.settings.Callers || next.Store != p.settings.Store || next.Bounds != p.settings.Bounds || next.Limits != p.settings.Limits)
 }
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -21,7 +21,7 @@
 	URI    string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   Body
 	// Matches reports whether a response belongs to this request; nil accepts any.
 	Matches func(status int, h http.Header) bool
 }
@@ -31,6 +31,8 @@
 	// response is read, since a server may respond before it has read all of a long
 	// request.
 	concurrentWriteBytes = 8 << 10
+	// headSizeHint is about the size of a request's head in bytes.
+	headSizeHint = 1 << 10
 	// maxForeignResponses limits the number of responses to earlier requests that
 	// are skipped.
 	maxForeignResponses = 4
@@ -110,29 +112,33 @@
 // is written concurrently, and sent is then its whole length.
 func (x *roundTrip) send() (sent int, err error) {
 	b := &bytes.Buffer{}
-	x.encode(b)
-	if b.Len() < concurrentWriteBytes {
+	body := x.request.Body
+	x.encodeHead(b, body.Len())
+	length := b.Len() + body.Len()
+	if length < concurrentWriteBytes {
+		for _, part := range body {
+			b.Write(part)
+		}
 		return x.conn.Write(b.Bytes())
 	}
 	x.writeDone = make(chan struct{})
 	go func() {
 		defer close(x.writeDone)
-		_, x.writeErr = x.conn.Write(b.Bytes())
+		x.writeErr = body.writeTo(x.conn.Conn, b.Bytes())
 	}()
-	return b.Len(), nil
+	return length, nil
 }
 
-// encode appends the request in HTTP/1.1 format to b.
-func (x *roundTrip) encode(b *bytes.Buffer) {
+// encodeHead appends the head of the request in HTTP/1.1 format to b.
+func (x *roundTrip) encodeHead(b *bytes.Buffer, bodyLength int) {
 	request := x.request
-	b.Grow(512 + len(request.Body))
+	b.Grow(headSizeHint)
 	b.WriteString(request.Method + " " + request.URI + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	_ = request.Header.Write(b) // writes to a buffer never fail
-	if len(request.Body) > 0 || (request.Method != http.MethodGet && request.Method != http.MethodHead) {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
+	if bodyLength > 0 || (request.Method != http.MethodGet && request.Method != http.MethodHead) {
+		b.WriteString("Content-Length: " + strconv.Itoa(bodyLength) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(request.Body)
 }
 
 // receive reads responses until one belongs to the request. It skips informational
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -57,7 +57,7 @@
 // send sends a request that accepts all responses but those marked as foreign.
 func (s *testServer) send(ctx context.Context, body string) (*Response, error) {
 	return s.pool.Do(ctx, target, &Request{
-		Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{}, Body: []byte(body),
+		Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{}, Body: Body{[]byte(body)},
 		Matches: func(_ int, h http.Header) bool { return h.Get("Id") != "foreign" },
 	})
 }
