Entries of both compositions read bodies by the memory budget

membudget.ReadBody reads a body in parts with progress and patience for both compositions; buckthornpick-entry takes the limits of its VM too, and its gateway refuses with 503, not run, when there is no room. A test of the settings' error text lists the new field limits.

--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -44,7 +44,7 @@
 	}
 	require.Equal(t, []string{
 		`entry.json:2: node.id: expected a string, got 5`,
-		`entry.json:3: stor: unknown field; expected one of admin, bounds, callers, cloud, drain, lease, log, node, peers, store`,
+		`entry.json:3: stor: unknown field; expected one of admin, bounds, callers, cloud, drain, lease, limits, log, node, peers, store`,
 		`entry.json:4: bounds.maxBodyBytes: expected a whole number, got 1.5`,
 		`entry.json:5: bounds.keyWindow: expected a duration such as "1.5s", got "soon"`,
 		`entry.json:6: peers.advertised: expected an array, got "x"`,
--- a/internal/config/settings_entry.go
+++ b/internal/config/settings_entry.go
@@ -15,6 +15,7 @@
 	Lease  LeaseSettings  `json:"lease"`
 	Drain  DrainSettings  `json:"drain"`
 	Bounds BoundsSettings `json:"bounds"`
+	Limits MachineLimits  `json:"limits"`
 	Log    LogSettings    `json:"log"`
 }
 
@@ -136,6 +137,9 @@
 	s.Log.Level = defaultLogLevel
 }
 
+// MaxCallers returns the maximum number of callers' connections.
+func (s *EntrySettings) MaxCallers() int { return s.Limits.maxCallers(s.Bounds.MaxConnections) }
+
 // Validate returns all problems of the values.
 func (s *EntrySettings) Validate() Problems {
 	var ps Problems
@@ -151,6 +155,7 @@
 		ps.add("drain.readyDelay", "", "expected 0 or more, got %q", s.Drain.ReadyDelay)
 	}
 	s.Bounds.validate(&ps)
+	s.Limits.validate(&ps)
 	s.Log.validate(&ps)
 	return ps
 }
--- a/internal/config/settings_relay.go
+++ b/internal/config/settings_relay.go
@@ -64,15 +64,18 @@
 	}
 }
 
-// MaxCallers returns the maximum number of callers' connections, which leaves descriptors
-// for backend servers, peers and the probe of readiness.
-func (s *RelaySettings) MaxCallers() int {
-	if s.Limits.FileDescriptors == 0 {
-		return s.Bounds.MaxConnections
+// maxCallers returns the maximum number of callers' connections, max at most, which leaves
+// descriptors for backend servers, peers and the probe of readiness.
+func (l *MachineLimits) maxCallers(max int) int {
+	if l.FileDescriptors == 0 {
+		return max
 	}
-	return min(s.Bounds.MaxConnections, int(callerDescriptorShare*float64(s.Limits.FileDescriptors)))
+	return min(max, int(callerDescriptorShare*float64(l.FileDescriptors)))
 }
 
+// MaxCallers returns the maximum number of callers' connections.
+func (s *RelaySettings) MaxCallers() int { return s.Limits.maxCallers(s.Bounds.MaxConnections) }
+
 // Duties are tasks that one relay at a time performs for the whole site.
 const (
 	// DutyUsage is to report the organisations' usage to the cloud API.
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -15,6 +15,7 @@
 	"buckthornpick/internal/config"
 	"buckthornpick/internal/entry"
 	"buckthornpick/internal/fault"
+	"buckthornpick/internal/membudget"
 	"buckthornpick/internal/netx"
 	"buckthornpick/internal/telemetry"
 )
@@ -35,13 +36,15 @@
 // performs a planned stop, and Run returns after it.
 func Run(ctx context.Context, s config.EntrySettings, p *cli.Process) error {
 	network := netx.TCP{}
+	memory := membudget.ForProcess(s.Limits.MemoryBytes(), p.Log, p.Metrics)
 	cfg, cleanup, err := nodeConfig(s, network, p)
 	if err != nil {
 		return err
 	}
 	defer cleanup()
+	cfg.Gateway.Memory = memory
 	node := entry.New(cfg)
-	callers, tlsConfig, err := listen(network, s, p.Log)
+	callers, tlsConfig, err := listen(network, s, memory, p.Log)
 	if err != nil {
 		return err
 	}
@@ -81,7 +84,7 @@
 }
 
 // listen opens the listener for callers. The TLS configuration is nil if there is none.
-func listen(n netx.Network, s config.EntrySettings, log *telemetry.Logger) (*netx.CallerListener, *tls.Config, error) {
+func listen(n netx.Network, s config.EntrySettings, memory *membudget.Budget, log *telemetry.Logger) (*netx.CallerListener, *tls.Config, error) {
 	tlsConfig, err := cli.ServerTLS(s.Callers.TLS, log)
 	if err != nil {
 		return nil, nil, err
@@ -91,7 +94,8 @@
 		return nil, nil, fault.Wrap(err, fault.Unavailable, "callers.listen", s.Callers.Address, "cannot listen")
 	}
 	log.Log(cli.EvListening, "listener", "callers", "address", l.Addr().String(), "tls", tlsConfig != nil)
-	return netx.NewCallerListener(netx.LimitListener(l, s.Bounds.MaxConnections), netx.CallerOptions{}), tlsConfig, nil
+	netx.BoundReceiveBuffers(l)
+	return netx.NewCallerListener(l, netx.CallerOptions{MaxConnections: s.MaxCallers(), Memory: memory}), tlsConfig, nil
 }
 
 func adminServer(s config.EntrySettings, node *entry.Node, drain func(), p *cli.Process) (*cli.AdminServer, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,8 @@
 	"github.com/rcrowley/go-metrics"
 
 	"buckthornpick/internal/config"
+	"buckthornpick/internal/membudget"
+	"buckthornpick/internal/netx"
 	"buckthornpick/internal/request"
 	"buckthornpick/internal/telemetry"
 )
@@ -80,6 +82,8 @@
 	// RequestTimeout is the timeout of a request whose service sets none.
 	// Default 10 min.
 	RequestTimeout time.Duration
+	// Memory bounds what callers' requests hold; nil is no bound.
+	Memory *membudget.Budget
 }
 
 const (
@@ -134,7 +138,7 @@
 	mux.Handle("GET "+pathRequests+"{id}", g.authenticated(g.serveAttach))
 	mux.Handle("/services/{service}/", g.authenticated(g.servePlain))
 	mux.HandleFunc("/", notFound)
-	return alice.New(g.recoverPanic).Then(mux)
+	return alice.New(g.recoverPanic, netx.BoundUnreadBodies).Then(mux)
 }
 
 // callerHandler handles a request of an authenticated caller.
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -37,7 +37,8 @@
 // serveModel returns the handler for chat or text completions.
 func (g *Gateway) serveModel(kind request.Kind) callerHandler {
 	return func(w http.ResponseWriter, r *http.Request, c caller) {
-		body, p := g.readBody(w, r)
+		body, memory, p := g.readBody(w, r)
+		defer memory.Close()
 		if p != nil {
 			writeProblem(w, *p)
 			return
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -29,7 +29,8 @@
 			message: "no plain service " + quote(name), outcome: refusedOutcome(r)})
 		return
 	}
-	body, p := g.readBody(w, r)
+	body, memory, p := g.readBody(w, r)
+	defer memory.Close()
 	if p != nil {
 		writeProblem(w, *p)
 		return
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -1,8 +1,9 @@
 package gateway
 
 import (
+	"bytes"
+	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,31 +13,63 @@
 
 	"buckthornpick/internal/config"
 	"buckthornpick/internal/fault"
+	"buckthornpick/internal/membudget"
 	"buckthornpick/internal/request"
 )
 
 // maxKeyLength is the maximum length of an idempotency key, in bytes.
 const maxKeyLength = 256
 
-// readBody reads the whole request body, limited by MaxBodyBytes and
-// BodyTimeout.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem) {
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(g.cfg.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.cfg.MaxBodyBytes))
-	_ = rc.SetReadDeadline(time.Time{})
+// readBody reads the whole request body, limited by MaxBodyBytes, BodyTimeout and the
+// memory budget. The caller closes the holder of its memory when the request has ended, also
+// after a problem.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *membudget.Holder, *problem) {
+	parts, memory, err := g.cfg.Memory.ReadBody(r.Context(), membudget.BodySource{
+		Reader: http.MaxBytesReader(w, r.Body, g.cfg.MaxBodyBytes), Declared: r.ContentLength, Group: r.RemoteAddr[:max(0, strings.LastIndexByte(r.RemoteAddr, ':'))],
+		SetReadDeadline: http.NewResponseController(w).SetReadDeadline, End: time.Now().Add(g.cfg.BodyTimeout),
+	})
 	if err == nil {
-		return body, nil
+		body, ok := joinParts(r.Context(), memory, parts)
+		if ok {
+			return body, memory, nil
+		}
+		err = membudget.ErrShort
+	}
+	if errors.Is(err, membudget.ErrShort) {
+		w.Header().Set("Connection", "close") // else net/http waits for the rest before it responds
+		return nil, memory, &problem{status: http.StatusServiceUnavailable, kind: typeUnavailable,
+			message: "no memory for the body at present", outcome: refusedOutcome(r), retryAfter: time.Second}
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return nil, &problem{status: http.StatusRequestEntityTooLarge, kind: typeInvalidRequest,
+		return nil, memory, &problem{status: http.StatusRequestEntityTooLarge, kind: typeInvalidRequest,
 			message: "body exceeds " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"}
 	}
-	return nil, &problem{status: http.StatusBadRequest, kind: typeInvalidRequest,
+	return nil, memory, &problem{status: http.StatusBadRequest, kind: typeInvalidRequest,
 		message: "body could not be read: " + fault.Text(err)}
 }
 
+// joinRoomPatience is how long a body that has arrived waits for room to be joined.
+const joinRoomPatience = 250 * time.Millisecond
+
+// joinParts joins the parts of a body, for which the holder needs their size once more for a
+// moment. ok is false if there is no room.
+func joinParts(ctx context.Context, memory *membudget.Holder, parts [][]byte) (body []byte, ok bool) {
+	if len(parts) == 1 {
+		return parts[0], true
+	}
+	size := 0
+	for _, part := range parts {
+		size += len(part)
+	}
+	if !memory.Reserve(ctx, int64(size), joinRoomPatience) {
+		return nil, false
+	}
+	body = bytes.Join(parts, nil)
+	memory.Return(int64(size))
+	return body, true
+}
+
 // submit sets the remaining fields of req, submits it to the node and writes the
 // answer.
 func (g *Gateway) submit(w http.ResponseWriter, r *http.Request, c caller, req *request.Request, s config.Service) {
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"runtime"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -78,6 +80,17 @@
 	woken     chan struct{}
 }
 
+// ForProcess returns the budget of a process on a VM with memory bytes, 0 if that is unknown,
+// and sets the limit for the runtime.
+func ForProcess(memory int64, log *telemetry.Logger, registry metrics.Registry) *Budget {
+	capacity, limit := Capacity(memory)
+	if limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
+	registry.GetOrRegister("process.goroutines", metrics.NewFunctionalGauge(func() int64 { return int64(runtime.NumGoroutine()) }))
+	return New(capacity, log, registry)
+}
+
 // New returns a budget of capacity bytes.
 func New(capacity int64, log *telemetry.Logger, registry metrics.Registry) *Budget {
 	b := &Budget{
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -83,7 +83,7 @@
 	memory := q.relay.Memory.Open(membudget.Bodies, callerHost(q.r), nil)
 	defer memory.Close()
 	if !memory.Reserve(ctx, 2*int64(r.Body.Len()), answerRoomPatience) {
-		return nil, fault.Wrap(errMemoryShort, fault.Exhausted, "relay.detour", c.target.ID, "not sent")
+		return nil, fault.Wrap(membudget.ErrShort, fault.Exhausted, "relay.detour", c.target.ID, "not sent")
 	}
 	call := DetourCall{
 		Service: c.target.Group, Server: c.target.ID, Incarnation: c.target.Incarnation, AttemptID: q.info.AttemptID, Content: q.content,
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -8,14 +8,11 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime"
-	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"buckthornpick/internal/blame"
@@ -167,22 +164,12 @@
 	if s.Cloud != "" {
 		process.cloud = a.Cloud(s, process.platformClient)
 	}
-	process.provisionMemory()
+	process.memory = membudget.ForProcess(s.Limits.MemoryBytes(), p.Log, p.Metrics)
 	process.provisionFollowers()
 	process.provisionRelay()
 	return process
 }
 
-// provisionMemory creates the memory budget and limits the runtime's memory.
-func (p *Process) provisionMemory() {
-	capacity, limit := membudget.Capacity(p.settings.Limits.MemoryBytes())
-	p.memory = membudget.New(capacity, p.cli.Log, p.cli.Metrics)
-	if limit > 0 {
-		debug.SetMemoryLimit(limit)
-	}
-	p.cli.Metrics.GetOrRegister("process.goroutines", metrics.NewFunctionalGauge(func() int64 { return int64(runtime.NumGoroutine()) }))
-}
-
 // provisionFollowers creates the caches of stored data, the followers that keep
 // them up to date, and the transport to other entries.
 func (p *Process) provisionFollowers() {
--- a/review/.standins/site.go
+++ b/review/.standins/site.go
@@ -130,6 +130,7 @@
 				"revokeMillis": 5000, "applyMillis": 2000, "graceSeconds": 8, "quotaWindowSeconds": 8, "usageWindowSeconds": 5,
 				"repeatRatio": 0.2, "repeatSlack": 52, "repeatWindowSeconds": 10, "leaseMillis": 3000,
 			},
+			"limits": map[string]any{"memoryMegabytes": 284, "fileDescriptors": 4100},
 		}, "", "  ")
 		if err != nil {
 			return err
