--- a/internal/netx/callers.go
+++ b/internal/netx/callers.go
@@ -211,9 +211,10 @@
 	pace pace
 	// writingSince is the time since which a write waits for the caller, zero if none does.
 	writingSince time.Time
-	// isCut is set when writes must not go on, and hasPlace until the connection's place is
+	// isCut is set when writes must not go on, isLingering when http.Server has ended the
+	// connection and waits for the caller to read the last response, and hasPlace until the connection's place is
 	// given to another.
-	isCut, hasPlace bool
+	isCut, isLingering, hasPlace bool
 }
 
 // TrackState is the http.Server.ConnState hook.
--- a/internal/netx/crowd.go
+++ b/internal/netx/crowd.go
@@ -78,6 +78,17 @@
 	}
 }
 
+// CloseWrite ends the responses, before http.Server closes the connection.
+func (c *callerConn) CloseWrite() error {
+	c.mu.Lock()
+	c.isLingering = true
+	c.mu.Unlock()
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // startWrite sets the deadline of a write. It returns false if the caller was cut off.
 func (c *callerConn) startWrite() bool {
 	c.mu.Lock()
@@ -193,7 +204,7 @@
 // connState is what a connection waits for, and since when.
 type connState struct {
 	address string
-	// isIdle is true between two requests, and isStoppable while a caller sends a request
+	// isIdle is true between two requests and after the last, and isStoppable while a caller sends a request
 	// or reads its response.
 	isIdle, isStoppable bool
 	// since is the time of the last progress.
@@ -209,7 +220,7 @@
 	case !c.hasPlace:
 	case !c.writingSince.IsZero():
 		s.isStoppable, s.since = true, c.writingSince
-	case c.phase == phaseIdle:
+	case c.phase == phaseIdle || c.isLingering:
 		s.isIdle = true
 	case !c.pace.waitingSince.IsZero() && (c.phase == phaseHeader || c.isReadingBody):
 		s.isStoppable, s.since = true, c.pace.paidUntil
--- a/internal/netx/limit.go
+++ b/internal/netx/limit.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 // LimitListener returns a listener that keeps at most n accepted connections
@@ -12,10 +13,12 @@
 }
 
 // Limited is a network whose listeners keep at most MaxConnections accepted connections open
-// at a time, with receive buffers that are bounded.
+// at a time. A further one takes the place of one that waits for its caller.
 type Limited struct {
 	Network
 	MaxConnections int
+	// PlacePatience is that of CallerOptions.
+	PlacePatience time.Duration
 }
 
 // Listen implements Network.
@@ -25,7 +28,7 @@
 		return nil, err
 	}
 	BoundReceiveBuffers(l)
-	return LimitListener(l, n.MaxConnections), nil
+	return NewCallerListener(l, CallerOptions{MaxConnections: n.MaxConnections, PlacePatience: n.PlacePatience}), nil
 }
 
 type limitListener struct {
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -281,7 +281,7 @@
 	}
 	if p.settings.Metrics != "" {
 		pages := &cli.AdminPages{Metrics: p.cli.Metrics, Ready: p.checkReady}
-		admin, err := cli.ListenAdmin(netx.Limited{Network: p.network, MaxConnections: maxProbeConnections}, p.settings.Metrics, nil, pages.Handler(), p.cli.Log)
+		admin, err := cli.ListenAdmin(netx.Limited{Network: p.network, MaxConnections: maxProbeConnections, PlacePatience: probePatience}, p.settings.Metrics, nil, pages.Handler(), p.cli.Log)
 		if err != nil {
 			return err
 		}
