--- a/internal/config/settings_relay.go
+++ b/internal/config/settings_relay.go
@@ -46,7 +46,9 @@
 	// servers, peers and the store all get some.
 	minFileDescriptors = 128
 	// callerDescriptorShare is the share of the file descriptors that callers may take.
-	callerDescriptorShare = 0.75
+	callerDescriptorShare = 0.5
+	// upstreamDescriptorShare is the share that connections to backend servers may take.
+	upstreamDescriptorShare = 0.25
 	// handshakeDescriptorShare is the share that connections of peers may take which are
 	// not authenticated yet.
 	handshakeDescriptorShare = 0.0625
@@ -205,3 +207,8 @@
 func (s *RelaySettings) MaxHandshakes() int {
 	return int(handshakeDescriptorShare * float64(s.Limits.FileDescriptors))
 }
+
+// MaxUpstream returns the maximum number of connections to backend servers; 0 is no limit.
+func (s *RelaySettings) MaxUpstream() int {
+	return int(upstreamDescriptorShare * float64(s.Limits.FileDescriptors))
+}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -209,6 +209,7 @@
 func (p *Process) provisionRelay() {
 	b, log := p.settings.Bounds, p.cli.Log
 	p.pool = upstream.NewPool(p.network, p.cli.Metrics)
+	p.pool.SetMaxOpen(p.settings.MaxUpstream())
 	p.balancer = relay.NewBalancer(p.settings.Node.ID, p.settings.Node.Zone, p.clock, p.pool)
 	run := exchange.RunName(p.settings.Node.ID, time.Now())
 	p.usageCounts = usage.NewCounts(run, b.UsageWindow(), clock.NewWall(p.clock, time.Now))
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -46,6 +46,8 @@
 type Pool struct {
 	network netx.Network
 	opened  metrics.Counter
+	// maxOpen limits the number of open connections to all servers; 0 is no limit.
+	maxOpen int
 
 	// onPathChange is called when the path to a group is lost or regained; may be nil.
 	onPathChange func(group string, isLost bool)
@@ -78,6 +80,34 @@
 	return p
 }
 
+// SetMaxOpen limits the number of open connections to all servers; 0 is no limit. It must be
+// called before the pool is used.
+func (p *Pool) SetMaxOpen(n int) { p.maxOpen = n }
+
+// hasRoomLocked reports whether one more connection may be opened. If the limit is reached, it
+// closes idle connections of a server. The pool's mutex must be held.
+func (p *Pool) hasRoomLocked() bool {
+	if p.maxOpen == 0 {
+		return true
+	}
+	open := 0
+	var most *serverConns
+	for _, s := range p.servers {
+		open += s.openCount
+		if most == nil || len(s.idle) > len(most.idle) {
+			most = s
+		}
+	}
+	if open < p.maxOpen {
+		return true
+	}
+	if most == nil || len(most.idle) == 0 {
+		return false
+	}
+	most.closeIdle()
+	return true
+}
+
 // SetTargets closes the idle connections to servers that are not listed or were
 // restarted. Connections in use are closed when their request ends.
 func (p *Pool) SetTargets(targets []Target) {
@@ -140,6 +170,10 @@
 		p.mu.Unlock()
 		return nil, fault.New(fault.Exhausted, "upstream.dial", t.ID, "all %d connections are in use", t.MaxConnections)
 	}
+	if !p.hasRoomLocked() {
+		p.mu.Unlock()
+		return nil, fault.New(fault.Exhausted, "upstream.dial", t.ID, "all %d connections to servers are in use", p.maxOpen)
+	}
 	s.openCount++
 	p.mu.Unlock()
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
