--- a/internal/membudget/body.go
+++ b/internal/membudget/body.go
@@ -9,10 +9,13 @@
 )
 
 const (
-	// firstPartBytes and maxPartBytes are the sizes of the parts in which a body is held.
-	// Each is twice the one before, so that memory is taken by what has arrived.
-	firstPartBytes = 16 << 10
-	maxPartBytes   = 64 << 10
+	// The parts in which a body is held have firstPartBytes at first, or firstChunkedBytes if
+	// its length is unknown, then partGrowth times that of the one before, and maxPartBytes at
+	// most, so that memory is taken by what has arrived.
+	firstPartBytes    = 16 << 10
+	firstChunkedBytes = 1 << 10
+	partGrowth        = 4
+	maxPartBytes      = 64 << 10
 	// bodyPatience is how long a body may arrive at less than LeastRate.
 	bodyPatience = 10 * time.Second
 	// roomPatience is how long a body waits for room.
@@ -58,6 +61,9 @@
 func (s *BodySource) readParts(ctx context.Context, h *Holder) ([][]byte, error) {
 	var parts [][]byte
 	size, read := int64(firstPartBytes), int64(0)
+	if s.Declared < 0 {
+		size = firstChunkedBytes
+	}
 	for s.Declared < 0 || read < s.Declared {
 		if s.Declared >= 0 {
 			size = min(size, s.Declared-read)
@@ -79,7 +85,7 @@
 		case err != nil:
 			return nil, err
 		}
-		size = min(2*size, maxPartBytes)
+		size = min(partGrowth*size, maxPartBytes)
 	}
 	return parts, nil
 }
