--- a/internal/config/settings_relay.go
+++ b/internal/config/settings_relay.go
@@ -22,11 +22,62 @@
 	Duties []string `json:"duties"`
 	// Bootstrap is true if the whole site starts for the first time, so that there are no
 	// streams of earlier relays; default false.
-	Bootstrap bool        `json:"bootstrap"`
-	Bounds    RelayBounds `json:"bounds"`
-	Log       LogSettings `json:"log"`
+	Bootstrap bool          `json:"bootstrap"`
+	Bounds    RelayBounds   `json:"bounds"`
+	Limits    MachineLimits `json:"limits"`
+	Log       LogSettings   `json:"log"`
 }
 
+// MachineLimits are the limits that the VM sets for a process.
+type MachineLimits struct {
+	// MemoryMegabytes is the memory in units of 1,000,000 bytes; default 0, unknown: callers may then hold as
+	// much as on a VM with 512 MB.
+	MemoryMegabytes float64 `json:"memoryMegabytes"`
+	// FileDescriptors is the number of file descriptors; default 0, unknown.
+	FileDescriptors int `json:"fileDescriptors"`
+}
+
+const (
+	megabyte = 1_000_000
+	// minMemoryMegabytes is the least memory with which a process can serve a request of the
+	// largest size.
+	minMemoryMegabytes = 64
+	// minFileDescriptors is the least number of descriptors with which callers, backend
+	// servers, peers and the store all get some.
+	minFileDescriptors = 128
+	// callerDescriptorShare is the share of the file descriptors that callers may take.
+	callerDescriptorShare = 0.5
+	// upstreamDescriptorShare is the share that connections to backend servers may take.
+	upstreamDescriptorShare = 0.25
+	// handshakeDescriptorShare is the share that connections of peers may take which are
+	// not authenticated yet.
+	handshakeDescriptorShare = 0.0625
+)
+
+// MemoryBytes returns the memory in bytes, 0 if it is unknown.
+func (l *MachineLimits) MemoryBytes() int64 { return int64(l.MemoryMegabytes * megabyte) }
+
+func (l *MachineLimits) validate(ps *Problems) {
+	if l.MemoryMegabytes != 0 && !(l.MemoryMegabytes >= minMemoryMegabytes) {
+		ps.add("limits.memoryMegabytes", "", "expected at least %d, or 0 if it is unknown, got %v", minMemoryMegabytes, l.MemoryMegabytes)
+	}
+	if l.FileDescriptors != 0 && l.FileDescriptors < minFileDescriptors {
+		ps.add("limits.fileDescriptors", "", "expected at least %d, or 0 if it is unknown, got %d", minFileDescriptors, l.FileDescriptors)
+	}
+}
+
+// maxCallers returns the maximum number of callers' connections, max at most, which leaves
+// descriptors for backend servers, peers and the probe of readiness.
+func (l *MachineLimits) maxCallers(max int) int {
+	if l.FileDescriptors == 0 {
+		return max
+	}
+	return min(max, int(callerDescriptorShare*float64(l.FileDescriptors)))
+}
+
+// MaxCallers returns the maximum number of callers' connections.
+func (s *RelaySettings) MaxCallers() int { return s.Limits.maxCallers(s.Bounds.MaxConnections) }
+
 // Duties are tasks that one relay at a time performs for the whole site.
 const (
 	// DutyUsage is to report the organisations' usage to the cloud API.
@@ -104,6 +155,7 @@
 		requireHostPort(&ps, "metrics", s.Metrics)
 	}
 	s.Bounds.validate(&ps)
+	s.Limits.validate(&ps)
 	s.Log.validate(&ps)
 	return ps
 }
@@ -177,3 +229,14 @@
 func floatDuration(n float64, unit time.Duration) time.Duration {
 	return time.Duration(n * float64(unit))
 }
+
+// MaxHandshakes returns the maximum number of connections of peers that are not
+// authenticated yet; 0 is the default of the inner protocol.
+func (s *RelaySettings) MaxHandshakes() int {
+	return int(handshakeDescriptorShare * float64(s.Limits.FileDescriptors))
+}
+
+// MaxUpstream returns the maximum number of connections to backend servers; 0 is no limit.
+func (s *RelaySettings) MaxUpstream() int {
+	return int(upstreamDescriptorShare * float64(s.Limits.FileDescriptors))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"buckthornpick/internal/blame"
 	"buckthornpick/internal/clock"
 	"buckthornpick/internal/follow"
+	"buckthornpick/internal/membudget"
 	"buckthornpick/internal/quota"
 	"buckthornpick/internal/rollout"
 	"buckthornpick/internal/telemetry"
@@ -92,10 +93,12 @@
 	// Rollouts limits what is sent to new software versions; nil does not.
 	Rollouts *rollout.Recorder
 	Limits   Limits
-	Zone     string
-	Clock    clock.Clock
-	Log      *telemetry.Logger
-	Metrics  metrics.Registry
+	// Memory bounds what callers' requests and their answers hold; nil is no bound.
+	Memory  *membudget.Budget
+	Zone    string
+	Clock   clock.Clock
+	Log     *telemetry.Logger
+	Metrics metrics.Registry
 }
 
 // Relay forwards callers' requests to backend servers. It implements http.Handler.
