capacity: speeds and limits are learned only where servers state how long work takes

Change: answers are recorded and estimates applied for services whose servers state their slowness; the test of a large site has its servers state it. Balancer.RecordLoad is exported for that.

--- a/internal/exchange/answers_test.go
+++ b/internal/exchange/answers_test.go
@@ -10,6 +10,7 @@
 
 	"buckthornpick/internal/capacity"
 	"buckthornpick/internal/follow"
+	"buckthornpick/internal/upstream"
 )
 
 const answeringServers = 9
@@ -41,8 +42,11 @@
 		for i := range answeringServers {
 			servers = append(servers, follow.Server{ID: fmt.Sprint("s", i), Service: "app", Incarnation: 1, Slots: 6})
 		}
+		usual, ok := capacity.NewStatement(1, 0, 6, 1)
+		require.True(t, ok)
 		for _, e := range s.entries {
 			e.Balancer.SetServers(servers)
+			e.Balancer.RecordLoad(upstream.Target{ID: "s0", Incarnation: 1}, usual, false)
 		}
 		requireSpeeds := func(isSlow bool) {
 			t.Helper()
--- a/internal/relay/estimates.go
+++ b/internal/relay/estimates.go
@@ -21,8 +21,8 @@
 }
 
 // SetAnswers sets what the recent answers of the other entries say of servers, and updates
-// the servers' speeds and limits. It returns changes, of each server one in
-// minChangeInterval.
+// the speeds and limits of servers whose service states how long work takes there. It returns
+// changes, of each server one in minChangeInterval.
 func (b *Balancer) SetAnswers(others map[string]capacity.Report) []EstimateChange {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -30,7 +30,7 @@
 	capacity.AddReports(others, b.answers.Reports(now))
 	members := map[string][]capacity.Member{}
 	for _, s := range b.servers {
-		if !s.Leaving {
+		if !s.Leaving && b.statesSlowness[s.Service] {
 			members[s.Service] = append(members[s.Service], capacity.Member{ID: s.ID, Incarnation: s.Incarnation, Slots: s.Slots})
 		}
 	}
@@ -89,7 +89,8 @@
 }
 
 // RecordAnswer records the time of an answer of a server in milliseconds, or as a multiple of
-// what was expected. The slowness that the server states is taken out of it.
+// what was expected. The slowness that the server states is taken out of it. Answers of
+// services whose servers state none are not recorded: they are placed as before.
 func (b *Balancer) RecordAnswer(server string, incarnation int64, millis float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -98,7 +99,7 @@
 
 func (b *Balancer) recordAnswerLocked(server string, incarnation int64, millis float64) {
 	s, ok := b.servers[server]
-	if !ok || s.target.Incarnation != incarnation {
+	if !ok || s.target.Incarnation != incarnation || !b.statesSlowness[s.Service] {
 		return
 	}
 	now := b.clock()
--- a/internal/relay/loadcheck.go
+++ b/internal/relay/loadcheck.go
@@ -38,14 +38,14 @@
 	if isTurnedAway {
 		r.instruments.turnedAway.Inc(1)
 	}
-	if r.Balancer.recordLoad(t, info.Load, isTurnedAway) {
+	if r.Balancer.RecordLoad(t, info.Load, isTurnedAway) {
 		r.Log.Log(EvLoadDistrusted, "request", attemptID, "server", t.ID, "running", info.Load.Running, "waiting", info.Load.Waiting, "slots", info.Load.Slots)
 	}
 }
 
-// recordLoad records a statement of a server. It returns true if the server's statements
+// RecordLoad records a statement of a server. It returns true if the server's statements
 // are not used from now on, since it turned a request away although it states room.
-func (b *Balancer) recordLoad(t upstream.Target, stated capacity.Statement, isTurnedAway bool) (isDistrusted bool) {
+func (b *Balancer) RecordLoad(t upstream.Target, stated capacity.Statement, isTurnedAway bool) (isDistrusted bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, ok := b.servers[t.ID]
