relay: streams of a single version go on while the view is old

Cause: the change before let no stream go on over a new connection while the view of the registry was more than 5 s old, also in an outage of the store without any upgrade.

Change: if the rule has lately had one origin, a second without news is enough then, as it is with a younger view.

--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -223,7 +223,7 @@
 	}
 	o.servers = list
 	o.setAcceptingLocked()
-	o.processes.update(list, o.clock(), o.confirmedAtLocked())
+	o.processes.update(list, o.clock(), o.clock()-o.viewAge())
 	corrected := o.settleLocked()
 	return append(corrected, o.updateLocked()...)
 }
--- a/internal/relay/writer.go
+++ b/internal/relay/writer.go
@@ -90,8 +90,16 @@
 	}
 }
 
+// registryView is the state of the view of the registry.
+type registryView struct {
+	now, confirmedAt time.Duration
+	// isOneVersion is true if the rule of a stream has lately had one origin. There is no
+	// upgrade then that an entry without access to the store could miss for long.
+	isOneVersion bool
+}
+
 // judge returns the version of a writer of which an event came at lastEventAt; 0 is never.
-func (p processHistories) judge(w *StreamWriter, lastEventAt, now, confirmedAt time.Duration) (string, writerVerdict) {
+func (p processHistories) judge(w *StreamWriter, lastEventAt time.Duration, view registryView) (string, writerVerdict) {
 	h, ok := p[w.Server]
 	selected := process{w.Incarnation, w.Version}
 	switch {
@@ -100,8 +108,8 @@
 	case !ok:
 		return "", writerUnclear
 	case h.current == selected:
-		isLearned := now-w.ConnectedAt >= viewLag && now-confirmedAt <= maxOriginViewAge
-		if confirmedAt >= w.ConnectedAt || isLearned {
+		isLearned := view.now-w.ConnectedAt >= viewLag && (view.isOneVersion || view.now-view.confirmedAt <= maxOriginViewAge)
+		if view.confirmedAt >= w.ConnectedAt || isLearned {
 			return w.Version, writerSettled
 		}
 		return "", writerPending
@@ -115,8 +123,11 @@
 	return "", writerUnclear
 }
 
-// confirmedAtLocked returns the time at which the view was last confirmed.
-func (o *Origins) confirmedAtLocked() time.Duration { return o.clock() - o.viewAge() }
+// viewLocked returns the state of the view for streams of a rule.
+func (o *Origins) viewLocked(rule string) registryView {
+	now := o.clock()
+	return registryView{now: now, confirmedAt: now - o.viewAge(), isOneVersion: len(o.seenLocked(rule)) <= 1}
+}
 
 // RecordWriter names the writer of the stream of a record, whose first event has come.
 func (o *Origins) RecordWriter(attemptID string, w *StreamWriter) {
@@ -126,7 +137,7 @@
 	if !ok {
 		return
 	}
-	if at := o.confirmedAtLocked(); at > o.unsettledCheckedAt {
+	if at := o.clock() - o.viewAge(); at > o.unsettledCheckedAt {
 		o.unsettledCheckedAt = at
 		o.settleLocked()
 	}
@@ -162,7 +173,7 @@
 // unclear one has no version, at whose servers no stream goes on.
 func (o *Origins) settleOneLocked(attemptID string) (isSettled bool) {
 	record := o.records[attemptID]
-	version, verdict := o.processes.judge(record.writer, record.lastEventAt, o.clock(), o.confirmedAtLocked())
+	version, verdict := o.processes.judge(record.writer, record.lastEventAt, o.viewLocked(record.rule))
 	if verdict != writerPending {
 		record.origin.Version = version
 		o.records[attemptID] = record
@@ -187,11 +198,11 @@
 	return corrected
 }
 
-// judgeWriter returns the version of a writer that has just sent something.
-func (o *Origins) judgeWriter(w *StreamWriter) (string, writerVerdict) {
+// judgeWriter returns the version of a writer that has just sent something under a rule.
+func (o *Origins) judgeWriter(rule string, w *StreamWriter) (string, writerVerdict) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.processes.judge(w, o.clock(), o.clock(), o.confirmedAtLocked())
+	return o.processes.judge(w, o.clock(), o.viewLocked(rule))
 }
 
 // writerOf returns the process that the response to a call comes from.
@@ -208,7 +219,7 @@
 func (q *request) canContinue(ctx context.Context, c *choice, resp *upstream.Response) bool {
 	writer, isSame := q.writerOf(c, resp), false
 	awaitSettled(ctx, func() bool {
-		version, verdict := q.relay.Origins.judgeWriter(writer)
+		version, verdict := q.relay.Origins.judgeWriter(q.ruleName, writer)
 		isSame = verdict == writerSettled && version == q.origin.Version
 		return verdict != writerPending
 	})
