originstore: of two records of a stream the later one counts

Cause: segments are read in the order of their keys, and 10 sorted before 9, so that a corrected origin in a later segment could lose against the first one.

Change: the numbers of segments have eight digits.

Measured: TestKeysOfSegmentsSortByAge fails without the change; tests of originstore and of origins in platform pass.

--- a/internal/originstore/archive.go
+++ b/internal/originstore/archive.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -256,9 +256,10 @@
 	return ops, written, expired
 }
 
-// storeKey returns the key of a segment.
+// storeKey returns the key of a segment. Keys sort as their segments: of two records of one
+// stream the later one counts.
 func (a *Archive) storeKey(s *segment) string {
-	return RecordsPrefix + a.RunName + "/" + strconv.Itoa(s.number)
+	return fmt.Sprintf("%s%s/%08d", RecordsPrefix, a.RunName, s.number)
 }
 
 // confirm records what a transaction has written and removed. It reports whether rows
