rollout: commit phase; servers that stop with an outcome have not crashed

At an outcome the old servers stop at once. Entries that learned of it late sent new requests to them, and the runs that broke off counted as crashes by their content: the parts of prompts that many requests share would have been refused. New requests now go to the new version from the decision on, just before the outcome is written, and breaks at the old version around the outcome are not blamed on content.

--- a/internal/duty/orders.go
+++ b/internal/duty/orders.go
@@ -167,6 +167,7 @@
 
 // watch keeps the view of the orders up to date while the lease is held.
 func (r *Rollouts) watch(ctx context.Context) error {
+	isFailing := false // the first of several failures is logged
 	for pause := time.Duration(0); wait.For(ctx, pause); {
 		token, _, err := r.Lease.Check()
 		if err != nil {
@@ -182,12 +183,13 @@
 		}
 		pause = 0
 		if err != nil {
-			if ctx.Err() == nil {
+			if !isFailing && ctx.Err() == nil {
 				r.Log.Log(EvRolloutFailed, "step", fault.Step(err), "peer", fault.Peer(err), "error", err.Error())
 			}
-			pause = orderPollPause
+			isFailing, pause = true, orderPollPause
 			continue
 		}
+		isFailing = false
 		r.view.Store(view)
 	}
 	return nil
--- a/internal/duty/rollouts.go
+++ b/internal/duty/rollouts.go
@@ -79,6 +79,10 @@
 	rolloutInterval = 100 * time.Millisecond
 	// rolloutRetryPause is the pause before a failed write is repeated.
 	rolloutRetryPause = 200 * time.Millisecond
+	// commitTime is the time in which entries learn that an order is to be completed before
+	// that is written, and the old servers stop; minWriteTime is left before the deadline.
+	commitTime   = 400 * time.Millisecond
+	minWriteTime = 250 * time.Millisecond
 	// unknownServersMargin is how long before the deadline an order is taken up although the
 	// service has no servers.
 	unknownServersMargin = 2 * time.Second
@@ -247,6 +251,9 @@
 	})
 	if a.decided != rollout.PhaseRolledBack && step.Phase.IsFinal() && step.Phase != a.decided {
 		a.decided, a.reason = step.Phase, step.Reason
+		if step.Phase == rollout.PhaseCompleted {
+			a.retryAt = min(now+commitTime, max(now, a.deadline-minWriteTime))
+		}
 		r.logDecision(a, &step)
 	}
 	if !a.decided.IsFinal() {
@@ -257,9 +264,7 @@
 		a.phase = step.Phase
 		return
 	}
-	// Nothing more goes to a version from the decision on, and everything only once the
-	// outcome is written.
-	a.phase = rollout.PhaseHandOver
+	a.phase = rollout.PhaseCommit
 	if a.decided == rollout.PhaseRolledBack {
 		a.phase = rollout.PhaseRolledBack
 	}
--- a/internal/relay/crashdetector.go
+++ b/internal/relay/crashdetector.go
@@ -82,7 +82,7 @@
 		}
 		return
 	}
-	if d.relay.Balancer.isLeaving(t) {
+	if d.relay.Balancer.isLeaving(t) || d.relay.isStoppedByRollout(t) {
 		return
 	}
 	if d.relay.Balancer.mayHaveFallen(t) {
--- a/internal/relay/exposure.go
+++ b/internal/relay/exposure.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"buckthornpick/internal/route"
+	"buckthornpick/internal/upstream"
 )
 
 // prefillUnit is the number of prompt tokens to process that lengthen the time to the first
@@ -112,3 +113,20 @@
 		q.judgeAnswer(c, false)
 	}
 }
+
+// isStoppedByRollout reports whether a server stops because another version has taken over.
+func (r *Relay) isStoppedByRollout(t upstream.Target) bool {
+	version, ok := r.Balancer.versionOf(t)
+	return ok && r.Rollouts != nil && r.Rollouts.Gate.IsStopping(r.Clock(), t.Group, version)
+}
+
+// versionOf returns the software version of a registered server.
+func (b *Balancer) versionOf(t upstream.Target) (version string, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.servers[t.ID]
+	if !ok || s.Incarnation != t.Incarnation {
+		return "", false
+	}
+	return s.Version, true
+}
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -366,13 +366,29 @@
 		return false
 	}
 	order.all++
-	if float64(order.exposed)+1 > g.limit(order, handOverFraction) {
+	if order.Phase != PhaseCommit && float64(order.exposed)+1 > g.limit(order, handOverFraction) {
 		return false
 	}
 	order.exposed++
 	return true
 }
 
+// stopsWithin is the time before the deadline of an order from which on the servers of the
+// old versions may stop at any moment.
+const stopsWithin = 2 * time.Second
+
+// IsStopping reports whether the servers of a version stop because of an order that is
+// completed, or may be: their connections break without a crash.
+func (g *Gate) IsStopping(now time.Duration, service, version string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	order := g.orders[service]
+	if order == nil || order.Phase == PhaseRolledBack || !slices.Contains(order.From, version) {
+		return false
+	}
+	return order.Phase >= PhaseHandOver || order.IsStated && now > order.Deadline-stopsWithin
+}
+
 // limit returns the number of requests that may have gone to the new version.
 func (g *Gate) limit(o *knownOrder, fraction float64) float64 {
 	slack := 0.0
@@ -395,6 +411,8 @@
 		return next <= g.limit(o, surgeFraction)
 	case PhaseHandOver:
 		return next <= g.limit(o, handOverFraction)
+	case PhaseCommit:
+		return true
 	}
 	return false
 }
--- a/internal/rollout/gate_test.go
+++ b/internal/rollout/gate_test.go
@@ -69,6 +69,19 @@
 	}
 }
 
+func TestOldServersStopAroundTheOutcome(t *testing.T) {
+	g := newTestGate("v1", "v2")
+	order := OrderState{ID: 1, Seen: 1, To: "v2", From: []string{"v1"}, LeftMillis: 5000}
+	for i, phase := range []Phase{PhaseTrial, PhaseSurge, PhaseHandOver, PhaseCommit, PhaseCompleted, PhaseRolledBack} {
+		order.Phase = phase
+		g.Learn(testNow, states(order, int64(i+1)))
+		isOutcome := phase == PhaseHandOver || phase == PhaseCommit || phase == PhaseCompleted
+		require.Equal(t, isOutcome, g.IsStopping(testNow, "app", "v1"), phase.String())
+		require.Equal(t, phase != PhaseRolledBack, g.IsStopping(testNow+4*time.Second, "app", "v1"), phase.String())
+		require.False(t, g.IsStopping(testNow+4*time.Second, "app", "v2"))
+	}
+}
+
 func TestOlderStatementsAreIgnored(t *testing.T) {
 	g := newTestGate("v1", "v2")
 	order := OrderState{ID: 1, Seen: 1, To: "v2", From: []string{"v1"}, Phase: PhaseRolledBack}
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -44,6 +44,9 @@
 	// PhaseHandOver: new requests go to the new version as far as the exposure allows,
 	// while streams at the old version end.
 	PhaseHandOver
+	// PhaseCommit: the order is about to be completed, and new requests go to the new version,
+	// so that few are at the old servers when they stop.
+	PhaseCommit
 	// PhaseCompleted: the new version serves, and the servers of the old one stop.
 	PhaseCompleted
 	// PhaseRolledBack: the old version serves, and nothing goes to the new one.
@@ -52,7 +55,7 @@
 
 // String returns the phase's name in log lines.
 func (p Phase) String() string {
-	names := [...]string{"held", "trial", "surge", "hand-over", "completed", "rolled-back"}
+	names := [...]string{"held", "trial", "surge", "hand-over", "commit", "completed", "rolled-back"}
 	if p < 0 || int(p) >= len(names) {
 		return "unknown"
 	}
@@ -64,7 +67,7 @@
 
 // isExposing reports whether requests may go to a version that has no outcome yet.
 func (p Phase) isExposing() bool {
-	return p == PhaseTrial || p == PhaseSurge || p == PhaseHandOver
+	return p == PhaseTrial || p == PhaseSurge || p == PhaseHandOver || p == PhaseCommit
 }
 
 // OrderState is the state of one order as entries tell it each other.
