rollout: orders outlive a store that comes back without them

The holder takes up what the entries know of orders that the store has lost with their records, and an order counts as withdrawn only in the generation of the store in which it was read. Orders and statuses that operators write again are those that were known.

--- a/internal/duty/rollouts.go
+++ b/internal/duty/rollouts.go
@@ -135,12 +135,16 @@
 		case a == nil || !a.isOf(&order):
 			r.begin(ctx, &order, view.writtenAt[service])
 		case a.Seen != order.ID:
-			a.Seen = order.ID // written with the outcome
+			a.Seen = order.ID
+			r.write(ctx, a, a.Outcome, a.Reason)
 		}
 	}
 	for service, a := range r.active {
 		order, isOrdered := view.orders[service]
-		r.advance(ctx, a, !isOrdered || !a.isOf(&order))
+		isReplaced := isOrdered && !a.isOf(&order)
+		// In a copy the order may be missing until operators write it again.
+		isDeleted := !isOrdered && rollout.Generation(a.Seen) == view.generation
+		r.advance(ctx, a, isReplaced || isDeleted)
 	}
 	r.issue(token, view.confirmedAt)
 }
@@ -166,9 +170,24 @@
 		r.recall(a)
 		r.active[service] = a
 	}
+	for _, known := range r.Gate.Stated() {
+		if r.active[known.Service] == nil {
+			r.active[known.Service] = r.restore(&known)
+		}
+	}
 	return nil
 }
 
+// restore returns an order that the store has lost with its record.
+func (r *Rollouts) restore(known *rollout.KnownOrder) *activeOrder {
+	a := &activeOrder{deadline: known.Deadline, duration: cmp.Or(known.Duration(), defaultRolloutDuration)}
+	a.Record = rollout.Record{ID: known.ID, Seen: known.Seen, Service: known.Service, To: known.To}
+	a.DeadlineMillis = (r.wall.Now() + a.deadline - r.Clock()).Milliseconds()
+	a.OrderedMillis = a.DeadlineMillis - a.duration.Milliseconds()
+	r.recall(a)
+	return a
+}
+
 // recall takes over what the entries know of an order: its deadline by a clock that does not
 // step, and an outcome that was decided and not written, or that the store has lost.
 func (r *Rollouts) recall(a *activeOrder) {
@@ -383,6 +402,7 @@
 		services[service] = true
 		state := a.State()
 		state.Phase, state.LeftMillis = a.phase, (a.deadline - now).Milliseconds()
+		state.DurationMillis = a.duration.Milliseconds()
 		if a.Outcome == rollout.PhaseCompleted && now > a.deadline+stoppedFor {
 			state.From = nil
 		}
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -275,6 +275,19 @@
 	return known.KnownOrder, true
 }
 
+// Stated returns the orders that a holder has told of.
+func (g *Gate) Stated() []KnownOrder {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var orders []KnownOrder
+	for _, order := range g.orders {
+		if order.IsStated {
+			orders = append(orders, order.KnownOrder)
+		}
+	}
+	return orders
+}
+
 // Versions returns the versions of a service whose servers are registered, or were lately.
 func (g *Gate) Versions(service string) []string {
 	g.mu.Lock()
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -29,6 +29,9 @@
 // the store.
 func NewID(generation, revision int64) int64 { return generation<<revisionBits | revision }
 
+// Generation returns the generation of the store in which an order was read with the ID.
+func Generation(id int64) int64 { return id >> revisionBits }
+
 // Phase is how far a roll-out has come.
 type Phase int
 
@@ -84,13 +87,18 @@
 	Phase  Phase    `msgpack:"p"`
 	// LeftMillis is the time until the deadline when the message is sent; negative after it.
 	LeftMillis int64 `msgpack:"l,omitempty"`
+	// DurationMillis is the time that the order allows.
+	DurationMillis int64 `msgpack:"d,omitempty"`
 }
 
+// Duration returns the time that the order allows.
+func (o *OrderState) Duration() time.Duration { return millis(o.DurationMillis) }
+
 // IsSame reports whether this is the order that was read. A store that has come back from a
 // copy may have the order with another revision, since operators write it again: there, the
 // first order for the same version is the same.
 func (o *OrderState) IsSame(order *Order) bool {
-	return o.To == order.To && (o.Seen == order.ID || o.Seen>>revisionBits < order.ID>>revisionBits)
+	return o.To == order.To && (o.Seen == order.ID || Generation(o.Seen) < Generation(order.ID))
 }
 
 // isOpen reports whether the new version may get every request.
