--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -29,6 +29,9 @@
 // the store.
 func NewID(generation, revision int64) int64 { return generation<<revisionBits | revision }
 
+// Generation returns the generation of the store in which an order was read with the ID.
+func Generation(id int64) int64 { return id >> revisionBits }
+
 // Phase is how far a roll-out has come.
 type Phase int
 
@@ -44,6 +47,9 @@
 	// PhaseHandOver: new requests go to the new version as far as the exposure allows,
 	// while streams at the old version end.
 	PhaseHandOver
+	// PhaseCommit: the order is about to be completed, and new requests go to the new version,
+	// so that few are at the old servers when they stop.
+	PhaseCommit
 	// PhaseCompleted: the new version serves, and the servers of the old one stop.
 	PhaseCompleted
 	// PhaseRolledBack: the old version serves, and nothing goes to the new one.
@@ -52,7 +58,7 @@
 
 // String returns the phase's name in log lines.
 func (p Phase) String() string {
-	names := [...]string{"held", "trial", "surge", "hand-over", "completed", "rolled-back"}
+	names := [...]string{"held", "trial", "surge", "hand-over", "commit", "completed", "rolled-back"}
 	if p < 0 || int(p) >= len(names) {
 		return "unknown"
 	}
@@ -64,7 +70,7 @@
 
 // isExposing reports whether requests may go to a version that has no outcome yet.
 func (p Phase) isExposing() bool {
-	return p == PhaseTrial || p == PhaseSurge || p == PhaseHandOver
+	return p == PhaseTrial || p == PhaseSurge || p == PhaseHandOver || p == PhaseCommit
 }
 
 // OrderState is the state of one order as entries tell it each other.
@@ -81,13 +87,18 @@
 	Phase  Phase    `msgpack:"p"`
 	// LeftMillis is the time until the deadline when the message is sent; negative after it.
 	LeftMillis int64 `msgpack:"l,omitempty"`
+	// DurationMillis is the time that the order allows.
+	DurationMillis int64 `msgpack:"d,omitempty"`
 }
 
+// Duration returns the time that the order allows.
+func (o *OrderState) Duration() time.Duration { return millis(o.DurationMillis) }
+
 // IsSame reports whether this is the order that was read. A store that has come back from a
 // copy may have the order with another revision, since operators write it again: there, the
 // first order for the same version is the same.
 func (o *OrderState) IsSame(order *Order) bool {
-	return o.To == order.To && (o.Seen == order.ID || o.Seen>>revisionBits < order.ID>>revisionBits)
+	return o.To == order.To && (o.Seen == order.ID || Generation(o.Seen) < Generation(order.ID))
 }
 
 // isOpen reports whether the new version may get every request.
