--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"buckthornpick/internal/config"
+	"buckthornpick/internal/membudget"
 	"buckthornpick/internal/request"
 	"buckthornpick/internal/telemetry"
 )
@@ -147,6 +148,25 @@
 	}
 }
 
+func TestBodyWithoutRoomIsNotRun(t *testing.T) {
+	n := newFakeNode()
+	registry := metrics.NewRegistry()
+	g := New(Config{Memory: membudget.New(1000, telemetry.Discard(), registry)}, n, telemetry.Discard(), registry)
+	for size, status := range map[int]int{900: http.StatusBadRequest, 1100: http.StatusServiceUnavailable} {
+		r := httptest.NewRequest(http.MethodPost, chat, strings.NewReader(strings.Repeat("x", size)))
+		r.Header.Set("Authorization", "Bearer "+key)
+		w := httptest.NewRecorder()
+		g.Handler().ServeHTTP(w, r)
+		require.Equal(t, status, w.Code, w.Body)
+		if status == http.StatusServiceUnavailable {
+			require.Equal(t, string(request.NotRun), w.Header().Get(HeaderOutcome))
+			require.NotEmpty(t, w.Header().Get("Retry-After"))
+		}
+	}
+	require.Zero(t, g.cfg.Memory.Used())
+	require.Nil(t, n.submitted)
+}
+
 func TestSubmittedRequest(t *testing.T) {
 	body := `{"model":"m","stream":true,"max_completion_tokens":7,"messages":[{"role":"user","content":"x"}]}`
 	n := newFakeNode()
--- a/internal/netx/limit_test.go
+++ b/internal/netx/limit_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -59,3 +60,18 @@
 		require.True(t, errors.Is(<-ended, net.ErrClosed))
 	})
 }
+
+func TestLeastUseful(t *testing.T) {
+	now := time.Unix(100, 0)
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	busy := connState{address: "a", since: ago(time.Hour)}
+	sending := connState{address: "a", isStoppable: true, since: ago(100 * time.Millisecond)}
+	stalled := connState{address: "a", isStoppable: true, since: ago(2 * time.Second)}
+	idle := func(address string, d time.Duration) connState {
+		return connState{address: address, isIdle: true, since: ago(d)}
+	}
+	require.Equal(t, -1, leastUseful([]connState{busy, sending}, now, time.Second))
+	require.Equal(t, 2, leastUseful([]connState{busy, sending, stalled}, now, time.Second))
+	require.Equal(t, 1, leastUseful([]connState{idle("b", time.Minute), idle("c", 2*time.Second), idle("c", time.Second)}, now, time.Second),
+		"of the address with the most, the longest without progress")
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -204,3 +206,44 @@
 		})
 	}
 }
+
+func TestBodyInPartsIsSentWhole(t *testing.T) {
+	received := make(chan string, 1)
+	withTestServer(t, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		received <- string(body)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}, func(s *testServer) {
+		body := Body{bytes.Repeat([]byte("a"), 16<<10), bytes.Repeat([]byte("b"), 64<<10), []byte("c")}
+		resp, err := s.pool.Do(context.Background(), target, &Request{Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{}, Body: body})
+		require.NoError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, string(body.Join()), <-received)
+	})
+}
+
+func TestConnectionsToAllServersAreLimited(t *testing.T) {
+	withTestServer(t, func(c net.Conn) {
+		readRequest(c)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}, func(s *testServer) {
+		s.pool.SetMaxOpen(1)
+		do := func(id string) (*Response, error) {
+			return s.pool.Do(context.Background(), Target{ID: id, Address: target.Address}, &Request{Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{}})
+		}
+		first, err := do("s")
+		require.NoError(t, err)
+		_, err = do("other")
+		require.True(t, fault.Is(err, fault.Exhausted))
+		_, err = io.ReadAll(first.Body)
+		require.NoError(t, err)
+		second, err := do("other")
+		require.NoError(t, err, "an idle connection makes room")
+		require.NoError(t, second.Body.Close())
+	})
+}
