--- a/internal/quota/returns_test.go
+++ b/internal/quota/returns_test.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -51,8 +50,8 @@
 	_, planned := returningCallers(func(sim *quotaSim, e *simEntry, d Decision, amount float64) time.Duration {
 		return e.counter.PlanReturn(sim.now, limits, e.site, d, amount, patience)
 	})
-	told, guessed := returningCallers(func(_ *quotaSim, _ *simEntry, d Decision, _ float64) time.Duration {
-		return d.RetryAfter + time.Duration(0.3*rand.Float64()*float64(d.RetryAfter))
+	told, guessed := returningCallers(func(sim *quotaSim, _ *simEntry, d Decision, _ float64) time.Duration {
+		return d.RetryAfter + time.Duration(0.3*sim.rng.Float64()*float64(d.RetryAfter))
 	})
 	t.Logf("of %d callers %.2f were refused again without a plan, %.2f with one", told, guessed, planned)
 	require.Less(t, planned, 0.65*guessed)
