--- a/internal/duty/rollouts.go
+++ b/internal/duty/rollouts.go
@@ -82,7 +82,7 @@
 	// commitTime is the time in which entries learn that an order is to be completed before
 	// that is written, and the old servers stop; minWriteTime is left before the deadline.
 	commitTime   = 400 * time.Millisecond
-	minWriteTime = 250 * time.Millisecond
+	minWriteTime = 300 * time.Millisecond
 	// unknownServersMargin is how long before the deadline an order is taken up although the
 	// service has no servers.
 	unknownServersMargin = 2 * time.Second
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -165,7 +165,7 @@
 	// start again.
 	slackFraction = 0.5
 	// minMargin is the least time between the outcome and the deadline, for the write.
-	minMargin = 500 * time.Millisecond
+	minMargin = 650 * time.Millisecond
 )
 
 // margin returns the time before the deadline at which the outcome is due.
