bpctl: where a relay would send a request now, and why, without sending it

Cause: the operators' wish for a small tool that explains the placement of a given request. Change: POST /where on the relay's metrics listener and bpctl where; Balancer.prepare is shared by pick and the preview, which counts nothing; rollout.Gate.Open answers without counting. Relays only; the other composition has none.

--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -19,6 +19,7 @@
 
 	"buckthornpick/internal/config"
 	"buckthornpick/internal/fault"
+	"buckthornpick/internal/where"
 )
 
 // Client calls the operators' API of one or more entries.
@@ -103,6 +104,15 @@
 	return firstDefinite[ExplainAnswer](ctx, c, apiCall{method: http.MethodPost, path: PathExplain, body: body})
 }
 
+// Where asks the first relay that responds where it would send a request now.
+func (c *Client) Where(ctx context.Context, question where.Request) (*where.Answer, error) {
+	body, err := json.Marshal(question)
+	if err != nil {
+		return nil, err
+	}
+	return firstDefinite[where.Answer](ctx, c, apiCall{method: http.MethodPost, path: where.Path, body: body})
+}
+
 // History returns up to limit accepted changes, the latest first.
 func (c *Client) History(ctx context.Context, limit int) (*HistoryAnswer, error) {
 	return firstDefinite[HistoryAnswer](ctx, c, apiCall{method: http.MethodGet, path: PathHistory + "?limit=" + strconv.Itoa(limit)})
--- a/internal/capacity/statement.go
+++ b/internal/capacity/statement.go
@@ -72,6 +72,11 @@
 // Record records a statement of the server.
 func (s *Server) Record(now time.Duration, stated Statement) { s.last, s.lastAt = stated, now }
 
+// Last returns the latest statement and its age; ok is false if there is none.
+func (s *Server) Last(now time.Duration) (stated Statement, age time.Duration, ok bool) {
+	return s.last, now - s.lastAt, s.lastAt > 0
+}
+
 // RecordTurnedAway records that the server turned a request away and stated its load with
 // the refusal. A server that refuses although it states room is distrusted, longer each
 // time; it returns true if that is new.
--- a/internal/cli/pages.go
+++ b/internal/cli/pages.go
@@ -7,6 +7,8 @@
 	"net/http/pprof"
 
 	"github.com/rcrowley/go-metrics"
+
+	"buckthornpick/internal/where"
 )
 
 // AdminPages configures the handler of the admin listener: the pages served
@@ -20,6 +22,8 @@
 	Pprof bool
 	// API is mounted under /admin/ unless it is nil.
 	API http.Handler
+	// Where answers where a request would go, under where.Path unless it is nil.
+	Where http.Handler
 }
 
 // Handler returns the handler of the admin listener, which serves /metrics in
@@ -36,6 +40,9 @@
 	if p.API != nil {
 		mux.Handle("/admin/", p.API)
 	}
+	if p.Where != nil {
+		mux.Handle("POST "+where.Path, p.Where)
+	}
 	if p.Pprof {
 		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -56,7 +56,7 @@
 			&cli.StringFlag{Name: "output", Value: "text", Usage: "`FORMAT`: text or json", Validator: checkOutput},
 		},
 		Commands: []*cli.Command{
-			applyCommand(), getCommand(), diffCommand(), explainCommand(),
+			applyCommand(), getCommand(), diffCommand(), explainCommand(), whereCommand(),
 			waitCommand(), historyCommand(), statusCommand(), drainCommand(),
 		},
 		Action: rootAction,
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -16,6 +16,7 @@
 	"buckthornpick/internal/admin"
 	bpcli "buckthornpick/internal/cli"
 	"buckthornpick/internal/config"
+	"buckthornpick/internal/where"
 )
 
 // fakeNode responds to each path with a fixed status and body.
@@ -185,3 +186,16 @@
 	code, _, _ := bpctl(t, nil, "get")
 	require.Equal(t, bpcli.ExitSettings, code)
 }
+
+func TestWherePrintsServerAndCandidates(t *testing.T) {
+	n := &fakeNode{body: map[string]any{where.Path: where.Answer{
+		Entry: "e1", Zone: "a", Rule: "reports", Service: "report", Server: "s1", Reason: "cost", Candidates: []where.Candidate{{Server: "s1", Total: 12}, {Server: "s2", Total: 30}},
+	}}}
+	url := start(t, n)
+	code, stdout, stderr := bpctl(t, []string{url}, "where", "--host", "shop.example", "--path", "/reports/x", "--header", "X-Key: 1")
+	require.Equal(t, bpcli.ExitOK, code, stderr)
+	require.Regexp(t, `server: +s1 \(cost\)`, stdout)
+	require.Regexp(t, `s2 +.*30\.0`, stdout)
+	code, _, _ = bpctl(t, []string{url}, "where", "--header", "no colon")
+	require.Equal(t, bpcli.ExitUsage, code)
+}
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -52,12 +52,10 @@
 	return 0
 }
 
-// pick selects a server, other than those in tried, for a request, and only one of the
-// given software versions unless versions is nil. A maxTimeToFirstToken of 0 is no limit.
-// Servers for which a permit is needed are left out unless withPermit is set. Errors are
-// those of route.Picker.
-func (b *Balancer) pick(service string, info *RequestInfo, maxTimeToFirstToken time.Duration, tried, versions map[string]bool, withPermit bool) (*choice, error) {
+// prepare returns the picker of a service and the query for a request; see pick.
+func (b *Balancer) prepare(service string, info *RequestInfo, maxTimeToFirstToken time.Duration, tried, versions map[string]bool, withPermit bool) (*route.Picker, route.Query) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	now := b.clock()
 	for _, s := range b.servers {
 		if s.state != s.stateAt(now) {
@@ -65,26 +63,33 @@
 			break
 		}
 	}
-	picker := b.pickerLocked(service)
 	isAllowed := b.serversOfLocked(service, versions)
 	var needsPermit map[string]bool
 	if !withPermit {
 		needsPermit = b.serversWithPermitLocked(service)
 	}
-	b.mu.Unlock()
-	q := route.Query{
+	return b.pickerLocked(service), route.Query{
 		Now: time.Now(), Service: service, Context: sharedPrefixHash(info), PromptTokens: info.PromptTokens, MaxCachedTokens: info.SharedTokens(),
 		MaxTokens: info.MaxTokens, MaxFirstTokenDelay: maxTimeToFirstToken,
 		Exclude: func(id string) bool {
 			return tried[id] || needsPermit[id] || versions != nil && !isAllowed[id]
 		},
 	}
+}
+
+// pick selects a server, other than those in tried, for a request, and only one of the
+// given software versions unless versions is nil. A maxTimeToFirstToken of 0 is no limit.
+// Servers for which a permit is needed are left out unless withPermit is set. Errors are
+// those of route.Picker.
+func (b *Balancer) pick(service string, info *RequestInfo, maxTimeToFirstToken time.Duration, tried, versions map[string]bool, withPermit bool) (*choice, error) {
+	picker, q := b.prepare(service, info, maxTimeToFirstToken, tried, versions, withPermit)
 	picked, err := picker.Pick(q)
 	if err != nil {
 		return nil, b.pausedError(service, err)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := b.clock()
 	s, ok := b.servers[picked.Server.ID]
 	if !ok || s.Leaving {
 		return nil, &route.NoServerError{Service: service}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -289,7 +289,7 @@
 		})
 	}
 	if p.settings.Metrics != "" {
-		pages := &cli.AdminPages{Metrics: p.cli.Metrics, Ready: p.checkReady}
+		pages := &cli.AdminPages{Metrics: p.cli.Metrics, Ready: p.checkReady, Where: http.HandlerFunc(p.relay.ServeWhere)}
 		admin, err := cli.ListenAdmin(netx.Limited{Network: p.network, MaxConnections: maxProbeConnections, PlacePatience: probePatience}, p.settings.Metrics, nil, pages.Handler(), p.cli.Log)
 		if err != nil {
 			return err
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -335,6 +335,16 @@
 	return Route{Versions: s.open(order)}
 }
 
+// Open returns where a request may be sent without exposure, and counts nothing.
+func (g *Gate) Open(service string) Route {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s := g.services[service]; s != nil {
+		return Route{Versions: s.open(g.orders[service])}
+	}
+	return Route{}
+}
+
 // ChooseOld returns where a request may be sent without exposure, and counts it.
 func (g *Gate) ChooseOld(service string) Route {
 	g.mu.Lock()
