--- a/Makefile
+++ b/Makefile
@@ -32,11 +32,11 @@
 
 # All tests at their full sizes, but for those in KNOWN-RED.txt.
 unit:
-	@skip=$$(./scripts/known-red) && set -x && $(GO) test -timeout 8m $$skip ./...
+	GO=$(GO) ./scripts/run-tests unit
 
 # All tests with the race detector, at reduced sizes.
 race:
-	GO=$(GO) ./scripts/race-test
+	GO=$(GO) ./scripts/run-tests race
 
 # Everything that CI runs.
 test: fmt-check lint build unit race
