relay: the shared parts of a prompt are kept in bounded size

Change: a request keeps the sum of the shared tokens, the ID of the last shared part, and the IDs of the first 256 parts, which are those that can be blamed for crashes.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -43,14 +43,14 @@
 	Parts []Key `msgpack:"p,omitempty"`
 }
 
-// maxParts limits the parts of one request that can be blamed.
-const maxParts = 256
+// MaxParts limits the parts of one request that can be blamed.
+const MaxParts = 256
 
 // NewContent returns the content with the given hash, and the IDs of the parts that it
 // may share with others.
 func NewContent(whole uint64, partIDs []string) Content {
 	c := Content{Whole: Key(whole &^ 1)}
-	for _, id := range partIDs[:min(len(partIDs), maxParts)] {
+	for _, id := range partIDs[:min(len(partIDs), MaxParts)] {
 		c.Parts = append(c.Parts, Key(xxhash.Sum64String(id)|1))
 	}
 	return c
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -187,7 +187,7 @@
 			ids = append(ids, fmt.Sprint("flood", i, "/", k))
 		}
 		flood := newContent(ids...)
-		require.LessOrEqual(t, len(flood.Parts), maxParts)
+		require.LessOrEqual(t, len(flood.Parts), MaxParts)
 		tracker.RecordCrash(Crash(1000+i), 0, flood.Keys())
 		answered := newContent(ids...)
 		tracker.RecordAnswered(&answered)
--- a/internal/relay/choice.go
+++ b/internal/relay/choice.go
@@ -69,7 +69,7 @@
 		needsPermit = b.serversWithPermitLocked(service)
 	}
 	return b.pickerLocked(service), route.Query{
-		Now: time.Now(), Service: service, Context: sharedPrefixHash(info), PromptTokens: info.PromptTokens, MaxCachedTokens: info.SharedTokens(),
+		Now: time.Now(), Service: service, Context: sharedPrefixHash(info), PromptTokens: info.PromptTokens, MaxCachedTokens: info.Shared.Tokens,
 		MaxTokens: info.MaxTokens, MaxFirstTokenDelay: maxTimeToFirstToken,
 		Exclude: func(id string) bool {
 			return tried[id] || needsPermit[id] || versions != nil && !isAllowed[id]
@@ -94,7 +94,7 @@
 	if !ok || s.Leaving {
 		return nil, &route.NoServerError{Service: service}
 	}
-	c := &choice{target: s.target, zone: s.Zone, version: s.Version, picked: picked, ownPromptTokens: info.PromptTokens - info.SharedTokens(), query: q, picker: picker, sentAt: q.Now}
+	c := &choice{target: s.target, zone: s.Zone, version: s.Version, picked: picked, ownPromptTokens: info.PromptTokens - info.Shared.Tokens, query: q, picker: picker, sentAt: q.Now}
 	_, isBrittle := b.brittle[service]
 	if s.limit.IsNamed || isBrittle {
 		if s.limit.IsNamed {
@@ -204,10 +204,10 @@
 // sharedPrefixHash returns a hash of the longest prompt prefix that other requests
 // may share, or 0 if there is none.
 func sharedPrefixHash(info *RequestInfo) uint64 {
-	if len(info.Parts) < 2 {
+	if len(info.Shared.IDs) == 0 {
 		return 0
 	}
-	return max(1, xxhash.Sum64String(info.Parts[len(info.Parts)-2].ID))
+	return max(1, xxhash.Sum64String(info.Shared.LastID))
 }
 
 // recordFirstToken records that the first token of a call has arrived.
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -7,10 +7,15 @@
 	"buckthornpick/internal/capacity"
 )
 
-// PromptPart is a part of a prompt that several requests may share.
-type PromptPart struct {
-	ID     string
+// SharedPrompt is the part of a prompt that other requests may share: all its parts but the
+// last one, which belongs to this request or its session only.
+type SharedPrompt struct {
+	// Tokens is the length of the shared parts together.
 	Tokens int
+	// IDs are those of the shared parts in order, of the first blame.MaxParts of them.
+	IDs []string
+	// LastID is the ID of the last shared part; empty if there is none.
+	LastID string
 }
 
 // RequestInfo holds what a caller states about its request.
@@ -25,9 +30,7 @@
 	// tokens; HasTokenCounts is false for requests that state neither.
 	PromptTokens, MaxTokens int
 	HasTokenCounts          bool
-	// Parts are the prompt's parts in order. The last one belongs to this request or
-	// its session only.
-	Parts []PromptPart
+	Shared                  SharedPrompt
 	// LastEventID is the ID of the last event that a caller received who resumes a
 	// stream.
 	LastEventID string
@@ -36,15 +39,6 @@
 	ResumedAttempt string
 }
 
-// SharedTokens returns the number of prompt tokens that other requests may share.
-func (r *RequestInfo) SharedTokens() int {
-	sum := 0
-	for i := range len(r.Parts) - 1 {
-		sum += r.Parts[i].Tokens
-	}
-	return sum
-}
-
 // SendParams are the parameters of one send of a request to a backend server.
 type SendParams struct {
 	// Server is the ID of the backend server.
--- a/internal/relay/content.go
+++ b/internal/relay/content.go
@@ -19,11 +19,7 @@
 // contentOf returns the content of the request. The last part of its prompt belongs to
 // this request or its session only.
 func (q *request) contentOf() blame.Content {
-	var shared []string
-	for i := range len(q.info.Parts) - 1 {
-		shared = append(shared, q.info.Parts[i].ID)
-	}
-	return blame.NewContent(q.hashContent(), shared)
+	return blame.NewContent(q.hashContent(), q.info.Shared.IDs)
 }
 
 // hashContent returns a hash of the organisation, method, URI and body, which is
