upstream: a call that is given up resets its connection

Cause: a connection with an unanswered request was closed plainly, and the kernel still delivered what it held. Measured: TestRequestGivenUpBehindAPartitionIsNotDelivered failed before and passes.

--- a/internal/netx/deadpeer.go
+++ b/internal/netx/deadpeer.go
@@ -25,6 +25,22 @@
 	}
 }
 
+// Aborter is a connection, other than a TCP connection, that can be reset.
+type Aborter interface{ Abort() }
+
+// Abort closes a connection by a reset: what was written and has not arrived is lost. Close
+// would still deliver it, also after a partition of any length.
+func Abort(c net.Conn) {
+	switch c := c.(type) {
+	case Aborter:
+		c.Abort()
+		return
+	case *net.TCPConn:
+		_ = c.SetLinger(0) // fails if the connection is closed
+	}
+	_ = c.Close()
+}
+
 // setTCPDeadPeerTimeout sets TCP_USER_TIMEOUT, which also decides when probes give up,
 // whatever their count.
 func setTCPDeadPeerTimeout(c *net.TCPConn, timeout, probeInterval time.Duration) {
--- a/internal/standin/memnet/conn.go
+++ b/internal/standin/memnet/conn.go
@@ -60,6 +60,12 @@
 	return nil
 }
 
+// Abort implements netx.Aborter.
+func (c *conn) Abort() {
+	c.reset(c.host)
+	_ = c.Close()
+}
+
 func (c *conn) LocalAddr() net.Addr  { return c.local }
 func (c *conn) RemoteAddr() net.Addr { return c.remote }
 
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -211,11 +211,12 @@
 	})
 }
 
-// discard closes the connection. Most servers then cancel the request.
+// discard resets the connection. Most servers then cancel the request; one that a partition
+// holds up does not reach its server any more.
 func (x *roundTrip) discard() {
 	x.once.Do(func() {
 		x.stopCancel()
-		x.pool.put(x.conn, 0)
+		x.pool.abort(x.conn)
 	})
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -202,6 +202,12 @@
 	p.decrementOpen(c.server)
 }
 
+// abort resets a connection and forgets it.
+func (p *Pool) abort(c *conn) {
+	netx.Abort(c.Conn)
+	p.decrementOpen(c.server)
+}
+
 // decrementOpen removes a closed or failed connection from the server's open
 // connections.
 func (p *Pool) decrementOpen(s *serverConns) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -147,6 +147,41 @@
 	})
 }
 
+// A request that was given up behind a partition does not reach its server after it.
+func TestRequestGivenUpBehindAPartitionIsNotDelivered(t *testing.T) {
+	received := make(chan string, 8)
+	withTestServer(t, func(c net.Conn) {
+		reader := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			body, _ := io.ReadAll(r.Body)
+			received <- string(body)
+			if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); err != nil {
+				return
+			}
+		}
+	}, func(s *testServer) {
+		resp, err := s.send(s.t.Context(), "first")
+		require.NoError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		s.net.PartitionHost("server")
+		ctx, cancel := context.WithTimeout(s.t.Context(), 500*time.Millisecond)
+		_, err = s.send(ctx, "given up")
+		cancel()
+		require.Error(t, err)
+		require.True(t, MayHaveBeenSent(err))
+		time.Sleep(1500 * time.Millisecond)
+		s.net.HealHost("server")
+		time.Sleep(time.Second)
+		require.Equal(t, "first", <-received)
+		require.Empty(t, received)
+	})
+}
+
 func TestErrorsShowWhetherRequestMayHaveBeenSent(t *testing.T) {
 	withTestServer(t, func(c net.Conn) {
 		readRequest(c)
