netx: lists in heads, heads behind others and heads of probes are in the memory budget

Cause: a head was reserved by its bytes and lines as it was read. A head that came behind an earlier request in one read was given back with that request and then parsed. The listeners of probes and of operators had no budget, and the latter took heads of 64 KB; that of buckthornpick-entry had no bound on connections either. Change: each element of a list counts 128 bytes. When a handler begins, what its head takes is reserved if it is not yet; without room the connection is closed. Probes and operators have a budget of 6 MB for each listener, 64 connections and heads of 8 KB, in all programs.

--- a/internal/cli/server.go
+++ b/internal/cli/server.go
@@ -18,7 +18,7 @@
 	adminHeaderTimeout  = 10 * time.Second
 	adminReadTimeout    = 30 * time.Second
 	adminIdleTimeout    = 2 * time.Minute
-	adminMaxHeaderBytes = 64 << 10
+	adminMaxHeaderBytes = 8 << 10
 	// adminShutdownTimeout bounds the wait for running requests at shutdown.
 	adminShutdownTimeout = 5 * time.Second
 )
@@ -36,20 +36,21 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, "admin.listen", address, "cannot listen")
 	}
+	callers := netx.NewProbeListener(listener, nil, log)
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: adminHeaderTimeout,
+		ReadTimeout:       adminReadTimeout,
+		IdleTimeout:       adminIdleTimeout,
+		MaxHeaderBytes:    adminMaxHeaderBytes,
+	}
+	callers.Attach(server)
+	listener = callers
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
 	log.Log(EvListening, "listener", "admin", "address", listener.Addr().String(), "tls", tlsConfig != nil)
-	return &AdminServer{
-		listener: listener, log: log,
-		server: &http.Server{
-			Handler:           handler,
-			ReadHeaderTimeout: adminHeaderTimeout,
-			ReadTimeout:       adminReadTimeout,
-			IdleTimeout:       adminIdleTimeout,
-			MaxHeaderBytes:    adminMaxHeaderBytes,
-		},
-	}, nil
+	return &AdminServer{listener: listener, log: log, server: server}, nil
 }
 
 // Address returns the listener's "host:port".
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -65,7 +65,7 @@
 		}
 		handler.ServeHTTP(w, r)
 	})
-	p.Server.ConnState = p.Callers.TrackState
+	p.Callers.Attach(p.Server)
 	var listener net.Listener = p.Callers
 	if p.TLS != nil {
 		listener = tls.NewListener(listener, p.TLS)
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -201,6 +201,21 @@
 	}
 }
 
+// ReserveTo adds as many bytes as the holder lacks to n, if there is room for them at once,
+// and otherwise returns false.
+func (h *Holder) ReserveTo(n int64) bool {
+	if h == nil {
+		return true
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if h.bytes >= n || h.budget.take(h, n-h.bytes) {
+		return true
+	}
+	h.budget.refused.Inc(1)
+	return false
+}
+
 // take reserves n bytes if there is room. The mutex must be held.
 func (b *Budget) take(h *Holder, n int64) bool {
 	if h.hasYielded || b.used+n > limitFor(b.capacity, h.bytes+n) {
--- a/internal/netx/callers.go
+++ b/internal/netx/callers.go
@@ -217,13 +217,16 @@
 	isCut, isLingering, hasPlace bool
 }
 
+// Attach sets the hooks by which the listener follows the connections of s, and bounds the
+// memory of the heads of its requests. The handler of s must be set.
+func (l *CallerListener) Attach(s *http.Server) {
+	s.ConnState, s.ConnContext, s.Handler = l.TrackState, l.connContext, boundHeads(s.Handler)
+}
+
 // TrackState is the http.Server.ConnState hook.
 func (l *CallerListener) TrackState(conn net.Conn, state http.ConnState) {
-	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok { // TLS
-		conn = wrapped.NetConn()
-	}
-	c, ok := conn.(*callerConn)
-	if !ok {
+	c := callerConnOf(conn)
+	if c == nil {
 		return
 	}
 	c.mu.Lock()
--- a/internal/netx/crowd.go
+++ b/internal/netx/crowd.go
@@ -2,14 +2,20 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"maps"
 	"net"
+	"net/http"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"buckthornpick/internal/membudget"
+	"buckthornpick/internal/telemetry"
 )
 
 const (
@@ -18,6 +24,9 @@
 	// fieldBytes is the memory that a line of a head takes in maps of headers and their
 	// copies, whatever its length.
 	fieldBytes = 512
+	// elementBytes is the memory that an element of a list in a line takes, such as the
+	// name of a trailer in http.Request.Trailer.
+	elementBytes = 128
 	// headPatience is how long a connection waits for room for a head.
 	headPatience         = time.Second
 	defaultPlacePatience = 500 * time.Millisecond
@@ -36,9 +45,61 @@
 // errMemoryShort ends a connection without room for its head.
 var errMemoryShort = errors.New("no room for the head of a request")
 
-// headCost returns the memory that a part of a head takes, in bytes.
-func headCost(part []byte) int64 {
-	return int64(len(part) + fieldBytes*bytes.Count(part, []byte{'\n'}))
+// headCost returns the memory in bytes that what was read at once of a connection takes,
+// from the head of a request on. What follows the end of the head counts with its length.
+func headCost(read []byte) int64 {
+	head := read
+	for _, blankLine := range []string{"\n\r\n", "\n\n"} {
+		if end := bytes.Index(head, []byte(blankLine)); end >= 0 {
+			head = head[:end+len(blankLine)]
+		}
+	}
+	return int64(len(read) + fieldBytes*bytes.Count(head, []byte{'\n'}) + elementBytes*bytes.Count(head, []byte{','}))
+}
+
+// requestCost returns the memory in bytes that the head of a request takes.
+func requestCost(r *http.Request) int64 {
+	cost := int64(len(r.RequestURI)) + elementBytes*int64(len(r.Trailer))
+	for name, values := range r.Header {
+		for _, v := range values {
+			cost += int64(len(name)+len(v)+fieldBytes) + elementBytes*int64(strings.Count(v, ","))
+		}
+	}
+	return cost
+}
+
+// callerConnKey is the key of a request's context for its callerConn.
+type callerConnKey struct{}
+
+// connContext is the http.Server.ConnContext hook.
+func (l *CallerListener) connContext(ctx context.Context, conn net.Conn) context.Context {
+	if c := callerConnOf(conn); c != nil {
+		return context.WithValue(ctx, callerConnKey{}, c)
+	}
+	return ctx
+}
+
+// callerConnOf returns the callerConn of a connection of http.Server; nil if it is another.
+func callerConnOf(conn net.Conn) *callerConn {
+	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok { // TLS
+		conn = wrapped.NetConn()
+	}
+	c, _ := conn.(*callerConn)
+	return c
+}
+
+// boundHeads closes the connections of requests whose heads have no room in the memory budget.
+// Those that came behind an earlier request in one read were not reserved by it. A refusal
+// would keep their memory until the caller closes.
+func boundHeads(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, _ := r.Context().Value(callerConnKey{}).(*callerConn)
+		if c != nil && !c.memory.ReserveTo(connectionBytes+requestCost(r)) {
+			_ = c.refuseHead()
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // abort closes the connection under its HTTP server, which then cleans up.
@@ -253,6 +314,27 @@
 	return best
 }
 
+const (
+	// maxProbeConnections is the number of connections to a listener for probes.
+	maxProbeConnections = 64
+	// probePatience is how long a connection may keep a place there without progress while
+	// others wait. Load balancers and operators' tools send their requests at once.
+	probePatience = 100 * time.Millisecond
+	// probeMemory is what all connections of the listener may hold. A quarter is kept for small
+	// requests, in which that of a probe fits on each connection.
+	probeMemory = 6 << 20
+)
+
+// NewProbeListener returns a listener on top of l for probes, metrics and operators. Its
+// connections have places and memory of their own, so that it answers also while callers hold all
+// that is theirs. onTimeout may be nil.
+func NewProbeListener(l net.Listener, onTimeout func(net.Addr, TimeoutReason, time.Duration), log *telemetry.Logger) *CallerListener {
+	BoundReceiveBuffers(l)
+	return NewCallerListener(l, CallerOptions{
+		OnTimeout: onTimeout, MaxConnections: maxProbeConnections, PlacePatience: probePatience, Memory: membudget.New(probeMemory, log, metrics.NewRegistry()),
+	})
+}
+
 // BoundReceiveBuffers bounds what the kernel reads ahead of connections that l accepts. It
 // has no effect on listeners other than those of TCP; errors are ignored.
 func BoundReceiveBuffers(l net.Listener) {
--- a/internal/netx/limit.go
+++ b/internal/netx/limit.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"sync"
-	"time"
 )
 
 // LimitListener returns a listener that keeps at most n accepted connections
@@ -12,25 +11,6 @@
 	return &limitListener{Listener: l, slots: make(chan struct{}, n), closed: make(chan struct{})}
 }
 
-// Limited is a network whose listeners keep at most MaxConnections accepted connections open
-// at a time. A further one takes the place of one that waits for its caller.
-type Limited struct {
-	Network
-	MaxConnections int
-	// PlacePatience is that of CallerOptions.
-	PlacePatience time.Duration
-}
-
-// Listen implements Network.
-func (n Limited) Listen(address string) (net.Listener, error) {
-	l, err := n.Network.Listen(address)
-	if err != nil {
-		return nil, err
-	}
-	BoundReceiveBuffers(l)
-	return NewCallerListener(l, CallerOptions{MaxConnections: n.MaxConnections, PlacePatience: n.PlacePatience}), nil
-}
-
 type limitListener struct {
 	net.Listener
 	slots     chan struct{}
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -98,12 +98,7 @@
 	peerPingTimeout  = 700 * time.Millisecond
 
 	maxHeaderBytes = 64 << 10
-	// maxProbeConnections and maxProbeHeaderBytes bound what strangers take at the
-	// listeners of the readiness probe and of the metrics.
-	maxProbeConnections = 64
-	// probePatience is how long a connection may keep a place there while others wait. The
-	// load balancer sends its request at once.
-	probePatience       = 100 * time.Millisecond
+	// maxProbeHeaderBytes is that of the readiness probe.
 	maxProbeHeaderBytes = 8 << 10
 	maxBodyBytes        = 4 << 20
 	readHeaderTimeout   = 10 * time.Second
@@ -290,7 +285,7 @@
 	}
 	if p.settings.Metrics != "" {
 		pages := &cli.AdminPages{Metrics: p.cli.Metrics, Ready: p.checkReady, Where: http.HandlerFunc(p.relay.ServeWhere)}
-		admin, err := cli.ListenAdmin(netx.Limited{Network: p.network, MaxConnections: maxProbeConnections, PlacePatience: probePatience}, p.settings.Metrics, nil, pages.Handler(), p.cli.Log)
+		admin, err := cli.ListenAdmin(p.network, p.settings.Metrics, nil, pages.Handler(), p.cli.Log)
 		if err != nil {
 			return err
 		}
@@ -371,9 +366,7 @@
 	if err != nil {
 		return l, err
 	}
-	netx.BoundReceiveBuffers(accepted)
-	// No budget: the probe must succeed also while callers hold all of it.
-	l.readiness = netx.NewCallerListener(accepted, netx.CallerOptions{OnTimeout: logClosed, MaxConnections: maxProbeConnections, PlacePatience: probePatience})
+	l.readiness = netx.NewProbeListener(accepted, logClosed, p.cli.Log)
 	return l, nil
 }
 
@@ -397,10 +390,11 @@
 // callerServer returns the HTTP server of callers. Its fixed timeouts are upper
 // bounds; those of the current document are enforced by the listener.
 func (p *Process) callerServer(callers *netx.CallerListener) *http.Server {
-	return &http.Server{
+	server := &http.Server{
 		Handler: netx.BoundUnreadBodies(p.relay), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: callers.TrackState,
 	}
+	callers.Attach(server)
+	return server
 }
 
 // callerTimeouts returns the header and idle timeout of the current document.
@@ -420,10 +414,9 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		}
 	})
-	return &http.Server{
-		Handler: netx.BoundUnreadBodies(mux), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxProbeHeaderBytes,
-		ConnState: l.TrackState,
-	}
+	server := &http.Server{Handler: netx.BoundUnreadBodies(mux), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxProbeHeaderBytes}
+	l.Attach(server)
+	return server
 }
 
 // checkReady returns an error if this entry must not receive callers.
