platform: a response that names no attempt is not that of the request which waits

Cause: MatchesAttempt took a response of status 300 or more without an ID as the answer to the request that waits on the connection. Change: servers name the attempt in all responses; what names none, or another one, is skipped.

--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -91,7 +91,7 @@
 	// those of the caller's request.
 	EncodeHeaders(from http.Header, info *RequestInfo, params SendParams) http.Header
 	// MatchesAttempt reports whether a response belongs to the attempt with the ID.
-	MatchesAttempt(attemptID string, status int, h http.Header) bool
+	MatchesAttempt(attemptID string, h http.Header) bool
 	// InspectResponse reads the status and headers of a response.
 	InspectResponse(status int, h http.Header) ResponseInfo
 	// InspectHealth reads the headers of a health response: the ID of the server and, if ok,
