relayd, entryd: OPTIONS * is not answered by net/http

Change: it is switched off, and the request is refused like any other without a rule. Measured: TestOptionsOfTheEntryItselfAreNoSuccess got 200 before, and 404 now.

--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -80,6 +80,8 @@
 		ReadHeaderTimeout: time.Duration(s.Callers.ReadHeaderTimeout),
 		IdleTimeout:       time.Duration(s.Callers.IdleTimeout),
 		MaxHeaderBytes:    s.Bounds.MaxHeaderBytes,
+
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -392,6 +392,8 @@
 func (p *Process) callerServer(callers *netx.CallerListener) *http.Server {
 	server := &http.Server{
 		Handler: netx.BoundUnreadBodies(p.relay), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		// net/http would answer "OPTIONS *" with a success that no backend server gave.
+		DisableGeneralOptionsHandler: true,
 	}
 	callers.Attach(server)
 	return server
