netx: a crowd that sends steadily and slowly keeps nobody out

Cause: at the limit of connections a new caller took the place of one that was idle or had stopped. Change: if there is no such connection, the place is taken from one whose request has been arriving for longer than half a second, of the address with the most of these, the longest first.

--- a/internal/netx/callers.go
+++ b/internal/netx/callers.go
@@ -34,8 +34,8 @@
 	// new connection takes the place of one that is of no use (see leastUseful), and
 	// waits if there is none.
 	MaxConnections int
-	// PlacePatience is how long a caller may be silent in the middle of a request, or take
-	// nothing of a response, before its place may go to another; default 1 s.
+	// PlacePatience is how long a caller may send one request, or take nothing of a response,
+	// before its place may go to another; default 500 ms.
 	PlacePatience time.Duration
 	// Memory, if not nil, bounds the memory of connections and of the heads of requests.
 	Memory *membudget.Budget
--- a/internal/netx/crowd.go
+++ b/internal/netx/crowd.go
@@ -270,6 +270,9 @@
 	isIdle, isStoppable bool
 	// since is the time of the last progress.
 	since time.Time
+	// sendingSince is when the request began to arrive that the caller sends; zero if it sends
+	// none.
+	sendingSince time.Time
 }
 
 // state returns the state of the connection.
@@ -284,30 +287,67 @@
 	case c.phase == phaseIdle || c.isLingering:
 		s.isIdle = true
 	case !c.pace.waitingSince.IsZero() && (c.phase == phaseHeader || c.isReadingBody):
-		s.isStoppable, s.since = true, c.pace.paidUntil
+		s.isStoppable, s.since, s.sendingSince = true, c.pace.paidUntil, c.since
 	}
 	return s
 }
 
-// leastUseful returns the index of the connection whose place a new caller may take: one
-// that is idle, or whose caller has for patience stopped in the middle of a request or of its
-// response, of the address with the most of these, the longest without progress. It is -1 if there is
-// none. It answers crowds that open connections and stay; an address alone is no reason,
-// since callers may share one.
+// claimOnPlace tells how good the claim of a connection on its place is.
+type claimOnPlace int
+
+const (
+	// claimNone: it is idle, or its caller has stopped in the middle of a request or of its
+	// response.
+	claimNone claimOnPlace = iota
+	// claimWeak: its caller makes progress, and has been sending the same request for longer
+	// than a few round trips, in which those of ordinary callers arrive.
+	claimWeak
+	claimFull
+)
+
+// claim returns the connection's claim on its place, which weakens after patience.
+func (s *connState) claim(now time.Time, patience time.Duration) claimOnPlace {
+	switch {
+	case s.isIdle, s.isStoppable && now.Sub(s.since) >= patience:
+		return claimNone
+	case !s.sendingSince.IsZero() && now.Sub(s.sendingSince) >= patience:
+		return claimWeak
+	}
+	return claimFull
+}
+
+// leastUseful returns the index of the connection whose place a new caller may take, of those
+// with the worst claim: one of the address with the most of these, the longest without progress or,
+// if all make progress, the one that has been sending for longest. It is -1 if all claims are
+// full. It answers crowds that open connections and stay, or that send steadily and slowly; an
+// address alone is no reason, since callers may share one.
 func leastUseful(conns []connState, now time.Time, patience time.Duration) int {
-	isUseless := func(c connState) bool { return c.isIdle || c.isStoppable && now.Sub(c.since) >= patience }
+	worst := claimFull
+	for i := range conns {
+		worst = min(worst, conns[i].claim(now, patience))
+	}
+	if worst == claimFull {
+		return -1
+	}
+	since := func(c *connState) time.Time {
+		if worst == claimWeak {
+			return c.sendingSince
+		}
+		return c.since
+	}
 	counts := map[string]int{}
-	for _, c := range conns {
-		if isUseless(c) {
-			counts[c.address]++
+	for i := range conns {
+		if conns[i].claim(now, patience) == worst {
+			counts[conns[i].address]++
 		}
 	}
 	best := -1
-	for i, c := range conns {
-		if !isUseless(c) {
+	for i := range conns {
+		c := &conns[i]
+		if c.claim(now, patience) != worst {
 			continue
 		}
-		if best < 0 || counts[c.address] > counts[conns[best].address] || c.address == conns[best].address && c.since.Before(conns[best].since) {
+		if best < 0 || counts[c.address] > counts[conns[best].address] || c.address == conns[best].address && since(c).Before(since(&conns[best])) {
 			best = i
 		}
 	}
--- a/internal/netx/crowd_test.go
+++ b/internal/netx/crowd_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,6 +40,12 @@
 		server := &http.Server{
 			ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute, ConnState: callers.TrackState,
 			Handler: netx.BoundUnreadBodies(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/body" {
+					_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(time.Minute))
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						return
+					}
+				}
 				if r.URL.Path == "/long" {
 					_, err := w.Write(make([]byte, 4<<20))
 					require.ErrorIs(t, err, os.ErrDeadlineExceeded)
@@ -99,6 +107,49 @@
 	}
 }
 
+// sendSteadily sends a body of size bytes at 3 KB a second, and returns whether it was answered.
+func (s *crowdedServer) sendSteadily(host string, size int) bool {
+	conn := s.dial(host, fmt.Sprintf("POST /body HTTP/1.1\r\nHost: s\r\nContent-Length: %d\r\n\r\n", size))
+	defer func() { _ = conn.Close() }()
+	const piece = 300
+	for sent := 0; sent < size; sent += piece {
+		time.Sleep(100 * time.Millisecond)
+		if _, err := conn.Write(make([]byte, piece)); err != nil {
+			return false
+		}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
+
+func TestNewCallersGetInBesideCrowdsThatSendSteadily(t *testing.T) {
+	withCrowdedServer(t, 20, func(s *crowdedServer) {
+		var crowd sync.WaitGroup
+		for range 60 {
+			crowd.Go(func() { s.sendSteadily("crowd", 30_000) })
+		}
+		time.Sleep(100 * time.Millisecond)
+		for range 5 {
+			require.LessOrEqual(t, s.call(simpleRequest), 2500*time.Millisecond)
+		}
+		crowd.Wait()
+	})
+}
+
+func TestSteadySenderIsServedWhileThereArePlaces(t *testing.T) {
+	withCrowdedServer(t, 20, func(s *crowdedServer) {
+		var wg sync.WaitGroup
+		for range 10 {
+			wg.Go(func() { require.True(t, s.sendSteadily("slow", 30_000)) })
+		}
+		for range 40 {
+			time.Sleep(250 * time.Millisecond)
+			require.LessOrEqual(t, s.call(simpleRequest), time.Second)
+		}
+		wg.Wait()
+	})
+}
+
 func TestBodyThatNoHandlerReadsDelaysItsAnswerBriefly(t *testing.T) {
 	withCrowdedServer(t, 20, func(s *crowdedServer) {
 		require.LessOrEqual(t, s.call("POST / HTTP/1.1\r\nHost: s\r\nContent-Length: 60000\r\n\r\nx"), time.Second)
