relay: partial events of streams and answers of second servers are in the memory budget

Change: both are reserved before they are stored. Events up to 8 KB are not counted, since each stream has one. Without room the answer is lost; that is none of the server's failures. Tried and dropped: a bound on the kernel's receive buffers of connections to servers.

--- a/internal/relay/second.go
+++ b/internal/relay/second.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"buckthornpick/internal/fault"
+	"buckthornpick/internal/membudget"
 	"buckthornpick/internal/upstream"
 )
 
@@ -106,7 +107,7 @@
 		discardBody(resp)
 		return nil, sendResult{outcome: outcomeServerFailed, err: fault.New(fault.Ambiguous, "relay.second", c.target.ID, "server failed with status %d", resp.Status)}
 	}
-	if err := bufferBody(resp); err != nil {
+	if err := q.bufferBody(ctx, resp); err != nil {
 		_ = resp.Body.Close()
 		return nil, s.recordFailedSend(ctx, c, fault.Wrap(err, fault.Ambiguous, "relay.second", c.target.ID, "response body is incomplete"))
 	}
@@ -120,17 +121,27 @@
 }
 
 // bufferBody reads the body of a response, up to maxBufferedBytes, which it then begins
-// with.
-func bufferBody(resp *upstream.Response) error {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
-	if err != nil {
-		return err
-	}
-	resp.Body = struct {
-		io.Reader
-		io.Closer
-	}{io.MultiReader(bytes.NewReader(data), resp.Body), resp.Body}
-	return nil
+// with. Closing the body gives its memory back, also after an error.
+func (q *request) bufferBody(ctx context.Context, resp *upstream.Response) error {
+	memory := q.relay.Memory.Open(membudget.Answers, callerHost(q.r), nil)
+	body := &bufferedBody{source: resp.Body, memory: memory}
+	resp.Body = body
+	data, err := io.ReadAll(io.LimitReader(&reservedReader{ctx: ctx, source: body.source, memory: memory}, maxBufferedBytes))
+	body.Reader = io.MultiReader(bytes.NewReader(data), body.source)
+	return err
+}
+
+// bufferedBody is the body of a response of which a part is held in memory.
+type bufferedBody struct {
+	io.Reader
+	source io.ReadCloser
+	memory *membudget.Holder
+}
+
+// Close implements io.Closer.
+func (b *bufferedBody) Close() error {
+	b.memory.Close()
+	return b.source.Close()
 }
 
 // errAnsweredElsewhere ends a send because another server's answer is forwarded.
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"buckthornpick/internal/fault"
+	"buckthornpick/internal/membudget"
 	"buckthornpick/internal/route"
 	"buckthornpick/internal/upstream"
 )
@@ -200,8 +201,12 @@
 
 // recordLostResponse ends a send whose response did not arrive completely. A
 // broken connection, as opposed to a timeout, a silence or a caller that
-// disconnected, is passed to the crash detector.
+// disconnected, is passed to the crash detector. A want of memory here is none of the server's.
 func (q *request) recordLostResponse(ctx context.Context, c *choice, err error) sendResult {
+	if errors.Is(err, membudget.ErrShort) {
+		q.relay.Balancer.finishCall(c, signalNeutral)
+		return sendResult{outcome: outcomeUnknown, refusal: badGateway(reasonAnswerLost), err: err}
+	}
 	q.judgeLostAnswer(c, ctx.Err())
 	switch {
 	case q.r.Context().Err() != nil:
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"buckthornpick/internal/fault"
+	"buckthornpick/internal/membudget"
 	"buckthornpick/internal/upstream"
 )
 
@@ -91,16 +92,19 @@
 func (s *eventStream) copy(ctx context.Context, c *choice, resp *upstream.Response) (continuation, error) {
 	defer func() { _ = resp.Body.Close() }()
 	stall := s.newStallTimer(ctx, c, resp)
-	var pending []byte
+	pending := eventBuffer{memory: s.request.relay.Memory.Open(membudget.Answers, callerHost(s.request.r), nil)}
+	defer pending.memory.Close()
 	chunk := make([]byte, streamReadSize)
 	isFirst, hasEvent := true, false
 	for {
 		stall.start()
 		n, err := resp.Body.Read(chunk)
-		pending = append(pending, chunk[:n]...)
-		end := completeEventsLength(pending)
+		if !pending.append(ctx, chunk[:n]) {
+			err = membudget.ErrShort
+		}
+		end := completeEventsLength(pending.data)
 		hasEvent = hasEvent || end > 0
-		isRegularEnd := err == io.EOF && end == len(pending) && (resp.Framed || hasEvent)
+		isRegularEnd := err == io.EOF && end == len(pending.data) && (resp.Framed || hasEvent)
 		if next := stall.stop(err == nil || isRegularEnd); next.resp != nil {
 			return next, errStreamStalled
 		}
@@ -113,11 +117,11 @@
 				s.request.relay.Balancer.recordFirstToken(c)
 			}
 			s.request.settleOrigin(true)
-			if err := s.write(pending[:end]); err != nil {
+			if err := s.write(pending.data[:end]); err != nil {
 				s.callerLeft = true
 				return continuation{}, err
 			}
-			pending = append(pending[:0], pending[end:]...)
+			pending.data = append(pending.data[:0], pending.data[end:]...)
 		}
 		switch {
 		case isRegularEnd:
@@ -126,12 +130,37 @@
 			return continuation{}, errors.New("stream ended within an event or before the first one")
 		case err != nil:
 			return continuation{}, err
-		case len(pending) > maxEventBytes:
+		case len(pending.data) > maxEventBytes:
 			return continuation{}, errors.New("event exceeds the size limit")
 		}
 	}
 }
 
+// eventBuffer holds what has arrived of events that are not complete.
+type eventBuffer struct {
+	data []byte
+	// memory holds the bytes beyond unreservedEventBytes.
+	memory   *membudget.Holder
+	reserved int64
+}
+
+// unreservedEventBytes is the size up to which a buffer is not reserved, as for nearly all
+// events.
+const unreservedEventBytes = 2 * streamReadSize
+
+// append appends the bytes. It returns false if there is no room in the memory budget.
+func (b *eventBuffer) append(ctx context.Context, more []byte) bool {
+	// Twice the size, since buffers grow by doubling.
+	if size := 2 * int64(len(b.data)+len(more)); size > max(b.reserved, unreservedEventBytes) {
+		if !b.memory.Reserve(ctx, size-b.reserved, answerRoomPatience) {
+			return false
+		}
+		b.reserved = size
+	}
+	b.data = append(b.data, more...)
+	return true
+}
+
 // writeHead sends the status and headers of a stream that ended without an event.
 func (s *eventStream) writeHead() error {
 	if err := s.write(nil); err != nil {
