--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -182,6 +182,9 @@
 	if version != protocolVersion {
 		return fault.New(fault.Protocol, "peer.handshake", "", "protocol version %d here and %d there", protocolVersion, version)
 	}
+	if err := checkLengths(body); err != nil {
+		return err
+	}
 	return msgpack.Unmarshal(body, into)
 }
 
