--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -224,3 +225,57 @@
 		require.Equal(t, []string{"1 true true", "2 false true", "3 false true"}, results, "the newest yield, so that the older ones are completed")
 	})
 }
+
+// A body in pieces of any size, of a stated length or of none, is read as it was sent, and what
+// is held is reserved.
+func FuzzReadBody(f *testing.F) {
+	f.Add([]byte("body"), int64(4), 1)
+	f.Add(make([]byte, 100_000), int64(-1), 4096)
+	f.Add([]byte("short"), int64(1<<40), 3)
+	f.Add([]byte("longer than stated"), int64(3), 7)
+	f.Fuzz(func(t *testing.T, text []byte, declared int64, piece int) {
+		if piece <= 0 {
+			return
+		}
+		b := New(64*mb, telemetry.Discard(), metrics.NewRegistry())
+		source := BodySource{
+			Reader: &pieces{text: text, size: piece}, Declared: declared, Group: "x", SetReadDeadline: func(time.Time) error { return nil }, End: time.Now().Add(time.Hour),
+		}
+		parts, h, err := b.ReadBody(t.Context(), source)
+		defer func() {
+			h.Close()
+			require.Zero(t, b.Used())
+		}()
+		held := 0
+		for _, part := range parts {
+			held += cap(part)
+		}
+		require.LessOrEqual(t, int64(held), b.Used())
+		switch want := int64(len(text)); {
+		case declared > want:
+			require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		case declared >= 0:
+			require.NoError(t, err)
+			require.Equal(t, string(text[:declared]), string(slices.Concat(parts...)))
+		default:
+			require.NoError(t, err)
+			require.Equal(t, string(text), string(slices.Concat(parts...)))
+		}
+	})
+}
+
+// pieces is a reader of text in pieces of a size.
+type pieces struct {
+	text []byte
+	size int
+}
+
+// Read implements io.Reader.
+func (p *pieces) Read(b []byte) (int, error) {
+	if len(p.text) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(b, p.text[:min(p.size, len(p.text))])
+	p.text = p.text[n:]
+	return n, nil
+}
