upstream: a call behind a partition is given up before the kernel closes its connection

The users' platform still delivers what such a connection holds; only a reset by us prevents it. Change: the kernel's time-out is 8 s. Calls end before by their deadline, their second send or the stall of their stream, and reset the connection. The in-memory network delivers what a connection holds whose end has given up.

--- a/internal/standin/memnet/conn.go
+++ b/internal/standin/memnet/conn.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -29,6 +30,7 @@
 	deadPeerMu      sync.Mutex
 	deadPeerTimeout time.Duration
 	deadPeerTimer   *time.Timer
+	hasGivenUp      atomic.Bool
 }
 
 func (c *conn) Read(b []byte) (int, error) {
@@ -60,9 +62,11 @@
 	return nil
 }
 
-// Abort implements netx.Aborter.
+// Abort implements netx.Aborter. There is nothing to reset once this end has given up.
 func (c *conn) Abort() {
-	c.reset(c.host)
+	if !c.hasGivenUp.Load() {
+		c.reset(c.host)
+	}
 	_ = c.Close()
 }
 
@@ -98,7 +102,7 @@
 	c.updateDeadPeerTimer(stalled)
 }
 
-// SetDeadPeerTimeout implements netx.DeadPeerTimeoutSetter: this end sees a reset once the
+// SetDeadPeerTimeout implements netx.DeadPeerTimeoutSetter: this end fails once the
 // path has been stalled for the timeout and at least one keep-alive probe has failed.
 func (c *conn) SetDeadPeerTimeout(timeout, probeInterval time.Duration) {
 	c.deadPeerMu.Lock()
@@ -116,10 +120,18 @@
 		c.deadPeerTimer.Stop()
 		c.deadPeerTimer = nil
 	case stalled && c.deadPeerTimer == nil && c.deadPeerTimeout > 0:
-		c.deadPeerTimer = time.AfterFunc(c.deadPeerTimeout, func() { c.reset(c.host) })
+		c.deadPeerTimer = time.AfterFunc(c.deadPeerTimeout, c.giveUp)
 	}
 }
 
+// giveUp ends the connection at this end only. What it has written is still delivered when the
+// path is open again.
+func (c *conn) giveUp() {
+	c.hasGivenUp.Store(true)
+	c.in.failReads()
+	c.out.failWrites()
+}
+
 func (c *conn) opError(op string, err error) error {
 	if err == nil || err == io.EOF {
 		return err
--- a/internal/standin/memnet/pipe.go
+++ b/internal/standin/memnet/pipe.go
@@ -35,8 +35,8 @@
 	readClosed    bool // the reader has closed its end
 	readCloseDue  time.Time
 	reset         bool // seen by both ends while the path is not stalled
-	resetAtReader bool // the reader sees the reset even while stalled
-	resetAtWriter bool // the writer sees the reset even while stalled
+	resetAtReader bool // the reader sees a reset even while stalled
+	resetAtWriter bool // the writer sees a reset even while stalled
 	stalled       bool // the path is partitioned or a host is paused
 
 	readDeadline, writeDeadline deadline
@@ -223,3 +223,18 @@
 	p.segments, p.size = nil, 0
 	p.cond.Broadcast()
 }
+
+// failReads makes all reads fail, and failWrites all writes; the other end is not told.
+func (p *pipe) failReads() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resetAtReader = true
+	p.cond.Broadcast()
+}
+
+func (p *pipe) failWrites() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resetAtWriter = true
+	p.cond.Broadcast()
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -18,9 +18,11 @@
 	// readBuffer is the buffer size in bytes, enough for the status and headers of a
 	// response or a few events.
 	readBuffer = 2048
-	// deadPeerTimeout closes a connection whose peer acknowledges nothing. A sound
-	// server's host may do so for a second or two.
-	deadPeerTimeout = 2500 * time.Millisecond
+	// deadPeerTimeout closes a connection whose peer acknowledges nothing. It exceeds most
+	// partitions and the time for which most calls are waited for, which reset the connection
+	// when they are given up: what it holds when the kernel closes it may be delivered
+	// after the partition.
+	deadPeerTimeout = 8 * time.Second
 	// maxHeadBytes limits the status line and the headers of a response.
 	maxHeadBytes = 64 << 10
 	// keepAliveInterval is the interval of TCP keep-alive probes on an idle
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -147,8 +147,16 @@
 	})
 }
 
-// A request that was given up behind a partition does not reach its server after it.
+// A request that was given up behind a partition does not reach its server after it, be it sent
+// as the partition begins or on a connection that has long been without an acknowledgement.
 func TestRequestGivenUpBehindAPartitionIsNotDelivered(t *testing.T) {
+	for _, before := range []time.Duration{0, 2 * time.Second, 2400 * time.Millisecond} {
+		t.Run(before.String(), func(t *testing.T) { testRequestGivenUp(t, before) })
+	}
+}
+
+func testRequestGivenUp(t *testing.T, before time.Duration) {
+	const patience, partition = 800 * time.Millisecond, 6500 * time.Millisecond
 	received := make(chan string, 8)
 	withTestServer(t, func(c net.Conn) {
 		reader := bufio.NewReader(c)
@@ -169,12 +177,13 @@
 		_, err = io.ReadAll(resp.Body)
 		require.NoError(t, err)
 		s.net.PartitionHost("server")
-		ctx, cancel := context.WithTimeout(s.t.Context(), 500*time.Millisecond)
+		time.Sleep(before)
+		ctx, cancel := context.WithTimeout(s.t.Context(), patience)
 		_, err = s.send(ctx, "given up")
 		cancel()
 		require.Error(t, err)
 		require.True(t, MayHaveBeenSent(err))
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(partition - before - patience)
 		s.net.HealHost("server")
 		time.Sleep(time.Second)
 		require.Equal(t, "first", <-received)
