netx: a large head does not wait for room

Cause: beside a mixture with heads that name very many trailers, ordinary callers waited about a second: each connection of the crowd kept the memory of its buffers while it waited for room for the rest, and together these took what is kept for small requests.

--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -216,6 +216,16 @@
 	return false
 }
 
+// IsLargeWith reports whether the holder is large with n bytes more.
+func (h *Holder) IsLargeWith(n int64) bool {
+	if h == nil {
+		return false
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	return h.bytes+n > SmallBytes
+}
+
 // take reserves n bytes if there is room. The mutex must be held.
 func (b *Budget) take(h *Holder, n int64) bool {
 	if h.hasYielded || b.used+n > limitFor(b.capacity, h.bytes+n) {
--- a/internal/netx/callers.go
+++ b/internal/netx/callers.go
@@ -316,7 +316,7 @@
 	for {
 		c.startRead()
 		n, err := c.Conn.Read(b)
-		if c.endRead(n) && !c.memory.Reserve(context.Background(), headCost(b[:n]), headPatience) {
+		if c.endRead(n) && !c.reserveHead(headCost(b[:n])) {
 			return 0, c.refuseHead()
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.extendDeadline() {
--- a/internal/netx/crowd.go
+++ b/internal/netx/crowd.go
@@ -27,7 +27,7 @@
 	// elementBytes is the memory that an element of a list in a line takes, such as the
 	// name of a trailer in http.Request.Trailer.
 	elementBytes = 128
-	// headPatience is how long a connection waits for room for a head.
+	// headPatience is how long a connection waits for room for a small head.
 	headPatience         = time.Second
 	defaultPlacePatience = 500 * time.Millisecond
 	// placeCheckInterval is the time between two looks for a place.
@@ -105,6 +105,16 @@
 // abort closes the connection under its HTTP server, which then cleans up.
 func (c *callerConn) abort() { _ = c.Conn.Close() }
 
+// reserveHead reserves memory for a part of a head. No sound caller's head is large; those that
+// are do not wait for room, since what they hold meanwhile would keep small ones out.
+func (c *callerConn) reserveHead(bytes int64) bool {
+	patience := headPatience
+	if c.memory.IsLargeWith(bytes) {
+		patience = 0
+	}
+	return c.memory.Reserve(context.Background(), bytes, patience)
+}
+
 // refuseHead closes the connection, of which no request was read.
 func (c *callerConn) refuseHead() error {
 	c.report(MemoryShort, time.Since(c.state().since))
