--- a/internal/devsite/admin.go
+++ b/internal/devsite/admin.go
@@ -47,6 +47,7 @@
 	printf("bpctl apply /tmp/site.json")
 	printf("bpctl wait\n")
 	printf("Metrics: curl %s/metrics", urls[0])
+	printf("What callers hold of an entry's memory: curl -s %s/metrics | grep _memory_", urls[0])
 }
 
 // urlFlags returns one --url flag of bpctl per URL.
--- a/internal/devsite/run.go
+++ b/internal/devsite/run.go
@@ -29,6 +29,13 @@
 	Log func(node, zone string) *telemetry.Logger
 }
 
+const (
+	// entryMemory is the memory of an entry's VM in bytes, and maxCallers the number of
+	// callers' connections to it.
+	entryMemory = 512 << 20
+	maxCallers  = 1024
+)
+
 // Start starts the profile's site on loopback, applies its document and waits
 // until every entry is ready.
 func Start(ctx context.Context, o Options) (*site.Site, error) {
@@ -38,6 +45,7 @@
 		Document: p.Document, Older: &p.Older, Log: o.Log,
 		Cloud:    cloud.Settings{StartTime: time.Second, Offers: offers(p)},
 		Planners: true, TunePlanner: tunePlanner,
+		MemoryBytes: entryMemory, MaxCallers: maxCallers,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/standin/site/entry.go
+++ b/internal/standin/site/entry.go
@@ -11,8 +11,10 @@
 
 	"buckthornpick/internal/backend"
 	"buckthornpick/internal/entry"
+	"buckthornpick/internal/gateway"
 	"buckthornpick/internal/kv/etcd"
 	"buckthornpick/internal/member"
+	"buckthornpick/internal/membudget"
 	"buckthornpick/internal/netx"
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/provider"
@@ -35,6 +37,8 @@
 	URL      string
 	Node     *entry.Node
 	Registry metrics.Registry
+	// Memory bounds what callers hold; nil is no bound.
+	Memory *membudget.Budget
 
 	site     *Site
 	server   *http.Server
@@ -62,9 +66,14 @@
 	e := &Entry{ID: id, Zone: zone, URL: "http://" + address, Registry: metrics.NewRegistry(),
 		site: s, done: make(chan struct{})}
 	self := member.Member{ID: id, Zone: zone, Address: s.options.Fabric.Address(id, "peer"), HTTPAddress: address}
+	if s.options.MemoryBytes > 0 {
+		capacity, _ := membudget.Capacity(s.options.MemoryBytes)
+		e.Memory = membudget.New(capacity, telemetry.Discard(), e.Registry)
+	}
 	e.Node = entry.New(s.entryConfig(e, self, network))
 	e.server = &http.Server{ReadHeaderTimeout: time.Minute, IdleTimeout: time.Hour}
-	p := &entry.Process{Node: e.Node, Callers: netx.NewCallerListener(listener, netx.CallerOptions{}), Server: e.server}
+	callers := netx.NewCallerListener(listener, netx.CallerOptions{MaxConnections: s.options.MaxCallers, Memory: e.Memory})
+	p := &entry.Process{Node: e.Node, Callers: callers, Server: e.server}
 	s.Cloud.Add(provider.VM{ID: id, Zone: zone, Class: "entry", Reclaimable: true})
 	s.addEntry(e)
 	e.run(p)
@@ -91,6 +100,7 @@
 		Lister: cloud, Notices: cloud,
 		Backends: servers, KV: servers,
 		Log: log, Registry: e.Registry,
+		Gateway: gateway.Config{Memory: e.Memory},
 	}
 	if s.options.Tune != nil {
 		s.options.Tune(&c)
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -64,6 +64,10 @@
 	Log func(node, zone string) *telemetry.Logger
 	// Tune changes an entry's configuration before it starts; may be nil.
 	Tune Tune
+	// MemoryBytes is the memory of an entry's VM, of which callers hold a share, and MaxCallers
+	// the number of their connections to it; 0 is no bound.
+	MemoryBytes int64
+	MaxCallers  int
 	// Planners runs a planner on the VM of each entry; default false.
 	Planners bool
 	// TunePlanner changes a planner's configuration before it starts; may be
