netx: a connection that broke during an upload has no regular end

Callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the kernel reports the error of a reset once, to the read or the write that comes first. If that is the write of the upload, the read returns a regular end, with which an answer without a length is complete. The error of the write was not looked at.

Evidence: internal/upstream TestResetDuringUploadIsNoCompleteResponse over TCP.

Change: connections that are dialled over TCP remember the error of a failed write, and return it from the read that would otherwise end regularly. A write that is in progress then is ended first, so that there is no race between them. A reset after the peer's regular close is EPIPE by the kernel and still a regular end. All that reads answers dials this way: relays, entries, tunnels, the store and the cloud.

--- a/internal/netx/deadpeer.go
+++ b/internal/netx/deadpeer.go
@@ -18,6 +18,8 @@
 // interval. It has no effect on connections of other kinds; errors are ignored.
 func SetDeadPeerTimeout(c net.Conn, timeout, probeInterval time.Duration) {
 	switch c := c.(type) {
+	case *tcpConn:
+		setTCPDeadPeerTimeout(c.tcp, timeout, probeInterval)
 	case *net.TCPConn:
 		setTCPDeadPeerTimeout(c, timeout, probeInterval)
 	case DeadPeerTimeoutSetter:
@@ -35,8 +37,10 @@
 	case Aborter:
 		c.Abort()
 		return
+	case *tcpConn:
+		_ = c.tcp.SetLinger(0) // fails if the connection is closed
 	case *net.TCPConn:
-		_ = c.SetLinger(0) // fails if the connection is closed
+		_ = c.SetLinger(0)
 	}
 	_ = c.Close()
 }
--- a/internal/netx/netx.go
+++ b/internal/netx/netx.go
@@ -15,17 +15,3 @@
 	// Listen accepts connections on address ("host:port"; port 0 picks one).
 	Listen(address string) (net.Listener, error)
 }
-
-// TCP implements Network with the operating system's TCP stack.
-type TCP struct{}
-
-// Dial implements Network.
-func (TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", address)
-}
-
-// Listen implements Network.
-func (TCP) Listen(address string) (net.Listener, error) {
-	return net.Listen("tcp", address)
-}
--- a/internal/upstream/content.go
+++ b/internal/upstream/content.go
@@ -1,8 +1,9 @@
 package upstream
 
 import (
-	"io"
 	"net"
+
+	"buckthornpick/internal/netx"
 )
 
 // Body is the body of a request in one or more parts, as it arrived. The parts must not
@@ -30,10 +31,8 @@
 	return joined
 }
 
-// writeTo writes head and the body to w without copying them.
-func (b Body) writeTo(w io.Writer, head []byte) error {
+// writeTo writes head and the body to c without copying them.
+func (b Body) writeTo(c net.Conn, head []byte) error {
 	buffers := make(net.Buffers, 0, 1+len(b))
-	buffers = append(append(buffers, head), b...)
-	_, err := buffers.WriteTo(w)
-	return err
+	return netx.WriteBuffers(c, append(append(buffers, head), b...))
 }
