tunnel: an answer is read to its end although the server has closed the upload

Callers saw: an engine that an entry reaches by way of another node answers an upload before it has read it and closes the connection regularly. The answer was lost.

Cause: the other node closed its connection to the engine as soon as a write failed, also when the answer had arrived there and had not been read yet.

Change: after a failed write, what else the caller sends is discarded, and the answer is read until its end.

--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -221,9 +221,12 @@
 	toServer.Go(func() {
 		defer func() { _ = server.Close() }()
 		var chunk []byte
+		var writeErr error
 		for s.Recv(recvCtx, &chunk) == nil {
-			if _, err := server.Write(chunk); err != nil {
-				return
+			// A server may close the connection before it has read all, and its answer may not
+			// have been read yet.
+			if writeErr == nil {
+				_, writeErr = server.Write(chunk)
 			}
 		}
 	})
