netx, upstream: a response with an invalid status line is none

Callers saw: an engine in trouble sent an answer with the status 000, 099 or +20; their connection was closed without an answer, since the entry's handler panicked on such a status. Status 600 and 999 and the versions HTTP/0.9 and HTTP/2.0 were forwarded as answers.

Cause: net/http parses any three characters that are a number as a status, any version, and returns a response that switches protocols although nobody asked for it (101).

Change: the head of a response is recorded as its bytes are read, and its status line checked: HTTP/1.x, status 100 to 599 but for 101. Both readers of answers do so, upstream and the client that all other calls use. What is refused counts as a lost answer: 502 to the caller, nothing that may run only once is sent again, the connection is closed and no content is blamed (the test checks these).

--- a/internal/netx/http.go
+++ b/internal/netx/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -59,7 +58,11 @@
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, o.DialTimeout)
 			defer cancel()
-			return n.Dial(ctx, address)
+			c, err := n.Dial(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return &recordedConn{Conn: c}, nil
 		},
 		MaxIdleConns:        o.MaxIdle,
 		MaxIdleConnsPerHost: o.MaxIdlePerHost,
@@ -67,26 +70,10 @@
 		IdleConnTimeout:     o.IdleTimeout,
 		DisableCompression:  true,
 	}
-	client := &http.Client{
-		Transport: transport,
+	return &http.Client{
+		Transport: checkedTransport{transport, o.CloseIdleOnTimeout},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
 	}
-	if o.CloseIdleOnTimeout {
-		client.Transport = idleCloser{transport}
-	}
-	return client
-}
-
-// idleCloser implements HTTPOptions.CloseIdleOnTimeout.
-type idleCloser struct{ *http.Transport }
-
-// RoundTrip implements http.RoundTripper.
-func (t idleCloser) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(r)
-	if err != nil && errors.Is(r.Context().Err(), context.DeadlineExceeded) {
-		t.CloseIdleConnections()
-	}
-	return resp, err
 }
--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -4,11 +4,15 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"buckthornpick/internal/netx"
@@ -95,3 +99,66 @@
 		}
 	}
 }
+
+func TestHeadsThatAreNotValidAreNoResponses(t *testing.T) {
+	for _, head := range rawserver.InvalidStatuses {
+		t.Run(fmt.Sprintf("%q", head), func(t *testing.T) {
+			withTestServer(t, func(c net.Conn) {
+				readRequest(c)
+				_, _ = io.WriteString(c, head+"\r\n\r\nbody")
+				_ = c.Close()
+			}, func(s *testServer) {
+				resp, err := s.send(s.t.Context(), "")
+				if assert.Error(t, err) {
+					assert.True(t, MayHaveBeenSent(err), "%v", err)
+					return
+				}
+				_ = resp.Body.Close()
+			})
+		})
+	}
+}
+
+// A head that breaks off, at any byte, is no response.
+func TestHeadThatBreaksOffIsNoResponse(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nId: mine\r\n\r\n"
+	for length := range len(response) {
+		withTestServer(t, func(c net.Conn) {
+			readRequest(c)
+			_, _ = io.WriteString(c, response[:length])
+			_ = c.Close()
+		}, func(s *testServer) {
+			_, err := s.send(s.t.Context(), "")
+			assert.Error(t, err, response[:length])
+			assert.True(t, MayHaveBeenSent(err))
+		})
+	}
+}
+
+func TestUnusualHeadsAreResponses(t *testing.T) {
+	foreign := "HTTP/1.1 200 OK\r\nId: foreign\r\nContent-Length: 5\r\n\r\nother"
+	for _, head := range append(slices.Clip(rawserver.UnusualHeads), foreign+"HTTP/1.1 200 OK\r\nContent-Length: 4") {
+		t.Run(fmt.Sprintf("%.80q", head), func(t *testing.T) {
+			for _, piece := range []int{1, 7, len(head)} {
+				if len(head)/piece > 1000 {
+					continue
+				}
+				withTestServer(t, func(c net.Conn) {
+					readRequest(c)
+					for part := range slices.Chunk([]byte(strings.TrimSuffix(head, "\n")+"\r\n\r\nbody"), piece) {
+						_, _ = c.Write(part)
+						time.Sleep(time.Millisecond)
+					}
+					_ = c.Close()
+				}, func(s *testServer) {
+					resp, err := s.send(s.t.Context(), "")
+					if assert.NoError(t, err) {
+						body, err := io.ReadAll(resp.Body)
+						assert.NoError(t, err)
+						assert.Equal(t, "body", string(body))
+					}
+				})
+			}
+		})
+	}
+}
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -148,9 +148,12 @@
 func (x *roundTrip) receive() (*Response, error) {
 	request := &http.Request{Method: x.request.Method}
 	for range maxForeignResponses {
-		x.conn.head.start()
+		buffered, _ := x.conn.reader.Peek(x.conn.reader.Buffered()) // never fails
+		x.conn.head.start(buffered)
 		resp, err := http.ReadResponse(x.conn.reader, request)
-		x.conn.head.stop()
+		if invalid := x.conn.head.stop(); err == nil {
+			err = invalid
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -54,20 +54,28 @@
 var errHeadTooLarge = errors.New("head of the response exceeds the size limit")
 
 // headLimiter limits the bytes that are read of a connection while the head of a
-// response is parsed, since http.ReadResponse sets no limit.
+// response is parsed, since http.ReadResponse sets no limit, and records them.
 type headLimiter struct {
 	source    io.Reader
 	isLimited bool
 	remaining int
+	recorder  netx.HeadRecorder
 	// receivedAt is the time of the last read that returned bytes, in Unix nanoseconds.
 	receivedAt *atomic.Int64
 }
 
-// start begins a head. Bytes that are already buffered are not counted.
-func (l *headLimiter) start() { l.isLimited, l.remaining = true, maxHeadBytes }
+// start begins a head, of which some bytes may be buffered already. These are not counted.
+func (l *headLimiter) start(buffered []byte) {
+	l.isLimited, l.remaining = true, maxHeadBytes
+	l.recorder.Start()
+	l.recorder.Record(buffered)
+}
 
-// stop ends the head.
-func (l *headLimiter) stop() { l.isLimited = false }
+// stop ends the head. It returns an error if the head is not valid.
+func (l *headLimiter) stop() error {
+	l.isLimited = false
+	return l.recorder.Check()
+}
 
 // Read implements io.Reader.
 func (l *headLimiter) Read(p []byte) (int, error) {
@@ -83,6 +91,7 @@
 	}
 	if l.isLimited {
 		l.remaining -= n
+		l.recorder.Record(p[:n])
 	}
 	return n, err
 }
