netx: a response whose head has an invalid field name is none

Callers saw: an engine in trouble sent an answer in whose head the name of a field held a blank, or a line began with one. The caller got it as an answer, with that line passed on; where the line was the one with the length or the encoding, with a body that was not the engine's ("Content-Length : 4" with more bytes, chunks as they were).

Cause: net/http accepts blanks in the names of fields, which then name another field, and joins a line that begins with a blank to the one before it.

Change: the names in a recorded head must be tokens; HTTP lets gateways refuse continued lines.

--- a/internal/netx/head.go
+++ b/internal/netx/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 )
 
 // maxRecordedHead limits the bytes of a head that are recorded.
@@ -78,8 +79,30 @@
 
 // checkHead returns an error if a head is not that of a response in HTTP/1.
 func checkHead(head []byte) error {
-	line, _, _ := bytes.Cut(head, []byte("\n"))
-	return checkStatusLine(bytes.TrimSuffix(line, []byte("\r")))
+	line, fields, _ := bytes.Cut(head, []byte("\n"))
+	if err := checkStatusLine(bytes.TrimSuffix(line, []byte("\r"))); err != nil {
+		return err
+	}
+	for line := range bytes.Lines(fields) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) == 0 {
+			continue // the end of the head
+		}
+		if name, _, found := bytes.Cut(line, []byte(":")); !found || !isToken(name) {
+			return fmt.Errorf("invalid field line %q", line)
+		}
+	}
+	return nil
+}
+
+// isToken reports whether text is a token by RFC 9110, as names of fields are. A line that
+// continues the one before it begins with a blank and is none: gateways may refuse them.
+func isToken(text []byte) bool {
+	for _, b := range text {
+		if b <= ' ' || b >= 0x7f || strings.IndexByte(`"(),/:;<=>?@[\]{}`, b) >= 0 {
+			return false
+		}
+	}
+	return len(text) > 0
 }
 
 const (
