netx: a response with a transfer encoding beside a length, or in HTTP/1.0, is none

Callers saw: an engine answered in HTTP/1.0 and named chunks. The caller got the chunks with their sizes as the body.

Cause: net/http ignores a transfer encoding in HTTP/1.0, and a length beside one in HTTP/1.1.

For the second, bodies that are not chunked broke off already; internal/netx, internal/upstream have both.

Already held, with tests: lengths that differ, with a sign or that are no number, and other encodings.

Change: the recorded head must not have both, nor an encoding in HTTP/1.0; HTTP calls such framing faulty.

--- a/internal/netx/head.go
+++ b/internal/netx/head.go
@@ -13,6 +13,9 @@
 var (
 	errHeadTooLarge = errors.New("head of the response exceeds the size limit")
 	errNoHead       = errors.New("no response has come since the request")
+	// errContradictoryLength: net/http drops the length of a chunked response, and takes the
+	// chunks of an HTTP/1.0 response for its body.
+	errContradictoryLength = errors.New("response has a transfer encoding beside a length, or in HTTP/1.0")
 )
 
 // HeadRecorder records the head of a response as its bytes are read from a connection, because
@@ -83,13 +86,20 @@
 	if err := checkStatusLine(bytes.TrimSuffix(line, []byte("\r"))); err != nil {
 		return err
 	}
+	hasLength, isEncoded := false, false
 	for line := range bytes.Lines(fields) {
 		if line = bytes.TrimRight(line, "\r\n"); len(line) == 0 {
 			continue // the end of the head
 		}
-		if name, _, found := bytes.Cut(line, []byte(":")); !found || !isToken(name) {
+		name, _, found := bytes.Cut(line, []byte(":"))
+		if !found || !isToken(name) {
 			return fmt.Errorf("invalid field line %q", line)
 		}
+		hasLength = hasLength || bytes.EqualFold(name, []byte("Content-Length"))
+		isEncoded = isEncoded || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+	}
+	if isEncoded && (hasLength || head[len(versionPrefix)] == '0') {
+		return errContradictoryLength
 	}
 	return nil
 }
--- a/internal/netx/headcheck_test.go
+++ b/internal/netx/headcheck_test.go
@@ -47,7 +47,7 @@
 // A response that is not valid HTTP is an error, also on a kept connection, and the request is
 // not sent again.
 func TestClientRefusesHeadsThatAreNotValid(t *testing.T) {
-	for _, head := range slices.Concat(rawserver.InvalidStatuses, rawserver.InvalidFields) {
+	for _, head := range slices.Concat(rawserver.InvalidStatuses, rawserver.InvalidFields, rawserver.InvalidLengths) {
 		for _, kept := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%q %v", head, kept), func(t *testing.T) {
 				var isInvalid atomic.Bool
--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -101,7 +101,7 @@
 }
 
 func TestHeadsThatAreNotValidAreNoResponses(t *testing.T) {
-	for _, head := range slices.Concat(rawserver.InvalidStatuses, rawserver.InvalidFields) {
+	for _, head := range slices.Concat(rawserver.InvalidStatuses, rawserver.InvalidFields, rawserver.InvalidLengths) {
 		t.Run(fmt.Sprintf("%q", head), func(t *testing.T) {
 			withTestServer(t, func(c net.Conn) {
 				readRequest(c)
