--- a/internal/backend/broken_test.go
+++ b/internal/backend/broken_test.go
@@ -3,7 +3,11 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,3 +90,42 @@
 		}
 	}
 }
+
+// Answers that are not valid HTTP tell nothing of the request, which is sent once.
+func TestInvalidHeadsAreNoAnswers(t *testing.T) {
+	for _, head := range slices.Concat(rawserver.InvalidStatuses, rawserver.InvalidFields, rawserver.InvalidLengths) {
+		t.Run(fmt.Sprintf("%q", head), func(t *testing.T) {
+			var requests atomic.Int32
+			address := rawserver.Serve(t, func(c *rawserver.Conn) {
+				if _, err := c.ReadRequest(); err != nil {
+					return
+				}
+				requests.Add(1)
+				line, fields, _ := strings.Cut(head, "\r\n")
+				c.Send(strings.TrimSuffix(line+"\r\n"+headerNotRun+": true\r\n"+fields, "\r\n") + "\r\n\r\ndata: [DONE]\n\n")
+				_ = c.CloseWrite()
+				_, _ = io.Copy(io.Discard, c)
+			})
+			c := newTCPClient(t)
+			calls := map[string]func() error{
+				"plain": func() error {
+					_, err := c.Start(t.Context(), target(address, Plain), plainUpload(100), "r.1", nil)
+					return err
+				},
+				"engine": func() error {
+					_, err := c.Start(t.Context(), target(address, Engine), chatRequest(true), "r.1", nil)
+					return err
+				},
+				"resume": func() error {
+					_, err := c.Resume(t.Context(), target(address, Engine), chatRequest(true), "r.1", 1)
+					return err
+				},
+			}
+			for name, call := range calls {
+				requests.Store(0)
+				requireProgress(t, MayHaveRun, call())
+				require.EqualValues(t, 1, requests.Load(), name)
+			}
+		})
+	}
+}
