kv/etcd: an answer that breaks off is none

Callers saw: a read of the store returned nothing, a write counted as made or as refused and a lease as lapsed, although the answer had broken off in its body: a member could leave out keys, take an unknown claim for made, or for not made.

Cause: only the first JSON value of a body was decoded and the rest not waited for; of a refusal, the error of the read was dropped, and with it a text that tells a write that may have taken effect from one that has not.

Evidence: internal/kv/etcd TestAnswersThatAreNotWholeAreErrors over TCP before: no error of get, list, txn, grant and revoke with "{}" of 100 bytes or without the last chunk, "lapsed" of keepalive; "no effect" of writes for 503, 429 and 400 that broke off.

Change: bodies are read to their end, and decoded whole.

--- a/internal/kv/etcd/etcd.go
+++ b/internal/kv/etcd/etcd.go
@@ -149,7 +149,7 @@
 	return kind == "get" || kind == "list" || kind == "keepalive" || kind == "watch"
 }
 
-// call sends one request and decodes the first JSON value of the response.
+// call sends one request and decodes the response.
 func (s *Store) call(ctx context.Context, kind, path string, req, resp any) error {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.Timeout)
 	defer cancel()
@@ -158,10 +158,13 @@
 		return err
 	}
 	defer r.Body.Close()
-	if err := json.NewDecoder(r.Body).Decode(resp); err != nil {
+	data, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = json.Unmarshal(data, resp)
+	}
+	if err != nil {
 		return s.transportError(kind, true, err)
 	}
-	_, _ = io.Copy(io.Discard, r.Body) // lets the connection be reused
 	return nil
 }
 
@@ -204,9 +207,12 @@
 
 // statusError returns the error for a response with a status other than 200.
 func (s *Store) statusError(kind string, resp *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	if err != nil {
+		return s.transportError(kind, true, err)
+	}
 	s.count("kv.errors." + kind)
 	var e wire.Error
-	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 	if err := json.Unmarshal(body, &e); err != nil {
 		e.Message = string(body)
 	}
