backend: a refusal counts only if it was written for the request that waits

Callers saw: an engine wrote an earlier refusal once more on a kept connection. Requests that it was running were told to be not run, or ran at a second engine (entries that own requests).

Cause: net/http takes any response on a connection for that to the latest request, and the client took any refusal (X-Not-Run) for a refusal of it.

Evidence: internal/backend TestEarlierRefusalIsNoneOfTheNextRequest over TCP before: the second of two requests "refused" while it ran, with and without the earlier attempt's name, 503 and 429, at engines and plain services; the earlier answer was taken for its answer, an earlier failure for its failure. All hold now, and a third request on the same server gets its own answer on another connection.

Change: a response that names another attempt, and a refusal without a name on a connection that has served others, leave open whether the request has run; the connection is closed.

--- a/internal/backend/broken_test.go
+++ b/internal/backend/broken_test.go
@@ -129,3 +129,84 @@
 		})
 	}
 }
+
+// A faulty server writes an earlier refusal once more on a kept connection, before the answer to the
+// next request. That one may run, and nothing of the connection is taken for the answer to a third.
+func TestEarlierRefusalIsNoneOfTheNextRequest(t *testing.T) {
+	const refusal, notRun = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n", headerNotRun + ": true\r\n"
+	for name, stray := range map[string]string{
+		"names the earlier attempt":  refusal + notRun + headerAttempt + ": r.1\r\n\r\n",
+		"names none":                 refusal + notRun + "\r\n",
+		"429":                        "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n" + notRun + "\r\n",
+		"an answer to the first one": "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + headerAttempt + ": r.1\r\n\r\nother",
+		"a failure of the first one": "HTTP/1.1 404 Not Found\r\nContent-Length: 5\r\n" + headerAttempt + ": r.1\r\n\r\nother",
+	} {
+		for _, class := range []Class{Plain, Engine} {
+			t.Run(fmt.Sprint(name, " ", class), func(t *testing.T) {
+				var connections atomic.Int32
+				address := rawserver.Serve(t, func(c *rawserver.Conn) {
+					first := connections.Add(1) == 1
+					for n := 0; ; n++ {
+						r, err := c.ReadRequest()
+						if err != nil {
+							return
+						}
+						_, _ = io.Copy(io.Discard, r.Body)
+						attempt := r.Header.Get(headerAttempt)
+						if first && n == 0 {
+							c.Send(refusal + notRun + headerAttempt + ": " + attempt + "\r\n\r\n")
+							continue
+						}
+						if first {
+							c.Send(stray)
+							time.Sleep(20 * time.Millisecond)
+						}
+						c.Send("HTTP/1.1 201 Created\r\nContent-Length: " + fmt.Sprint(len(attempt)) + "\r\n" + headerAttempt + ": " + attempt + "\r\n\r\n" + attempt)
+					}
+				})
+				c := newTCPClient(t)
+				start := func(attempt AttemptID) (Answer, error) {
+					if class == Plain {
+						return c.Start(t.Context(), target(address, Plain), plainUpload(100), attempt, nil)
+					}
+					return c.Start(t.Context(), target(address, Engine), chatRequest(true), attempt, nil)
+				}
+				_, err := start("r.1")
+				requireProgress(t, Refused, err)
+				_, err = start("r.2")
+				requireProgress(t, MayHaveRun, err)
+				time.Sleep(50 * time.Millisecond)
+				require.EqualValues(t, 1, connections.Load(), "the connection was kept")
+				a, err := start("r.3")
+				require.EqualValues(t, 2, connections.Load(), "the connection is not used again")
+				if class == Engine {
+					requireProgress(t, RanAndFailed, err)
+					return
+				}
+				require.NoError(t, err)
+				events, err := readAll(a)
+				require.NoError(t, err)
+				require.Equal(t, "r.3", string(events[0].Data))
+			})
+		}
+	}
+}
+
+// A refusal that names no attempt counts on a new connection, on which nothing was sent before.
+func TestRefusalWithoutNameCountsOnANewConnection(t *testing.T) {
+	address := rawserver.Serve(t, func(c *rawserver.Conn) {
+		for {
+			r, err := c.ReadRequest()
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			c.Send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n" + headerNotRun + ": true\r\n\r\n")
+		}
+	})
+	c := newTCPClient(t)
+	for i, want := range []Progress{Refused, MayHaveRun, Refused} { // the second closes the connection
+		_, err := c.Start(t.Context(), target(address, Plain), plainUpload(100), AttemptID(fmt.Sprint("r.", i)), nil)
+		requireProgress(t, want, err)
+	}
+}
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	resp, _, err := c.do(req)
+	resp, _, err := c.do(t, req)
 	if err != nil {
 		return fault.Wrap(err, fault.Ambiguous, "engine.cancel", t.ID, "attempt %s", attempt)
 	}
@@ -117,12 +117,34 @@
 }
 
 // do sends req at most once. hadConn reports whether the transport had obtained
-// a connection for the request, so that some of it may have been written.
-func (c *HTTPClient) do(req *http.Request) (resp *http.Response, hadConn bool, err error) {
-	var got atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { got.Store(true) }}
+// a connection for the request, so that some of it may have been written. A response to an
+// earlier request on the connection is an error.
+func (c *HTTPClient) do(t Target, req *http.Request) (resp *http.Response, hadConn bool, err error) {
+	var got atomic.Pointer[httptrace.GotConnInfo]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { got.Store(&info) }}
 	resp, err = c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	return resp, got.Load(), err
+	info := got.Load()
+	if err == nil && info != nil && !isResponseTo(t, req, resp, info.Reused) {
+		_ = info.Conn.Close() // the response to this request may follow
+		_ = resp.Body.Close()
+		return nil, true, errEarlierResponse
+	}
+	return resp, info != nil, err
+}
+
+// errEarlierResponse means that a response may be one to an earlier request, which the server has
+// written once more.
+var errEarlierResponse = errors.New("the response may be one to an earlier request")
+
+// isResponseTo reports whether resp is the response to req. Responses of engines and of plain
+// services may name the attempt. A refusal that names none counts only on a connection without earlier
+// requests.
+func isResponseTo(t Target, req *http.Request, resp *http.Response, isReused bool) bool {
+	attempt, named := req.Header.Get(headerAttempt), resp.Header.Get(headerAttempt)
+	if attempt != "" && named != "" && t.Class != Older {
+		return named == attempt
+	}
+	return !isReused || !isRefusal(resp)
 }
 
 // logFailure logs e and returns it.
--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -122,7 +122,7 @@
 	if r.Priority != "" {
 		req.Header.Set(headerPriority, r.Priority)
 	}
-	resp, hadConn, err := c.do(req)
+	resp, hadConn, err := c.do(t, req)
 	if err != nil {
 		return nil, c.logFailure(r.ID, transportError(t, step, hadConn, err))
 	}
@@ -156,7 +156,7 @@
 	req.Header.Set("Accept", "text/event-stream")
 	setRequestIDs(req, r, attempt)
 	setLastEventID(req, after)
-	resp, hadConn, err := c.do(req)
+	resp, hadConn, err := c.do(t, req)
 	if err != nil {
 		return nil, c.logFailure(r.ID, transportError(t, step, hadConn, err))
 	}
--- a/internal/backend/kvcache.go
+++ b/internal/backend/kvcache.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return 0, err
 	}
-	exportResp, _, err := c.do(exportReq)
+	exportResp, _, err := c.do(from, exportReq)
 	if err != nil {
 		return 0, fault.Wrap(err, fault.Unavailable, step, from.ID, "export of %s", attempt)
 	}
@@ -47,7 +47,7 @@
 	req.Body = nonRewindableBody{blob}
 	req.ContentLength = length
 	req.Header.Set("Content-Type", "application/octet-stream")
-	resp, _, err := c.do(req)
+	resp, _, err := c.do(to, req)
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, step, to.ID, "import")
 	}
--- a/internal/backend/plain.go
+++ b/internal/backend/plain.go
@@ -28,7 +28,7 @@
 	req.Header = netx.EndToEndHeaders(r.Header)
 	req.Header.Del("Content-Length")
 	setRequestIDs(req, r, attempt)
-	resp, hadConn, err := c.do(req)
+	resp, hadConn, err := c.do(t, req)
 	if err != nil {
 		return nil, c.logFailure(r.ID, transportError(t, step, hadConn, err))
 	}
--- a/internal/standin/engine/doc.go
+++ b/internal/standin/engine/doc.go
@@ -9,7 +9,7 @@
 // stream_options.include_usage) and GET /v1/models. Extensions:
 //
 //   - Request header X-Attempt-Id names the attempt. Without it the engine
-//     assigns an ID. The response to an accepted completion carries the ID in the
+//     assigns an ID. The response to a completion carries the ID in the
 //     same header. A second POST with the ID of a known attempt gets 409.
 //   - Request header X-Priority (high, normal, low) orders the waiting queue.
 //   - Server-sent events carry "id: n" with n = 1, 2, 3 and so on.
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -52,6 +52,7 @@
 	}
 	a, status := s.add(r, b)
 	if status != 0 {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 		s.writeRefusal(w, status)
 		return
 	}
--- a/internal/standin/plainservice/plainservice.go
+++ b/internal/standin/plainservice/plainservice.go
@@ -7,7 +7,7 @@
 // that has started runs to its end, even if its connection drops. Each response
 // carries a load report in the header endpoint-load-metrics; GET /metrics/load
 // returns only the report. A 503 with X-Not-Run: true means that the call was
-// not run.
+// not run; it names the attempt in X-Attempt-Id.
 package plainservice
 
 import (
@@ -118,7 +118,7 @@
 	}
 	down, ok := s.enqueue()
 	if !ok {
-		s.refuse(w)
+		s.refuse(w, r)
 		return
 	}
 	select {
@@ -151,8 +151,9 @@
 	s.waiting--
 }
 
-func (s *Server) refuse(w http.ResponseWriter) {
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request) {
 	s.setLoadHeader(w)
+	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 	w.Header().Set("X-Not-Run", "true")
 	w.Header().Set("Retry-After", "1")
 	http.Error(w, "not run: the queue is full", http.StatusServiceUnavailable)
