netx: a response before the end of an upload is not given up for a failed write

Callers saw: a plain service answered an upload before it had read it, with a length, and closed its connection. At times the caller got "may have run" in place of the answer (entries that own requests).

Cause: net/http gives up a response for which it waits as soon as a write of the request fails, although it may have arrived.

Change: once a part of a request has been written, a write does not tell that the peer has closed the connection; the read tells whether there is a response, or the error of the broken connection.

--- a/internal/netx/headcheck.go
+++ b/internal/netx/headcheck.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"syscall"
 )
 
 // checkedTransport is a transport that returns an error for a response whose head is not valid,
@@ -49,6 +50,22 @@
 	net.Conn
 	mu   sync.Mutex
 	head HeadRecorder
+	// hasWritten is true once a part of the request has been written.
+	hasWritten bool
+}
+
+// Write implements net.Conn. Once a part of the request has been written, it does not tell that the
+// peer has closed the connection: net/http would give up a response that the server has sent
+// before it had read the whole request. The reads tell whether there is one.
+func (c *recordedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hasWritten = c.hasWritten || n > 0
+	if c.hasWritten && (errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)) {
+		return len(p), nil
+	}
+	return n, err
 }
 
 // Read implements net.Conn.
@@ -69,6 +86,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head.Start()
+	c.hasWritten = false
 }
 
 func (c *recordedConn) checkHead() error {
