relay: what is no event is not spliced into a stream that goes on elsewhere

Callers saw: a stream had begun and broke off; the next server answered with an error in a signed 200 (text, HTML, JSON, the whole head of an error). They found it in the middle of their stream, which then ended as if it were complete.

Cause: of the answer with which a stream goes on, all up to a blank line was taken for events.

Change: in a response that goes on with a stream, also with one that the caller takes up, each event has an ID or consists of comments and standard fields; other text breaks it off, and the rest is asked of another server.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -24,6 +24,9 @@
 // timeout.
 var errStreamStalled = errors.New("stream exceeded its stall timeout")
 
+// errNoEvents ends a response that was to continue a stream and holds something else.
+var errNoEvents = errors.New("the response is no continuation of the stream")
+
 // errOtherVersion ends a send that was to continue a stream, at a server whose software
 // version is not known to be that of the stream.
 var errOtherVersion = errors.New("the server may be of another software version than the stream")
@@ -37,7 +40,7 @@
 		q.relay.Balancer.finishCall(c, signalNeutral)
 		return sendResult{outcome: outcomeUnknown, refusal: badGateway(reasonAnswerLost), err: errOtherVersion}
 	}
-	s := &eventStream{request: q}
+	s := &eventStream{request: q, isContinued: q.info.LastEventID != ""}
 	s.sendHead = func() { q.setHead(resp.Status, resp.Header); q.w.WriteHeader(resp.Status) }
 	for {
 		next, err := s.copy(ctx, c, resp)
@@ -65,6 +68,7 @@
 			q.abortConnection(err)
 		}
 		c, resp = next.choice, next.resp
+		s.isContinued = true
 	}
 }
 
@@ -78,6 +82,8 @@
 	callerLeft bool
 	// lastEventID is the ID of the last event that was forwarded.
 	lastEventID string
+	// isContinued is set if the response continues a stream that another one has begun.
+	isContinued bool
 }
 
 // continuation is the response of another server that continues a stream.
@@ -103,6 +109,9 @@
 			err = membudget.ErrShort
 		}
 		end := completeEventsLength(pending.data)
+		if s.isContinued && !areEvents(pending.data[:end]) {
+			end, err = 0, errNoEvents
+		}
 		hasEvent = hasEvent || end > 0
 		isRegularEnd := err == io.EOF && end == len(pending.data) && (resp.Framed || hasEvent)
 		if next := stall.stop(err == nil || isRegularEnd); next.resp != nil {
@@ -305,6 +314,31 @@
 	return length
 }
 
+// areEvents reports whether data, which ends with a blank line, holds events of a resumable
+// stream only: blocks of lines with an ID, or of comments and standard fields. A server's error message has
+// other lines.
+func areEvents(data []byte) bool {
+	hasID, isStandard := false, true
+	for line := range bytes.Lines(data) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			if !hasID && !isStandard {
+				return false
+			}
+			hasID, isStandard = false, true
+			continue
+		}
+		switch name, _, _ := bytes.Cut(line, []byte(":")); string(name) {
+		case "id":
+			hasID = true
+		case "", "data", "event", "retry": // a comment has no name
+		default:
+			isStandard = false
+		}
+	}
+	return true
+}
+
 // lastEventID returns the last event ID in data, which holds complete events;
 // empty if there is none.
 func lastEventID(data []byte) string {
