relay: a server that has not run a request does not continue its stream

Callers saw: a stream broke off, and the next server answered 200 with the header that says that it did not run the request. What came with that answer was forwarded as the rest of the stream.

Cause: the answer with which a stream goes on had to be a signed 200; whether it says "not run" was looked at only for others.

Evidence: platform TestErrorsAreNotSplicedIntoStreams/200_not_run before: 6 of 6 streams; 0 of 6 now.

Change: such an answer does not continue the stream.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -236,7 +236,7 @@
 		if err == nil {
 			info = q.inspect(c, resp)
 		}
-		hasContinued := err == nil && resp.Status == http.StatusOK && info.Signed
+		hasContinued := err == nil && resp.Status == http.StatusOK && info.Signed && !info.NotRun
 		isOtherVersion := hasContinued && q.origin != nil && !q.canContinue(ctx, c, resp)
 		if hasContinued && !isOtherVersion && contest.takeOver() {
 			q.serverID, q.serverVersion, q.via = c.target.ID, c.version, c.via
