relay: a late response to an attempt does not state a server's load

Callers saw: an engine that was full wrote an earlier refusal once more before its answer to a question for its load. All requests went there, as the refusal had stated room.

Cause: the question for the load took any response on its connection.

Evidence: platform TestRequestsGoWhereWorkIsTakenWell "full, and an earlier refusal once more" before: 64 of 64 requests at the full server; at most 4 now, as without the refusal.

Change: a response that names an attempt is none to the question.

--- a/internal/relay/loadcheck.go
+++ b/internal/relay/loadcheck.go
@@ -258,7 +258,10 @@
 func (r *Relay) queryLoad(t upstream.Target, path string) (capacity.Statement, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), loadQueryTimeout)
 	defer cancel()
-	resp, err := r.Pool.Do(ctx, t, &upstream.Request{Method: http.MethodGet, URI: path, Host: t.Address, Header: http.Header{}})
+	resp, err := r.Pool.Do(ctx, t, &upstream.Request{
+		Method: http.MethodGet, URI: path, Host: t.Address, Header: http.Header{},
+		Matches: func(_ int, h http.Header) bool { return r.Codec.MatchesAttempt("", h) }, // not a late response to an attempt
+	})
 	if fault.Is(err, fault.Exhausted) {
 		return capacity.Statement{}, false // this entry has too few connections
 	}
