cloudhttp: an odd entry of a list costs itself only

Callers saw: one odd entry among the VMs of the platform's list: very deeply nested, with a number too large, or of another type. Entries that own requests stopped following the list and its notices; a port out of range was dialled.

Cause: a list was decoded as a whole. encoding/json refuses a document that holds one value nested too deeply or one number too large. Sequences, addresses and counts were not checked; a notice with the largest sequence hid all later ones.

Change: lists are decoded element by element once a whole one fails (internal/jsonlist, which bears any depth); elements without an ID, with an invalid address or with numbers out of range are left out and counted in the event cloud-elements-dropped. A document that is not whole is an error, as before (TestDocumentsThatAreNotWholeAreErrors).

--- a/internal/netx/netx.go
+++ b/internal/netx/netx.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"net"
+	"strconv"
+	"strings"
 )
 
 // Network opens and accepts stream connections.
@@ -15,3 +17,13 @@
 	// Listen accepts connections on address ("host:port"; port 0 picks one).
 	Listen(address string) (net.Listener, error)
 }
+
+// IsHostPort reports whether text is "host:port" with a port in digits from 1 to 65535.
+func IsHostPort(text string) bool {
+	host, port, err := net.SplitHostPort(text)
+	if err != nil || host == "" || strings.ContainsFunc(host, func(r rune) bool { return r <= ' ' || r == 0x7f }) {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n > 0
+}
--- a/internal/provider/cloudhttp/client.go
+++ b/internal/provider/cloudhttp/client.go
@@ -10,12 +10,15 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"buckthornpick/internal/fault"
+	"buckthornpick/internal/jsonlist"
+	"buckthornpick/internal/netx"
 	"buckthornpick/internal/provider"
 	"buckthornpick/internal/telemetry"
 )
@@ -61,13 +64,11 @@
 // the platform sends an entity tag with the list, an unchanged list is returned
 // from the client's cache.
 func (c *Client) ListVMs(ctx context.Context) ([]provider.VM, error) {
-	var list struct {
-		VMs []provider.VM `json:"vms"`
-	}
+	var list []provider.VM
 	c.mu.Lock()
 	cached, etag := c.vms, c.etag
 	c.mu.Unlock()
-	k := apiCall{step: "cloud.list", method: http.MethodGet, path: "/v1/vms", response: &list, etag: etag, newETag: new(string)}
+	k := apiCall{step: "cloud.list", method: http.MethodGet, path: "/v1/vms", decode: decodeList(c, "vms", isUsableVM, &list), etag: etag, newETag: new(string)}
 	err := c.call(ctx, k)
 	if errors.Is(err, errNotModified) {
 		return cached, nil
@@ -77,8 +78,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.vms, c.etag = list.VMs, *k.newETag
-	return list.VMs, nil
+	c.vms, c.etag = list, *k.newETag
+	return list, nil
 }
 
 // Notices implements provider.NoticeSource by long polling. It returns no notice
@@ -88,21 +89,18 @@
 		"after": {strconv.FormatInt(after, 10)},
 		"wait":  {strconv.FormatInt(c.NoticeWait.Milliseconds(), 10)},
 	}
-	var list struct {
-		Notices []provider.Notice `json:"notices"`
-	}
+	var list []provider.Notice
 	path := "/v1/notices?" + query.Encode()
-	err := c.call(ctx, apiCall{step: "cloud.notices", method: http.MethodGet, path: path, response: &list})
-	return list.Notices, err
+	err := c.call(ctx, apiCall{step: "cloud.notices", method: http.MethodGet, path: path, decode: decodeList(c, "notices", isUsableNotice, &list)})
+	return list, err
 }
 
 // Offers implements provider.Cloud.
 func (c *Client) Offers(ctx context.Context) ([]provider.Offer, error) {
-	var list struct {
-		Offers []provider.Offer `json:"offers"`
-	}
-	err := c.call(ctx, apiCall{step: "cloud.offers", method: http.MethodGet, path: "/v1/offers", response: &list})
-	return list.Offers, err
+	var list []provider.Offer
+	isUsable := func(o provider.Offer) bool { return o.Class != "" && o.PricePerHour >= 0 && o.Accelerators >= 0 }
+	err := c.call(ctx, apiCall{step: "cloud.offers", method: http.MethodGet, path: "/v1/offers", decode: decodeList(c, "offers", isUsable, &list)})
+	return list, err
 }
 
 // StartVM implements provider.Cloud. After fault.Ambiguous the VM may have been
@@ -136,6 +134,8 @@
 	path     string
 	body     any // JSON request body; nil for none
 	response any // receives the JSON response; nil to ignore it
+	// decode reads the response in place of response, if it is not nil.
+	decode func(data []byte) error
 	// mutates is true if the call changes state, so that it may have taken
 	// effect even if its response is lost.
 	mutates bool
@@ -146,6 +146,31 @@
 	newETag *string
 }
 
+// decodeList returns a decoder of the list in the field name of a response. Elements that cannot be
+// decoded or are not usable are left out.
+func decodeList[T any](c *Client, name string, isUsable func(T) bool, into *[]T) func([]byte) error {
+	return func(data []byte) error {
+		list, dropped, err := jsonlist.Decode[T](data, name)
+		*into = slices.DeleteFunc(list, func(element T) bool { return !isUsable(element) })
+		if dropped += len(list) - len(*into); dropped > 0 {
+			c.log.Log(EvElementsDropped, "peer", c.base, "list", name, "dropped", dropped, "left", len(*into))
+		}
+		return err
+	}
+}
+
+// maxSequence is the largest whole number that JSON numbers hold exactly.
+const maxSequence = 1 << 53
+
+// isUsableVM reports whether an entry can be that of a VM, which may have no address yet.
+func isUsableVM(vm provider.VM) bool {
+	return vm.ID != "" && vm.Accelerators >= 0 && vm.PricePerHour >= 0 && (vm.Address == "" || netx.IsHostPort(vm.Address))
+}
+
+func isUsableNotice(n provider.Notice) bool {
+	return n.VM != "" && n.Sequence > 0 && n.Sequence <= maxSequence
+}
+
 // errNotModified means that the cached response is still current.
 var errNotModified = errors.New("not modified")
 
@@ -180,10 +205,13 @@
 	if len(data) > maxResponseBytes {
 		return fault.New(fault.Protocol, k.step, c.base, "response exceeds %d bytes", maxResponseBytes)
 	}
-	if k.response == nil {
-		return nil
+	switch {
+	case k.decode != nil:
+		err = k.decode(data)
+	case k.response != nil:
+		err = json.Unmarshal(data, k.response)
 	}
-	if err := json.Unmarshal(data, k.response); err != nil {
+	if err != nil {
 		return fault.Wrap(err, fault.Protocol, k.step, c.base, "answer")
 	}
 	if k.newETag != nil {
