strictmsg: deeply nested values of the store need no more memory than others

Operators would see: a value of another writer under a key of the entries (spending, evidence, origins of streams), nested in a million levels, takes 260 MB of stack in each entry that reads it, at its start too; VMs have from 184 MB.

Cause: the msgpack decoder is recursive, also over fields that are not known. Only lengths of handshakes were checked.

Change: the check of handshakes becomes a package of its own, limits nesting to 32 levels, and precedes the decoding of these values. A value that it refuses is treated as unreadable, as before.

--- a/internal/blame/store.go
+++ b/internal/blame/store.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"buckthornpick/internal/kv"
+	"buckthornpick/internal/strictmsg"
 	"buckthornpick/internal/wait"
 )
 
@@ -46,7 +47,7 @@
 // mergeStored merges the value of BlockedKey.
 func (t *Tracker) mergeStored(value []byte) error {
 	var stored storedEvidence
-	if err := msgpack.Unmarshal(value, &stored); err != nil {
+	if err := strictmsg.Unmarshal(value, &stored); err != nil {
 		return err
 	}
 	elapsed := max(0, time.Now().UnixMilli()-stored.StoredAt)
--- a/internal/originstore/archive.go
+++ b/internal/originstore/archive.go
@@ -16,6 +16,7 @@
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/kv"
 	"buckthornpick/internal/relay"
+	"buckthornpick/internal/strictmsg"
 	"buckthornpick/internal/telemetry"
 	"buckthornpick/internal/wait"
 )
@@ -320,7 +321,7 @@
 // decodeSegment adds the rows of a stored segment to rows.
 func decodeSegment(value []byte, rows map[uint64]relay.StreamOrigin) error {
 	var e encodedSegment
-	if err := msgpack.Unmarshal(value, &e); err != nil {
+	if err := strictmsg.Unmarshal(value, &e); err != nil {
 		return err
 	}
 	if e.Format != format || len(e.Keys) != 8*len(e.Indexes) {
--- a/internal/originstore/declarations.go
+++ b/internal/originstore/declarations.go
@@ -21,6 +21,7 @@
 
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/relay"
+	"buckthornpick/internal/strictmsg"
 )
 
 // DeclarationsKey is the key of the declarations.
@@ -112,7 +113,7 @@
 // format.
 func decodeDeclarations(value []byte) (*Declarations, error) {
 	var e encodedDeclarations
-	if err := msgpack.Unmarshal(value, &e); err != nil {
+	if err := strictmsg.Unmarshal(value, &e); err != nil {
 		return nil, fault.Wrap(err, fault.Invalid, "origins.decode", DeclarationsKey, "cannot decode the declarations")
 	}
 	if e.Format != format {
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"buckthornpick/internal/strictmsg"
 )
 
 // allocated returns how many bytes f allocates.
@@ -68,9 +70,9 @@
 	f.Fuzz(func(t *testing.T, text []byte, s string, i int64, u uint64, isTrue bool) {
 		sound, err := msgpack.Marshal(map[string]any{s: []any{i, u, isTrue, nil, 1.5, float32(2), text}, "m": map[string]string{s: s}})
 		require.NoError(t, err)
-		require.NoError(t, checkLengths(sound))
-		require.Error(t, checkLengths(sound[:len(sound)-1]))
-		if checkLengths(text) == nil {
+		require.NoError(t, strictmsg.Check(sound))
+		require.Error(t, strictmsg.Check(sound[:len(sound)-1]))
+		if strictmsg.Check(text) == nil {
 			var into any
 			require.NotErrorIs(t, msgpack.Unmarshal(text, &into), io.ErrUnexpectedEOF)
 		}
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -12,6 +12,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"buckthornpick/internal/fault"
+
+	"buckthornpick/internal/strictmsg"
 )
 
 // The handshake alternates between the two sides:
@@ -182,10 +184,7 @@
 	if version != protocolVersion {
 		return fault.New(fault.Protocol, "peer.handshake", "", "protocol version %d here and %d there", protocolVersion, version)
 	}
-	if err := checkLengths(body); err != nil {
-		return err
-	}
-	return msgpack.Unmarshal(body, into)
+	return strictmsg.Unmarshal(body, into)
 }
 
 func readPreamble(r io.Reader) (version uint16, err error) {
--- a/internal/relay/spending.go
+++ b/internal/relay/spending.go
@@ -10,6 +10,7 @@
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/kv"
 	"buckthornpick/internal/quota"
+	"buckthornpick/internal/strictmsg"
 	"buckthornpick/internal/telemetry"
 	"buckthornpick/internal/wait"
 )
@@ -86,7 +87,7 @@
 		return err
 	}
 	var stored storedSpending
-	if err := msgpack.Unmarshal(entry.Value, &stored); err != nil || stored.Format != spendingFormat {
+	if err := strictmsg.Unmarshal(entry.Value, &stored); err != nil || stored.Format != spendingFormat {
 		k.Log.Log(EvSpendingUnreadable, "revision", entry.ModRevision, "format", stored.Format)
 		return nil
 	}
--- a/internal/peer/lengths.go
+++ b/internal/strictmsg/strictmsg.go
@@ -1,24 +1,51 @@
-package peer
+// Package strictmsg decodes msgpack from writers that are not trusted, such as strangers who connect
+// to a node and other writers of the store.
+package strictmsg
 
 import (
 	"encoding/binary"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"github.com/vmihailenco/msgpack/v5/msgpcode"
 
 	"buckthornpick/internal/fault"
 )
 
-// checkLengths returns an error unless b holds one msgpack value, all parts of which are as
-// long as they state. The decoder allocates by what is stated, up to a megabyte for each part;
-// bytes of strangers are checked before.
-func checkLengths(b []byte) error {
-	for missing := 1; missing > 0; missing-- {
+// maxDepth limits the nesting of values. The decoder is recursive, and takes some 250 bytes of
+// stack for each level.
+const maxDepth = 32
+
+// Unmarshal decodes b after Check.
+func Unmarshal(b []byte, into any) error {
+	if err := Check(b); err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(b, into)
+}
+
+// Check returns an error unless b holds one msgpack value, all parts of which are as long as
+// they state, and whose nesting is limited. The decoder allocates by what is stated, up to a
+// megabyte for each part.
+func Check(b []byte) error {
+	var missing [maxDepth]int // values at each level
+	missing[0] = 1
+	for depth := 0; depth >= 0; {
+		if missing[depth] == 0 {
+			depth--
+			continue
+		}
+		missing[depth]--
 		size, values, ok := valueSize(b)
 		if !ok || size > len(b) || values > len(b) {
-			return fault.New(fault.Protocol, "peer.check", "", "message is shorter than it states")
+			return fault.New(fault.Protocol, "strictmsg.check", "", "message is shorter than it states")
 		}
 		b = b[size:]
-		missing += values
+		if values > 0 {
+			if depth++; depth == maxDepth {
+				return fault.New(fault.Protocol, "strictmsg.check", "", "message is nested in more than %d levels", maxDepth)
+			}
+			missing[depth] = values
+		}
 	}
 	return nil
 }
