follow: an odd registration of an entry costs itself only

Callers would see: another writer left an entry among those of the entries that bears another's name, or an address that cannot be one. The named entry was then called at the wrong address, and an entry that is none counted when quotas are divided.

Cause: a registration was filed under the name in its value, whatever its key, and any text was an address.

Change: the name must be that of the key, and the address a host and a port.

--- a/internal/follow/entries.go
+++ b/internal/follow/entries.go
@@ -11,6 +11,7 @@
 
 	"buckthornpick/internal/fault"
 	"buckthornpick/internal/kv"
+	"buckthornpick/internal/netx"
 	"buckthornpick/internal/peer"
 	"buckthornpick/internal/telemetry"
 	"buckthornpick/internal/wait"
@@ -101,7 +102,7 @@
 
 func (e *Entries) putLocked(entry kv.Entry) {
 	var node peer.Node
-	if err := json.Unmarshal(entry.Value, &node); err != nil || node.ID == "" || node.Address == "" {
+	if err := json.Unmarshal(entry.Value, &node); err != nil || EntriesPrefix+node.ID != entry.Key || !netx.IsHostPort(node.Address) {
 		e.log.Log(EvEntryUnreadable, "key", entry.Key, "revision", entry.ModRevision)
 		return
 	}
