--- a/internal/netx/head.go
+++ b/internal/netx/head.go
@@ -93,7 +93,7 @@
 		}
 		name, _, found := bytes.Cut(line, []byte(":"))
 		if !found || !isToken(name) {
-			return fmt.Errorf("invalid field line %q", line)
+			return fmt.Errorf("invalid field line %.100q", line)
 		}
 		hasLength = hasLength || bytes.EqualFold(name, []byte("Content-Length"))
 		isEncoded = isEncoded || bytes.EqualFold(name, []byte("Transfer-Encoding"))
@@ -129,7 +129,7 @@
 		line[statusAt] >= '1' && line[statusAt] <= '5' && isDigit(line[statusAt+1]) && isDigit(line[statusAt+2]) &&
 		(len(line) == statusEnd || line[statusEnd] == ' ')
 	if !isValid {
-		return fmt.Errorf("invalid status line %q", line)
+		return fmt.Errorf("invalid status line %.100q", line)
 	}
 	if string(line[statusAt:statusEnd]) == "101" {
 		return errors.New("the server has switched protocols without being asked")
--- a/internal/netx/headcheck.go
+++ b/internal/netx/headcheck.go
@@ -54,9 +54,9 @@
 	hasWritten bool
 }
 
-// Write implements net.Conn. Once a part of the request has been written, it does not tell that the
-// peer has closed the connection: net/http would give up a response that the server has sent
-// before it had read the whole request. The reads tell whether there is one.
+// Write implements net.Conn. Once a part of the request has been written, it hides that the peer has
+// closed the connection: net/http would give up a response that the server has sent before it had
+// read the whole request. The reads tell whether there is one.
 func (c *recordedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -12,7 +12,6 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"buckthornpick/internal/fault"
-
 	"buckthornpick/internal/strictmsg"
 )
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -314,9 +314,9 @@
 	return length
 }
 
-// areEvents reports whether data, which ends with a blank line, holds events of a resumable
-// stream only: blocks of lines with an ID, or of comments and standard fields. A server's error message has
-// other lines.
+// areEvents reports whether data, which ends with a blank line, holds nothing but events of a
+// resumable stream. An event has an ID, or consists of comments and standard fields; the text of an
+// error has other lines.
 func areEvents(data []byte) bool {
 	hasID, isStandard := false, true
 	for line := range bytes.Lines(data) {
