relay: a request without an attempt's ID is sent on a new connection

Callers saw: a refusal without an ID, of an earlier request without one, came once more on a kept connection. The next request without an ID was told to be not run while it ran.

Cause: responses are matched by the attempt's ID; that of two requests without one is the same.

--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -118,7 +118,8 @@
 	r.active.Add(1)
 	resp, err := r.Pool.Do(ctx, target, &upstream.Request{
 		Method: call.Method, URI: call.URI, Host: call.Host, Header: call.Header, Body: upstream.Body{call.Body},
-		Matches: func(_ int, h http.Header) bool { return r.Codec.MatchesAttempt(call.AttemptID, h) },
+		Matches:         func(_ int, h http.Header) bool { return r.Codec.MatchesAttempt(call.AttemptID, h) },
+		OnNewConnection: call.AttemptID == "",
 	})
 	d := &detour{relay: r, ctx: ctx, from: from, call: call, target: target, startedAt: startedAt, memory: memory}
 	if err != nil {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -195,7 +195,8 @@
 		Header: q.relay.Codec.EncodeHeaders(q.r.Header, &q.info, SendParams{
 			Server: c.target.ID, Organisation: q.organisationName(), Remaining: remaining, Rank: q.rank(), LastEventID: lastEventID,
 		}),
-		Matches: func(_ int, h http.Header) bool { return q.relay.Codec.MatchesAttempt(attemptID, h) },
+		Matches:         func(_ int, h http.Header) bool { return q.relay.Codec.MatchesAttempt(attemptID, h) },
+		OnNewConnection: attemptID == "",
 	}
 }
 
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -24,6 +24,9 @@
 	Body   Body
 	// Matches reports whether a response belongs to this request; nil accepts any.
 	Matches func(status int, h http.Header) bool
+	// OnNewConnection is set if Matches cannot tell the response from one to an earlier request,
+	// so that the request needs a connection without any.
+	OnNewConnection bool
 }
 
 const (
@@ -68,7 +71,7 @@
 // if no connection was free; in both cases nothing was sent. After fault.Ambiguous
 // the request may have run.
 func (p *Pool) Do(ctx context.Context, t Target, request *Request) (*Response, error) {
-	c, err := p.get(ctx, t)
+	c, err := p.get(ctx, t, !request.OnNewConnection)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -150,13 +150,13 @@
 	return s
 }
 
-// get returns an idle connection that is reusable, or a new one. An error is
+// get returns a new connection, or an idle one that is reusable if mayReuse is set. An error is
 // fault.Unavailable or fault.Exhausted.
-func (p *Pool) get(ctx context.Context, t Target) (*conn, error) {
+func (p *Pool) get(ctx context.Context, t Target, mayReuse bool) (*conn, error) {
 	p.mu.Lock()
 	s := p.serverLocked(t)
 	now := time.Now()
-	for len(s.idle) > 0 {
+	for mayReuse && len(s.idle) > 0 {
 		c := s.idle[len(s.idle)-1]
 		s.idle = s.idle[:len(s.idle)-1]
 		if now.Before(c.idleUntil) && c.isReusable() {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -207,7 +207,7 @@
 		limited := target
 		limited.ID, limited.MaxConnections = "limited", 1
 		s.pool.serverLocked(limited).openCount = 1
-		_, err = s.pool.get(s.t.Context(), limited)
+		_, err = s.pool.get(s.t.Context(), limited, true)
 		require.True(t, fault.Is(err, fault.Exhausted))
 		require.False(t, MayHaveBeenSent(err))
 		s.net.HealHost("server")
