netx: writes and checks of heads allocate nothing

Cause: each write made a channel, and each byte of a field name was looked up in a string, on every request and message.

Change: a condition variable, and a table of the bytes of tokens.

TestResetDuringUploadIsNoCompleteResponse and the others over TCP hold, with the race detector too (internal/netx, internal/upstream, internal/tunnel).

--- a/internal/netx/head.go
+++ b/internal/netx/head.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"strings"
 )
 
 // maxRecordedHead limits the bytes of a head that are recorded.
@@ -104,11 +103,19 @@
 	return nil
 }
 
-// isToken reports whether text is a token by RFC 9110, as names of fields are. A line that
-// continues the one before it begins with a blank and is none: gateways may refuse them.
+// tokenBytes are the bytes of tokens by RFC 9110.
+var tokenBytes = func() (isToken [256]bool) {
+	for _, b := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
+		isToken[b] = true
+	}
+	return isToken
+}()
+
+// isToken reports whether text is a token, as names of fields are. A line that continues the one
+// before it begins with a blank and is none: gateways may refuse them.
 func isToken(text []byte) bool {
 	for _, b := range text {
-		if b <= ' ' || b >= 0x7f || strings.IndexByte(`"(),/:;<=>?@[\]{}`, b) >= 0 {
+		if !tokenBytes[b] {
 			return false
 		}
 	}
--- a/internal/netx/tcp.go
+++ b/internal/netx/tcp.go
@@ -22,7 +22,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &tcpConn{Conn: c, tcp: c.(*net.TCPConn)}, nil
+	conn := &tcpConn{Conn: c, tcp: c.(*net.TCPConn)}
+	conn.written.L = &conn.mu
+	return conn, nil
 }
 
 // Listen implements Network.
@@ -38,25 +40,27 @@
 	tcp *net.TCPConn
 
 	mu sync.Mutex
-	// writes is the number of writes in progress, and written is closed when there are none.
+	// writes is the number of writes in progress, and written is signalled when there are none.
 	writes  int
-	written chan struct{}
+	written sync.Cond
 	// writeErr is the error of the first write that failed.
 	writeErr error
 }
 
 // Write implements net.Conn.
-func (c *tcpConn) Write(p []byte) (n int, err error) {
+func (c *tcpConn) Write(p []byte) (int, error) {
 	c.beginWrite()
-	defer func() { c.endWrite(err) }()
-	return c.Conn.Write(p)
+	n, err := c.tcp.Write(p)
+	c.endWrite(err)
+	return n, err
 }
 
 // WriteBuffers implements BuffersWriter.
-func (c *tcpConn) WriteBuffers(buffers net.Buffers) (n int64, err error) {
+func (c *tcpConn) WriteBuffers(buffers net.Buffers) (int64, error) {
 	c.beginWrite()
-	defer func() { c.endWrite(err) }()
-	return buffers.WriteTo(c.tcp)
+	n, err := buffers.WriteTo(c.tcp)
+	c.endWrite(err)
+	return n, err
 }
 
 // Read implements net.Conn.
@@ -76,11 +80,8 @@
 
 func (c *tcpConn) beginWrite() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.writes == 0 {
-		c.written = make(chan struct{})
-	}
 	c.writes++
+	c.mu.Unlock()
 }
 
 func (c *tcpConn) endWrite(err error) {
@@ -90,7 +91,7 @@
 		c.writeErr = err
 	}
 	if c.writes--; c.writes == 0 {
-		close(c.written)
+		c.written.Broadcast()
 	}
 }
 
@@ -99,14 +100,11 @@
 // got the error and not returned yet.
 func (c *tcpConn) brokenEnd() error {
 	c.mu.Lock()
-	isWriting, written := c.writes > 0, c.written
-	c.mu.Unlock()
-	if isWriting {
+	defer c.mu.Unlock()
+	for c.writes > 0 {
 		_ = c.tcp.SetWriteDeadline(time.Unix(1, 0)) // fails if the connection is closed, which ends writes too
-		<-written
+		c.written.Wait()
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if isBroken(c.writeErr) {
 		return c.writeErr
 	}
