netx: the head of a response is that of its own request under concurrency too

Cause: the transport offers a connection to the next request before it returns a response without a body. The recorder was one for each connection, and the next request began it anew before the head had been checked.

Change: a recorder for each request.

--- a/internal/netx/headcheck.go
+++ b/internal/netx/headcheck.go
@@ -21,11 +21,10 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t checkedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var used atomic.Pointer[recordedConn]
+	var used atomic.Pointer[expectedHead]
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) {
 		if c, ok := got.Conn.(*recordedConn); ok {
-			c.expectHead()
-			used.Store(c)
+			used.Store(c.expectHead())
 		}
 	}})
 	resp, err := t.Transport.RoundTrip(r.WithContext(ctx))
@@ -35,9 +34,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if c := used.Load(); c != nil {
-		if err := c.checkHead(); err != nil {
-			_ = c.Close()
+	if head := used.Load(); head != nil {
+		if err := head.check(); err != nil {
+			_ = head.conn.Close()
 			_ = resp.Body.Close()
 			return nil, err
 		}
@@ -48,12 +47,21 @@
 // recordedConn is a connection that records the head of each response.
 type recordedConn struct {
 	net.Conn
-	mu   sync.Mutex
-	head HeadRecorder
+	mu sync.Mutex
+	// head is that of the latest request; nil before the first one.
+	head *expectedHead
 	// hasWritten is true once a part of the request has been written.
 	hasWritten bool
 }
 
+// expectedHead is the head of the response to one request. The transport may use the connection for the
+// next request before it has returned a response without a body. Its recorder is guarded by the
+// connection's mutex.
+type expectedHead struct {
+	conn     *recordedConn
+	recorder HeadRecorder
+}
+
 // Write implements net.Conn. Once a part of the request has been written, it hides that the peer has
 // closed the connection: net/http would give up a response that the server has sent before it had
 // read the whole request. The reads tell whether there is one.
@@ -73,24 +81,31 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for rest := p[:n]; len(rest) > 0 && c.head.isRecording; {
-		if rest = c.head.Record(rest); c.head.isInformational() {
-			c.head.Start()
+	if c.head == nil {
+		return n, err
+	}
+	recorder := &c.head.recorder
+	for rest := p[:n]; len(rest) > 0 && recorder.isRecording; {
+		if rest = recorder.Record(rest); recorder.isInformational() {
+			recorder.Start()
 		}
 	}
 	return n, err
 }
 
-// expectHead is called before a request is written.
-func (c *recordedConn) expectHead() {
+// expectHead is called before a request is written, and returns the head of its response.
+func (c *recordedConn) expectHead() *expectedHead {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head.Start()
+	c.head = &expectedHead{conn: c}
+	c.head.recorder.Start()
 	c.hasWritten = false
+	return c.head
 }
 
-func (c *recordedConn) checkHead() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.head.Check()
+// check returns an error if the head is not valid.
+func (h *expectedHead) check() error {
+	h.conn.mu.Lock()
+	defer h.conn.mu.Unlock()
+	return h.recorder.Check()
 }
--- a/internal/netx/headcheck_test.go
+++ b/internal/netx/headcheck_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -96,3 +97,26 @@
 		}
 	}
 }
+
+// The transport uses a connection for the next request before it has returned a response without a
+// body. The head of each response is that of its own request.
+func TestClientTakesResponsesWithoutBodiesOfConcurrentRequests(t *testing.T) {
+	client, url, _ := clientOf(t, func(c *rawserver.Conn) {
+		c.Send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+	})
+	const callers, calls = 16, 200
+	errs := make(chan error, callers*calls)
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			for range calls {
+				_, err := get(client, url)
+				errs <- err
+			}
+		})
+	}
+	wg.Wait()
+	for range callers * calls {
+		require.NoError(t, <-errs)
+	}
+}
