--- a/review/.standins-3/site_test.go
+++ b/review/.standins-3/site_test.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -48,6 +49,15 @@
 
 	mu     sync.Mutex
 	record *os.File
+
+	processesMu sync.Mutex
+	processes   []*caseProcess
+}
+
+// caseProcess is a process that the case has started.
+type caseProcess struct {
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 // caseRelay is one relay machine.
@@ -57,7 +67,8 @@
 	exited                                 chan struct{}
 }
 
-// runCase runs a case and exits with its result. A failure to set it up exits with 2.
+// runCase runs a case and exits with its result. A failure to set it up exits with 2, also that
+// of a helper that ends the test, and so does a signal. No process of the case is left.
 func runCase(t *testing.T, f func(s *caseSite) (isBroken bool, err error)) {
 	code := exitNotRun
 	s := &caseSite{
@@ -68,25 +79,40 @@
 	if s.dir, err = os.MkdirTemp("", "review-3-"); err == nil {
 		s.record, err = os.Create(os.Getenv("REVIEW_RECORD"))
 	}
-	if err == nil {
-		s.doc = &site{t: t, store: s.store, doc: operatorDoc{keys: map[string][]string{siteOrg: {siteKey}}}}
-		s.storeAddress, s.cloudAddress = s.serve(s.store), s.serve(s.cloud)
-		var isBroken bool
-		isBroken, err = f(s)
-		switch {
-		case err != nil:
-		case isBroken:
-			code = exitBroken
-		default:
-			code = exitHeld
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() { s.exit(exitNotRun, fmt.Errorf("stopped by a signal: %v", <-signals)) }()
+	defer func() {
+		if p := recover(); p != nil {
+			code, err = exitNotRun, fmt.Errorf("panic: %v", p)
 		}
+		s.exit(code, err)
+	}()
+	if err != nil {
+		return
 	}
-	s.note("result", "exit", code, "error", err)
-	for _, r := range s.relays {
-		s.signal(r, syscall.SIGCONT)
-		s.signal(r, syscall.SIGKILL)
-		<-r.exited
+	s.doc = &site{t: t, store: s.store, doc: operatorDoc{keys: map[string][]string{siteOrg: {siteKey}}}}
+	s.storeAddress, s.cloudAddress = s.serve(s.store), s.serve(s.cloud)
+	var isBroken bool
+	isBroken, err = f(s)
+	switch {
+	case err != nil:
+	case isBroken:
+		code = exitBroken
+	default:
+		code = exitHeld
 	}
+}
+
+// exit ends all processes of the case, notes the result and exits with it.
+func (s *caseSite) exit(code int, err error) {
+	s.processesMu.Lock() // for good: nothing is started any more
+	for _, p := range s.processes {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Signal(syscall.SIGKILL)
+		<-p.exited
+	}
+	s.note("result", "exit", code, "error", err)
 	if s.dir != "" && os.Getenv("REVIEW_KEEP") == "" {
 		_ = os.RemoveAll(s.dir)
 	}
@@ -111,8 +137,7 @@
 func (s *caseSite) serve(h http.Handler) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		s.note("no address", "error", err)
-		os.Exit(exitNotRun)
+		s.exit(exitNotRun, err)
 	}
 	server := &http.Server{Handler: h}
 	go func() { _ = server.Serve(l) }()
@@ -218,11 +243,14 @@
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + s.dir, "LANG=C.UTF-8", "BUCKTHORNPICK_SETTINGS=" + r.settings}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	s.processesMu.Lock()
+	defer s.processesMu.Unlock()
 	if err := cmd.Start(); err != nil {
 		return err
 	}
 	exited := make(chan struct{})
 	r.cmd, r.exited = cmd, exited
+	s.processes = append(s.processes, &caseProcess{cmd, exited})
 	go func() { _ = cmd.Wait(); close(exited) }()
 	s.note("relay started", "relay", r.id)
 	return nil
