--- a/internal/duty/events.go
+++ b/internal/duty/events.go
@@ -13,6 +13,7 @@
 	EvCountsDiffer   = telemetry.Register(3202, "usage-counts-differ", slog.LevelInfo, "The stored counts of a window, which are reported, differ from those that this holder knows.")
 	EvSnapshotFailed = telemetry.Register(3205, "usage-snapshot-failed", slog.LevelWarn, "The snapshot of the counts of windows that are not reported yet could not be stored or read.")
 	EvWindowLost     = telemetry.Register(3206, "usage-window-lost", slog.LevelWarn, "The store lost the counts of a window that an earlier holder may have reported; the window is not reported again.")
+	EvDutyTaken      = telemetry.Register(3207, "usage-duty-taken", slog.LevelInfo, "This process reports the usage from now on. Counts of windows before both safe_from and own_from are repeated as the store has them, and never counted anew.")
 	EvOrdered        = telemetry.Register(3203, "servers-ordered", slog.LevelInfo, "A new number of backend servers was ordered for a service in a zone; the attributes hold the load that it was based on.")
 	EvOrderFailed    = telemetry.Register(3204, "server-order-failed", slog.LevelWarn, "An order of backend servers failed; it is retried.")
 
--- a/internal/duty/reporter.go
+++ b/internal/duty/reporter.go
@@ -190,10 +190,13 @@
 			return fault.New(fault.Conflict, "usage.generation", "", "the lease is not held")
 		}
 	}
-	if !isFirst || !r.Lease.IsContinued() {
+	isContinued := r.Lease.IsContinued()
+	if !isFirst || !isContinued {
 		r.ownFrom = window
 	}
 	r.safeFrom = known.SafeFrom
+	r.Log.Log(EvDutyTaken, "token", token, "generation", generation, "window", window, "is_first", isFirst, "is_continued", isContinued,
+		"safe_from", r.safeFrom, "own_from", r.ownFrom)
 	return nil
 }
 
