duty, lease: what a holder counts as its own follows from its tenure

Callers saw: a window of usage that had been reported with 210 requests was reported again with 139 to 155, under a higher token, and both were accepted. Users bill by these counts.

Cause: the first window that only this process can have reported was set when the duty handled a token that was not a continued one. When the store went away between the acquisition and the duty's reads, and came back from a copy, the lease went on under another token, and the value counted as set. It was 0, or that of an earlier holding.

Change: lease.Tenure states since when a process has held the lease without another holder, with the first token. The duty derives its first own window from that for every token. A tenure ends at a lapse and where a generation was passed over; a generation that another holder has claimed first is told by the token in the claim. Reads that a restored store answered under an older token are discarded. It doesn't matter any more which tokens the duty sees, and when the store goes away. The reverse is kept and was incomplete: a window that had not settled at the takeover is the process's own, and is reported.

--- a/internal/duty/reporter.go
+++ b/internal/duty/reporter.go
@@ -74,6 +74,9 @@
 type usageGeneration struct {
 	Generation int64 `json:"generation"`
 	SafeFrom   int64 `json:"safeFrom"`
+	// Token is the fencing token of the holder that wrote this, the first one that reports
+	// in the generation.
+	Token int64 `json:"token,omitempty"`
 }
 
 // Reporter reports the usage of each window to the cloud while it holds the lease.
@@ -87,10 +90,10 @@
 	Crashes *blame.Tracker
 	Log     *telemetry.Logger
 
-	// nextWindow is the first window that this process has not reported since it
-	// acquired the lease with token.
-	nextWindow int64
+	// token is the latest fencing token for which takeOver succeeded, nextWindow the first
+	// window that this process has not reported since then.
 	token      int64
+	nextWindow int64
 	// stored holds the counts of recent windows that this process has seen stored, so
 	// that it repeats them if the store loses them.
 	stored map[int64]map[string]int
@@ -98,7 +101,7 @@
 	// nobody can have stored before it was seen.
 	generation, openFrom int64
 	// safeFrom is the usageGeneration's, ownFrom the first window that only this
-	// process can have reported.
+	// process can have reported. Both belong to token.
 	safeFrom, ownFrom int64
 	// snapshotAt is when the last snapshot was started.
 	snapshotAt time.Time
@@ -110,22 +113,18 @@
 // Run reports until ctx is done.
 func (r *Reporter) Run(ctx context.Context) error {
 	for wait.For(ctx, reportInterval) {
+		r.recordGeneration()
 		window, elapsed := r.Counts.CurrentWindow()
-		r.recordGeneration(window, elapsed)
-		token, _, err := r.Lease.Check()
-		if err != nil {
+		tenure, err := r.Lease.CheckTenure()
+		if err != nil || lease.Generation(tenure.Token) != r.generation {
 			continue
 		}
-		if token != r.token {
-			err := r.restore(ctx)
-			if err == nil {
-				err = r.restoreGeneration(ctx, token, window)
-			}
-			if err != nil {
-				r.Log.Log(EvSnapshotFailed, "token", token, "step", fault.Step(err), "peer", fault.Peer(err), "error", err.Error())
+		if tenure.Token != r.token {
+			if err := r.takeOver(ctx, tenure); err != nil {
+				r.Log.Log(EvSnapshotFailed, "token", tenure.Token, "step", fault.Step(err), "peer", fault.Peer(err), "error", err.Error())
 				continue
 			}
-			r.token, r.nextWindow = token, window-catchUpWindows
+			r.nextWindow = window - catchUpWindows
 		}
 		last := window - 1
 		if elapsed < settleTime {
@@ -143,61 +142,96 @@
 	return nil
 }
 
-// recordGeneration notes a new generation of the store. Another holder may have stored
-// and reported every window that it could take for settled, up to a clock skew of half
-// the settle time.
-func (r *Reporter) recordGeneration(window int64, elapsed time.Duration) {
-	generation := kv.Generation(r.Store)
-	if generation == r.generation {
-		return
-	}
-	r.generation, r.openFrom = generation, window
+// recordGeneration notes a new generation of the store. Another holder may have stored and
+// reported every window that it could take for settled when the generation was seen.
+func (r *Reporter) recordGeneration() {
+	if generation := kv.Generation(r.Store); generation != r.generation {
+		r.generation, r.openFrom = generation, r.firstUnsettled(time.Now())
+	}
+}
+
+// firstUnsettled returns the first window that no process can have taken for settled at a
+// time in the past, up to a clock skew of half the settle time.
+func (r *Reporter) firstUnsettled(at time.Time) int64 {
+	window, elapsed := r.Counts.WindowBefore(time.Since(at))
 	if elapsed < settleTime/2 {
-		r.openFrom--
+		window--
+	}
+	return window
+}
+
+// takeOver prepares the reports under a new token, which this process acquired or with
+// which it goes on after a restore of the store. What it sets follows from the tenure and
+// the store alone, and not from the time of the call: the store may go away before any
+// call succeeds, and come back in a later generation.
+func (r *Reporter) takeOver(ctx context.Context, tenure lease.Tenure) error {
+	if err := r.restore(ctx); err != nil {
+		return err
+	}
+	safeFrom, isFirst, err := r.claimGeneration(ctx, tenure.Token)
+	if err != nil {
+		return err
+	}
+	if kv.Generation(r.Store) != lease.Generation(tenure.Token) {
+		return fault.New(fault.Unavailable, "usage.take-over", "", "the store was restored from a copy")
 	}
+	r.ownFrom = r.firstOwnWindow(tenure, isFirst)
+	r.safeFrom, r.token = safeFrom, tenure.Token
+	r.Log.Log(EvDutyTaken, "token", tenure.Token, "first_token", tenure.First, "is_first", isFirst,
+		"held_ms", time.Since(tenure.Since).Milliseconds(), "safe_from", r.safeFrom, "own_from", r.ownFrom)
+	return nil
 }
 
-// restoreGeneration determines which windows the holder with the token may report
-// although their counts are not stored.
-func (r *Reporter) restoreGeneration(ctx context.Context, token, window int64) error {
+// claimGeneration returns the first window of which the stored counts are complete in the
+// generation of a token, and whether this process was the first to report in it. The first
+// one records the window.
+func (r *Reporter) claimGeneration(ctx context.Context, token int64) (safeFrom int64, isFirst bool, err error) {
 	generation := lease.Generation(token)
 	if generation == 0 {
-		r.ownFrom = window
-		return nil
+		return 0, true, nil // the store has no generations and never loses counts
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	entry, found, err := r.Store.Get(ctx, GenerationKey)
 	if err != nil {
-		return err
+		return 0, false, err
 	}
 	var known usageGeneration
 	if found {
 		_ = json.Unmarshal(entry.Value, &known) // unreadable: as if there were none
 	}
-	isFirst := known.Generation != generation
-	if isFirst {
-		known = usageGeneration{Generation: generation, SafeFrom: r.openFrom}
-		value, err := json.Marshal(known)
-		if err != nil {
-			return fault.Wrap(err, fault.Invalid, "usage.generation", "", "cannot encode")
-		}
-		result, err := r.Store.Txn(ctx, []kv.Compare{r.Lease.Guard(token)}, []kv.Op{kv.Put(GenerationKey, value)})
-		if err != nil {
-			return err
-		}
-		if !result.Succeeded {
-			return fault.New(fault.Conflict, "usage.generation", "", "the lease is not held")
-		}
+	if known.Generation == generation {
+		return known.SafeFrom, known.Token == token, nil
+	}
+	value, err := json.Marshal(usageGeneration{Generation: generation, SafeFrom: r.openFrom, Token: token})
+	if err != nil {
+		return 0, false, fault.Wrap(err, fault.Invalid, "usage.generation", "", "cannot encode")
 	}
-	isContinued := r.Lease.IsContinued()
-	if !isFirst || !isContinued {
-		r.ownFrom = window
+	result, err := r.Store.Txn(ctx, []kv.Compare{r.Lease.Guard(token)}, []kv.Op{kv.Put(GenerationKey, value)})
+	if err == nil && !result.Succeeded {
+		err = fault.New(fault.Conflict, "usage.generation", "", "the lease is not held")
 	}
-	r.safeFrom = known.SafeFrom
-	r.Log.Log(EvDutyTaken, "token", token, "generation", generation, "window", window, "is_first", isFirst, "is_continued", isContinued,
-		"safe_from", r.safeFrom, "own_from", r.ownFrom)
-	return nil
+	return r.openFrom, true, err
+}
+
+// firstOwnWindow returns the first window that only this process can have reported: the
+// first one that was not settled when its tenure began. If another process may have
+// reported in a later generation of the tenure before this one did, the tenure counts
+// from the current token on.
+func (r *Reporter) firstOwnWindow(t lease.Tenure, isFirst bool) int64 {
+	if t.Token == t.First {
+		return r.firstUnsettled(t.Since)
+	}
+	// checked is the latest earlier token of the tenure before which no other process reported.
+	checked := max(r.token, t.First)
+	if !isFirst || lease.Generation(t.Token) != lease.Generation(checked)+1 {
+		return r.firstUnsettled(t.AcquiredAt)
+	}
+	own := r.firstUnsettled(t.Since)
+	if r.token >= t.First {
+		own = max(own, r.ownFrom) // raised when an earlier token was taken over
+	}
+	return own
 }
 
 // restore loads the snapshot of the previous holder.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -80,11 +80,24 @@
 	generation int64
 	// token is 0 while the lease is not held.
 	token      int64
-	acquiredAt time.Time
-	// isContinued is true if this process held the lease until the store came back
-	// from a copy, and was the first to acquire it then.
-	isContinued bool
-	validUntil  time.Time
+	validUntil time.Time
+	// tenure is that of the latest token, also after it was lost.
+	tenure Tenure
+}
+
+// Tenure is a time in which one process holds a lease without another holder in
+// between. It goes on when the store comes back from a copy and the process acquires the
+// lease again before it would have expired; each generation of the store has a fencing
+// token of its own then.
+//
+// Invariant: within a generation that Token or an earlier token of the tenure belongs to,
+// no other process holds the lease after that token was acquired. One that started just
+// after the restore may have held it before.
+type Tenure struct {
+	// Token is the current fencing token, First that with which the tenure began.
+	Token, First int64
+	// Since is when First was acquired, AcquiredAt when Token was.
+	Since, AcquiredAt time.Time
 }
 
 // New returns a lease that is not held.
@@ -101,13 +114,31 @@
 func (l *Lease) Check() (token int64, until time.Time, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if err := l.checkLocked(); err != nil {
+		return 0, time.Time{}, err
+	}
+	return l.token, l.validUntil, nil
+}
+
+// CheckTenure is Check for callers whose state depends on how long the lease has been
+// held. It returns the current tenure.
+func (l *Lease) CheckTenure() (Tenure, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.checkLocked(); err != nil {
+		return Tenure{}, err
+	}
+	return l.tenure, nil
+}
+
+func (l *Lease) checkLocked() error {
 	now := time.Now()
 	// The monotonic clock may stop and the wall clock may be stepped, so the lease
 	// must be valid by both.
 	if l.token == 0 || l.isOutdatedLocked() || !now.Before(l.validUntil) || !now.Round(0).Before(l.validUntil.Round(0)) {
-		return 0, time.Time{}, fault.New(fault.Conflict, "lease.check", l.cfg.Key, "the lease is not held")
+		return fault.New(fault.Conflict, "lease.check", l.cfg.Key, "the lease is not held")
 	}
-	return l.token, l.validUntil, nil
+	return nil
 }
 
 // isOutdatedLocked reports whether the store has come back from a copy since the
@@ -118,15 +149,7 @@
 func (l *Lease) AcquiredAt() time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.acquiredAt
-}
-
-// IsContinued reports whether this process held the lease until the store came back
-// from a copy, and acquired it again then.
-func (l *Lease) IsContinued() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.isContinued
+	return l.tenure.AcquiredAt
 }
 
 // Guard returns a condition for a transaction in the store that is true while the
@@ -242,7 +265,7 @@
 		return seen, false, err
 	}
 	token := newToken(snapshot.Generation, revision)
-	l.token, l.acquiredAt, l.isContinued = token, time.Now(), isResuming
+	l.token, l.tenure = token, l.tenure.next(token, time.Now(), isResuming)
 	l.validUntil = sent.Add(l.cfg.TTL - l.cfg.ClockMargin)
 	l.mu.Unlock()
 	l.resumeUntil = time.Time{}
@@ -250,6 +273,16 @@
 	return seen, true, nil
 }
 
+// next returns the tenure after a token was acquired. It is a new one unless isResuming is
+// set and the token belongs to the generation after that of the last one: in a generation
+// that was passed over, another process may have held the lease.
+func (t Tenure) next(token int64, now time.Time, isResuming bool) Tenure {
+	if !isResuming || Generation(token) != Generation(t.Token)+1 {
+		return Tenure{Token: token, First: token, Since: now, AcquiredAt: now}
+	}
+	return Tenure{Token: token, First: t.First, Since: t.Since, AcquiredAt: now}
+}
+
 // recordGeneration records the store's generation and the time of its change.
 func (l *Lease) recordGeneration(generation int64) {
 	if l.isGenerationKnown && generation != l.knownGeneration {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -23,8 +23,11 @@
 	isUnavailable bool
 	revision      int64
 	holder        kv.Entry
+	generation    atomic.Int64
 }
 
+func (s *stubStore) Generation() int64 { return s.generation.Load() }
+
 func (s *stubStore) setUnavailable(isUnavailable bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -54,7 +57,7 @@
 		return kv.Snapshot{}, err
 	}
 	defer s.mu.Unlock()
-	snapshot := kv.Snapshot{Revision: s.revision}
+	snapshot := kv.Snapshot{Revision: s.revision, Generation: s.Generation()}
 	if s.holder.Key != "" {
 		snapshot.Entries = []kv.Entry{s.holder}
 	}
@@ -132,6 +135,52 @@
 	})
 }
 
+// restore brings the store back from a copy without the holder's key.
+func (s *stubStore) restore(generation int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holder = kv.Entry{}
+	s.generation.Store(generation)
+}
+
+// A tenure must not go on over a time in which another process may have held the lease: a
+// generation of the store that was passed over, or a lapse.
+func TestTenureGoesOnOnlyWithoutAnotherHolder(t *testing.T) {
+	withLease(t, nil, func(store *stubStore, l *Lease) {
+		store.restore(1)
+		time.Sleep(5 * time.Second)
+		first, err := l.CheckTenure()
+		require.NoError(t, err)
+		require.Equal(t, first.Token, first.First)
+		require.Equal(t, first.Since, first.AcquiredAt)
+
+		store.restore(2)
+		time.Sleep(2 * time.Second)
+		second, err := l.CheckTenure()
+		require.NoError(t, err)
+		require.Greater(t, second.Token, first.Token)
+		require.Equal(t, []any{first.First, first.Since}, []any{second.First, second.Since})
+		require.True(t, second.AcquiredAt.After(first.AcquiredAt))
+
+		store.restore(4)
+		time.Sleep(2 * time.Second)
+		third, err := l.CheckTenure()
+		require.NoError(t, err)
+		require.Equal(t, third.Token, third.First, "generation 3 was passed over")
+
+		store.setUnavailable(true)
+		time.Sleep(4 * time.Second)
+		_, err = l.CheckTenure()
+		require.True(t, fault.Is(err, fault.Conflict))
+		store.restore(5)
+		store.setUnavailable(false)
+		time.Sleep(5 * time.Second)
+		fourth, err := l.CheckTenure()
+		require.NoError(t, err)
+		require.Equal(t, fourth.Token, fourth.First, "the lease had lapsed")
+	})
+}
+
 func TestOnlyCandidatesAcquireLease(t *testing.T) {
 	withLease(t, func() bool { return false }, func(store *stubStore, l *Lease) {
 		time.Sleep(10 * time.Second)
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -45,9 +45,19 @@
 }
 
 // currentWindowLocked is CurrentWindow with the mutex held.
-func (c *Counts) currentWindowLocked() (int64, time.Duration) {
-	now := c.wall.Now()
-	return int64(now / c.windowLength), now % c.windowLength
+func (c *Counts) currentWindowLocked() (int64, time.Duration) { return c.windowBeforeLocked(0) }
+
+// WindowBefore returns the number of the window that was current some time ago, and the
+// time since its start then.
+func (c *Counts) WindowBefore(ago time.Duration) (window int64, elapsed time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.windowBeforeLocked(ago)
+}
+
+func (c *Counts) windowBeforeLocked(ago time.Duration) (int64, time.Duration) {
+	at := c.wall.Now() - ago
+	return int64(at / c.windowLength), at % c.windowLength
 }
 
 // RecordStart counts a request that starts to run now.
