duty, blame: stored evidence is replaced only once it has been read

Callers saw: after a restart of all entries while the store was away, requests whose content crashes servers were sent on again, until it had crashed three more.

Found by reading all that the holder writes; the size of the site, stored in the same transaction, waits for its reader already.

Why this works: the tracker says when it has read the stored evidence, and the holder asks before it encodes its own.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -106,6 +106,8 @@
 	// digest is the exclusive or of the hashes of all evidence.
 	digest    uint64
 	expiredAt time.Duration
+	// isRecalled is true once the stored evidence has been read.
+	isRecalled bool
 }
 
 // evidence is what speaks against one key.
--- a/internal/blame/store.go
+++ b/internal/blame/store.go
@@ -62,6 +62,13 @@
 	return nil
 }
 
+// IsRecalled reports whether the stored evidence has been read, so that it may be replaced.
+func (t *Tracker) IsRecalled() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isRecalled
+}
+
 // LoadStored reads the evidence that was stored before a restart. It retries until the
 // store answers or ctx ends, and always returns nil.
 func (t *Tracker) LoadStored(ctx context.Context, store kv.Store) error {
@@ -71,6 +78,9 @@
 			if found {
 				err = t.mergeStored(entry.Value)
 			}
+			t.mu.Lock()
+			t.isRecalled = true
+			t.mu.Unlock()
 			t.log.Log(EvRecalled, "blocked", t.blockedCount(), "found", found, "error", errorText(err))
 			return nil
 		}
--- a/internal/duty/reporter.go
+++ b/internal/duty/reporter.go
@@ -266,12 +266,14 @@
 		if n, ok := r.Size.LastEstimate(); ok {
 			ops = append(ops, kv.Put(follow.SiteSizeKey, []byte(strconv.Itoa(n))))
 		}
+		isRecalled := r.Crashes.IsRecalled() // before its evidence is encoded
 		blocked, isEmpty, encodeErr := r.Crashes.EncodeBlocked()
-		if encodeErr == nil && (!isEmpty || r.mayHaveStoredBlocked) {
+		isDue := isRecalled && (!isEmpty || r.mayHaveStoredBlocked)
+		if encodeErr == nil && isDue {
 			ops = append(ops, kv.Put(blame.BlockedKey, blocked))
 		}
 		_, err = r.Store.Txn(ctx, []kv.Compare{r.Lease.Guard(r.token)}, ops)
-		if err == nil {
+		if err == nil && isDue {
 			r.mayHaveStoredBlocked = !isEmpty
 		}
 	}
--- a/internal/duty/reporter_test.go
+++ b/internal/duty/reporter_test.go
@@ -104,6 +104,13 @@
 	}
 }
 
+// comeBack ends a time away without a loss.
+func (s *restorableStore) comeBack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isAway = false
+}
+
 func (s *restorableStore) expireLocked() {
 	for id, end := range s.leases {
 		if time.Now().Before(end) {
@@ -266,10 +273,11 @@
 
 // reporterEntry is one process.
 type reporterEntry struct {
-	runID  string
-	counts *usage.Counts
-	lease  *lease.Lease
-	kill   func()
+	runID   string
+	counts  *usage.Counts
+	crashes *blame.Tracker
+	lease   *lease.Lease
+	kill    func()
 }
 
 func withReporterSite(t *testing.T, f func(*testing.T, *reporterSite)) {
@@ -288,18 +296,19 @@
 	s.starts++
 	ctx, cancel := context.WithCancel(context.Background())
 	store := &storeClient{store: s.store}
-	e := &reporterEntry{runID: fmt.Sprint(id, "/", s.starts)}
+	e := &reporterEntry{runID: fmt.Sprint(id, "/", s.starts), crashes: blame.New(clock.Virtual, telemetry.Discard())}
 	e.counts = usage.NewCounts(e.runID, testWindow, clock.NewWall(clock.Virtual, time.Now))
 	e.lease = lease.New(lease.Config{
 		Key: "duty", Holder: id, TTL: testLeaseTTL, ClockMargin: 300 * time.Millisecond, StandbyInterval: 300 * time.Millisecond,
 	}, store, telemetry.Discard())
 	reporter := &Reporter{
 		Lease: e.lease, Store: store, Cloud: s.cloud, Counts: e.counts, Size: follow.NewSiteSize(clock.Virtual),
-		Crashes: blame.New(clock.Virtual, telemetry.Discard()), Log: testLog(id),
+		Crashes: e.crashes, Log: testLog(id),
 	}
 	var g sync.WaitGroup
 	g.Go(func() { _ = e.lease.Run(ctx) })
 	g.Go(func() { _ = reporter.Run(ctx) })
+	g.Go(func() { _ = e.crashes.LoadStored(ctx, store) })
 	g.Go(func() {
 		for ctx.Err() == nil {
 			e.counts.RecordStart("org")
@@ -437,6 +446,35 @@
 	return c
 }
 
+// Guards against evidence of blocked content that a new holder replaces before it has read
+// it: the entries start again while the store is away, and the first one that reaches it holds
+// the lease before it has read the evidence of the one before.
+func TestStoredEvidenceIsReadBeforeItIsReplaced(t *testing.T) {
+	for pause := range 20 {
+		t.Run(strconv.Itoa(pause), func(t *testing.T) {
+			withReporterSite(t, func(t *testing.T, s *reporterSite) {
+				content := blame.NewContent(2, nil)
+				s.startAll()
+				for crash := range 4 {
+					for _, e := range s.entries {
+						e.crashes.RecordCrash(blame.Crash(crash), 0, content.Keys())
+					}
+					s.run(time.Second)
+				}
+				s.killAll()
+				<-s.store.goAwayAfter(0, false)
+				s.startAll()
+				s.run(testLeaseTTL + time.Duration(pause)*50*time.Millisecond)
+				s.store.comeBack()
+				s.run(2 * testWindow)
+				for id, e := range s.entries {
+					require.True(t, e.crashes.Judge(&content).IsBlocked, "entry %s", id)
+				}
+			})
+		})
+	}
+}
+
 // Guards against two reports of a window with different counts in histories of kills, starts
 // and restores of the store at random moments. REPORTER_SEED and REPORTER_COUNT choose them.
 func TestUsageIsReportedOnceInRandomHistories(t *testing.T) {
