duty: no servers are ordered before the registered ones are known

Callers saw: backend servers taken away under load, when the entry that took the duties over had not read the registered servers because the store went away just then.

Cause: after a takeover the ready servers count as ordered, so that none is removed before the load has been known for long enough. Before the registered servers were read their number was 0, and an order of what the first second's load asks for removed the others.

Why this works: the scaler asks whether the view of the servers has been read at least once.

--- a/internal/duty/scaler.go
+++ b/internal/duty/scaler.go
@@ -52,6 +52,8 @@
 	Documents *follow.Documents
 	Balancer  *relay.Balancer
 	Demand    Demand
+	// AreServersKnown reports whether the registered servers have been read.
+	AreServersKnown func() bool
 	// IsRollingOut reports whether servers of two versions run for a service, or did until
 	// now, because of a roll-out; nil means never.
 	IsRollingOut func(service string) bool
@@ -127,7 +129,7 @@
 	running, ready := s.running(service.Name)
 	demand = state.demand.Add(now, demand)
 	runningPeak := state.running.Add(now, float64(running))
-	if !holdsLease {
+	if !holdsLease || !s.AreServersKnown() {
 		return
 	}
 	if rate == 0 {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -102,6 +102,9 @@
 	return f.clock() - time.Duration(confirmedAt)
 }
 
+// HasListed reports whether the view has been read at least once.
+func (f *Follower) HasListed() bool { return f.confirmedAt.Load() != 0 }
+
 // neverConfirmed exceeds every limit on a view's age.
 const neverConfirmed = 1000 * time.Hour
 
--- a/internal/relayd/relayd.go
+++ b/internal/relayd/relayd.go
@@ -336,7 +336,7 @@
 	if slices.Contains(p.settings.Duties, config.DutyScaling) {
 		scaler := duty.NewScaler(duty.ScalerConfig{
 			Lease: p.dutyLease, Cloud: p.cloud, Documents: p.documents, Balancer: p.balancer,
-			Demand: p.exchange, IsRollingOut: p.rollouts.isRollingOut, Clock: p.clock, Log: p.cli.Log,
+			Demand: p.exchange, AreServersKnown: p.serversFollower.HasListed, IsRollingOut: p.rollouts.isRollingOut, Clock: p.clock, Log: p.cli.Log,
 		})
 		tasks = append(tasks, scaler.Run)
 	}
