relayd: a roll-out may be under way until the orders have been read

Callers saw nothing; users would pay for too many servers.

Cause: the scaler waits with its first order after a takeover while a roll-out is under way, since the ready servers are not those that were ordered then. A process that takes the duties over and has not read the operators' orders, because the store went away, counted as having no roll-out. It asks only once.

Change: until the orders have been read, a roll-out may be under way.

--- a/internal/relayd/rollouts.go
+++ b/internal/relayd/rollouts.go
@@ -49,11 +49,15 @@
 // no longer registered.
 const rolloutEnd = 10 * time.Second
 
-// isRollingOut reports whether servers of two versions may be registered for a service.
+// isRollingOut reports whether servers of two versions may be registered for a service. They
+// may be until the orders have been read.
 func (r *rollouts) isRollingOut(service string) bool {
 	if r == nil {
 		return false
 	}
+	if !r.gate.IsInformed() {
+		return true
+	}
 	order, ok := r.gate.Known(service)
 	return ok && (!order.Phase.IsFinal() || order.IsStated && r.clock() < order.Deadline+rolloutEnd)
 }
