duty, rollout: a restore of the store doesn't bring an earlier order back

Cause: under a new token the holder reads the orders' records from the store, and takes what the entries know only where there is no record. A lease that goes on over a restore counted as a takeover, and the record of the earlier order replaced what all entries knew.

Evidence: TestOrderOutlivesARestoreToTheOrderBefore: 134 requests to v3 after it was rolled back (115 of them before it was ordered again); the log shows the statement of v2, completed, under the next token. Now 0, and one outcome for each order. The tests of internal/rollout, internal/duty, internal/relayd, and of platform with Rollout, Version, Order or Drill in their names pass.

Why this works: no holder tells of an order before its record is stored, so one that the entries know and that is later than the stored record was lost in a restore. The copy's order has the revision that it had, so it is told from a new order of the same version.

--- a/internal/duty/rollouts.go
+++ b/internal/duty/rollouts.go
@@ -72,6 +72,9 @@
 	// retryAt is when a failed write is repeated.
 	retryAt time.Duration
 	history rollout.History
+	// superseded is the record of an earlier order, which the store has brought back from a
+	// copy, perhaps with that order; nil if there is none.
+	superseded *rollout.Record
 }
 
 const (
@@ -132,6 +135,8 @@
 		order := view.orders[service]
 		a := r.active[service]
 		switch {
+		case a != nil && a.superseded != nil && a.superseded.IsRestored(&order):
+			// Operators write the later order again.
 		case a == nil || !a.isOf(&order):
 			r.begin(ctx, &order, view.writtenAt[service])
 		case a.Seen != order.ID:
@@ -141,7 +146,8 @@
 	}
 	for service, a := range r.active {
 		order, isOrdered := view.orders[service]
-		isReplaced := isOrdered && !a.isOf(&order)
+		isRestored := a.superseded != nil && a.superseded.IsRestored(&order)
+		isReplaced := isOrdered && !a.isOf(&order) && !isRestored
 		// In a copy the order may be missing until operators write it again.
 		isDeleted := !isOrdered && rollout.Generation(a.Seen) == view.generation
 		r.advance(ctx, a, isReplaced || isDeleted)
@@ -155,7 +161,8 @@
 	return state.IsSame(order)
 }
 
-// load reads the records of the holder before.
+// load reads the records of the holder before. What the entries know is later if the store has
+// come back from a copy: no holder tells of an order before its record is stored.
 func (r *Rollouts) load(ctx context.Context) error {
 	records, err := r.source.records(ctx)
 	if err != nil {
@@ -171,9 +178,15 @@
 		r.active[service] = a
 	}
 	for _, known := range r.Gate.Stated() {
-		if r.active[known.Service] == nil {
-			r.active[known.Service] = r.restore(&known)
+		stored := r.active[known.Service]
+		if stored != nil && stored.ID >= known.ID {
+			continue
+		}
+		a := r.restore(&known)
+		if stored != nil {
+			a.modRevision, a.superseded = stored.modRevision, &stored.Record
 		}
+		r.active[known.Service] = a
 	}
 	return nil
 }
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -201,6 +201,9 @@
 		g.isInformed, g.confirmedAt = true, max(g.confirmedAt, confirmedAt)
 		for _, o := range s.Orders {
 			known := g.orders[o.Service]
+			if known != nil && known.IsStated && o.ID < known.ID {
+				continue // an earlier order, from a copy of the store
+			}
 			if known == nil || !known.IsSame(&Order{ID: o.Seen, To: o.To}) || !known.Phase.IsFinal() && o.Phase.IsFinal() {
 				set(o)
 			}
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -54,6 +54,13 @@
 	return value, fault.Wrap(err, fault.Invalid, "rollout.encode", "", "cannot encode the record")
 }
 
+// IsRestored reports whether an order that was read is the one of the record, and the store
+// has brought both back from a copy: the order has the revision that it had before.
+func (r Record) IsRestored(order *Order) bool {
+	const revisionMask = 1<<revisionBits - 1
+	return r.To == order.To && r.Seen&revisionMask == order.ID&revisionMask && Generation(r.Seen) < Generation(order.ID)
+}
+
 // State returns what entries are told of the order, without its deadline.
 func (r Record) State() OrderState {
 	return OrderState{ID: r.ID, Seen: r.Seen, Service: r.Service, To: r.To, From: r.From, Barred: r.Barred, Phase: r.Outcome}
