Tests of answers that break off inside their heads, wherever an answer is read

Another operator reported: an engine stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body, framed as whole.

--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -135,6 +135,9 @@
 			wait(r, changed, a.down)
 			continue
 		}
+		if !headerSent && faults.CutHead > 0 {
+			CutHead(w, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", faults.CutHead)
+		}
 		if !headerSent {
 			headerSent = true
 			w.WriteHeader(http.StatusOK)
@@ -222,3 +225,14 @@
 func (s *Server) serves(model string) bool {
 	return model == "" || slices.Contains(s.Models(), model)
 }
+
+// CutHead ends the connection of a request after the first bytes of a response's head, and does not
+// return. The head has its last empty line.
+func CutHead(w http.ResponseWriter, head string, length int) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_, _ = conn.Write([]byte(head[:min(length, len(head)-1)])) // the client may have left
+		_ = conn.Close()
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/internal/standin/engine/settings.go
+++ b/internal/standin/engine/settings.go
@@ -98,6 +98,9 @@
 	Stall bool
 	// LoseAnswer runs requests and drops their connections without a response.
 	LoseAnswer bool
+	// CutHead runs requests and ends their connections after this number of bytes of the
+	// head of a stream; 0 is off.
+	CutHead int
 }
 
 // Execution records one started run of a prompt; tests verify properties on
--- a/internal/standin/plainservice/plainservice.go
+++ b/internal/standin/plainservice/plainservice.go
@@ -12,12 +12,15 @@
 
 import (
 	"cmp"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"buckthornpick/internal/standin/engine"
 )
 
 // Settings configures a plain service. Zero fields take their defaults.
@@ -62,6 +65,9 @@
 	Slowdown float64
 	// LoseAnswer runs calls and drops their connections without a response.
 	LoseAnswer bool
+	// CutHead runs calls and ends their connections after this number of bytes of the head of
+	// the answer; 0 is off.
+	CutHead int
 }
 
 // Run records one started run of a call; tests verify properties on these
@@ -174,6 +180,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	answer := Answer(r.Method, r.URL.RequestURI(), body, number)
+	if length := s.currentFaults().CutHead; length > 0 {
+		engine.CutHead(w, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", len(answer)), length)
+	}
 	s.setLoadHeader(w)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -26,9 +26,15 @@
 
 // upload sends a request with a body of the size to a server over TCP and reads its response.
 func upload(t *testing.T, pool *Pool, address string, size int) (*Response, []byte, error) {
+	t.Helper()
+	return sendTo(t, pool, address, http.Header{}, size)
+}
+
+// sendTo is upload with fields of the request's head.
+func sendTo(t *testing.T, pool *Pool, address string, header http.Header, size int) (*Response, []byte, error) {
 	t.Helper()
 	resp, err := pool.Do(t.Context(), Target{ID: "s", Address: address}, &Request{
-		Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{}, Body: Body{bytes.Repeat([]byte("x"), size/2), bytes.Repeat([]byte("x"), size-size/2)},
+		Method: http.MethodPost, URI: "/x", Host: "h", Header: header, Body: Body{bytes.Repeat([]byte("x"), size/2), bytes.Repeat([]byte("x"), size-size/2)},
 	})
 	if err != nil {
 		return nil, nil, err
