--- a/internal/duty/reporter.go
+++ b/internal/duty/reporter.go
@@ -268,8 +268,8 @@
 		}
 		isRecalled := r.Crashes.IsRecalled() // before its evidence is encoded
 		blocked, isEmpty, encodeErr := r.Crashes.EncodeBlocked()
-		isDue := isRecalled && (!isEmpty || r.mayHaveStoredBlocked)
-		if encodeErr == nil && isDue {
+		isDue := encodeErr == nil && isRecalled && (!isEmpty || r.mayHaveStoredBlocked)
+		if isDue {
 			ops = append(ops, kv.Put(blame.BlockedKey, blocked))
 		}
 		_, err = r.Store.Txn(ctx, []kv.Compare{r.Lease.Guard(r.token)}, ops)
--- a/internal/duty/rollouts.go
+++ b/internal/duty/rollouts.go
@@ -72,8 +72,8 @@
 	// retryAt is when a failed write is repeated.
 	retryAt time.Duration
 	history rollout.History
-	// superseded is the record of an earlier order, which the store has brought back from a
-	// copy, perhaps with that order; nil if there is none.
+	// superseded is the record of the order before, if the store has come back from a copy
+	// that holds it, perhaps with that order; nil otherwise.
 	superseded *rollout.Record
 }
 
@@ -135,7 +135,7 @@
 		order := view.orders[service]
 		a := r.active[service]
 		switch {
-		case a != nil && a.superseded != nil && a.superseded.IsRestored(&order):
+		case a != nil && a.hasSuperseded(&order):
 			// Operators write the later order again.
 		case a == nil || !a.isOf(&order):
 			r.begin(ctx, &order, view.writtenAt[service])
@@ -146,8 +146,7 @@
 	}
 	for service, a := range r.active {
 		order, isOrdered := view.orders[service]
-		isRestored := a.superseded != nil && a.superseded.IsRestored(&order)
-		isReplaced := isOrdered && !a.isOf(&order) && !isRestored
+		isReplaced := isOrdered && !a.isOf(&order) && !a.hasSuperseded(&order)
 		// In a copy the order may be missing until operators write it again.
 		isDeleted := !isOrdered && rollout.Generation(a.Seen) == view.generation
 		r.advance(ctx, a, isReplaced || isDeleted)
@@ -161,6 +160,11 @@
 	return state.IsSame(order)
 }
 
+// hasSuperseded reports whether the order is the one before this, in a copy of the store.
+func (a *activeOrder) hasSuperseded(order *rollout.Order) bool {
+	return a.superseded != nil && a.superseded.IsRestored(order)
+}
+
 // load reads the records of the holder before. What the entries know is later if the store has
 // come back from a copy: no holder tells of an order before its record is stored.
 func (r *Rollouts) load(ctx context.Context) error {
--- a/internal/rollout/gate_test.go
+++ b/internal/rollout/gate_test.go
@@ -111,3 +111,16 @@
 	require.Zero(t, g.orders["app"].all)
 	require.Zero(t, g.orders["app"].exposed)
 }
+
+// Guards against an entry that reads the orders in a store which has come back from a copy, and
+// forgets the order that a holder has told of since.
+func TestEarlierOrderInARestoredStoreIsPassedOver(t *testing.T) {
+	g := NewGate(Bounds{Share: 0.1, Rollback: time.Second}, 0)
+	later := OrderState{ID: NewID(1, 9), Seen: NewID(1, 9), Service: "app", To: "v3", Phase: PhaseRolledBack}
+	g.Learn(time.Second, Statement{Token: 5, Number: 1, Orders: []OrderState{later}})
+	earlier := OrderState{ID: NewID(1, 4), Seen: NewID(2, 4), Service: "app", To: "v2", Phase: PhaseCompleted}
+	require.Empty(t, g.Learn(2*time.Second, Statement{Orders: []OrderState{earlier}}))
+	known, ok := g.Known("app")
+	require.True(t, ok)
+	require.Equal(t, "v3", known.To)
+}
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -227,7 +227,7 @@
 }
 
 // CutHead ends the connection of a request after the first bytes of a response's head, and does not
-// return. The head has its last empty line.
+// return. head ends with its empty line.
 func CutHead(w http.ResponseWriter, head string, length int) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err == nil {
