--- a/internal/duty/reporter_test.go
+++ b/internal/duty/reporter_test.go
@@ -449,6 +449,34 @@
 	return c
 }
 
+// Guards against a window that nobody has reported and that is lost: the store goes away after a
+// takeover, at the moments of the test above, and comes back as it was. Then it tells what was
+// reported, so that each window is.
+func TestUsageOfAllWindowsIsReportedWhenTheStoreComesBackAsItWas(t *testing.T) {
+	const calls, pauses = 14, 8
+	for moment := range 2*calls + pauses {
+		t.Run(strconv.Itoa(moment), func(t *testing.T) {
+			t.Parallel()
+			withReporterSite(t, func(t *testing.T, s *reporterSite) {
+				first := windowAt(time.Now())
+				s.startAll()
+				s.run(2*testWindow + 2*time.Second)
+				s.killAll()
+				s.startAll()
+				s.awaitHolder()
+				s.goAway(moment, calls)
+				s.run(700 * time.Millisecond)
+				s.store.comeBack()
+				s.run(4 * testWindow)
+				s.cloud.requireUnchanged(t)
+				for window := first; window < windowAt(time.Now())-1; window++ {
+					s.requireReported(t, window)
+				}
+			})
+		})
+	}
+}
+
 // Guards against evidence of blocked content that a new holder replaces before it has read
 // it: the entries start again while the store is away, and the first one that reaches it holds
 // the lease before it has read the evidence of the one before.
