--- a/internal/netx/cut_test.go
+++ b/internal/netx/cut_test.go
@@ -17,7 +17,7 @@
 // Guards against a response whose head breaks off and that is taken for a whole one: at each
 // byte, closed and reset, on new and on kept connections. A request with a body is sent once.
 func TestClientRefusesHeadsThatBreakOff(t *testing.T) {
-	const head, body = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nStore-Era: 2\r\n", `{"revision":1}`
+	const head, body = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nGeneration: 2\r\n", `{"revision":1}`
 	for _, framing := range rawserver.Framings {
 		for _, isKept := range []bool{false, true} {
 			for _, method := range []string{http.MethodGet, http.MethodPost} {
