duty, rollout: a record names the order that it has replaced

Cause: the holder's write of the outcome, sent for the old generation while the store was away, took effect in the copy, where the key of the lease has the same revision (in the log: rollout-ended with the old token after the restore). The stored record was then that of the later order, so the earlier order beside it, from the copy, was taken for a new one.

Change: a record holds what the order before was seen as, and the copy's order is told by that too.

--- a/internal/duty/rollouts.go
+++ b/internal/duty/rollouts.go
@@ -160,9 +160,10 @@
 	return state.IsSame(order)
 }
 
-// hasSuperseded reports whether the order is the one before this, in a copy of the store.
+// hasSuperseded reports whether the order is the one before this, in a copy of the store. The
+// record in the copy tells that, or that of this order, which may have been written since.
 func (a *activeOrder) hasSuperseded(order *rollout.Order) bool {
-	return a.superseded != nil && a.superseded.IsRestored(order)
+	return a.HasReplaced(order) || a.superseded != nil && a.superseded.IsRestored(order)
 }
 
 // load reads the records of the holder before. What the entries know is later if the store has
@@ -239,6 +240,7 @@
 	a.Record = rollout.Record{ID: order.ID, Seen: order.ID, Service: order.Service, To: order.To}
 	if former := r.active[order.Service]; former != nil {
 		a.Barred = barredBy(former, order.To)
+		a.FormerSeen, a.FormerTo = former.Seen, former.To
 	}
 	versions := r.Gate.Versions(order.Service)
 	if len(versions) == 0 && r.Clock() < a.deadline-unknownServersMargin {
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -25,6 +25,10 @@
 	From    []string `json:"from"`
 	// Barred holds the versions that earlier orders of the service were rolled back from.
 	Barred []string `json:"barred,omitempty"`
+	// FormerSeen and FormerTo are Seen and To of the order that this one has replaced; 0 and ""
+	// if there was none.
+	FormerSeen int64  `json:"formerSeen,omitempty"`
+	FormerTo   string `json:"formerTo,omitempty"`
 	// OrderedMillis and DeadlineMillis are Unix milliseconds.
 	OrderedMillis  int64 `json:"orderedMillis"`
 	DeadlineMillis int64 `json:"deadlineMillis"`
@@ -54,11 +58,20 @@
 	return value, fault.Wrap(err, fault.Invalid, "rollout.encode", "", "cannot encode the record")
 }
 
-// IsRestored reports whether an order that was read is the one of the record, and the store
-// has brought both back from a copy: the order has the revision that it had before.
-func (r Record) IsRestored(order *Order) bool {
+// HasReplaced reports whether an order that was read is the one that this has replaced, which the
+// store has brought back from a copy.
+func (r Record) HasReplaced(order *Order) bool { return isRestored(r.FormerTo, r.FormerSeen, order) }
+
+// IsRestored reports whether an order that was read is the one of the record, which the store has
+// brought back from a copy.
+func (r Record) IsRestored(order *Order) bool { return isRestored(r.To, r.Seen, order) }
+
+// isRestored reports whether an order that was read is the one that was seen in an earlier
+// generation: in a copy it has the revision that it had. An order that was written since the
+// restore has a later one.
+func isRestored(to string, seen int64, order *Order) bool {
 	const revisionMask = 1<<revisionBits - 1
-	return r.To == order.To && r.Seen&revisionMask == order.ID&revisionMask && Generation(r.Seen) < Generation(order.ID)
+	return to == order.To && seen&revisionMask == order.ID&revisionMask && Generation(seen) < Generation(order.ID)
 }
 
 // State returns what entries are told of the order, without its deadline.
